--- /dev/null
+++ b/crates/endivespur_core/src/config.rs
@@ -0,0 +1,343 @@
+//! The operators' configuration: one object a key, merged by the store's revision.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Adapter, Endpoint, Organisation, Region, Revision, Service, Version, Zone};
+use crate::place::Rule;
+
+/// The key prefix of the configuration in the platform's store.
+pub const PREFIX: &str = "endivespur/config/";
+
+/// Who changed an object last, when and why.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// The operator's name.
+    pub author: String,
+    /// Seconds since the Unix epoch.
+    pub at: u64,
+    /// The reason given.
+    pub reason: String,
+}
+
+/// The protocol that an endpoint speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine with slots for adapters.
+    Engine,
+    /// A plain HTTP service.
+    Plain,
+}
+
+/// An endpoint that requests are routed to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The protocol.
+    pub kind: Kind,
+    /// The service that the endpoint belongs to.
+    pub service: Service,
+    /// The IP address and port.
+    pub address: String,
+    /// The region.
+    pub region: Region,
+    /// The zone.
+    pub zone: Zone,
+    /// The slots for adapters; 0 for a plain service.
+    #[serde(default)]
+    pub slots: usize,
+    /// The most requests that run at once.
+    pub batch: usize,
+    /// Whether the endpoint refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Whether the endpoint is drained: it gets no new work.
+    #[serde(default)]
+    pub drained: bool,
+    /// The last change.
+    #[serde(default)]
+    pub change: Change,
+}
+
+/// The state of a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Requests may name the version.
+    Active,
+    /// No new request may name the version.
+    Retired,
+}
+
+/// An adapter with its versions and place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lora {
+    /// The base model.
+    pub base: String,
+    /// The service whose engines run the adapter.
+    pub service: Service,
+    /// The organisations that may name the adapter.
+    pub organisations: BTreeSet<Organisation>,
+    /// The versions by number.
+    pub versions: BTreeMap<Version, Stage>,
+    /// Where the adapter and its cached context may live.
+    pub place: Rule,
+    /// The endpoints that keep the adapter's newest version loaded.
+    #[serde(default)]
+    pub pins: BTreeSet<Endpoint>,
+    /// The last change.
+    #[serde(default)]
+    pub change: Change,
+}
+
+/// A calling organisation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Where the organisation's requests may be handled.
+    pub place: Rule,
+    /// The share of service against other organisations.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// The last change.
+    #[serde(default)]
+    pub change: Change,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// How urgent a request is; a lower class goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Calls that may not be repeated.
+    Order,
+    /// Short calls that read.
+    Lookup,
+    /// Interactive drafts.
+    Draft,
+    /// Summaries that can wait.
+    Summary,
+}
+
+impl Class {
+    /// Returns the class with the given number, the last one for a number beyond it.
+    pub fn from_number(number: u8) -> Self {
+        match number {
+            0 => Self::Order,
+            1 => Self::Lookup,
+            2 => Self::Draft,
+            _ => Self::Summary,
+        }
+    }
+}
+
+/// A route of a plain service whose calls may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Once {
+    /// The HTTP method.
+    pub method: String,
+    /// The prefix of the path below the service.
+    pub path: String,
+}
+
+/// A service: a group of endpoints under one name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Offer {
+    /// The class of the service's requests.
+    pub class: Class,
+    /// Whether completions of the service may be repeated.
+    #[serde(default)]
+    pub once: bool,
+    /// The routes of a plain service that may not be repeated.
+    #[serde(default)]
+    pub routes: Vec<Once>,
+    /// The last change.
+    #[serde(default)]
+    pub change: Change,
+}
+
+impl Offer {
+    /// Tells whether a call of a plain service may not be repeated.
+    pub fn is_once(&self, method: &str, path: &str) -> bool {
+        self.routes
+            .iter()
+            .any(|route| route.method == method && path.starts_with(&route.path))
+    }
+}
+
+/// A value of the configuration with the store's revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The key below [`PREFIX`].
+    pub key: String,
+    /// The store's revision of the write.
+    pub revision: Revision,
+    /// The JSON text, or nothing for a deleted object.
+    pub value: Option<String>,
+}
+
+/// A value of the configuration that was not understood.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// The key and the path inside the value.
+    pub place: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// The configuration that a node knows.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// All writes up to this revision are known.
+    pub revision: Revision,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<Endpoint, Target>,
+    /// Adapters by name.
+    pub adapters: BTreeMap<Adapter, Lora>,
+    /// Organisations by name.
+    pub organisations: BTreeMap<Organisation, Tenant>,
+    /// Services by name.
+    pub services: BTreeMap<Service, Offer>,
+    /// Values that were not understood, by key; the last good value stays in force.
+    pub findings: BTreeMap<String, Finding>,
+    entries: BTreeMap<String, Entry>,
+}
+
+impl Snapshot {
+    /// Applies an entry if it is newer than what is known; tells whether it was.
+    ///
+    /// An older or equal revision of the same key changes nothing, wherever it comes from.
+    pub fn apply(&mut self, entry: Entry) -> bool {
+        let known = self.entries.get(&entry.key).map_or(0, |e| e.revision);
+        if entry.revision <= known {
+            return false;
+        }
+        self.parse(&entry);
+        self.entries.insert(entry.key.clone(), entry);
+        true
+    }
+
+    /// Notes that all writes up to `revision` are known; never goes back.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Replaces what is known by a full listing of the store at `revision`.
+    ///
+    /// A key that is missing from the listing was deleted, unless it is known from a
+    /// later write. A listing older than what is known changes nothing.
+    pub fn replace(&mut self, revision: Revision, listing: Vec<Entry>) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let present: BTreeSet<String> = listing.iter().map(|e| e.key.clone()).collect();
+        let gone: Vec<String> = self
+            .entries
+            .values()
+            .filter(|e| e.value.is_some() && e.revision <= revision)
+            .filter(|e| !present.contains(&e.key))
+            .map(|e| e.key.clone())
+            .collect();
+        let mut changed = false;
+        for key in gone {
+            changed |= self.apply(Entry {
+                key,
+                revision,
+                value: None,
+            });
+        }
+        for entry in listing {
+            changed |= self.apply(entry);
+        }
+        self.advance(revision);
+        changed
+    }
+
+    /// Returns the number of objects.
+    pub fn len(&self) -> usize {
+        self.entries.values().filter(|e| e.value.is_some()).count()
+    }
+
+    /// Tells whether there is no object.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the entries written after `revision`, in the order of their keys.
+    pub fn after(&self, revision: Revision) -> Vec<Entry> {
+        self.entries
+            .values()
+            .filter(|e| e.revision > revision)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the revision of the last write of a key, 0 if there is none.
+    pub fn revision_of(&self, key: &str) -> Revision {
+        self.entries
+            .get(key)
+            .filter(|e| e.value.is_some())
+            .map_or(0, |e| e.revision)
+    }
+
+    /// Returns the known entry of a key.
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    fn parse(&mut self, entry: &Entry) {
+        let Some((kind, name)) = entry.key.split_once('/') else {
+            self.note(&entry.key, "", "a key has the form KIND/NAME");
+            return;
+        };
+        let result = match kind {
+            "endpoint" => set(&mut self.endpoints, name, entry.value.as_deref()),
+            "adapter" => set(&mut self.adapters, name, entry.value.as_deref()),
+            "organisation" => set(&mut self.organisations, name, entry.value.as_deref()),
+            "service" => set(&mut self.services, name, entry.value.as_deref()),
+            _ => Err((String::new(), format!("unknown kind {kind}"))),
+        };
+        match result {
+            Ok(()) => {
+                self.findings.remove(&entry.key);
+            }
+            Err((path, message)) => self.note(&entry.key, &path, &message),
+        }
+    }
+
+    fn note(&mut self, key: &str, path: &str, message: &str) {
+        let finding = Finding {
+            place: format!("{key}: {path}"),
+            message: message.to_string(),
+        };
+        self.findings.insert(key.to_string(), finding);
+    }
+}
+
+fn set<T: serde::de::DeserializeOwned>(
+    map: &mut BTreeMap<String, T>,
+    name: &str,
+    value: Option<&str>,
+) -> Result<(), (String, String)> {
+    let Some(text) = value else {
+        map.remove(name);
+        return Ok(());
+    };
+    let reader = &mut serde_json::Deserializer::from_str(text);
+    match serde_path_to_error::deserialize(reader) {
+        Ok(parsed) => {
+            map.insert(name.to_string(), parsed);
+            Ok(())
+        }
+        Err(error) => Err((error.path().to_string(), error.inner().to_string())),
+    }
+}
--- /dev/null
+++ b/crates/endivespur_core/src/member.rs
@@ -0,0 +1,287 @@
+//! Who is alive, and who owns which endpoint.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::config::Snapshot;
+use crate::hash;
+use crate::id::{Endpoint, Fence, Process, Region, Revision, Vm, Zone};
+
+/// The key prefix of the nodes' leased records.
+pub const NODES: &str = "endivespur/nodes/";
+/// The key prefix of the ownership records.
+pub const OWNERS: &str = "endivespur/owners/";
+
+/// The leased record of a live node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    /// A number that differs for each start of the process.
+    pub incarnation: u64,
+    /// The address for calls between nodes.
+    pub address: String,
+    /// The address for callers.
+    pub callers: String,
+    /// The region.
+    pub region: Region,
+    /// The zone.
+    pub zone: Zone,
+    /// Whether the node is stopping and takes no new ownership.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The record of an endpoint's owner; its fence is the store's revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The owning node.
+    pub vm: Vm,
+    /// The owning process.
+    pub incarnation: u64,
+    /// The owner's address for calls between nodes.
+    pub address: String,
+    /// Whether the owner gave the endpoint up, so that takeover needs no waiting.
+    #[serde(default)]
+    pub released: bool,
+}
+
+/// The waits before a lost owner's endpoints are taken over.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// After the owner's leased record has ended.
+    pub margin: Duration,
+    /// The time to live of a lease.
+    pub ttl: Duration,
+}
+
+/// What the store says about nodes and owners, with the revision of each record.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    nodes: BTreeMap<Vm, (Revision, Option<Node>)>,
+    owners: BTreeMap<Endpoint, (Fence, Option<Claim>)>,
+    /// When each owner was first seen without a live record.
+    lost: BTreeMap<(Vm, u64), Time>,
+}
+
+/// An endpoint that a node should claim, and the revision that the claim replaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Takeover {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The record's present revision, 0 if there is none.
+    pub over: Fence,
+    /// Whether the previous owner is known to have ended or given the endpoint up.
+    pub clean: bool,
+}
+
+impl Table {
+    /// Applies a node's record; an older revision changes nothing.
+    pub fn set_node(&mut self, vm: &str, revision: Revision, node: Option<Node>) -> bool {
+        newer(&mut self.nodes, vm, revision, node)
+    }
+
+    /// Applies an ownership record; an older revision changes nothing.
+    pub fn set_owner(&mut self, endpoint: &str, fence: Fence, claim: Option<Claim>) -> bool {
+        newer(&mut self.owners, endpoint, fence, claim)
+    }
+
+    /// Iterates over the live nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = (&Vm, &Node)> {
+        self.nodes
+            .iter()
+            .filter_map(|(vm, (_, node))| node.as_ref().map(|node| (vm, node)))
+    }
+
+    /// Returns the record of a live node.
+    pub fn node(&self, vm: &str) -> Option<&Node> {
+        self.nodes.get(vm).and_then(|(_, node)| node.as_ref())
+    }
+
+    /// Returns the live processes of a region.
+    pub fn live(&self, region: &str) -> BTreeSet<Process> {
+        self.nodes()
+            .filter(|(_, node)| node.region == region)
+            .map(|(vm, node)| process(vm, node.incarnation))
+            .collect()
+    }
+
+    /// Returns the names of known node records, for removing what a listing lacks.
+    pub fn known_nodes(&self) -> Vec<Vm> {
+        self.nodes().map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        let owners = self.owners.values().filter(|(_, claim)| claim.is_some());
+        self.nodes().count() + owners.count()
+    }
+
+    /// Tells whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the records of nodes written after a revision.
+    pub fn nodes_after(&self, revision: Revision) -> Vec<(Vm, Revision, Node)> {
+        after(&self.nodes, revision)
+    }
+
+    /// Returns the records of owners written after a revision.
+    pub fn owners_after(&self, revision: Revision) -> Vec<(Endpoint, Fence, Claim)> {
+        after(&self.owners, revision)
+    }
+
+    /// Returns the owner of an endpoint and its fence.
+    pub fn owner(&self, endpoint: &str) -> Option<(Fence, &Claim)> {
+        let (fence, claim) = self.owners.get(endpoint)?;
+        claim.as_ref().map(|claim| (*fence, claim))
+    }
+
+    /// Returns the region's node for a soft role such as the load scheduler.
+    pub fn winner(&self, role: &str, region: &str) -> Option<&str> {
+        let nodes = self.candidates(region);
+        hash::winner(role, nodes.into_iter())
+    }
+
+    fn candidates(&self, region: &str) -> Vec<&str> {
+        self.nodes()
+            .filter(|(_, node)| node.region == region && !node.leaving)
+            .map(|(vm, _)| vm.as_str())
+            .collect()
+    }
+
+    /// Returns the endpoints that `vm` should claim at `now`.
+    ///
+    /// The holder of a record is left alone while it lives. A lost holder's endpoints are
+    /// claimed at once if it released them or a newer process has its address, and
+    /// otherwise after `wait`.
+    pub fn takeovers(
+        &mut self,
+        config: &Snapshot,
+        vm: &str,
+        region: &str,
+        now: Time,
+        wait: Wait,
+    ) -> Vec<Takeover> {
+        self.note_lost(now);
+        let candidates = self.candidates(region);
+        config
+            .endpoints
+            .iter()
+            .filter(|(_, target)| target.region == region)
+            .filter_map(|(name, _)| self.takeover(name, now, wait))
+            .filter(|takeover| {
+                hash::winner(&takeover.endpoint, candidates.iter().copied()) == Some(vm)
+            })
+            .collect()
+    }
+
+    fn takeover(&self, endpoint: &str, now: Time, wait: Wait) -> Option<Takeover> {
+        let (over, claim) = match self.owners.get(endpoint) {
+            None | Some((_, None)) => (0, None),
+            Some((fence, Some(claim))) => (*fence, Some(claim)),
+        };
+        let clean = claim.is_none_or(|claim| self.is_ended(claim));
+        let free = clean || claim.is_some_and(|claim| self.is_lapsed(claim, now, wait));
+        free.then(|| Takeover {
+            endpoint: endpoint.to_string(),
+            over,
+            clean,
+        })
+    }
+
+    /// Tells whether an owner gave its endpoint up, or another process has its address.
+    fn is_ended(&self, claim: &Claim) -> bool {
+        claim.released
+            || self.node(&claim.vm).is_some_and(|node| {
+                node.incarnation != claim.incarnation && node.address == claim.address
+            })
+    }
+
+    fn is_lapsed(&self, claim: &Claim, now: Time, wait: Wait) -> bool {
+        // A record that another process has replaced tells nothing of the old lease.
+        let margin = match self.node(&claim.vm) {
+            Some(node) if node.incarnation == claim.incarnation => return false,
+            Some(_) => wait.margin + wait.ttl,
+            None => wait.margin,
+        };
+        self.lost
+            .get(&(claim.vm.clone(), claim.incarnation))
+            .is_some_and(|since| *since + margin <= now)
+    }
+
+    /// Returns the endpoints that `vm` owns and a live node should own in its place.
+    pub fn surplus(&self, vm: &str, incarnation: u64, region: &str) -> Vec<Endpoint> {
+        let candidates = self.candidates(region);
+        self.owned(vm, incarnation)
+            .into_keys()
+            .filter(|name| {
+                hash::winner(name, candidates.iter().copied()).is_some_and(|best| best != vm)
+            })
+            .collect()
+    }
+
+    fn note_lost(&mut self, now: Time) {
+        let nodes = &self.nodes;
+        let is_live = |vm: &Vm, incarnation: u64| {
+            nodes
+                .get(vm)
+                .and_then(|(_, node)| node.as_ref())
+                .is_some_and(|node| node.incarnation == incarnation)
+        };
+        self.lost
+            .retain(|(vm, incarnation), _| !is_live(vm, *incarnation));
+        for (_, claim) in self.owners.values() {
+            let Some(claim) = claim else { continue };
+            if !is_live(&claim.vm, claim.incarnation) {
+                let key = (claim.vm.clone(), claim.incarnation);
+                self.lost.entry(key).or_insert(now);
+            }
+        }
+    }
+
+    /// Forgets since when owners are lost, because the store was out of reach until now.
+    pub fn restart_margins(&mut self) {
+        self.lost.clear();
+    }
+
+    /// Returns the endpoints that the process owns by the records.
+    pub fn owned(&self, vm: &str, incarnation: u64) -> BTreeMap<Endpoint, Fence> {
+        self.owners
+            .iter()
+            .filter_map(|(name, (fence, claim))| Some((name, fence, claim.as_ref()?)))
+            .filter(|(_, _, c)| c.vm == vm && c.incarnation == incarnation && !c.released)
+            .map(|(name, fence, _)| (name.clone(), *fence))
+            .collect()
+    }
+}
+
+/// Returns the name of a daemon's process.
+pub fn process(vm: &str, incarnation: u64) -> Process {
+    format!("{vm}#{incarnation}")
+}
+
+fn after<T: Clone>(
+    map: &BTreeMap<String, (u64, Option<T>)>,
+    revision: u64,
+) -> Vec<(String, u64, T)> {
+    map.iter()
+        .filter(|(_, (at, _))| *at > revision)
+        .filter_map(|(key, (at, value))| Some((key.clone(), *at, value.clone()?)))
+        .collect()
+}
+
+fn newer<T>(
+    map: &mut BTreeMap<String, (u64, Option<T>)>,
+    key: &str,
+    revision: u64,
+    value: Option<T>,
+) -> bool {
+    if map.get(key).is_some_and(|(known, _)| *known >= revision) {
+        return false;
+    }
+    map.insert(key.to_string(), (revision, value));
+    true
+}
--- /dev/null
+++ b/crates/endivespur_core/src/owner.rs
@@ -0,0 +1,711 @@
+//! The owner of one endpoint: it alone gives grants and orders loads and evictions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::config::Class;
+use crate::decay::Counter;
+use crate::id::{Fence, Grant as GrantId, Model, Process, Ticket};
+use crate::queue::{Ask, Queue};
+use crate::slot::{Name, Phase, Slot};
+
+/// Failed loads of one adapter after which its waiting requests are refused.
+const LOAD_ATTEMPTS: u32 = 3;
+/// The delay before a failed load is wanted again.
+const LOAD_RETRY: Duration = Duration::from_millis(500);
+
+/// What an owner may do at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Authority {
+    /// The lease holds: grants, loads and evictions.
+    Full,
+    /// The store is out for every peer, so nobody can take over: grants on what is loaded.
+    Frozen,
+    /// Another node may own the endpoint: nothing.
+    Lapsed,
+}
+
+/// The endpoint's properties that decisions rest on.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// The slots for adapters.
+    pub slots: usize,
+    /// The most requests that run at once.
+    pub batch: usize,
+    /// The most requests that wait.
+    pub waiting: usize,
+    /// The time over which an adapter's popularity halves.
+    pub half_life: Duration,
+}
+
+/// A permission to run one request on the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The number, unique for the owner's fence.
+    pub id: GrantId,
+    /// The fencing number of the owner.
+    pub fence: Fence,
+    /// The slot's name, or nothing for a plain call.
+    pub slot: Option<Name>,
+}
+
+/// Why a request was refused; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// The deadline passed in the queue.
+    Deadline,
+    /// The queue is full.
+    Full,
+    /// The endpoint takes no new work.
+    Leaving,
+    /// The adapter could not be loaded.
+    LoadFailed,
+    /// The node does not own the endpoint.
+    NotOwner,
+    /// Each slot is in use and another endpoint may have room.
+    Busy,
+}
+
+impl Reason {
+    const ALL: [Self; 6] = [
+        Self::Deadline,
+        Self::Full,
+        Self::Leaving,
+        Self::LoadFailed,
+        Self::NotOwner,
+        Self::Busy,
+    ];
+
+    /// Returns the name under which the reason is passed on and shown.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Full => "full",
+            Self::Leaving => "leaving",
+            Self::LoadFailed => "load-failed",
+            Self::NotOwner => "not-owner",
+            Self::Busy => "busy",
+        }
+    }
+
+    /// Returns the reason with a name; an unknown name is taken for [`Reason::NotOwner`].
+    pub fn from_name(name: &str) -> Self {
+        let found = Self::ALL.into_iter().find(|reason| reason.name() == name);
+        found.unwrap_or(Self::NotOwner)
+    }
+}
+
+/// A refusal with the time after which to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The cause.
+    pub reason: Reason,
+    /// The delay after which a new try may succeed.
+    pub retry_after: Duration,
+}
+
+/// What the owner asks its surroundings to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Answers an ask with a grant.
+    Grant(Ticket, Grant),
+    /// Answers an ask with a refusal.
+    Refuse(Ticket, Refusal),
+    /// Orders the engine to load an adapter under a name.
+    Load(Name),
+    /// Orders the engine to unload a name.
+    Unload(Name),
+}
+
+/// An adapter that waiting requests need.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Want {
+    /// The adapter and version.
+    pub model: Model,
+    /// The most urgent class that waits.
+    pub class: Class,
+    /// The number of waiting requests.
+    pub waiting: usize,
+    /// When the oldest request came.
+    pub since: Time,
+    /// The earliest deadline.
+    pub deadline: Time,
+}
+
+/// A grant that is out.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The entry process that holds it.
+    pub entry: Process,
+    /// The slot, or nothing for a plain call.
+    pub slot: Option<Name>,
+    /// When it was given or reported.
+    pub since: Time,
+    /// Whether the request runs alone.
+    pub alone: bool,
+    /// When the entry was found dead.
+    pub dead: Option<Time>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Failure {
+    count: u32,
+    until: Time,
+}
+
+/// The state of an owned endpoint.
+#[derive(Debug)]
+pub struct Owner {
+    spec: Spec,
+    fence: Fence,
+    next: GrantId,
+    open: bool,
+    listed: bool,
+    /// Processes whose held grants are still unknown after a takeover.
+    missing: BTreeSet<Process>,
+    slots: BTreeMap<Name, Slot>,
+    /// Loads that wait until a victim is out.
+    pending: BTreeMap<Name, Model>,
+    held: BTreeMap<(Fence, GrantId), Held>,
+    queue: Queue,
+    popularity: BTreeMap<Model, Counter>,
+    failures: BTreeMap<Model, Failure>,
+    pins: BTreeSet<Model>,
+    /// Whether slots that a predecessor loaded are used.
+    adopt: bool,
+    /// Names that were unloaded, so that an older list does not bring them back.
+    gone: BTreeMap<Name, Time>,
+}
+
+impl Owner {
+    /// Makes the owner of an endpoint under `fence`, after a takeover while `live` run.
+    ///
+    /// Until each of `live` has reported the grants it holds and the engine has listed
+    /// its adapters, nothing is evicted.
+    pub fn new(spec: Spec, fence: Fence, live: BTreeSet<Process>) -> Self {
+        let plain = spec.slots == 0;
+        Self {
+            spec,
+            fence,
+            next: 1,
+            open: true,
+            listed: plain,
+            missing: live,
+            slots: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            held: BTreeMap::new(),
+            queue: Queue::default(),
+            popularity: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            pins: BTreeSet::new(),
+            adopt: true,
+            gone: BTreeMap::new(),
+        }
+    }
+
+    /// Sets whether the slots that a predecessor loaded are used.
+    ///
+    /// Where the endpoint ignores fencing numbers and the predecessor may only be
+    /// paused, its late unload could hit such a slot; it is then evicted when idle.
+    pub fn with_adopt(mut self, adopt: bool) -> Self {
+        self.adopt = adopt;
+        self
+    }
+
+    /// Sets the adapters that are never evicted and wanted without a request.
+    pub fn with_pins(mut self, pins: BTreeSet<Model>) -> Self {
+        self.pins = pins;
+        self
+    }
+
+    /// Replaces the properties and pins when the configuration changes.
+    pub fn configure(&mut self, spec: Spec, pins: BTreeSet<Model>) {
+        self.spec = spec;
+        self.pins = pins;
+    }
+
+    /// Returns the fencing number.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Returns the slots by name.
+    pub fn slots(&self) -> &BTreeMap<Name, Slot> {
+        &self.slots
+    }
+
+    /// Returns the grants that are out.
+    pub fn held(&self) -> &BTreeMap<(Fence, GrantId), Held> {
+        &self.held
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the processes whose held grants are still unknown.
+    pub fn missing(&self) -> &BTreeSet<Process> {
+        &self.missing
+    }
+
+    /// Tells whether the endpoint takes new work.
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Tells whether the engine's list of adapters is known.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Takes a request that asks for a grant.
+    pub fn ask(&mut self, now: Time, authority: Authority, ask: Ask) -> Vec<Action> {
+        if let Some(model) = &ask.model {
+            let counter = self.popularity.entry(model.clone()).or_default();
+            counter.add(now, self.spec.half_life, 1.0);
+        }
+        if let Some(refusal) = self.refusal(now, authority, &ask) {
+            return vec![Action::Refuse(ask.ticket, refusal)];
+        }
+        self.queue.push(ask);
+        self.pump(now, authority)
+    }
+
+    fn refusal(&self, now: Time, authority: Authority, ask: &Ask) -> Option<Refusal> {
+        let refuse = |reason, retry_after| {
+            Some(Refusal {
+                reason,
+                retry_after,
+            })
+        };
+        if authority == Authority::Lapsed {
+            return refuse(Reason::NotOwner, Duration::from_secs(1));
+        }
+        if !self.open {
+            return refuse(Reason::Leaving, Duration::from_secs(1));
+        }
+        if ask.deadline <= now {
+            return refuse(Reason::Deadline, Duration::from_secs(1));
+        }
+        if self.queue.len() >= self.spec.waiting {
+            return refuse(Reason::Full, Duration::from_secs(2));
+        }
+        if let Some(model) = &ask.model
+            && !self.has(model)
+            && authority == Authority::Frozen
+        {
+            return refuse(Reason::Busy, Duration::from_secs(5));
+        }
+        if let Some(model) = &ask.model
+            && !ask.patient
+            && !self.has(model)
+            && !(self.is_settled() && self.has_room())
+        {
+            return refuse(Reason::Busy, Duration::from_secs(1));
+        }
+        None
+    }
+
+    /// Tells whether the adapter is loaded, being loaded, or already waited for.
+    fn has(&self, model: &Model) -> bool {
+        self.is_placed(model)
+            || self
+                .queue
+                .iter()
+                .any(|ask| ask.model.as_ref() == Some(model))
+    }
+
+    /// Tells whether a slot is free or could be evicted.
+    pub fn has_room(&self) -> bool {
+        self.slots.len() < self.spec.slots || self.victim(Time::ZERO).is_some()
+    }
+
+    /// Drops a waiting request whose caller has left.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(|ask| ask.ticket == ticket);
+    }
+
+    /// Notes that the request of a grant has ended, however it ended.
+    pub fn end(
+        &mut self,
+        now: Time,
+        authority: Authority,
+        fence: Fence,
+        grant: GrantId,
+    ) -> Vec<Action> {
+        let Some(held) = self.held.remove(&(fence, grant)) else {
+            return Vec::new();
+        };
+        if let Some(name) = &held.slot
+            && let Some(slot) = self.slots.get_mut(name)
+        {
+            slot.users = slot.users.saturating_sub(1);
+        }
+        self.pump(now, authority)
+    }
+
+    /// Notes the grants under older fences that a live node still holds.
+    pub fn reported(
+        &mut self,
+        now: Time,
+        process: &str,
+        grants: Vec<(Fence, GrantId, Option<Name>)>,
+    ) {
+        self.missing.remove(process);
+        for (fence, id, slot) in grants {
+            if fence == self.fence || self.held.contains_key(&(fence, id)) {
+                continue;
+            }
+            if let Some(name) = &slot {
+                let entry = self
+                    .slots
+                    .entry(name.clone())
+                    .or_insert_with(|| Slot::new(Phase::Ready, now));
+                entry.users += 1;
+            }
+            let held = Held {
+                entry: process.to_string(),
+                slot,
+                since: now,
+                alone: false,
+                dead: None,
+            };
+            self.held.insert((fence, id), held);
+        }
+    }
+
+    /// Notes that a process is dead, so that no report is waited for.
+    ///
+    /// Its grants stay in use until [`Owner::idle`] clears them.
+    pub fn forget(&mut self, now: Time, process: &str) {
+        self.missing.remove(process);
+        for held in self.held.values_mut().filter(|held| held.entry == process) {
+            held.dead.get_or_insert(now);
+        }
+    }
+
+    /// Takes the engine's report of the names with running requests, which lags by at
+    /// most `lag`.
+    ///
+    /// Clears the grants of dead entries on idle slots, and permits the eviction of
+    /// idle slots that a predecessor loaded.
+    pub fn idle(
+        &mut self,
+        now: Time,
+        authority: Authority,
+        running: &BTreeSet<Name>,
+        lag: Duration,
+    ) -> Vec<Action> {
+        for (name, slot) in &mut self.slots {
+            slot.known |= slot.since + lag <= now && !running.contains(name);
+        }
+        let is_idle =
+            |slot: &Option<Name>| slot.as_ref().is_none_or(|name| !running.contains(name));
+        let over: Vec<(Fence, GrantId)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.dead.is_some_and(|at| at + lag <= now))
+            .filter(|(_, held)| is_idle(&held.slot))
+            .map(|(key, _)| *key)
+            .collect();
+        over.into_iter()
+            .flat_map(|(fence, id)| self.end(now, authority, fence, id))
+            .collect()
+    }
+
+    /// Takes the engine's list of loaded names, which was asked for at `asked`.
+    ///
+    /// A name that the list lacks is gone: the engine was restarted from a cold start.
+    pub fn listed(
+        &mut self,
+        now: Time,
+        authority: Authority,
+        asked: Time,
+        names: &[Name],
+    ) -> Vec<Action> {
+        self.listed = true;
+        self.slots.retain(|name, slot| {
+            slot.phase != Phase::Ready || slot.since >= asked || names.contains(name)
+        });
+        self.gone.retain(|_, at| *at >= asked);
+        for name in names.iter().filter(|name| !self.gone.contains_key(*name)) {
+            self.slots
+                .entry(name.clone())
+                .or_insert_with(|| Slot::new(Phase::Ready, now));
+        }
+        self.pump(now, authority)
+    }
+
+    /// Opens or closes the endpoint for new work; closing refuses what waits.
+    pub fn set_open(&mut self, open: bool) -> Vec<Action> {
+        self.open = open;
+        if open {
+            return Vec::new();
+        }
+        self.refuse_all(Reason::Leaving, |_| true)
+    }
+
+    /// Refuses everything that waits, because the ownership has ended.
+    pub fn close(&mut self) -> Vec<Action> {
+        self.open = false;
+        self.refuse_all(Reason::NotOwner, |_| true)
+    }
+
+    fn refuse_all(&mut self, reason: Reason, take: impl Fn(&Ask) -> bool) -> Vec<Action> {
+        let refusal = Refusal {
+            reason,
+            retry_after: Duration::from_secs(1),
+        };
+        self.queue
+            .remove(take)
+            .into_iter()
+            .map(|ask| Action::Refuse(ask.ticket, refusal))
+            .collect()
+    }
+
+    /// Tells whether the grants and adapters that a predecessor left are known.
+    pub fn is_settled(&self) -> bool {
+        self.listed && self.missing.is_empty()
+    }
+
+    /// Returns the adapters that waiting requests and pins need loaded.
+    pub fn wants(&self, now: Time) -> Vec<Want> {
+        if !self.open || !self.is_settled() {
+            return Vec::new();
+        }
+        let mut wants: BTreeMap<&Model, Want> = BTreeMap::new();
+        for ask in self.queue.iter() {
+            let Some(model) = &ask.model else { continue };
+            let want = wants.entry(model).or_insert_with(|| Want {
+                model: model.clone(),
+                class: ask.class,
+                waiting: 0,
+                since: ask.since,
+                deadline: ask.deadline,
+            });
+            want.waiting += 1;
+            want.class = want.class.min(ask.class);
+            want.since = want.since.min(ask.since);
+            want.deadline = want.deadline.min(ask.deadline);
+        }
+        for model in &self.pins {
+            wants.entry(model).or_insert_with(|| Want {
+                model: model.clone(),
+                class: Class::Summary,
+                waiting: 0,
+                since: now,
+                deadline: now + Duration::from_hours(1),
+            });
+        }
+        wants
+            .into_values()
+            .filter(|want| !self.is_placed(&want.model))
+            .filter(|want| {
+                self.failures
+                    .get(&want.model)
+                    .is_none_or(|f| f.until <= now)
+            })
+            .collect()
+    }
+
+    fn is_placed(&self, model: &Model) -> bool {
+        let mut placed = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.phase != Phase::Unloading);
+        placed.any(|(name, _)| name.model == *model && self.is_usable(name))
+            || self.pending.values().any(|m| m == model)
+    }
+
+    /// Starts a load that the region's scheduler permits; returns no action if it cannot.
+    pub fn permit(&mut self, now: Time, authority: Authority, model: &Model) -> Vec<Action> {
+        let unwanted = !self.wants(now).iter().any(|want| want.model == *model);
+        if authority != Authority::Full || unwanted {
+            return Vec::new();
+        }
+        if self.slots.len() < self.spec.slots {
+            return vec![self.load(now, model.clone())];
+        }
+        let Some(victim) = self.victim(now) else {
+            return Vec::new();
+        };
+        if let Some(slot) = self.slots.get_mut(&victim) {
+            slot.phase = Phase::Unloading;
+        }
+        self.pending.insert(victim.clone(), model.clone());
+        vec![Action::Unload(victim)]
+    }
+
+    fn load(&mut self, now: Time, model: Model) -> Action {
+        let name = Name {
+            model,
+            fence: self.fence,
+        };
+        self.slots
+            .insert(name.clone(), Slot::new(Phase::Loading, now));
+        Action::Load(name)
+    }
+
+    /// Chooses the idle slot whose adapter is the least popular.
+    ///
+    /// A slot with a grant out, a pin, or a request waiting for it is never chosen.
+    fn victim(&self, now: Time) -> Option<Name> {
+        if !self.is_settled() {
+            return None;
+        }
+        let wanted: BTreeSet<&Model> = self.queue.iter().filter_map(|a| a.model.as_ref()).collect();
+        self.slots
+            .iter()
+            .filter(|(_, slot)| slot.phase == Phase::Ready && slot.users == 0 && slot.known)
+            .filter(|(name, _)| {
+                !self.is_usable(name)
+                    || !(wanted.contains(&name.model) || self.is_pinned(&name.model))
+            })
+            .min_by(|a, b| {
+                self.popularity_of(&a.0.model, now)
+                    .total_cmp(&self.popularity_of(&b.0.model, now))
+                    .then_with(|| a.1.used.cmp(&b.1.used))
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    fn is_pinned(&self, model: &Model) -> bool {
+        self.pins.contains(model)
+    }
+
+    fn popularity_of(&self, model: &Model, now: Time) -> f64 {
+        self.popularity
+            .get(model)
+            .map_or(0.0, |counter| counter.at(now, self.spec.half_life))
+    }
+
+    /// Notes the outcome of a load.
+    pub fn loaded(
+        &mut self,
+        now: Time,
+        authority: Authority,
+        name: &Name,
+        ok: bool,
+    ) -> Vec<Action> {
+        if ok {
+            self.failures.remove(&name.model);
+            if let Some(slot) = self.slots.get_mut(name) {
+                slot.phase = Phase::Ready;
+                slot.used = now;
+                slot.since = now;
+                slot.known = true;
+            }
+            return self.pump(now, authority);
+        }
+        self.slots.remove(name);
+        let failure = self.failures.entry(name.model.clone()).or_default();
+        failure.count += 1;
+        failure.until = now + LOAD_RETRY * failure.count;
+        if failure.count < LOAD_ATTEMPTS {
+            return Vec::new();
+        }
+        self.failures.remove(&name.model);
+        let model = name.model.clone();
+        self.refuse_all(Reason::LoadFailed, |ask| ask.model.as_ref() == Some(&model))
+    }
+
+    /// Notes the outcome of an unload, and starts the load that waited for it.
+    pub fn unloaded(
+        &mut self,
+        now: Time,
+        authority: Authority,
+        name: &Name,
+        ok: bool,
+    ) -> Vec<Action> {
+        let pending = self.pending.remove(name);
+        if !ok {
+            if let Some(slot) = self.slots.get_mut(name) {
+                slot.phase = Phase::Ready;
+            }
+            return self.pump(now, authority);
+        }
+        self.slots.remove(name);
+        self.gone.insert(name.clone(), now);
+        let mut actions = Vec::new();
+        if let Some(model) = pending
+            && authority == Authority::Full
+        {
+            actions.push(self.load(now, model));
+        }
+        actions.extend(self.pump(now, authority));
+        actions
+    }
+
+    /// Gives what can be given and refuses what has waited too long.
+    pub fn pump(&mut self, now: Time, authority: Authority) -> Vec<Action> {
+        if authority == Authority::Lapsed {
+            return self.refuse_all(Reason::NotOwner, |_| true);
+        }
+        let mut actions = self.refuse_all(Reason::Deadline, |ask| ask.deadline <= now);
+        while self.held.len() < self.spec.batch && !self.runs_alone() {
+            let idle = self.held.is_empty();
+            let mut queue = std::mem::take(&mut self.queue);
+            let next = queue.pop(|ask| (!ask.alone || idle) && self.is_ready(ask));
+            self.queue = queue;
+            let Some(ask) = next else { break };
+            actions.push(self.grant(now, ask));
+        }
+        actions
+    }
+
+    fn runs_alone(&self) -> bool {
+        self.held.values().any(|held| held.alone)
+    }
+
+    fn grant(&mut self, now: Time, ask: Ask) -> Action {
+        let slot = ask.model.as_ref().and_then(|m| self.ready_name(m));
+        if let Some(name) = &slot
+            && let Some(entry) = self.slots.get_mut(name)
+        {
+            entry.users += 1;
+            entry.used = now;
+        }
+        let id = self.next;
+        self.next += 1;
+        let held = Held {
+            entry: ask.entry,
+            slot: slot.clone(),
+            since: now,
+            alone: ask.alone,
+            dead: None,
+        };
+        self.held.insert((self.fence, id), held);
+        let grant = Grant {
+            id,
+            fence: self.fence,
+            slot,
+        };
+        Action::Grant(ask.ticket, grant)
+    }
+
+    fn is_ready(&self, ask: &Ask) -> bool {
+        ask.model
+            .as_ref()
+            .is_none_or(|model| self.ready_name(model).is_some())
+    }
+
+    /// Tells whether requests may run on a slot's name.
+    fn is_usable(&self, name: &Name) -> bool {
+        self.adopt || name.fence == self.fence
+    }
+
+    /// Returns the newest usable copy of an adapter.
+    fn ready_name(&self, model: &Model) -> Option<Name> {
+        self.slots
+            .iter()
+            .filter(|(name, slot)| name.model == *model && slot.phase == Phase::Ready)
+            .filter(|(name, _)| self.is_usable(name))
+            .max_by_key(|(name, _)| name.fence)
+            .map(|(name, _)| name.clone())
+    }
+}
--- /dev/null
+++ b/crates/endivespur_core/src/route.rs
@@ -0,0 +1,236 @@
+//! Which endpoints may run a request, and in which order they are asked.
+
+use serde::Serialize;
+
+use crate::config::{Kind, Lora, Snapshot, Stage, Tenant};
+use crate::hash;
+use crate::id::{Endpoint, Model, Organisation, Service};
+use crate::place::{self, Rule};
+
+/// What a request names.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The calling organisation.
+    pub organisation: Organisation,
+    /// The base model that the request names, if any.
+    pub base: Option<String>,
+    /// The service, for a plain call.
+    pub service: Option<Service>,
+    /// The adapter and version, for a completion.
+    pub model: Option<Model>,
+    /// The request's own place, if it names one.
+    pub place: Option<Rule>,
+}
+
+/// Why no endpoint may run a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Denial {
+    /// The organisation is unknown.
+    UnknownOrganisation,
+    /// The base model, adapter or service is unknown.
+    UnknownModel,
+    /// The adapter has no such version, or it is retired.
+    UnknownVersion,
+    /// The organisation has no right to the adapter.
+    Forbidden,
+    /// The entry VM's own zone is not permitted.
+    EntryPlace,
+    /// No endpoint exists in the permitted place.
+    NoEndpoint,
+}
+
+/// Why an endpoint was taken or dropped.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The endpoint may run the request.
+    Permitted,
+    /// The endpoint belongs to another service.
+    OtherService,
+    /// The zone is not permitted by the named rule.
+    Place(String),
+    /// The endpoint leaves or is drained.
+    Leaving,
+}
+
+/// An endpoint with its verdict.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Why it was taken or dropped.
+    pub verdict: Verdict,
+}
+
+/// The rules that bound a request, each with the name of what it belongs to.
+struct Bounds<'a>(Vec<(&'static str, &'a Rule)>);
+
+impl Bounds<'_> {
+    fn breach(&self, region: &str, zone: &str) -> Option<&'static str> {
+        self.0
+            .iter()
+            .find(|(_, rule)| !rule.permits(region, zone))
+            .map(|(name, _)| *name)
+    }
+
+    fn permits(&self, region: &str, zone: &str) -> bool {
+        let rules: Vec<&Rule> = self.0.iter().map(|(_, rule)| *rule).collect();
+        place::permits(&rules, region, zone)
+    }
+}
+
+/// Checks what a request names and returns the service that runs it.
+///
+/// # Errors
+///
+/// Returns the first [`Denial`] that holds.
+pub fn check(config: &Snapshot, request: &Request) -> Result<Service, Denial> {
+    let tenant = tenant(config, request)?;
+    let _ = tenant;
+    let Some(model) = &request.model else {
+        return request
+            .service
+            .clone()
+            .filter(|name| config.services.contains_key(name))
+            .ok_or(Denial::UnknownModel);
+    };
+    let lora = lora(config, model)?;
+    if request.base.as_ref().is_some_and(|base| *base != lora.base) {
+        return Err(Denial::UnknownModel);
+    }
+    if !lora.organisations.contains(&request.organisation) {
+        return Err(Denial::Forbidden);
+    }
+    match lora.versions.get(&model.version) {
+        Some(Stage::Active) => Ok(lora.service.clone()),
+        _ => Err(Denial::UnknownVersion),
+    }
+}
+
+/// Returns the permitted endpoints in the order in which they are asked.
+///
+/// # Errors
+///
+/// Returns a [`Denial`] if the request names something unknown, or if the entry VM's
+/// own zone or each endpoint lies outside the permitted place.
+pub fn choose(
+    config: &Snapshot,
+    request: &Request,
+    entry: (&str, &str),
+    is_leaving: impl Fn(&str) -> bool,
+) -> Result<Vec<Endpoint>, Denial> {
+    let service = check(config, request)?;
+    let bounds = bounds(config, request)?;
+    if !bounds.permits(entry.0, entry.1) {
+        return Err(Denial::EntryPlace);
+    }
+    let taken: Vec<Endpoint> = judge(config, &service, &bounds, is_leaving)
+        .into_iter()
+        .filter(|candidate| candidate.verdict == Verdict::Permitted)
+        .map(|candidate| candidate.endpoint)
+        .collect();
+    if taken.is_empty() {
+        return Err(Denial::NoEndpoint);
+    }
+    Ok(order(config, request, taken))
+}
+
+/// Returns each endpoint with the reason for which it was taken or dropped.
+///
+/// # Errors
+///
+/// Returns a [`Denial`] if the request names something unknown.
+pub fn explain(
+    config: &Snapshot,
+    request: &Request,
+    is_leaving: impl Fn(&str) -> bool,
+) -> Result<Vec<Candidate>, Denial> {
+    let service = check(config, request)?;
+    let bounds = bounds(config, request)?;
+    let (taken, dropped): (Vec<_>, Vec<_>) = judge(config, &service, &bounds, is_leaving)
+        .into_iter()
+        .partition(|candidate| candidate.verdict == Verdict::Permitted);
+    let names = taken.into_iter().map(|c| c.endpoint).collect();
+    let ordered = order(config, request, names).into_iter();
+    Ok(ordered
+        .map(|endpoint| Candidate {
+            endpoint,
+            verdict: Verdict::Permitted,
+        })
+        .chain(dropped)
+        .collect())
+}
+
+fn tenant<'a>(config: &'a Snapshot, request: &Request) -> Result<&'a Tenant, Denial> {
+    config
+        .organisations
+        .get(&request.organisation)
+        .ok_or(Denial::UnknownOrganisation)
+}
+
+fn lora<'a>(config: &'a Snapshot, model: &Model) -> Result<&'a Lora, Denial> {
+    config
+        .adapters
+        .get(&model.adapter)
+        .ok_or(Denial::UnknownModel)
+}
+
+fn bounds<'a>(config: &'a Snapshot, request: &'a Request) -> Result<Bounds<'a>, Denial> {
+    let mut rules = vec![("organisation", &tenant(config, request)?.place)];
+    if let Some(model) = &request.model {
+        rules.push(("adapter", &lora(config, model)?.place));
+    }
+    if let Some(rule) = &request.place {
+        rules.push(("request", rule));
+    }
+    Ok(Bounds(rules))
+}
+
+fn judge(
+    config: &Snapshot,
+    service: &str,
+    bounds: &Bounds<'_>,
+    is_leaving: impl Fn(&str) -> bool,
+) -> Vec<Candidate> {
+    let verdict = |name: &str, target: &crate::config::Target| {
+        if target.service != service {
+            return Verdict::OtherService;
+        }
+        if let Some(rule) = bounds.breach(&target.region, &target.zone) {
+            return Verdict::Place(rule.to_string());
+        }
+        if target.drained || is_leaving(name) {
+            return Verdict::Leaving;
+        }
+        Verdict::Permitted
+    };
+    config
+        .endpoints
+        .iter()
+        .map(|(name, target)| Candidate {
+            endpoint: name.clone(),
+            verdict: verdict(name, target),
+        })
+        .collect()
+}
+
+/// Orders endpoints: pins first, then by the rendezvous score of the adapter.
+fn order(config: &Snapshot, request: &Request, taken: Vec<Endpoint>) -> Vec<Endpoint> {
+    let Some(model) = &request.model else {
+        return hash::rank(&request.organisation, taken, String::as_str);
+    };
+    let ranked = hash::rank(&model.adapter, taken, String::as_str);
+    let pins = config.adapters.get(&model.adapter).map(|lora| &lora.pins);
+    let is_pin = |name: &Endpoint| pins.is_some_and(|pins| pins.contains(name));
+    let (first, rest): (Vec<Endpoint>, Vec<Endpoint>) = ranked.into_iter().partition(is_pin);
+    first.into_iter().chain(rest).collect()
+}
+
+/// Tells whether an endpoint is a model engine.
+pub fn is_engine(config: &Snapshot, endpoint: &str) -> bool {
+    config
+        .endpoints
+        .get(endpoint)
+        .is_some_and(|target| target.kind == Kind::Engine)
+}
--- /dev/null
+++ b/crates/endivespur_core/src/slot.rs
@@ -0,0 +1,73 @@
+//! The slots of an engine: which adapter is loaded under which name.
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::id::{Fence, Model};
+
+/// The name under which an engine holds an adapter: `ADAPTER@VERSION.fFENCE`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Name {
+    /// The adapter and version.
+    pub model: Model,
+    /// The fencing number of the owner that loaded it.
+    pub fence: Fence,
+}
+
+impl Name {
+    /// Reads a name as an engine lists it, or nothing if it has another form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (model, fence) = text.rsplit_once(".f")?;
+        let (adapter, version) = model.rsplit_once('@')?;
+        Some(Self {
+            model: Model::new(adapter, version.parse().ok()?),
+            fence: fence.parse().ok()?,
+        })
+    }
+}
+
+impl std::fmt::Display for Name {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.f{}", self.model, self.fence)
+    }
+}
+
+/// What a slot does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// The adapter is on its way; nothing runs on it.
+    Loading,
+    /// Requests may run on the adapter.
+    Ready,
+    /// The adapter is being taken out; nothing runs on it.
+    Unloading,
+}
+
+/// One slot of an engine.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// What the slot does.
+    pub phase: Phase,
+    /// The grants that are out.
+    pub users: usize,
+    /// When a grant was last given.
+    pub used: Time,
+    /// When the slot came into its phase.
+    pub since: Time,
+    /// Whether nothing runs on the slot but what the owner's grants say.
+    pub known: bool,
+}
+
+impl Slot {
+    /// Makes a slot in `phase` at `now`.
+    pub fn new(phase: Phase, now: Time) -> Self {
+        Self {
+            phase,
+            users: 0,
+            used: now,
+            since: now,
+            known: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/endivespur_core/src/suspect.rs
@@ -0,0 +1,92 @@
+//! Requests that are suspected of crashing the endpoints that run them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::id::Endpoint;
+
+/// Endpoints that one request may crash before it is refused for good.
+pub const CRASH_LIMIT: usize = 2;
+
+/// The hash of organisation, adapter and body.
+pub type Fingerprint = u64;
+
+/// How a request with a fingerprint is to be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known against it.
+    Clear,
+    /// It runs with no other request beside it.
+    Alone,
+    /// It is refused for good.
+    Quarantined,
+    /// Another run of it is under way alone; this one waits.
+    Wait,
+}
+
+#[derive(Debug)]
+struct Case {
+    crashes: BTreeSet<(Endpoint, u64)>,
+    running: bool,
+    at: Time,
+}
+
+/// The fingerprints under suspicion, kept by the node that is home to them.
+#[derive(Debug)]
+pub struct Court {
+    cases: BTreeMap<Fingerprint, Case>,
+    memory: Duration,
+}
+
+impl Court {
+    /// Makes an empty list that forgets a suspicion after `memory`.
+    pub fn new(memory: Duration) -> Self {
+        Self {
+            cases: BTreeMap::new(),
+            memory,
+        }
+    }
+
+    /// Returns how a request is to be run; an `Alone` run must end by `crashed` or `clean`.
+    pub fn judge(&mut self, now: Time, print: Fingerprint) -> Verdict {
+        let memory = self.memory;
+        self.cases.retain(|_, case| case.at + memory > now);
+        match self.cases.get_mut(&print) {
+            None => Verdict::Clear,
+            Some(case) if case.crashes.len() >= CRASH_LIMIT => Verdict::Quarantined,
+            Some(case) if case.running => Verdict::Wait,
+            Some(case) => {
+                case.running = true;
+                case.at = now;
+                Verdict::Alone
+            }
+        }
+    }
+
+    /// Notes that the request was in flight on an endpoint when it crashed.
+    ///
+    /// A request that runs alone has crashed the endpoint for certain.
+    pub fn crashed(&mut self, now: Time, print: Fingerprint, endpoint: &str, attempt: u64) {
+        let case = self.cases.entry(print).or_insert_with(|| Case {
+            crashes: BTreeSet::new(),
+            running: false,
+            at: now,
+        });
+        case.crashes.insert((endpoint.to_string(), attempt));
+        case.running = false;
+        case.at = now;
+    }
+
+    /// Notes that the request ran without a crash.
+    pub fn clean(&mut self, print: Fingerprint) {
+        self.cases.remove(&print);
+    }
+
+    /// Iterates over the suspected fingerprints and the crashes of each.
+    pub fn iter(&self) -> impl Iterator<Item = (Fingerprint, usize)> {
+        self.cases
+            .iter()
+            .map(|(print, case)| (*print, case.crashes.len()))
+    }
+}
--- /dev/null
+++ b/crates/endivespur_dev/src/main.rs
@@ -0,0 +1,111 @@
+//! Runs a maintenance task.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use endivespur_dev::demo;
+use endivespur_dev::stand::{self, engine};
+use smol::LocalExecutor;
+
+fn text(name: &'static str) -> Arg {
+    Arg::new(name).long(name)
+}
+
+fn number(name: &'static str, default: &'static str) -> Arg {
+    text(name)
+        .value_parser(value_parser!(u64))
+        .default_value(default)
+}
+
+fn stand_command() -> Command {
+    let listen = || text("listen").default_value("127.0.0.1:0");
+    Command::new("stand")
+        .about("Runs a stand-in for an outside system")
+        .subcommand_required(true)
+        .subcommand(Command::new("store").arg(listen()))
+        .subcommand(Command::new("weights").arg(listen()))
+        .subcommand(
+            Command::new("vms")
+                .arg(listen())
+                .arg(number("lag-ms", "500")),
+        )
+        .subcommand(Command::new("plain").arg(listen()))
+        .subcommand(
+            Command::new("engine")
+                .arg(listen())
+                .arg(text("base").default_value("hymnal"))
+                .arg(number("slots", "8"))
+                .arg(number("batch", "8"))
+                .arg(number("step-ms", "10"))
+                .arg(text("weights"))
+                .arg(Arg::new("fenced").long("fenced").action(ArgAction::SetTrue)),
+        )
+}
+
+fn command() -> Command {
+    Command::new("endivespur_dev")
+        .about("Maintenance tasks of endivespur")
+        .subcommand_required(true)
+        .subcommand(stand_command())
+        .subcommand(
+            Command::new("demo")
+                .about("Shows the whole path with separate processes")
+                .arg(
+                    Arg::new("keep")
+                        .long("keep")
+                        .action(ArgAction::SetTrue)
+                        .help("Leaves the processes running until a line comes in"),
+                ),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("stand", matches)) => stand_in(matches).map_err(|error| error.to_string()),
+        Some(("demo", matches)) => demo::run(matches.get_flag("keep")),
+        _ => Ok(()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn stand_in(matches: &ArgMatches) -> std::io::Result<()> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Ok(());
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    let listen = matches
+        .get_one::<String>("listen")
+        .cloned()
+        .unwrap_or_default();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    smol::block_on(executor.clone().run(async {
+        match name {
+            "store" => stand::store::run(executor.clone(), &listen).await,
+            "weights" => stand::weights::run(executor.clone(), &listen).await,
+            "vms" => stand::vms::run(executor.clone(), &listen, number("lag-ms")).await,
+            "plain" => stand::plain::run(executor.clone(), &listen).await,
+            _ => {
+                let setup = engine::Setup {
+                    base: matches
+                        .get_one::<String>("base")
+                        .cloned()
+                        .unwrap_or_default(),
+                    slots: number("slots") as usize,
+                    batch: number("batch") as usize,
+                    step_ms: number("step-ms"),
+                    weights: matches.get_one::<String>("weights").cloned(),
+                    fenced: matches.get_flag("fenced"),
+                };
+                engine::run(executor.clone(), &listen, setup).await
+            }
+        }
+    }))
+}
--- /dev/null
+++ b/crates/endivespur_dev/src/process.rs
@@ -0,0 +1,125 @@
+//! Starting and ending the project's own processes.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+/// A running process that is killed when dropped.
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub first_line: String,
+}
+
+impl Process {
+    /// Starts a program and waits for its first line.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if it does not start, or ends without a line.
+    pub fn start(
+        program: &PathBuf,
+        arguments: &[&str],
+        log: Option<&PathBuf>,
+    ) -> Result<Self, String> {
+        let errors = match log {
+            Some(path) => std::fs::File::create(path)
+                .map(Stdio::from)
+                .map_err(|error| error.to_string())?,
+            None => Stdio::null(),
+        };
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(errors)
+            .spawn()
+            .map_err(|error| format!("{}: {error}", program.display()))?;
+        let mut first_line = String::new();
+        if let Some(output) = child.stdout.take() {
+            BufReader::new(output)
+                .read_line(&mut first_line)
+                .map_err(|error| error.to_string())?;
+        }
+        let process = Self {
+            child,
+            first_line: first_line.trim().to_string(),
+        };
+        if process.first_line.is_empty() {
+            return Err(format!("{} {arguments:?} did not start", program.display()));
+        }
+        Ok(process)
+    }
+
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if it cannot be sent.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()
+            .map_err(|error| error.to_string())?;
+        status
+            .success()
+            .then_some(())
+            .ok_or_else(|| "kill failed".to_string())
+    }
+
+    /// Waits for the end; tells whether the exit code was 0.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Builds the daemon and the tools in this program's own profile and returns their folder.
+///
+/// # Errors
+///
+/// Returns a message if the build fails.
+pub fn build() -> Result<PathBuf, String> {
+    let release = !cfg!(debug_assertions);
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_string());
+    let mut command = Command::new(cargo);
+    command.args([
+        "build",
+        "--quiet",
+        "-p",
+        "endivespurd",
+        "-p",
+        "endivespurctl",
+        "-p",
+        "endivespur_dev",
+    ]);
+    if release {
+        command.arg("--release");
+    }
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let status = command
+        .current_dir(root)
+        .status()
+        .map_err(|error| error.to_string())?;
+    if !status.success() {
+        return Err("the build failed".to_string());
+    }
+    let target = std::env::var("CARGO_TARGET_DIR").unwrap_or_else(|_| format!("{root}/target"));
+    Ok(PathBuf::from(target).join(if release { "release" } else { "debug" }))
+}
--- /dev/null
+++ b/crates/endivespur_dev/src/stand/mod.rs
@@ -0,0 +1,76 @@
+//! Stand-ins for the systems around the daemons, each with switches over HTTP.
+
+pub mod engine;
+pub mod plain;
+pub mod store;
+pub mod vms;
+pub mod weights;
+
+use std::io::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_net::http::{self, Handler, Limits};
+use http_types::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+
+/// The executor of a stand-in's single thread.
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// Pieces of a streamed body that wait for a slow reader.
+const PIECES: usize = 4096;
+/// The largest body that a stand-in reads.
+const BODY_BYTES: usize = 32 << 20;
+
+/// Serves `handler` on `listen` and prints the bound address as the first line.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn serve(executor: Executor, listen: &str, handler: Handler) -> std::io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("{}", listener.local_addr()?);
+    std::io::stdout().flush()?;
+    let limits = Limits {
+        connections: 20_000,
+        body_bytes: BODY_BYTES,
+        head_timeout: Duration::from_mins(1),
+        write_timeout: Duration::from_mins(1),
+    };
+    http::serve(executor, listener, limits, handler).await;
+    Ok(())
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Returns a 400 answer if the body has another form.
+pub async fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response> {
+    let mut body = request.take_body();
+    let bytes = endivespur_net::body::read(&mut body, BODY_BYTES)
+        .await
+        .map_err(|error| http::refusal(StatusCode::BadRequest, &error.to_string()))?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| http::refusal(StatusCode::BadRequest, &error.to_string()))
+}
+
+/// Makes an answer that breaks off after its head, as a lost connection does.
+pub fn broken() -> Response {
+    let (sender, body) = endivespur_net::body::channel(1);
+    sender
+        .try_send(Err(std::io::ErrorKind::ConnectionReset.into()))
+        .ok();
+    let mut answer = Response::new(StatusCode::Ok);
+    answer.set_body(body);
+    answer
+}
+
+/// Waits for a number of milliseconds.
+pub async fn pause_ms(ms: u64) {
+    if ms > 0 {
+        smol::Timer::after(Duration::from_millis(ms)).await;
+    }
+}
--- /dev/null
+++ b/crates/endivespur_net/src/store.rs
@@ -0,0 +1,397 @@
+//! The client of the platform's store: the JSON gateway of etcd v3.
+
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures_util::AsyncBufReadExt;
+use http_types::{Body, Method};
+use serde_json::{Value, json};
+use smol::future::FutureExt;
+use snafu::Snafu;
+
+use crate::client;
+
+/// Why the store gave no usable answer.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The call failed; a write may have taken effect.
+    #[snafu(display("the store did not answer: {message}"))]
+    Call {
+        /// The cause.
+        message: String,
+    },
+    /// The answer has an unexpected form.
+    #[snafu(display("the store's answer lacks {field}"))]
+    Form {
+        /// The missing field.
+        field: String,
+    },
+}
+
+impl From<client::Error> for Error {
+    fn from(error: client::Error) -> Self {
+        Self::Call {
+            message: error.to_string(),
+        }
+    }
+}
+
+/// A key with its value and the revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pair {
+    /// The key.
+    pub key: String,
+    /// The value, or nothing if the key was deleted.
+    pub value: Option<String>,
+    /// The revision of the last write.
+    pub revision: u64,
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The new value, or nothing to delete the key.
+    pub value: Option<String>,
+    /// The revision that the key must have; 0 for a key that must not exist.
+    pub over: Option<u64>,
+    /// The lease that the key ends with, 0 for none.
+    pub lease: u64,
+}
+
+impl Write {
+    /// Makes an unconditional write.
+    pub fn new(key: &str, value: &str) -> Self {
+        Self {
+            key: key.to_string(),
+            value: Some(value.to_string()),
+            over: None,
+            lease: 0,
+        }
+    }
+
+    /// Makes the write depend on the key's present revision.
+    pub fn with_over(mut self, revision: u64) -> Self {
+        self.over = Some(revision);
+        self
+    }
+
+    /// Ties the key to a lease.
+    pub fn with_lease(mut self, lease: u64) -> Self {
+        self.lease = lease;
+        self
+    }
+}
+
+/// The outcome of a conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The write took effect at the revision.
+    Written(u64),
+    /// The key has another revision; this is what stands there.
+    Conflict(Option<Pair>),
+}
+
+/// A client of the store.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: String,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Makes a client of the store at `address` that waits at most `timeout` a call.
+    pub fn new(address: &str, timeout: Duration) -> Self {
+        Self {
+            address: address.to_string(),
+            timeout,
+        }
+    }
+
+    async fn call(&self, path: &str, value: &Value) -> Result<Value, Error> {
+        Ok(client::post_json(&self.address, path, value, self.timeout).await?)
+    }
+
+    /// Returns the pairs whose keys start with `prefix`, and the store's revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn list(&self, prefix: &str) -> Result<(u64, Vec<Pair>), Error> {
+        let call = json!({ "key": encode(prefix), "range_end": encode(&end(prefix)) });
+        let answer = self.call("/v3/kv/range", &call).await?;
+        Ok((revision(&answer)?, pairs(&answer["kvs"])?))
+    }
+
+    /// Returns one pair.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn get(&self, key: &str) -> Result<Option<Pair>, Error> {
+        let answer = self
+            .call("/v3/kv/range", &json!({ "key": encode(key) }))
+            .await?;
+        Ok(pairs(&answer["kvs"])?.into_iter().next())
+    }
+
+    /// Looks for writes after `revision` below `prefix` without reading them all.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn glance(&self, prefix: &str, revision: u64) -> Result<Glance, Error> {
+        let call = json!({
+            "key": encode(prefix), "range_end": encode(&end(prefix)),
+            "min_mod_revision": (revision + 1).to_string(), "limit": "1", "keys_only": true,
+        });
+        let answer = self.call("/v3/kv/range", &call).await?;
+        Ok(Glance {
+            revision: self::revision(&answer)?,
+            keys: number(&answer["count"]).unwrap_or(0),
+            changed: !pairs(&answer["kvs"])?.is_empty(),
+        })
+    }
+
+    /// Makes independent conditional writes in one call, each with its own outcome.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer; the writes may have taken
+    /// effect all the same.
+    pub async fn write(&self, writes: &[Write]) -> Result<Vec<Outcome>, Error> {
+        let parts: Vec<Value> = writes.iter().map(part).collect();
+        let answer = self
+            .call("/v3/kv/txn", &json!({ "success": parts }))
+            .await?;
+        let at = revision(&answer)?;
+        let responses = answer["responses"]
+            .as_array()
+            .ok_or_else(|| form("responses"))?;
+        responses
+            .iter()
+            .map(|response| outcome(&response["response_txn"], at))
+            .collect()
+    }
+
+    /// Makes one conditional write.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] as [`Client::write`] does.
+    pub async fn write_one(&self, write: Write) -> Result<Outcome, Error> {
+        let outcomes = self.write(&[write]).await?;
+        outcomes.into_iter().next().ok_or_else(|| form("responses"))
+    }
+
+    /// Grants a lease and returns its number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn grant(&self, ttl: Duration) -> Result<u64, Error> {
+        let call = json!({ "TTL": ttl.as_secs().max(1).to_string(), "ID": "0" });
+        let answer = self.call("/v3/lease/grant", &call).await?;
+        number(&answer["ID"]).ok_or_else(|| form("ID"))
+    }
+
+    /// Renews a lease; tells whether it still exists.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn renew(&self, lease: u64) -> Result<bool, Error> {
+        let call = json!({ "ID": lease.to_string() });
+        let answer = self.call("/v3/lease/keepalive", &call).await?;
+        Ok(number(&answer["result"]["TTL"]).unwrap_or(0) > 0)
+    }
+
+    /// Ends a lease and the keys that are tied to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn revoke(&self, lease: u64) -> Result<(), Error> {
+        let call = json!({ "ID": lease.to_string() });
+        self.call("/v3/lease/revoke", &call).await?;
+        Ok(())
+    }
+
+    /// Watches the keys that start with `prefix` from `revision` on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the store does not answer.
+    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<Watch, Error> {
+        let create = json!({ "create_request": {
+            "key": encode(prefix),
+            "range_end": encode(&end(prefix)),
+            "start_revision": revision.to_string(),
+            "progress_notify": true,
+        }});
+        let mut call = client::request(Method::Post, &self.address, "/v3/watch")?;
+        call.set_body(create.to_string());
+        let mut answer = client::send(call, self.timeout).await?;
+        Ok(Watch {
+            body: answer.take_body(),
+        })
+    }
+}
+
+/// What a short look at the store shows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Glance {
+    /// The store's revision.
+    pub revision: u64,
+    /// The number of keys below the prefix.
+    pub keys: u64,
+    /// Whether a key was written after the revision asked about.
+    pub changed: bool,
+}
+
+/// A running watch.
+pub struct Watch {
+    body: Body,
+}
+
+/// What a watch tells: the store's revision and the writes up to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The store's revision.
+    pub revision: u64,
+    /// The writes; none when only the revision is told.
+    pub pairs: Vec<Pair>,
+    /// Whether the wanted revisions are no longer kept, so that a listing is needed.
+    pub compacted: bool,
+}
+
+impl Watch {
+    /// Waits for the next message, at most `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the watch has ended, or is silent for `timeout`.
+    pub async fn next(&mut self, timeout: Duration) -> Result<Progress, Error> {
+        let mut line = String::new();
+        let read = async {
+            self.body
+                .read_line(&mut line)
+                .await
+                .map_err(|error| error.to_string())
+        };
+        let silent = async {
+            smol::Timer::after(timeout).await;
+            Err("silent".to_string())
+        };
+        let count = read
+            .or(silent)
+            .await
+            .map_err(|message| Error::Call { message })?;
+        if count == 0 {
+            return Err(Error::Call {
+                message: "the watch has ended".to_string(),
+            });
+        }
+        let message: Value = serde_json::from_str(&line).map_err(|_| form("JSON"))?;
+        let result = &message["result"];
+        let events = result["events"].as_array().cloned().unwrap_or_default();
+        let pairs: Result<Vec<Pair>, Error> = events.iter().map(event).collect();
+        Ok(Progress {
+            revision: revision(result)?,
+            pairs: pairs?,
+            compacted: result["compact_revision"] != Value::Null,
+        })
+    }
+}
+
+fn part(write: &Write) -> Value {
+    let compare: Vec<Value> = write
+        .over
+        .iter()
+        .map(|revision| {
+            json!({
+                "key": encode(&write.key), "target": "MOD", "result": "EQUAL",
+                "mod_revision": revision.to_string(),
+            })
+        })
+        .collect();
+    let success = match &write.value {
+        Some(value) => json!({ "request_put": {
+            "key": encode(&write.key), "value": encode(value), "lease": write.lease.to_string(),
+        }}),
+        None => json!({ "request_delete_range": { "key": encode(&write.key) } }),
+    };
+    let failure = json!({ "request_range": { "key": encode(&write.key) } });
+    json!({ "request_txn": {
+        "compare": compare, "success": [success], "failure": [failure],
+    }})
+}
+
+fn outcome(response: &Value, at: u64) -> Result<Outcome, Error> {
+    if response["succeeded"].as_bool().unwrap_or(false) {
+        return Ok(Outcome::Written(at));
+    }
+    let found = pairs(&response["responses"][0]["response_range"]["kvs"])?;
+    Ok(Outcome::Conflict(found.into_iter().next()))
+}
+
+fn event(event: &Value) -> Result<Pair, Error> {
+    let mut pair = pair(&event["kv"])?;
+    if event["type"] == "DELETE" {
+        pair.value = None;
+    }
+    Ok(pair)
+}
+
+fn pairs(value: &Value) -> Result<Vec<Pair>, Error> {
+    value
+        .as_array()
+        .map_or_else(|| Ok(Vec::new()), |kvs| kvs.iter().map(pair).collect())
+}
+
+fn pair(kv: &Value) -> Result<Pair, Error> {
+    Ok(Pair {
+        key: decode(&kv["key"]).ok_or_else(|| form("key"))?,
+        value: Some(decode(&kv["value"]).unwrap_or_default()),
+        revision: number(&kv["mod_revision"]).ok_or_else(|| form("mod_revision"))?,
+    })
+}
+
+fn revision(answer: &Value) -> Result<u64, Error> {
+    number(&answer["header"]["revision"]).ok_or_else(|| form("header.revision"))
+}
+
+fn form(field: &str) -> Error {
+    Error::Form {
+        field: field.to_string(),
+    }
+}
+
+/// Reads a number that the gateway writes as a string.
+pub fn number(value: &Value) -> Option<u64> {
+    value
+        .as_u64()
+        .or_else(|| value.as_str().and_then(|text| text.parse().ok()))
+}
+
+/// Encodes a key or value as the gateway expects it.
+pub fn encode(text: &str) -> String {
+    STANDARD.encode(text)
+}
+
+/// Decodes a key or value of the gateway.
+pub fn decode(value: &Value) -> Option<String> {
+    let bytes = STANDARD.decode(value.as_str()?).ok()?;
+    String::from_utf8(bytes).ok()
+}
+
+/// Returns the end of the range of keys that start with `prefix`.
+pub fn end(prefix: &str) -> String {
+    let mut bytes = prefix.as_bytes().to_vec();
+    if let Some(last) = bytes.last_mut() {
+        *last += 1;
+    }
+    String::from_utf8(bytes).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/endivespur_node/src/answer.rs
@@ -0,0 +1,120 @@
+//! The answers that callers get.
+
+use std::time::Duration;
+
+use endivespur_core::owner::{Reason, Refusal};
+use endivespur_core::route::Denial;
+use endivespur_net::http;
+use http_types::{Response, StatusCode};
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It ran.
+    Ran,
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the header `Endivespur-Outcome`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A refusal or failure, final for the request.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// A short message for people.
+    pub message: String,
+    /// When to come back, if that helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl Failure {
+    /// Makes a refusal of a request that did not run.
+    pub fn not_run(status: StatusCode, message: &str) -> Self {
+        Self {
+            status,
+            outcome: Outcome::NotRun,
+            message: message.to_string(),
+            retry_after: None,
+        }
+    }
+
+    /// Makes a failure of a request that may have run.
+    pub fn unknown(message: &str) -> Self {
+        Self {
+            status: StatusCode::GatewayTimeout,
+            outcome: Outcome::Unknown,
+            message: message.to_string(),
+            retry_after: None,
+        }
+    }
+
+    /// Sets when to come back.
+    pub fn with_retry(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the answer for the caller.
+    pub fn answer(&self) -> Response {
+        let mut answer = http::refusal(self.status, &self.message);
+        answer.insert_header("endivespur-outcome", self.outcome.name());
+        if let Some(after) = self.retry_after {
+            let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+            answer.insert_header("retry-after", seconds.max(1).to_string());
+        }
+        answer
+    }
+}
+
+impl From<Denial> for Failure {
+    fn from(denial: Denial) -> Self {
+        let (status, message) = match denial {
+            Denial::UnknownOrganisation => (StatusCode::Unauthorized, "unknown organisation"),
+            Denial::UnknownModel => (StatusCode::NotFound, "unknown model or service"),
+            Denial::UnknownVersion => (StatusCode::NotFound, "unknown or retired version"),
+            Denial::Forbidden => (
+                StatusCode::Forbidden,
+                "the organisation has no right to the adapter",
+            ),
+            Denial::EntryPlace => (
+                StatusCode::MisdirectedRequest,
+                "the request may not live in this zone",
+            ),
+            Denial::NoEndpoint => {
+                let message = "no endpoint in the permitted place takes work";
+                return Self::not_run(StatusCode::ServiceUnavailable, message)
+                    .with_retry(Duration::from_secs(2));
+            }
+        };
+        Self::not_run(status, message)
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        let message = match refusal.reason {
+            Reason::Deadline => "the request waited too long",
+            Reason::Full => "the queue is full",
+            Reason::Leaving => "the endpoint leaves",
+            Reason::LoadFailed => "the adapter could not be loaded",
+            Reason::NotOwner => "no node owns the endpoint at the moment",
+            Reason::Busy => "each slot is in use",
+        };
+        Self::not_run(StatusCode::ServiceUnavailable, message).with_retry(refusal.retry_after)
+    }
+}
--- /dev/null
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -0,0 +1,248 @@
+//! Getting a grant for a request, and sending the request under it.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::clock::Time;
+use endivespur_core::config::{Class, Kind};
+use endivespur_core::id::{Endpoint, Fence};
+use endivespur_core::owner::{Authority, Grant, Reason, Refusal};
+use endivespur_core::queue::Ask;
+use endivespur_core::route;
+use endivespur_net::client;
+use http_types::{Request, Response};
+
+use crate::answer::Failure;
+use crate::clock;
+use crate::host::{self, Reply};
+use crate::node::{Node, sleep};
+use crate::peer;
+
+/// The most endpoints that are asked before a request waits at one.
+const CANDIDATES: usize = 12;
+/// The pause before endpoints without an owner are asked again.
+const OWNER_RETRY: Duration = Duration::from_millis(50);
+/// The longest wait for an endpoint's connection and the head of its answer.
+pub const HEAD_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// A request that needs a grant.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The id of the request, shown to the caller and in the logs.
+    pub id: String,
+    /// What the request names.
+    pub request: route::Request,
+    /// The class.
+    pub class: Class,
+    /// The expected tokens.
+    pub cost: u32,
+    /// When the request came.
+    pub since: Time,
+    /// The latest time at which a grant still helps.
+    pub deadline: Time,
+    /// Whether the request must run alone.
+    pub alone: bool,
+    /// Endpoints that were tried in vain.
+    pub avoid: BTreeSet<Endpoint>,
+}
+
+/// A grant that is held; dropping it tells the owner that the request has ended.
+pub struct Permit {
+    node: Rc<Node>,
+    owner: Option<String>,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The endpoint's address.
+    pub address: String,
+    /// The grant.
+    pub grant: Grant,
+    /// Whether the endpoint did not hold the granted slot.
+    pub missing: bool,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let key: (Endpoint, Fence, u64) = (self.endpoint.clone(), self.grant.fence, self.grant.id);
+        self.node.held.borrow_mut().remove(&key);
+        let (node, missing) = (self.node.clone(), self.missing);
+        let (endpoint, fence, id) = key;
+        match self.owner.take() {
+            None => {
+                host::end(&node, &endpoint, fence, id);
+                if missing {
+                    let task = async move { crate::engine::relist(&node, &endpoint).await };
+                    self.node.spawn(task);
+                }
+            }
+            Some(address) => self.node.spawn(async move {
+                peer::end(&node, &address, &endpoint, (fence, id), missing).await;
+            }),
+        }
+    }
+}
+
+/// Waits for a grant on one of the permitted endpoints.
+///
+/// # Errors
+///
+/// Returns the final refusal; the request did not run.
+pub async fn acquire(node: &Rc<Node>, job: &Job) -> Result<Permit, Failure> {
+    loop {
+        let candidates = candidates(node, job)?;
+        let mut waiting_room = None;
+        let mut last = peer::unreachable();
+        for endpoint in candidates.iter().take(CANDIDATES) {
+            match ask(node, job, endpoint, false).await {
+                Ok(permit) => return Ok(permit),
+                Err(refusal) => {
+                    if refusal.reason == Reason::Deadline {
+                        return Err(refusal.into());
+                    }
+                    if refusal.reason == Reason::Busy {
+                        waiting_room.get_or_insert_with(|| endpoint.clone());
+                    }
+                    last = refusal;
+                }
+            }
+        }
+        if let Some(endpoint) = waiting_room {
+            match ask(node, job, &endpoint, true).await {
+                Ok(permit) => return Ok(permit),
+                Err(refusal) => last = refusal,
+            }
+        }
+        let passing = matches!(
+            last.reason,
+            Reason::NotOwner | Reason::Leaving | Reason::Busy
+        );
+        if !passing || clock::now() + OWNER_RETRY >= job.deadline {
+            return Err(last.into());
+        }
+        sleep(OWNER_RETRY).await;
+    }
+}
+
+fn candidates(node: &Node, job: &Job) -> Result<Vec<Endpoint>, Failure> {
+    let entry = (node.settings.region.as_str(), node.settings.zone.as_str());
+    let config = node.config.borrow();
+    let all = route::choose(&config, &job.request, entry, |name| node.is_leaving(name))?;
+    let fresh: Vec<Endpoint> = all
+        .iter()
+        .filter(|name| !job.avoid.contains(*name))
+        .cloned()
+        .collect();
+    Ok(if fresh.is_empty() { all } else { fresh })
+}
+
+async fn ask(node: &Rc<Node>, job: &Job, endpoint: &str, patient: bool) -> Result<Permit, Refusal> {
+    let weight = {
+        let config = node.config.borrow();
+        let tenant = config.organisations.get(&job.request.organisation);
+        tenant.map_or(1, |tenant| tenant.weight)
+    };
+    let ask = Ask {
+        ticket: 0,
+        entry: node.process(),
+        organisation: job.request.organisation.clone(),
+        weight,
+        model: job.request.model.clone(),
+        class: job.class,
+        cost: job.cost,
+        since: clock::now(),
+        deadline: job.deadline,
+        alone: job.alone,
+        patient,
+    };
+    let (vm, incarnation, address) = node.owner(endpoint).ok_or(peer::unreachable())?;
+    let (reply, owner): (Reply, Option<String>) = if node.is_me(&vm, incarnation) {
+        (host::ask(node, endpoint, ask).await, None)
+    } else {
+        let reply = peer::ask(node, &address, endpoint, &ask).await;
+        (reply.unwrap_or(Err(peer::unreachable())), Some(address))
+    };
+    let grant = reply?;
+    let target = node
+        .config
+        .borrow()
+        .endpoints
+        .get(endpoint)
+        .map(|target| target.address.clone());
+    let taken = peer::take(node, endpoint, &grant);
+    let permit = Permit {
+        node: node.clone(),
+        owner,
+        endpoint: endpoint.to_string(),
+        address: target.unwrap_or_default(),
+        grant,
+        missing: false,
+    };
+    // A grant of an owner that has been replaced is given back unused.
+    if taken {
+        Ok(permit)
+    } else {
+        Err(peer::unreachable())
+    }
+}
+
+/// Why a dispatched request has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// It did not run; it may be sent elsewhere.
+    NotRun(String),
+    /// It may have run.
+    Lost(String),
+}
+
+/// Sends a request to the granted endpoint and returns the head of the answer.
+///
+/// # Errors
+///
+/// Returns a [`Miss`] that tells whether the request may have run.
+pub async fn send(
+    permit: &mut Permit,
+    mut request: Request,
+    attempt: &str,
+) -> Result<Response, Miss> {
+    let node = permit.node.clone();
+    let grant = &permit.grant;
+    request.insert_header("endivespur-attempt", attempt);
+    request.insert_header("endivespur-fence", grant.fence.to_string());
+    // A process that was paused may have lost the grant meanwhile.
+    if node.authority() == Authority::Lapsed && node.lease.get().id != 0 {
+        return Err(Miss::NotRun("the lease has lapsed".to_string()));
+    }
+    let answer = match client::send(request, HEAD_TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(error) if error.is_unsent() => return Err(Miss::NotRun(error.to_string())),
+        Err(error) => return Err(Miss::Lost(error.to_string())),
+    };
+    let is_engine = node
+        .config
+        .borrow()
+        .endpoints
+        .get(&permit.endpoint)
+        .is_some_and(|target| target.kind == Kind::Engine);
+    let status = answer.status() as u16;
+    if is_engine && status == 404 {
+        permit.missing = true;
+        return Err(Miss::NotRun(
+            "the engine does not hold the adapter".to_string(),
+        ));
+    }
+    let refused = answer
+        .header("endivespur-outcome")
+        .is_some_and(|value| value.as_str() == "not-run");
+    if refused {
+        return Err(Miss::NotRun(format!("refused with {status}")));
+    }
+    let echoed = answer
+        .header("endivespur-attempt")
+        .map(|value| value.as_str());
+    if echoed.is_some_and(|echoed| echoed != attempt) || (is_engine && echoed.is_none()) {
+        return Err(Miss::Lost(
+            "the answer belongs to another attempt".to_string(),
+        ));
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/endivespur_node/src/entry.rs
@@ -0,0 +1,255 @@
+//! The callers' side: who calls, and which part answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::config::{Class, Stage};
+use endivespur_core::place::Rule;
+use endivespur_net::{body, http};
+use http_types::{Method, Request, Response, StatusCode};
+use log::info;
+use serde_json::json;
+use smol::future::FutureExt;
+
+use crate::answer::{Failure, Outcome};
+use crate::clock;
+use crate::complete;
+use crate::dispatch::{Job, Permit};
+use crate::node::Node;
+use crate::plain;
+
+/// Who calls, and what the headers say.
+pub struct Caller {
+    /// The id of the request.
+    pub id: String,
+    /// The organisation.
+    pub organisation: String,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// The request's own place.
+    pub place: Option<Rule>,
+}
+
+fn header(request: &Request, name: &str) -> Option<String> {
+    request.header(name).map(|value| value.as_str().to_string())
+}
+
+/// Returns the token of a bearer authorisation.
+pub fn bearer(request: &Request) -> Option<String> {
+    header(request, "authorization")?
+        .strip_prefix("Bearer ")
+        .map(ToString::to_string)
+}
+
+/// Answers a caller's request.
+pub async fn answer(node: Rc<Node>, request: Request) -> Response {
+    let path = request.url().path().to_string();
+    match path.as_str() {
+        "/healthz" => return http::json(StatusCode::Ok, &json!({ "status": "ok" })),
+        "/readyz" => return ready(&node),
+        _ => {}
+    }
+    let since = clock::now();
+    let id = format!("{}-{}", node.process().replace('#', "-"), node.ticket());
+    let mut response = match route(&node, request, &path, &id).await {
+        Ok(response) => response,
+        Err(failure) => failure.answer(),
+    };
+    response.insert_header("x-request-id", id.as_str());
+    response.insert_header("endivespur-vm", node.settings.vm.as_str());
+    if node.stopping.get() {
+        response.insert_header("connection", "close");
+    }
+    let outcome = header_of(&response, "endivespur-outcome");
+    let took = clock::now().saturating_sub(since);
+    info!(
+        "entry: {id}: {path} {} {outcome} in {} ms",
+        response.status() as u16,
+        took.as_millis()
+    );
+    metrics::counter!("endivespur_requests_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("endivespur_answer_seconds").record(took.as_secs_f64());
+    response
+}
+
+fn header_of(response: &Response, name: &str) -> String {
+    response
+        .header(name)
+        .map_or_else(String::new, |value| value.as_str().to_string())
+}
+
+fn ready(node: &Node) -> Response {
+    let ready = !node.stopping.get() && node.is_current();
+    let status = if ready {
+        StatusCode::Ok
+    } else {
+        StatusCode::ServiceUnavailable
+    };
+    http::json(
+        status,
+        &json!({ "ready": ready, "stopping": node.stopping.get() }),
+    )
+}
+
+async fn route(
+    node: &Rc<Node>,
+    request: Request,
+    path: &str,
+    id: &str,
+) -> Result<Response, Failure> {
+    let caller = identify(node, &request, id)?;
+    if !node.is_current() {
+        let message = "the configuration may be out of date here";
+        let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
+        return Err(failure.with_retry(Duration::from_secs(1)));
+    }
+    let _seat = Seat::take(node, &caller.organisation)?;
+    let is_post = request.method() == Method::Post;
+    match path {
+        "/v1/models" if request.method() == Method::Get => Ok(models(node, &caller)),
+        "/v1/completions" if is_post => {
+            complete::call(node, caller, request, "/v1/completions").await
+        }
+        "/v1/chat/completions" if is_post => {
+            complete::call(node, caller, request, "/v1/chat/completions").await
+        }
+        _ if path.starts_with("/services/") => plain::call(node, caller, request).await,
+        _ => Err(Failure::not_run(
+            StatusCode::NotFound,
+            "unknown path or method",
+        )),
+    }
+}
+
+fn identify(node: &Node, request: &Request, id: &str) -> Result<Caller, Failure> {
+    let named = header(request, "endivespur-organisation");
+    let organisation = node
+        .guard
+        .caller(bearer(request).as_deref(), named.as_deref())
+        .filter(|name| node.config.borrow().organisations.contains_key(name))
+        .ok_or_else(|| Failure::not_run(StatusCode::Unauthorized, "unknown organisation"))?;
+    let key = header(request, "idempotency-key");
+    let fits = |key: &String| !key.is_empty() && key.len() <= 255 && !key.contains('/');
+    if key.as_ref().is_some_and(|key| !fits(key)) {
+        let message = "an Idempotency-Key has 1 to 255 characters and no slash";
+        return Err(Failure::not_run(StatusCode::BadRequest, message));
+    }
+    let place = header(request, "endivespur-zones").map(|zones| {
+        let zones: Vec<&str> = zones.split(',').map(str::trim).collect();
+        Rule::new(&node.settings.region, &zones)
+    });
+    Ok(Caller {
+        id: id.to_string(),
+        organisation,
+        key,
+        place,
+    })
+}
+
+/// One of the requests that an organisation may have in flight.
+struct Seat {
+    node: Rc<Node>,
+    organisation: String,
+}
+
+impl Seat {
+    fn take(node: &Rc<Node>, organisation: &str) -> Result<Self, Failure> {
+        let mut inflight = node.inflight.borrow_mut();
+        let count = inflight.entry(organisation.to_string()).or_default();
+        if *count >= node.settings.limits.organisation {
+            let message = "the organisation has too many requests in flight";
+            let failure = Failure::not_run(StatusCode::TooManyRequests, message);
+            return Err(failure.with_retry(Duration::from_secs(1)));
+        }
+        *count += 1;
+        Ok(Self {
+            node: node.clone(),
+            organisation: organisation.to_string(),
+        })
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if let Some(count) = self.node.inflight.borrow_mut().get_mut(&self.organisation) {
+            *count -= 1;
+        }
+    }
+}
+
+fn models(node: &Node, caller: &Caller) -> Response {
+    let config = node.config.borrow();
+    let data: Vec<serde_json::Value> = config
+        .adapters
+        .iter()
+        .filter(|(_, lora)| lora.organisations.contains(&caller.organisation))
+        .flat_map(|(name, lora)| {
+            let active = lora
+                .versions
+                .iter()
+                .filter(|(_, stage)| **stage == Stage::Active);
+            active.map(move |(version, _)| {
+                let id = format!("{}/{name}@{version}", lora.base);
+                json!({ "id": id, "object": "model", "parent": lora.base })
+            })
+        })
+        .collect();
+    http::json(StatusCode::Ok, &json!({ "object": "list", "data": data }))
+}
+
+/// Reads a request's body within the settings' bounds.
+///
+/// # Errors
+///
+/// Returns a refusal for a body that is too large, too slow or cut off.
+pub async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Failure> {
+    let limits = &node.settings.limits;
+    let too_large = || Failure::not_run(StatusCode::PayloadTooLarge, "the body is too large");
+    if request.len().is_some_and(|len| len > limits.body) {
+        return Err(too_large());
+    }
+    let mut content = request.take_body();
+    let late = async {
+        smol::Timer::after(limits.read).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    match body::read(&mut content, limits.body).or(late).await {
+        Ok(bytes) => Ok(bytes),
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Err(Failure::not_run(
+            StatusCode::RequestTimeout,
+            "the body came too slowly",
+        )),
+        Err(error) if error.kind() == std::io::ErrorKind::Other => Err(too_large()),
+        Err(_) => Err(Failure::not_run(
+            StatusCode::BadRequest,
+            "the body was cut off",
+        )),
+    }
+}
+
+/// Returns how long a request of a class waits for a grant.
+pub fn patience(node: &Node, class: Class) -> Duration {
+    let waiting = &node.settings.waiting;
+    match class {
+        Class::Order => waiting.order,
+        Class::Lookup => waiting.lookup,
+        Class::Draft => waiting.draft,
+        Class::Summary => waiting.summary,
+    }
+}
+
+/// Adds where and under which grant a request ran.
+pub fn place(response: &mut Response, permit: &Permit, job: &Job) {
+    response.insert_header("endivespur-outcome", Outcome::Ran.name());
+    response.insert_header("endivespur-endpoint", permit.endpoint.as_str());
+    let slot = permit
+        .grant
+        .slot
+        .as_ref()
+        .map_or_else(|| "none".to_string(), ToString::to_string);
+    let why = format!(
+        "class {:?}; slot {slot}; fence {}",
+        job.class, permit.grant.fence
+    );
+    response.insert_header("endivespur-why", why.to_lowercase());
+}
--- /dev/null
+++ b/crates/endivespur_node/src/guard.rs
@@ -0,0 +1,116 @@
+//! The secrets that callers, operators and nodes present.
+
+use std::collections::BTreeMap;
+
+use subtle::ConstantTimeEq;
+
+use crate::settings::{Finding, Secret, Tokens};
+
+/// The secrets, read once at the start; they are never logged.
+pub struct Guard {
+    callers: BTreeMap<String, String>,
+    operators: Option<String>,
+    nodes: Option<String>,
+}
+
+impl Guard {
+    /// Reads the secrets that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns each secret that cannot be read, with its place in the settings.
+    pub fn read(tokens: &Tokens) -> Result<Self, Vec<Finding>> {
+        let mut findings = Vec::new();
+        let mut take = |place: String, secret: &Secret| match read(secret) {
+            Ok(text) => Some(text),
+            Err(message) => {
+                findings.push(Finding { place, message });
+                None
+            }
+        };
+        let callers = tokens
+            .callers
+            .iter()
+            .filter_map(|(name, secret)| {
+                Some((
+                    name.clone(),
+                    take(format!("tokens.callers.{name}"), secret)?,
+                ))
+            })
+            .collect();
+        let mut one = |name: &str, secret: &Option<Secret>| {
+            secret
+                .as_ref()
+                .and_then(|secret| take(format!("tokens.{name}"), secret))
+        };
+        let operators = one("operators", &tokens.operators);
+        let nodes = one("nodes", &tokens.nodes);
+        if findings.is_empty() {
+            return Ok(Self {
+                callers,
+                operators,
+                nodes,
+            });
+        }
+        Err(findings)
+    }
+
+    /// Returns the organisation that a caller's token belongs to.
+    ///
+    /// Without any token in the settings the named organisation is believed, since the
+    /// daemon then listens on loopback only.
+    pub fn caller(&self, token: Option<&str>, named: Option<&str>) -> Option<String> {
+        if self.callers.is_empty() {
+            return named.map(ToString::to_string);
+        }
+        let token = token?;
+        let mut found = None;
+        for (name, secret) in &self.callers {
+            if same(secret, token) {
+                found = Some(name.clone());
+            }
+        }
+        found
+    }
+
+    /// Tells whether an operator's token is right.
+    pub fn is_operator(&self, token: Option<&str>) -> bool {
+        matches(self.operators.as_deref(), token)
+    }
+
+    /// Tells whether a node's token is right.
+    pub fn is_node(&self, token: &str) -> bool {
+        matches(self.nodes.as_deref(), Some(token))
+    }
+
+    /// Returns the token to present to other nodes.
+    pub fn node(&self) -> &str {
+        self.nodes.as_deref().unwrap_or_default()
+    }
+}
+
+fn read(secret: &Secret) -> Result<String, String> {
+    let text = match secret {
+        Secret::Env(name) => std::env::var(name).map_err(|error| format!("{name}: {error}"))?,
+        Secret::File(path) => {
+            std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?
+        }
+    };
+    let text = text.trim().to_string();
+    if text.is_empty() {
+        return Err("the secret is empty".to_string());
+    }
+    Ok(text)
+}
+
+fn matches(secret: Option<&str>, token: Option<&str>) -> bool {
+    match (secret, token) {
+        (None, _) => true,
+        (Some(secret), Some(token)) => same(secret, token),
+        (Some(_), None) => false,
+    }
+}
+
+fn same(a: &str, b: &str) -> bool {
+    a.as_bytes().ct_eq(b.as_bytes()).into()
+}
--- /dev/null
+++ b/crates/endivespur_node/src/host.rs
@@ -0,0 +1,209 @@
+//! An owned endpoint: the core's owner with the tasks that carry out its actions.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::clock::Time;
+use endivespur_core::config::{Kind, Snapshot, Stage};
+use endivespur_core::id::{Endpoint, Fence, Grant as GrantId, Model, Ticket};
+use endivespur_core::owner::{Action, Authority, Grant, Owner, Reason, Refusal, Spec, Want};
+use endivespur_core::queue::Ask;
+use log::{info, warn};
+use smol::channel::{Sender, bounded};
+
+use crate::clock;
+use crate::engine;
+use crate::node::Node;
+
+/// The answer to an ask.
+pub type Reply = Result<Grant, Refusal>;
+
+/// An owned endpoint.
+pub struct Host {
+    /// The decisions.
+    pub owner: Owner,
+    /// The wants that the scheduler was told last, and when.
+    pub told: (Vec<Want>, Time),
+    tickets: BTreeMap<Ticket, Sender<Reply>>,
+}
+
+impl Host {
+    /// Makes a host of an owner.
+    pub fn new(owner: Owner) -> Self {
+        Self {
+            owner,
+            told: (Vec::new(), Time::ZERO),
+            tickets: BTreeMap::new(),
+        }
+    }
+}
+
+/// Returns the properties of an endpoint on which its owner decides.
+pub fn spec(node: &Node, config: &Snapshot, endpoint: &str) -> Option<Spec> {
+    let target = config.endpoints.get(endpoint)?;
+    let slots = match target.kind {
+        Kind::Engine => target.slots,
+        Kind::Plain => 0,
+    };
+    Some(Spec {
+        slots,
+        batch: target.batch,
+        waiting: node.settings.waiting.queue,
+        half_life: node.settings.weights.half_life,
+    })
+}
+
+/// Returns the newest active versions of the adapters that are pinned to an endpoint.
+pub fn pins(config: &Snapshot, endpoint: &str) -> std::collections::BTreeSet<Model> {
+    config
+        .adapters
+        .iter()
+        .filter(|(_, lora)| lora.pins.contains(endpoint))
+        .filter_map(|(name, lora)| {
+            let active = |stage: &Stage| *stage == Stage::Active;
+            let newest = lora.versions.iter().rev().find(|(_, stage)| active(stage));
+            newest.map(|(version, _)| Model::new(name, *version))
+        })
+        .collect()
+}
+
+/// Drops a waiting request, or returns its grant, if the asker goes away.
+struct Waiter {
+    node: Rc<Node>,
+    endpoint: Endpoint,
+    ticket: Ticket,
+    receiver: smol::channel::Receiver<Reply>,
+    done: bool,
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        if let Some(host) = self.node.hosts.borrow_mut().get_mut(&self.endpoint) {
+            host.owner.cancel(self.ticket);
+            host.tickets.remove(&self.ticket);
+        }
+        if let Ok(Ok(grant)) = self.receiver.try_recv() {
+            end(&self.node, &self.endpoint, grant.fence, grant.id);
+        }
+    }
+}
+
+/// Asks the owner in this process for a grant and waits for the answer.
+pub async fn ask(node: &Rc<Node>, endpoint: &str, mut ask: Ask) -> Reply {
+    let not_owner = Refusal {
+        reason: Reason::NotOwner,
+        retry_after: Duration::from_secs(1),
+    };
+    ask.ticket = node.ticket();
+    let ticket = ask.ticket;
+    let (sender, receiver) = bounded(1);
+    let actions = {
+        let mut hosts = node.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(endpoint) else {
+            return Err(not_owner);
+        };
+        host.tickets.insert(ticket, sender);
+        host.owner.ask(clock::now(), node.authority(), ask)
+    };
+    let mut waiter = Waiter {
+        node: node.clone(),
+        endpoint: endpoint.to_string(),
+        ticket,
+        receiver,
+        done: false,
+    };
+    apply(node, endpoint, actions);
+    let reply = waiter.receiver.recv().await.unwrap_or(Err(not_owner));
+    waiter.done = true;
+    reply
+}
+
+/// Notes that a granted request has ended.
+pub fn end(node: &Rc<Node>, endpoint: &str, fence: Fence, grant: GrantId) {
+    change(node, endpoint, |owner, now, authority| {
+        owner.end(now, authority, fence, grant)
+    });
+}
+
+/// Applies a change to an owner and carries out the actions that follow.
+pub fn change(
+    node: &Rc<Node>,
+    endpoint: &str,
+    change: impl FnOnce(&mut Owner, Time, Authority) -> Vec<Action>,
+) {
+    let actions = {
+        let mut hosts = node.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(endpoint) else {
+            return;
+        };
+        change(&mut host.owner, clock::now(), node.authority())
+    };
+    apply(node, endpoint, actions);
+}
+
+/// Starts a permitted load; tells whether it was started.
+pub fn permit(node: &Rc<Node>, endpoint: &str, model: &Model) -> bool {
+    let mut started = false;
+    change(node, endpoint, |owner, now, authority| {
+        let actions = owner.permit(now, authority, model);
+        started = !actions.is_empty();
+        actions
+    });
+    started
+}
+
+fn apply(node: &Rc<Node>, endpoint: &str, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Grant(ticket, grant) => reply(node, endpoint, ticket, Ok(grant)),
+            Action::Refuse(ticket, refusal) => reply(node, endpoint, ticket, Err(refusal)),
+            Action::Load(name) => {
+                info!("owner: {endpoint} loads {name}");
+                node.spawn(engine::load(node.clone(), endpoint.to_string(), name));
+            }
+            Action::Unload(name) => {
+                info!("owner: {endpoint} unloads {name}");
+                node.spawn(engine::unload(node.clone(), endpoint.to_string(), name));
+            }
+        }
+    }
+}
+
+fn reply(node: &Rc<Node>, endpoint: &str, ticket: Ticket, reply: Reply) {
+    let sender = node
+        .hosts
+        .borrow_mut()
+        .get_mut(endpoint)
+        .and_then(|host| host.tickets.remove(&ticket));
+    let grant = reply.as_ref().ok().map(|grant| (grant.fence, grant.id));
+    let sent = sender.is_some_and(|sender| sender.try_send(reply).is_ok());
+    if let (false, Some((fence, id))) = (sent, grant) {
+        end(node, endpoint, fence, id);
+    }
+}
+
+/// Ends the ownership of an endpoint in this process.
+pub fn close(node: &Rc<Node>, endpoint: &str) {
+    change(node, endpoint, |owner, _, _| owner.close());
+    if node.hosts.borrow_mut().remove(endpoint).is_some() {
+        warn!("owner: {endpoint} is no longer owned here");
+    }
+}
+
+/// Refuses what has waited too long, in each owned endpoint with waiting requests.
+pub fn tick(node: &Rc<Node>) {
+    let waiting: Vec<Endpoint> = node
+        .hosts
+        .borrow()
+        .iter()
+        .filter(|(_, host)| host.owner.waiting() > 0)
+        .map(|(name, _)| name.clone())
+        .collect();
+    for endpoint in waiting {
+        change(node, &endpoint, Owner::pump);
+    }
+}
--- /dev/null
+++ b/crates/endivespur_node/src/lib.rs
@@ -0,0 +1,27 @@
+//! The daemon: sockets, files and timers round the core's decisions.
+
+mod adopt;
+mod answer;
+mod claim;
+mod clock;
+mod complete;
+mod dispatch;
+mod engine;
+mod entry;
+mod guard;
+mod host;
+mod loads;
+mod node;
+mod once;
+mod operator;
+mod peer;
+mod plain;
+mod rpc;
+pub mod settings;
+mod start;
+mod suspicion;
+mod sync;
+mod units;
+mod vms;
+
+pub use start::{Addresses, Error, Running, start};
--- /dev/null
+++ b/crates/endivespur_node/src/plain.rs
@@ -0,0 +1,173 @@
+//! Calls to plain services.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::order::Answer;
+use endivespur_core::route;
+use endivespur_net::{body, client};
+use http_types::{Method, Request, Response, StatusCode};
+
+use crate::answer::{Failure, Outcome};
+use crate::clock;
+use crate::dispatch::{self, Job, Miss, Permit};
+use crate::entry::{self, Caller};
+use crate::node::Node;
+use crate::once;
+use crate::suspicion::fingerprint;
+
+/// The largest answer of a plain service.
+const ANSWER_BYTES: usize = 8 << 20;
+/// The most endpoints that a repeatable call is sent to.
+const TRIES: usize = 3;
+/// The tokens that a plain call counts for in the queue.
+const COST_TOKENS: u32 = 64;
+
+/// Answers a call below `/services/`.
+///
+/// # Errors
+///
+/// Returns the final refusal or failure.
+pub async fn call(
+    node: &Rc<Node>,
+    caller: Caller,
+    mut request: Request,
+) -> Result<Response, Failure> {
+    let unknown = || Failure::not_run(StatusCode::NotFound, "unknown service");
+    let url = request.url().clone();
+    let rest = url.path().strip_prefix("/services/").ok_or_else(unknown)?;
+    let (service, path) = rest.split_once('/').ok_or_else(unknown)?;
+    let mut path = format!("/{path}");
+    let method = request.method();
+    let (class, once) = {
+        let config = node.config.borrow();
+        let offer = config.services.get(service).ok_or_else(unknown)?;
+        (offer.class, offer.is_once(method.as_ref(), &path))
+    };
+    if let Some(query) = url.query() {
+        path = format!("{path}?{query}");
+    }
+    let key = caller.key.clone();
+    if once && key.is_none() {
+        let message = "a call that may not be repeated needs an Idempotency-Key";
+        return Err(Failure::not_run(StatusCode::BadRequest, message));
+    }
+    let bytes = entry::read_body(node, &mut request).await?;
+    let media = request
+        .header("content-type")
+        .map(|value| value.as_str().to_string());
+    let now = clock::now();
+    let job = Job {
+        id: caller.id.clone(),
+        request: route::Request {
+            organisation: caller.organisation.clone(),
+            base: None,
+            service: Some(service.to_string()),
+            model: None,
+            place: caller.place.clone(),
+        },
+        class,
+        cost: COST_TOKENS,
+        since: now,
+        deadline: now + entry::patience(node, class),
+        alone: false,
+        avoid: std::collections::BTreeSet::new(),
+    };
+    let digest = fingerprint(
+        &caller.organisation,
+        &format!("{method} {service}{path}"),
+        &bytes,
+    );
+    let make = maker(method, path, bytes, media, key.clone(), caller.organisation);
+    match key {
+        Some(key) => {
+            let read: once::Read = Rc::new(|response| Box::pin(read(response)));
+            let call = once::Call {
+                job,
+                key,
+                digest,
+                make,
+                read,
+            };
+            Ok(once::run(node, call).await)
+        }
+        None => repeatable(node, job, &make).await,
+    }
+}
+
+fn maker(
+    method: Method,
+    path: String,
+    bytes: Vec<u8>,
+    media: Option<String>,
+    key: Option<String>,
+    organisation: String,
+) -> once::Make {
+    Rc::new(move |permit: &Permit| {
+        let mut request = client::request(method, &permit.address, &path)
+            .map_err(|error| Failure::not_run(StatusCode::BadGateway, &error.to_string()))?;
+        if !bytes.is_empty() {
+            request.set_body(bytes.clone());
+        }
+        if let Some(media) = &media {
+            request.insert_header("content-type", media.as_str());
+        }
+        if let Some(key) = &key {
+            request.insert_header("idempotency-key", key.as_str());
+        }
+        request.insert_header("endivespur-organisation", organisation.as_str());
+        Ok(request)
+    })
+}
+
+async fn read(mut response: Response) -> Result<Answer, String> {
+    let status = response.status() as u16;
+    let media = response
+        .header("content-type")
+        .map_or("application/octet-stream", |value| value.as_str())
+        .to_string();
+    let mut content = response.take_body();
+    let late = async {
+        smol::Timer::after(Duration::from_mins(1)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let bytes = smol::future::or(body::read(&mut content, ANSWER_BYTES), late)
+        .await
+        .map_err(|error| error.to_string())?;
+    let body = String::from_utf8(bytes).map_err(|_| "the answer is no text".to_string())?;
+    Ok(Answer {
+        status,
+        media,
+        body,
+    })
+}
+
+async fn repeatable(node: &Rc<Node>, mut job: Job, make: &once::Make) -> Result<Response, Failure> {
+    let mut last = String::new();
+    for attempt in 0..TRIES {
+        if attempt > 0 && !node.may_retry(&job.request.organisation) {
+            break;
+        }
+        let mut permit = dispatch::acquire(node, &job).await?;
+        let request = make(&permit)?;
+        let id = format!("{}.{attempt}", job.id);
+        let result = match dispatch::send(&mut permit, request, &id).await {
+            Ok(response) => read(response).await.map_err(Miss::Lost),
+            Err(miss) => Err(miss),
+        };
+        match result {
+            Ok(answer) => {
+                let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
+                let mut response = Response::new(status);
+                response.set_body(answer.body);
+                response.insert_header("content-type", answer.media);
+                response.insert_header("endivespur-outcome", Outcome::Ran.name());
+                entry::place(&mut response, &permit, &job);
+                return Ok(response);
+            }
+            Err(Miss::NotRun(message) | Miss::Lost(message)) => last = message,
+        }
+        job.avoid.insert(permit.endpoint.clone());
+    }
+    Err(Failure::unknown(&last))
+}
--- /dev/null
+++ b/crates/endivespur_node/src/rpc.rs
@@ -0,0 +1,341 @@
+//! The server of calls from other daemons, and the wire form of what is passed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_core::config::Class;
+use endivespur_core::id::Model;
+use endivespur_core::owner::{Grant, Reason, Refusal, Want};
+use endivespur_core::queue::Ask;
+use endivespur_core::slot::Name;
+use endivespur_wire::{answer, ask, gate, held, node as wire, want};
+use futures_util::AsyncReadExt;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::host::Reply;
+use crate::node::Node;
+use crate::{clock, engine, host, loads, operator, peer, suspicion, sync};
+
+/// Serves other daemons until the future is dropped.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            smol::Timer::after(Duration::from_millis(50)).await;
+            continue;
+        };
+        stream.set_nodelay(true).ok();
+        node.spawn(connection(node.clone(), stream));
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let (reader, writer) = stream.split();
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        Side::Server,
+        capnp::message::ReaderOptions::new(),
+    );
+    let gate: gate::Client = capnp_rpc::new_client(Gate { node });
+    RpcSystem::new(Box::new(network), Some(gate.client))
+        .await
+        .ok();
+}
+
+struct Gate {
+    node: Rc<Node>,
+}
+
+impl gate::Server for Gate {
+    async fn login(
+        self: Rc<Self>,
+        params: gate::LoginParams,
+        mut results: gate::LoginResults,
+    ) -> Result<(), capnp::Error> {
+        if !self
+            .node
+            .guard
+            .is_node(params.get()?.get_token()?.to_str()?)
+        {
+            return Err(capnp::Error::failed("wrong token".to_string()));
+        }
+        let server = Server {
+            node: self.node.clone(),
+        };
+        results.get().set_node(capnp_rpc::new_client(server));
+        Ok(())
+    }
+}
+
+struct Server {
+    node: Rc<Node>,
+}
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<String, capnp::Error> {
+    Ok(reader.to_string()?)
+}
+
+impl wire::Server for Server {
+    async fn ask(
+        self: Rc<Self>,
+        params: wire::AskParams,
+        mut results: wire::AskResults,
+    ) -> Result<(), capnp::Error> {
+        let (endpoint, ask) = read_ask(params.get()?.get_ask()?)?;
+        let reply = host::ask(&self.node, &endpoint, ask).await;
+        write_answer(results.get().init_answer(), &reply);
+        Ok(())
+    }
+
+    async fn end(
+        self: Rc<Self>,
+        params: wire::EndParams,
+        _: wire::EndResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = text(params.get_endpoint()?)?;
+        host::end(
+            &self.node,
+            &endpoint,
+            params.get_fence(),
+            params.get_grant(),
+        );
+        if params.get_missing() {
+            engine::relist(&self.node, &endpoint).await;
+        }
+        Ok(())
+    }
+
+    async fn held(
+        self: Rc<Self>,
+        params: wire::HeldParams,
+        mut results: wire::HeldResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = text(params.get_endpoint()?)?;
+        let grants = peer::holdings(&self.node, &endpoint, params.get_fence());
+        let mut list = results.get().init_grants(grants.len() as u32);
+        for (index, (fence, id, slot)) in grants.iter().enumerate() {
+            write_held(
+                list.reborrow().get(index as u32),
+                *fence,
+                *id,
+                slot.as_ref(),
+            );
+        }
+        Ok(())
+    }
+
+    async fn wants(
+        self: Rc<Self>,
+        params: wire::WantsParams,
+        _: wire::WantsResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let vm = text(params.get_vm()?)?;
+        let endpoint = text(params.get_endpoint()?)?;
+        let wants = read_wants(params.get_wants()?)?;
+        loads::set(&self.node, &vm, &endpoint, wants);
+        Ok(())
+    }
+
+    async fn permit(
+        self: Rc<Self>,
+        params: wire::PermitParams,
+        mut results: wire::PermitResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = text(params.get_endpoint()?)?;
+        let model = Model::new(params.get_adapter()?.to_str()?, params.get_version());
+        let started = host::permit(&self.node, &endpoint, &model);
+        results.get().set_started(started);
+        Ok(())
+    }
+
+    async fn landed(
+        self: Rc<Self>,
+        params: wire::LandedParams,
+        _: wire::LandedResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = text(params.get_endpoint()?)?;
+        let model = Model::new(params.get_adapter()?.to_str()?, params.get_version());
+        self.node
+            .scheduler
+            .borrow_mut()
+            .landed(&endpoint, &model, true);
+        Ok(())
+    }
+
+    async fn judge(
+        self: Rc<Self>,
+        params: wire::JudgeParams,
+        mut results: wire::JudgeResults,
+    ) -> Result<(), capnp::Error> {
+        let print = params.get()?.get_print();
+        let verdict = self.node.court.borrow_mut().judge(clock::now(), print);
+        results.get().set_verdict(suspicion::number(verdict));
+        Ok(())
+    }
+
+    async fn ran(
+        self: Rc<Self>,
+        params: wire::RanParams,
+        _: wire::RanResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = text(params.get_endpoint()?)?;
+        let (print, attempt) = (params.get_print(), params.get_attempt());
+        suspicion::note(&self.node, print, &endpoint, attempt, params.get_crashed());
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: wire::ChangesParams,
+        mut results: wire::ChangesResults,
+    ) -> Result<(), capnp::Error> {
+        let (revision, entries) = sync::changes(&self.node, params.get()?.get_after());
+        results.get().set_revision(revision);
+        results.get().set_entries(&entries);
+        Ok(())
+    }
+
+    async fn promise(
+        self: Rc<Self>,
+        _: wire::PromiseParams,
+        mut results: wire::PromiseResults,
+    ) -> Result<(), capnp::Error> {
+        let time = sync::promise(&self.node);
+        results.get().set_ms(time.as_millis() as u32);
+        Ok(())
+    }
+
+    async fn query(
+        self: Rc<Self>,
+        params: wire::QueryParams,
+        mut results: wire::QueryResults,
+    ) -> Result<(), capnp::Error> {
+        let line = text(params.get()?.get_line()?)?;
+        let answer = operator::local(&self.node, &line);
+        results.get().set_result(answer.to_string());
+        Ok(())
+    }
+}
+
+/// Writes an ask that may wait for `wait`.
+pub fn write_ask(mut to: ask::Builder<'_>, endpoint: &str, ask: &Ask, wait: Duration) {
+    to.set_endpoint(endpoint);
+    to.set_entry(&ask.entry);
+    to.set_organisation(&ask.organisation);
+    to.set_weight(ask.weight);
+    if let Some(model) = &ask.model {
+        to.set_adapter(&model.adapter);
+        to.set_version(model.version);
+    }
+    to.set_class(ask.class as u8);
+    to.set_cost(ask.cost);
+    to.set_wait_ms(wait.as_millis() as u32);
+    to.set_alone(ask.alone);
+    to.set_patient(ask.patient);
+}
+
+fn read_ask(from: ask::Reader<'_>) -> Result<(String, Ask), capnp::Error> {
+    let now = clock::now();
+    let adapter = text(from.get_adapter()?)?;
+    let model = (!adapter.is_empty()).then(|| Model::new(&adapter, from.get_version()));
+    let ask = Ask {
+        ticket: 0,
+        entry: text(from.get_entry()?)?,
+        organisation: text(from.get_organisation()?)?,
+        weight: from.get_weight(),
+        model,
+        class: Class::from_number(from.get_class()),
+        cost: from.get_cost(),
+        since: now,
+        deadline: now + Duration::from_millis(u64::from(from.get_wait_ms())),
+        alone: from.get_alone(),
+        patient: from.get_patient(),
+    };
+    Ok((text(from.get_endpoint()?)?, ask))
+}
+
+fn write_answer(to: answer::Builder<'_>, reply: &Reply) {
+    match reply {
+        Ok(grant) => {
+            let mut to = to.init_grant();
+            to.set_id(grant.id);
+            to.set_fence(grant.fence);
+            if let Some(slot) = &grant.slot {
+                to.set_slot(slot.to_string());
+            }
+        }
+        Err(refusal) => {
+            let mut to = to.init_refusal();
+            to.set_reason(refusal.reason.name());
+            to.set_retry_ms(refusal.retry_after.as_millis() as u32);
+        }
+    }
+}
+
+/// Reads the answer to an ask.
+pub fn read_answer(from: answer::Reader<'_>) -> Result<Reply, capnp::Error> {
+    match from.which()? {
+        answer::Which::Grant(grant) => {
+            let grant = grant?;
+            Ok(Ok(Grant {
+                id: grant.get_id(),
+                fence: grant.get_fence(),
+                slot: Name::parse(grant.get_slot()?.to_str()?),
+            }))
+        }
+        answer::Which::Refusal(refusal) => {
+            let refusal = refusal?;
+            Ok(Err(Refusal {
+                reason: Reason::from_name(refusal.get_reason()?.to_str()?),
+                retry_after: Duration::from_millis(u64::from(refusal.get_retry_ms())),
+            }))
+        }
+    }
+}
+
+fn write_held(mut to: held::Builder<'_>, fence: u64, id: u64, slot: Option<&Name>) {
+    to.set_fence(fence);
+    to.set_id(id);
+    if let Some(slot) = slot {
+        to.set_slot(slot.to_string());
+    }
+}
+
+/// Writes what an endpoint wants; times become ages, since clocks differ.
+pub fn write_wants(mut to: capnp::struct_list::Builder<'_, want::Owned>, wants: &[Want]) {
+    let now = clock::now();
+    for (index, want) in wants.iter().enumerate() {
+        let mut to = to.reborrow().get(index as u32);
+        to.set_adapter(&want.model.adapter);
+        to.set_version(want.model.version);
+        to.set_class(want.class as u8);
+        to.set_waiting(want.waiting as u32);
+        to.set_age_ms(now.saturating_sub(want.since).as_millis() as u32);
+        to.set_left_ms(want.deadline.saturating_sub(now).as_millis() as u32);
+    }
+}
+
+fn read_wants(
+    from: capnp::struct_list::Reader<'_, want::Owned>,
+) -> Result<Vec<Want>, capnp::Error> {
+    let now = clock::now();
+    from.iter()
+        .map(|want| {
+            Ok(Want {
+                model: Model::new(want.get_adapter()?.to_str()?, want.get_version()),
+                class: Class::from_number(want.get_class()),
+                waiting: want.get_waiting() as usize,
+                since: now.saturating_sub(Duration::from_millis(u64::from(want.get_age_ms()))),
+                deadline: now + Duration::from_millis(u64::from(want.get_left_ms())),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/endivespur_node/src/vms.rs
@@ -0,0 +1,49 @@
+//! Following the platform's lagging list of VMs.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_net::client;
+use log::info;
+
+use crate::adopt;
+use crate::node::{Node, sleep};
+
+/// The longest wait for the list.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Follows the list until the future is dropped.
+pub async fn follow(node: Rc<Node>) {
+    let Some(settings) = node.settings.vms.clone() else {
+        return;
+    };
+    loop {
+        let address = settings.address.to_string();
+        if let Ok(list) = client::get_json(&address, "/vms", TIMEOUT).await {
+            apply(&node, &list);
+        }
+        sleep(settings.interval).await;
+    }
+}
+
+fn apply(node: &Rc<Node>, list: &serde_json::Value) {
+    let states = |wanted: &[&str]| -> BTreeSet<String> {
+        let vms = list["vms"].as_array().cloned().unwrap_or_default();
+        vms.iter()
+            .filter(|vm| {
+                vm["state"]
+                    .as_str()
+                    .is_some_and(|state| wanted.contains(&state))
+            })
+            .filter_map(|vm| Some(vm["name"].as_str()?.to_string()))
+            .collect()
+    };
+    let leaving = states(&["leaving", "gone"]);
+    if *node.leaving.borrow() != leaving {
+        info!("members: leaving are {leaving:?}");
+    }
+    *node.leaving.borrow_mut() = leaving;
+    *node.gone.borrow_mut() = states(&["gone"]);
+    adopt::reconcile(node);
+}
--- /dev/null
+++ b/crates/endivespur_wire/regenerate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Regenerates src/node_capnp.rs; needs Debian's capnproto and `cargo install capnpc`.
+set -eu
+cd "$(dirname "$0")"
+capnp compile -o rust:src --src-prefix=schema schema/node.capnp
--- /dev/null
+++ b/crates/endivespur_wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! The calls between daemons: generated code and its constants.
+
+/// The generated code of `schema/node.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unreachable_pub,
+    unused_qualifications
+)]
+#[rustfmt::skip]
+pub mod node_capnp;
+
+pub use node_capnp::{answer, ask, gate, grant, held, node, refusal, want};
--- /dev/null
+++ b/crates/endivespurctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command-line tool of endivespur.
+
+fn main() {}
--- /dev/null
+++ b/crates/endivespurd/src/main.rs
@@ -0,0 +1,100 @@
+//! The daemon of endivespur.
+
+use std::io::Write;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use async_signal::{Signal, Signals};
+use clap::{Arg, ArgAction, Command, crate_version};
+use endivespur_node::settings::{self, Finding, Settings};
+use endivespur_node::{Error, start};
+use log::{error, info};
+use smol::LocalExecutor;
+use smol::stream::StreamExt;
+
+/// The exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn command() -> Command {
+    Command::new("endivespurd")
+        .version(crate_version!())
+        .about("Serves LoRA adapters between callers and endpoints")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .help("The JSON settings"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Only checks the settings"),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let path = matches
+        .get_one::<String>("settings")
+        .map_or("", String::as_str);
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(findings) => return report(path, &findings),
+    };
+    if matches.get_flag("check") {
+        println!("{path}: no findings");
+        return ExitCode::SUCCESS;
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.clone().run(run(executor, settings, path)))
+}
+
+fn read(path: &str) -> Result<Settings, Vec<Finding>> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        vec![Finding {
+            place: "file".to_string(),
+            message: error.to_string(),
+        }]
+    })?;
+    settings::read(&text)
+}
+
+fn report(path: &str, findings: &[Finding]) -> ExitCode {
+    for finding in findings {
+        eprintln!("{path}: {finding}");
+    }
+    eprintln!("{path}: {} findings", findings.len());
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, settings: Settings, path: &str) -> ExitCode {
+    let running = match start(executor, settings).await {
+        Ok(running) => running,
+        Err(Error::Settings { findings }) => return report(path, &findings),
+        Err(failure) => {
+            error!("daemon: {failure}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let addresses = serde_json::to_string(&running.addresses).unwrap_or_default();
+    println!("{addresses}");
+    std::io::stdout().flush().ok();
+    let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(signals) => signals,
+        Err(failure) => {
+            error!("daemon: no signals: {failure}");
+            return ExitCode::FAILURE;
+        }
+    };
+    signals.next().await;
+    let cut = running.stop().await;
+    info!("daemon: stopped, {cut} requests cut off");
+    if cut == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
