--- a/crates/endivespur_core/src/lib.rs
+++ b/crates/endivespur_core/src/lib.rs
@@ -3,11 +3,13 @@
 //! Every machine takes events and the current [`clock::Time`] and returns actions;
 //! sockets, files and timers live in the daemon's crate.
 
+pub mod acquire;
 pub mod clock;
 pub mod config;
 pub mod decay;
 pub mod hash;
 pub mod id;
+pub mod lease;
 pub mod member;
 pub mod order;
 pub mod owner;
--- a/crates/endivespur_core/src/order.rs
+++ b/crates/endivespur_core/src/order.rs
@@ -1,12 +1,17 @@
-//! The ledger of calls that run at most once.
+//! Calls that run at most once: the ledger's records and the steps of an attempt.
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Organisation, Vm};
+use crate::id::{Revision, Vm};
 
 /// The key prefix of the ledger in the platform's store.
 pub const PREFIX: &str = "endivespur-orders/";
 
+/// Endpoints that are tried under one claim.
+const TRIES: u32 = 3;
+/// The reads with which a lost answer of the store is settled.
+const READ_BACKS: u32 = 4;
+
 /// An answer kept for later resends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
@@ -98,6 +103,166 @@
 }
 
 /// Returns the ledger's key of an organisation's idempotency key.
-pub fn key(organisation: &Organisation, idempotency_key: &str) -> String {
+pub fn key(organisation: &str, idempotency_key: &str) -> String {
     format!("{PREFIX}{organisation}/{idempotency_key}")
 }
+
+/// A record with the store's revision of its last write.
+pub type Found = (Revision, Record);
+
+/// What an attempt learns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The store told what stands under the key.
+    Read(Option<Found>),
+    /// The store did not answer a read.
+    ReadFailed,
+    /// An endpoint granted the call.
+    Granted,
+    /// No endpoint granted the call.
+    Refused,
+    /// The claim took effect at a revision.
+    Claimed(Revision),
+    /// Something else stands under the key.
+    Conflict(Option<Found>),
+    /// The store did not answer the claim, which may have taken effect.
+    ClaimLost,
+    /// The endpoint answered.
+    Answered(Answer),
+    /// The call did not reach an endpoint, or it refused before running it.
+    NotRun,
+    /// The call was sent and its answer was lost.
+    Lost,
+}
+
+/// What an attempt does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Reads the record.
+    Read,
+    /// Gets a grant from an endpoint, another one than before.
+    Acquire,
+    /// Writes the claim, if nothing stands under the key.
+    Claim,
+    /// Reads the record again, because the claim's answer was lost.
+    ReadBack,
+    /// Sends the call to the granted endpoint.
+    Dispatch,
+    /// Records the outcome over the claim's revision.
+    Finish(State, Revision),
+    /// Removes the attempt's own claim, which was never dispatched.
+    Abandon,
+    /// Answers the caller; this is the last step.
+    Reply(Reply),
+}
+
+/// The final answer of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The call ran.
+    Ran(Answer),
+    /// The call ran before.
+    Replayed(Answer),
+    /// Another attempt is at work.
+    Running,
+    /// The call may have run.
+    Unknown,
+    /// The key was used for another call.
+    Mismatch,
+    /// Nothing was sent, because the ledger is out.
+    LedgerOut,
+    /// Nothing was run, because no endpoint took the call.
+    NoEndpoint,
+}
+
+/// The state of one attempt to run a call at most once.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    mine: Record,
+    claim: Revision,
+    claiming: bool,
+    tries: u32,
+    read_backs: u32,
+}
+
+impl Attempt {
+    /// Makes an attempt; its first step is [`Step::Read`].
+    pub fn new(mine: Record) -> Self {
+        Self {
+            mine,
+            claim: 0,
+            claiming: false,
+            tries: 0,
+            read_backs: 0,
+        }
+    }
+
+    /// Returns the record with which the attempt claims the key.
+    pub fn record(&self) -> &Record {
+        &self.mine
+    }
+
+    /// Takes an event and returns the steps that follow.
+    pub fn on(&mut self, event: Event, is_live: impl Fn(&str, u64) -> bool) -> Vec<Step> {
+        match event {
+            Event::Read(None) if self.claiming => Self::give_up(Reply::LedgerOut),
+            Event::Read(None) => vec![Step::Acquire],
+            Event::Read(Some(found)) | Event::Conflict(Some(found)) => self.settle(&found, is_live),
+            Event::Conflict(None) => Self::give_up(Reply::LedgerOut),
+            Event::ReadFailed if self.claiming && self.read_backs < READ_BACKS => self.read_back(),
+            Event::ReadFailed if self.claiming => Self::give_up(Reply::LedgerOut),
+            Event::ReadFailed => vec![Step::Reply(Reply::LedgerOut)],
+            Event::Granted if self.claim > 0 => vec![Step::Dispatch],
+            Event::Granted => vec![Step::Claim],
+            Event::Refused if self.claim > 0 => Self::give_up(Reply::NoEndpoint),
+            Event::Refused => vec![Step::Reply(Reply::NoEndpoint)],
+            Event::Claimed(revision) => self.claimed(revision),
+            Event::ClaimLost => self.read_back(),
+            Event::Answered(answer) => vec![
+                Step::Finish(State::Done(answer.clone()), self.claim),
+                Step::Reply(Reply::Ran(answer)),
+            ],
+            Event::Lost => vec![
+                Step::Finish(State::Unknown, self.claim),
+                Step::Reply(Reply::Unknown),
+            ],
+            Event::NotRun => self.next_endpoint(),
+        }
+    }
+
+    fn read_back(&mut self) -> Vec<Step> {
+        self.claiming = true;
+        self.read_backs += 1;
+        vec![Step::ReadBack]
+    }
+
+    fn claimed(&mut self, revision: Revision) -> Vec<Step> {
+        self.claim = revision;
+        self.claiming = false;
+        vec![Step::Dispatch]
+    }
+
+    fn settle(&mut self, found: &Found, is_live: impl Fn(&str, u64) -> bool) -> Vec<Step> {
+        let reply = match judge(&self.mine, &found.1, is_live) {
+            Verdict::Run => return self.claimed(found.0),
+            Verdict::Replay(answer) => Reply::Replayed(answer),
+            Verdict::Running => Reply::Running,
+            Verdict::Unknown => Reply::Unknown,
+            Verdict::Mismatch => Reply::Mismatch,
+        };
+        vec![Step::Reply(reply)]
+    }
+
+    /// Ends an attempt that was never dispatched; its claim may still take effect.
+    fn give_up(reply: Reply) -> Vec<Step> {
+        vec![Step::Abandon, Step::Reply(reply)]
+    }
+
+    fn next_endpoint(&mut self) -> Vec<Step> {
+        self.tries += 1;
+        if self.tries < TRIES {
+            return vec![Step::Acquire];
+        }
+        Self::give_up(Reply::NoEndpoint)
+    }
+}
--- a/crates/endivespur_core/src/owner.rs
+++ b/crates/endivespur_core/src/owner.rs
@@ -9,6 +9,7 @@
 use crate::config::Class;
 use crate::decay::Counter;
 use crate::id::{Fence, Grant as GrantId, Model, Process, Ticket};
+use crate::lease::Authority;
 use crate::queue::{Ask, Queue};
 use crate::slot::{Name, Phase, Slot};
 
@@ -17,17 +18,6 @@
 /// The delay before a failed load is wanted again.
 const LOAD_RETRY: Duration = Duration::from_millis(500);
 
-/// What an owner may do at the moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Authority {
-    /// The lease holds: grants, loads and evictions.
-    Full,
-    /// The store is out for every peer, so nobody can take over: grants on what is loaded.
-    Frozen,
-    /// Another node may own the endpoint: nothing.
-    Lapsed,
-}
-
 /// The endpoint's properties that decisions rest on.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -108,6 +98,16 @@
     pub retry_after: Duration,
 }
 
+impl Refusal {
+    /// Makes the refusal of a node that does not own the endpoint or cannot be reached.
+    pub fn not_owner() -> Self {
+        Self {
+            reason: Reason::NotOwner,
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
+
 /// What the owner asks its surroundings to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -284,7 +284,7 @@
             })
         };
         if authority == Authority::Lapsed {
-            return refuse(Reason::NotOwner, Duration::from_secs(1));
+            return Some(Refusal::not_owner());
         }
         if !self.open {
             return refuse(Reason::Leaving, Duration::from_secs(1));
@@ -504,7 +504,7 @@
         }
         wants
             .into_values()
-            .filter(|want| !self.is_placed(&want.model))
+            .filter(|want| !self.is_placed(&want.model) && !self.is_going(&want.model))
             .filter(|want| {
                 self.failures
                     .get(&want.model)
@@ -522,6 +522,13 @@
             || self.pending.values().any(|m| m == model)
     }
 
+    /// Tells whether the name under which the adapter would be loaded is being unloaded.
+    fn is_going(&self, model: &Model) -> bool {
+        self.slots.iter().any(|(name, slot)| {
+            name.model == *model && name.fence == self.fence && slot.phase == Phase::Unloading
+        })
+    }
+
     /// Starts a load that the region's scheduler permits; returns no action if it cannot.
     pub fn permit(&mut self, now: Time, authority: Authority, model: &Model) -> Vec<Action> {
         let unwanted = !self.wants(now).iter().any(|want| want.model == *model);
--- /dev/null
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -0,0 +1,298 @@
+//! The owner over generated histories: its eviction against a naive choice, and its limits.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use endivespur_core::config::Class;
+use endivespur_core::id::Model;
+use endivespur_core::lease::Authority;
+use endivespur_core::owner::{Action, Owner, Spec};
+use endivespur_core::queue::Ask;
+use endivespur_core::slot::{Name, Phase};
+use proptest::prelude::*;
+
+use crate::fixed;
+
+const SLOTS: usize = 3;
+const BATCH: usize = 4;
+const HALF_LIFE: Duration = Duration::from_secs(60);
+const FENCE: u64 = 9;
+
+fn spec() -> Spec {
+    Spec {
+        slots: SLOTS,
+        batch: BATCH,
+        waiting: 50,
+        half_life: HALF_LIFE,
+    }
+}
+
+fn ask(ticket: u64, adapter: usize, now: Duration, alone: bool) -> Ask {
+    Ask {
+        ticket,
+        entry: "n#1".to_string(),
+        organisation: format!("o{}", ticket % 3),
+        weight: 1,
+        model: Some(Model::new(&format!("x{adapter}"), 1)),
+        class: Class::Draft,
+        cost: 10,
+        since: now,
+        deadline: now + Duration::from_secs(20),
+        alone,
+        patient: true,
+    }
+}
+
+/// What the engine and the entries know, kept beside the owner.
+struct World {
+    owner: Owner,
+    now: Duration,
+    tickets: BTreeMap<u64, Model>,
+    running: BTreeMap<u64, Name>,
+    alone: BTreeSet<u64>,
+    loading: Vec<Name>,
+    unloading: Vec<Name>,
+    loaded: BTreeSet<Name>,
+    asked: BTreeMap<Model, Vec<Duration>>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+        owner.listed(Duration::ZERO, Authority::Full, Duration::ZERO, &[]);
+        Self {
+            owner,
+            now: Duration::ZERO,
+            tickets: BTreeMap::new(),
+            running: BTreeMap::new(),
+            alone: BTreeSet::new(),
+            loading: Vec::new(),
+            unloading: Vec::new(),
+            loaded: BTreeSet::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the least popular idle slot, computed from the history of asks.
+    fn naive_victim(&self) -> Option<Name> {
+        let waiting: BTreeSet<&Model> = self.tickets.values().collect();
+        let busy: BTreeSet<&Name> = self.running.values().collect();
+        let idle = self.loaded.iter().filter(|name| {
+            !busy.contains(name) && !waiting.contains(&name.model) && !self.unloading.contains(name)
+        });
+        idle.min_by(|a, b| {
+            self.naive_popularity(a)
+                .total_cmp(&self.naive_popularity(b))
+        })
+        .cloned()
+    }
+
+    fn naive_popularity(&self, name: &Name) -> f64 {
+        let times = self.asked.get(&name.model).map_or(&[][..], Vec::as_slice);
+        times
+            .iter()
+            .map(|at| (-(self.now - *at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2())
+            .sum()
+    }
+
+    fn take(&mut self, actions: Vec<Action>) -> Result<(), TestCaseError> {
+        for action in actions {
+            match action {
+                Action::Grant(ticket, grant) => {
+                    let model = self.tickets.remove(&ticket);
+                    let name = grant
+                        .slot
+                        .clone()
+                        .ok_or_else(|| TestCaseError::fail("no slot"))?;
+                    prop_assert_eq!(
+                        model,
+                        Some(name.model.clone()),
+                        "another adapter was granted"
+                    );
+                    prop_assert!(self.loaded.contains(&name), "{} is not loaded", name);
+                    self.running.insert(grant.id, name);
+                    prop_assert!(self.running.len() <= BATCH);
+                    let alone = self.alone.contains(&ticket);
+                    prop_assert!(!alone || self.running.len() == 1, "a suspect got company");
+                }
+                Action::Refuse(ticket, _) => {
+                    prop_assert!(self.tickets.remove(&ticket).is_some());
+                }
+                Action::Load(name) => {
+                    let taken = self.loaded.len() + self.loading.len();
+                    prop_assert!(taken < SLOTS, "a load without a free slot");
+                    self.loading.push(name);
+                }
+                Action::Unload(name) => {
+                    let busy = self.running.values().any(|other| *other == name);
+                    prop_assert!(!busy, "{} is evicted in use", name);
+                    self.unloading.push(name);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, what: u8, number: u64, adapter: usize) -> Result<(), TestCaseError> {
+        let (now, full) = (self.now, Authority::Full);
+        let actions = match what {
+            0..=2 => {
+                let ask = ask(
+                    number,
+                    adapter,
+                    now,
+                    adapter == 0 && number.is_multiple_of(7),
+                );
+                let model = Model::new(&format!("x{adapter}"), 1);
+                self.asked.entry(model.clone()).or_default().push(now);
+                self.tickets.insert(number, model);
+                if ask.alone {
+                    self.alone.insert(number);
+                }
+                self.owner.ask(now, full, ask)
+            }
+            3 | 4 => {
+                let Some((id, _)) = self.running.pop_first() else {
+                    return Ok(());
+                };
+                self.owner.end(now, full, FENCE, id)
+            }
+            5 => {
+                let wants = self.owner.wants(now);
+                let Some(want) = wants.get(number as usize % wants.len().max(1)) else {
+                    return Ok(());
+                };
+                let victim = self.naive_victim();
+                let full_up = self.owner.slots().len() >= SLOTS;
+                let actions = self.owner.permit(now, full, &want.model);
+                if full_up {
+                    let wanted: Vec<Action> = victim.into_iter().map(Action::Unload).collect();
+                    prop_assert_eq!(&actions, &wanted, "another victim than the naive one");
+                }
+                actions
+            }
+            6 if !self.loading.is_empty() => {
+                let name = self.loading.remove(0);
+                let ok = !number.is_multiple_of(4);
+                if ok {
+                    self.loaded.insert(name.clone());
+                }
+                self.owner.loaded(now, full, &name, ok)
+            }
+            7 if !self.unloading.is_empty() => {
+                let name = self.unloading.remove(0);
+                self.loaded.remove(&name);
+                self.owner.unloaded(now, full, &name, true)
+            }
+            _ => self.owner.pump(now, full),
+        };
+        self.take(actions)
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(3000))]
+
+    #[test]
+    fn history_evicts_as_naive_and_never_in_use(
+        steps in prop::collection::vec((0u8..9, 0usize..6, 1u64..3000), 1..120),
+    ) {
+        let mut world = World::new();
+        for (number, (what, adapter, ms)) in steps.into_iter().enumerate() {
+            world.now += Duration::from_millis(ms);
+            world.step(what, number as u64 + 1, adapter)?;
+        }
+    }
+}
+
+#[test]
+fn takeover_evicts_nothing_before_reports() {
+    let now = Duration::from_secs(100);
+    let lag = Duration::from_secs(5);
+    let old = Name {
+        model: Model::new("old", 1),
+        fence: 3,
+    };
+    let live = BTreeSet::from(["n#1".to_string(), "m#1".to_string()]);
+    let one = Spec { slots: 1, ..spec() };
+    let mut owner = Owner::new(one, FENCE, live);
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&old));
+    owner.ask(now, Authority::Full, ask(1, 5, now, false));
+    let wanted = Model::new("x5", 1);
+    assert!(owner.permit(now, Authority::Full, &wanted).is_empty());
+    owner.reported(now, "n#1", vec![(3, 44, Some(old.clone()))]);
+    owner.reported(now, "m#1", Vec::new());
+    let later = now + lag;
+    owner.idle(later, Authority::Full, &BTreeSet::new(), lag);
+    assert!(
+        owner.permit(later, Authority::Full, &wanted).is_empty(),
+        "held under the old fence"
+    );
+    owner.end(later, Authority::Full, 3, 44);
+    let actions = owner.permit(later, Authority::Full, &wanted);
+    assert_eq!(actions, [Action::Unload(old)]);
+}
+
+#[test]
+fn takeover_unfenced_paused_predecessor_slot_not_used() {
+    let now = Duration::from_secs(100);
+    let old = Name {
+        model: Model::new("x1", 1),
+        fence: 3,
+    };
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new()).with_adopt(false);
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&old));
+    let actions = owner.ask(now, Authority::Full, ask(1, 1, now, false));
+    assert!(actions.is_empty(), "the old copy was granted: {actions:?}");
+    let own = Name {
+        model: old.model.clone(),
+        fence: FENCE,
+    };
+    let actions = owner.permit(now, Authority::Full, &old.model);
+    assert_eq!(actions, [Action::Load(own)]);
+}
+
+#[test]
+fn frozen_grants_loaded_and_loads_nothing() {
+    let now = Duration::from_secs(1);
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let loaded = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&loaded));
+    let granted = owner.ask(now, Authority::Frozen, ask(1, 1, now, false));
+    assert!(matches!(granted[..], [Action::Grant(1, _)]));
+    let refused = owner.ask(now, Authority::Frozen, ask(2, 2, now, false));
+    assert!(matches!(refused[..], [Action::Refuse(2, _)]));
+    owner.ask(now, Authority::Full, ask(3, 2, now, false));
+    assert!(
+        owner
+            .permit(now, Authority::Frozen, &Model::new("x2", 1))
+            .is_empty()
+    );
+}
+
+#[test]
+fn listed_older_than_load_keeps_slot() {
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let at = |ms| Duration::from_millis(ms);
+    owner.listed(at(0), Authority::Full, at(0), &[]);
+    owner.ask(at(1), Authority::Full, ask(1, 1, at(1), false));
+    let name = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    owner.permit(at(2), Authority::Full, &name.model);
+    owner.loaded(at(20), Authority::Full, &name, true);
+    owner.listed(at(21), Authority::Full, at(10), &[]);
+    assert_eq!(
+        owner.slots().get(&name).map(|slot| slot.phase),
+        Some(Phase::Ready)
+    );
+    owner.listed(at(40), Authority::Full, at(30), &[]);
+    assert!(
+        owner.slots().is_empty(),
+        "a cold engine still counts as loaded"
+    );
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/histories/queue.rs
@@ -0,0 +1,136 @@
+//! The queue against a naive deficit round robin over plain lists.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use endivespur_core::config::Class;
+use endivespur_core::queue::{Ask, Queue};
+use proptest::prelude::*;
+
+use crate::fixed;
+
+/// Tokens a flow of weight 1 may spend more in each round.
+const QUANTUM: u64 = 256;
+
+fn ask(ticket: u64, organisation: usize, class: u8, cost: u32) -> Ask {
+    Ask {
+        ticket,
+        entry: "n#1".to_string(),
+        organisation: format!("o{organisation}"),
+        weight: 1 + organisation as u32 % 2,
+        model: None,
+        class: Class::from_number(class),
+        cost,
+        since: Duration::ZERO,
+        deadline: Duration::MAX,
+        alone: false,
+        patient: false,
+    }
+}
+
+/// All waiting asks in order of arrival, with the turns and deficits of each class.
+#[derive(Default)]
+struct Naive {
+    asks: Vec<Ask>,
+    turns: BTreeMap<Class, Vec<String>>,
+    deficits: BTreeMap<(Class, String), u64>,
+}
+
+impl Naive {
+    fn push(&mut self, ask: Ask) {
+        let turns = self.turns.entry(ask.class).or_default();
+        if !turns.contains(&ask.organisation) {
+            turns.push(ask.organisation.clone());
+            self.deficits
+                .insert((ask.class, ask.organisation.clone()), 0);
+        }
+        self.asks.push(ask);
+    }
+
+    fn first(&self, class: Class, organisation: &str, ready: &BTreeSet<u64>) -> Option<usize> {
+        self.asks.iter().position(|ask| {
+            ask.class == class && ask.organisation == organisation && ready.contains(&ask.ticket)
+        })
+    }
+
+    fn pop(&mut self, ready: &BTreeSet<u64>) -> Option<Ask> {
+        let ready_asks = self.asks.iter().filter(|ask| ready.contains(&ask.ticket));
+        let class = ready_asks.map(|ask| ask.class).min()?;
+        loop {
+            let name = self.turns[&class][0].clone();
+            let index = self.first(class, &name, ready);
+            let deficit = self.deficits.get_mut(&(class, name.clone()))?;
+            if let Some(index) = index {
+                let cost = u64::from(self.asks[index].cost);
+                if cost <= *deficit {
+                    *deficit -= cost;
+                    let ask = self.asks.remove(index);
+                    self.drop_empty(class, &name);
+                    return Some(ask);
+                }
+                *deficit += QUANTUM * u64::from(self.asks[index].weight);
+            } else {
+                *deficit = 0;
+            }
+            let turns = self.turns.get_mut(&class)?;
+            let first = turns.remove(0);
+            turns.push(first);
+        }
+    }
+
+    fn drop_empty(&mut self, class: Class, name: &str) {
+        let waits = |ask: &Ask| ask.class == class && ask.organisation == name;
+        if !self.asks.iter().any(waits) {
+            self.turns
+                .entry(class)
+                .or_default()
+                .retain(|other| other != name);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(3000))]
+
+    #[test]
+    fn pop_same_as_naive(
+        steps in prop::collection::vec((any::<bool>(), 0usize..4, 0u8..4, 1u32..900, any::<u8>()), 1..60),
+    ) {
+        let mut queue = Queue::default();
+        let mut naive = Naive::default();
+        let mut next = 0;
+        for (push, organisation, class, cost, mask) in steps {
+            if push {
+                next += 1;
+                queue.push(ask(next, organisation, class, cost));
+                naive.push(ask(next, organisation, class, cost));
+                continue;
+            }
+            // Some asks wait for a load and are not ready.
+            let ready: BTreeSet<u64> = (0..=next).filter(|t| mask >> (t % 8) & 1 == 1).collect();
+            let popped = queue.pop(|ask| ready.contains(&ask.ticket));
+            prop_assert_eq!(popped, naive.pop(&ready));
+            prop_assert_eq!(queue.len(), naive.asks.len());
+        }
+    }
+}
+
+#[test]
+fn pop_flooding_organisation_shares_tokens() {
+    let mut queue = Queue::default();
+    for ticket in 0..400 {
+        queue.push(ask(ticket, 0, 2, 100));
+    }
+    for ticket in 400..420 {
+        queue.push(ask(ticket, 2, 2, 100));
+    }
+    let first: Vec<u64> = (0..44)
+        .filter_map(|_| queue.pop(|_| true))
+        .map(|a| a.ticket)
+        .collect();
+    let quiet = first.iter().filter(|ticket| **ticket >= 400).count();
+    assert_eq!(
+        quiet, 20,
+        "the quiet organisation waited behind the flood: {first:?}"
+    );
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/histories/route.rs
@@ -0,0 +1,143 @@
+//! The choice of endpoints against checking each rule by hand.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use endivespur_core::config::{Change, Class, Kind, Lora, Offer, Snapshot, Stage, Target, Tenant};
+use endivespur_core::id::Model;
+use endivespur_core::place::Rule;
+use endivespur_core::route::{self, Denial, Request};
+use proptest::prelude::*;
+
+use crate::fixed;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+fn zones() -> impl Strategy<Value = Vec<&'static str>> {
+    prop::sample::subsequence(ZONES.to_vec(), 0..=3)
+}
+
+fn site(spots: &[(usize, bool, bool)], tenant: Rule, lora: Rule) -> Snapshot {
+    let mut config = Snapshot::default();
+    for (index, (zone, region, drained)) in spots.iter().enumerate() {
+        let target = Target {
+            kind: Kind::Engine,
+            service: "hymnal".to_string(),
+            address: String::new(),
+            region: if *region { "r" } else { "far" }.to_string(),
+            zone: ZONES[*zone].to_string(),
+            slots: 4,
+            batch: 4,
+            fenced: true,
+            drained: *drained,
+            change: Change::default(),
+        };
+        config.endpoints.insert(format!("e{index}"), target);
+    }
+    let tenant = Tenant {
+        place: tenant,
+        weight: 1,
+        change: Change::default(),
+    };
+    config.organisations.insert("o".to_string(), tenant);
+    let lora = Lora {
+        base: "m".to_string(),
+        service: "hymnal".to_string(),
+        organisations: BTreeSet::from(["o".to_string()]),
+        versions: BTreeMap::from([(1, Stage::Active), (2, Stage::Retired)]),
+        place: lora,
+        pins: BTreeSet::new(),
+        change: Change::default(),
+    };
+    config.adapters.insert("x".to_string(), lora);
+    let offer = Offer {
+        class: Class::Draft,
+        once: false,
+        routes: Vec::new(),
+        change: Change::default(),
+    };
+    config.services.insert("hymnal".to_string(), offer);
+    config
+}
+
+fn request(version: u32, place: Option<Rule>) -> Request {
+    Request {
+        organisation: "o".to_string(),
+        base: Some("m".to_string()),
+        service: None,
+        model: Some(Model::new("x", version)),
+        place,
+    }
+}
+
+/// Tells by hand whether a rule permits a zone of the region `r`.
+fn by_hand(zones: &[&str], zone: &str) -> bool {
+    zones.is_empty() || zones.contains(&zone)
+}
+
+proptest! {
+    #![proptest_config(fixed(4000))]
+
+    #[test]
+    fn choose_only_and_all_permitted(
+        spots in prop::collection::vec((0usize..3, any::<bool>(), any::<bool>()), 0..8),
+        (tenant, lora, own) in (zones(), zones(), zones()),
+        (entry, leaving) in (0usize..3, 0usize..8),
+    ) {
+        let config = site(&spots, Rule::new("r", &tenant), Rule::new("r", &lora));
+        let request = request(1, Some(Rule::new("r", &own)));
+        let permitted = |zone: &str| {
+            by_hand(&tenant, zone) && by_hand(&lora, zone) && by_hand(&own, zone)
+        };
+        let leaving = format!("e{leaving}");
+        let naive: BTreeSet<String> = spots
+            .iter()
+            .enumerate()
+            .filter(|(_, (zone, region, drained))| *region && !drained && permitted(ZONES[*zone]))
+            .map(|(index, _)| format!("e{index}"))
+            .filter(|name| *name != leaving)
+            .collect();
+        let chosen = route::choose(&config, &request, ("r", ZONES[entry]), |name| name == leaving);
+        match chosen {
+            Ok(list) => {
+                prop_assert!(permitted(ZONES[entry]));
+                prop_assert_eq!(list.len(), naive.len());
+                prop_assert_eq!(list.into_iter().collect::<BTreeSet<_>>(), naive);
+            }
+            Err(Denial::EntryPlace) => prop_assert!(!permitted(ZONES[entry])),
+            Err(Denial::NoEndpoint) => prop_assert!(naive.is_empty()),
+            Err(other) => prop_assert!(false, "{:?}", other),
+        }
+    }
+
+    #[test]
+    fn choose_region_unlike_rule_denied(spots in prop::collection::vec((0usize..3, Just(true), Just(false)), 1..5)) {
+        let config = site(&spots, Rule::new("far", &[]), Rule::new("r", &[]));
+        let chosen = route::choose(&config, &request(1, None), ("r", "a"), |_| false);
+        prop_assert_eq!(chosen, Err(Denial::EntryPlace));
+    }
+}
+
+#[test]
+fn choose_retired_version_denied() {
+    let config = site(
+        &[(0, true, false)],
+        Rule::new("r", &[]),
+        Rule::new("r", &[]),
+    );
+    let chosen = route::choose(&config, &request(2, None), ("r", "a"), |_| false);
+    assert_eq!(chosen, Err(Denial::UnknownVersion));
+}
+
+#[test]
+fn choose_stranger_denied() {
+    let mut config = site(
+        &[(0, true, false)],
+        Rule::new("r", &[]),
+        Rule::new("r", &[]),
+    );
+    if let Some(lora) = config.adapters.get_mut("x") {
+        lora.organisations.clear();
+    }
+    let chosen = route::choose(&config, &request(1, None), ("r", "a"), |_| false);
+    assert_eq!(chosen, Err(Denial::Forbidden));
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/histories/schedule.rs
@@ -0,0 +1,110 @@
+//! The load scheduler against sorting all wants by hand, and against its limits.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use endivespur_core::config::Class;
+use endivespur_core::id::Model;
+use endivespur_core::owner::Want;
+use endivespur_core::schedule::{Limit, Scheduler};
+use proptest::prelude::*;
+
+use crate::fixed;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const TRANSIT: usize = 8;
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn limit() -> Limit {
+    Limit {
+        interval: INTERVAL,
+        transit: TRANSIT,
+        patience: PATIENCE,
+        timeout: Duration::from_secs(30),
+    }
+}
+
+fn want(adapter: usize, class: u8, waiting: usize, since_ms: u64) -> Want {
+    Want {
+        model: Model::new(&format!("x{adapter}"), 1),
+        class: Class::from_number(class),
+        waiting,
+        since: Duration::from_millis(since_ms),
+        deadline: Duration::from_secs(100),
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(3000))]
+
+    #[test]
+    fn permit_same_order_as_sorting(
+        wants in prop::collection::vec((0u8..4, 1usize..6, 0u64..20_000), 1..12),
+    ) {
+        let now = Duration::from_secs(20);
+        let mut scheduler = Scheduler::new(limit(), now);
+        let mut naive: Vec<Want> = Vec::new();
+        for (index, (class, waiting, since)) in wants.iter().enumerate() {
+            let want = want(index, *class, *waiting, *since);
+            naive.push(want.clone());
+            scheduler.set("n", &format!("e{index:02}"), vec![want]);
+        }
+        let mut at = now;
+        while !naive.is_empty() {
+            let Some(entry) = scheduler.permit(at) else {
+                at += INTERVAL;
+                continue;
+            };
+            scheduler.landed(&entry.endpoint, &entry.want.model, true);
+            // The overdue by age, then class, then the most waiting, then age.
+            naive.sort_by_key(|want| {
+                let overdue = at - want.since >= PATIENCE;
+                let age = if overdue { want.since } else { Duration::ZERO };
+                (!overdue, age, want.class, usize::MAX - want.waiting, want.since)
+            });
+            prop_assert_eq!(entry.want.since, naive.remove(0).since);
+        }
+    }
+
+    #[test]
+    fn permit_rate_and_transit_never_crossed(
+        steps in prop::collection::vec((0u64..400, 0usize..20, 0u8..4, any::<bool>()), 1..200),
+    ) {
+        let mut scheduler = Scheduler::new(limit(), Duration::ZERO);
+        let mut now = Duration::ZERO;
+        let mut given: Vec<Duration> = Vec::new();
+        let mut flying: BTreeSet<(String, Model)> = BTreeSet::new();
+        for (step, adapter, class, land) in steps {
+            now += Duration::from_millis(step);
+            scheduler.set("n", &format!("e{adapter}"), vec![want(adapter, class, 1, now.as_millis() as u64)]);
+            while let Some(entry) = scheduler.permit(now) {
+                given.push(now);
+                let key = (entry.endpoint.clone(), entry.want.model.clone());
+                prop_assert!(flying.insert(key), "a load was permitted twice");
+                prop_assert!(flying.len() <= TRANSIT);
+            }
+            if let (true, Some((endpoint, model))) = (land, flying.iter().next().cloned()) {
+                scheduler.landed(&endpoint, &model, true);
+                flying.remove(&(endpoint, model));
+            }
+        }
+        // Two a second: any window of 10 s sees at most 20 and the one that opens it.
+        for first in 0..given.len() {
+            let window = given[first..].iter().take_while(|at| **at < given[first] + Duration::from_secs(10));
+            prop_assert!(window.count() <= 21);
+        }
+    }
+}
+
+#[test]
+fn permit_not_started_gives_rate_back() {
+    let mut scheduler = Scheduler::new(limit(), Duration::ZERO);
+    scheduler.set("n", "e1", vec![want(1, 0, 1, 0)]);
+    scheduler.set("n", "e2", vec![want(2, 1, 1, 0)]);
+    let first = scheduler.permit(Duration::ZERO).map(|entry| entry.endpoint);
+    assert_eq!(first.as_deref(), Some("e1"));
+    assert!(scheduler.permit(Duration::ZERO).is_none());
+    scheduler.landed("e1", &Model::new("x1", 1), false);
+    let second = scheduler.permit(Duration::ZERO).map(|entry| entry.endpoint);
+    assert_eq!(second.as_deref(), Some("e2"));
+}
--- a/crates/endivespur_node/src/claim.rs
+++ b/crates/endivespur_node/src/claim.rs
@@ -42,9 +42,7 @@
 }
 
 fn may_claim(node: &Node) -> bool {
-    let now = clock::now();
-    let held = now < node.lease.get().until;
-    held && !node.stopping.get() && now > node.bound_until.get()
+    !node.stopping.get() && node.lease.borrow().may_claim(clock::now())
 }
 
 fn surplus(node: &Node) -> Vec<Endpoint> {
--- a/crates/endivespur_node/src/dispatch.rs
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_core::acquire::{Search, Step};
 use endivespur_core::clock::Time;
 use endivespur_core::config::{Class, Kind};
 use endivespur_core::id::{Endpoint, Fence};
-use endivespur_core::owner::{Authority, Grant, Reason, Refusal};
+use endivespur_core::lease::Authority;
+use endivespur_core::owner::{Grant, Refusal};
 use endivespur_core::queue::Ask;
 use endivespur_core::route;
 use endivespur_net::client;
@@ -19,10 +21,6 @@
 use crate::node::{Node, sleep};
 use crate::peer;
 
-/// The most endpoints that are asked before a request waits at one.
-const CANDIDATES: usize = 12;
-/// The pause before endpoints without an owner are asked again.
-const OWNER_RETRY: Duration = Duration::from_millis(50);
 /// The longest wait for an endpoint's connection and the head of its answer.
 pub const HEAD_TIMEOUT: Duration = Duration::from_mins(2);
 
@@ -89,37 +87,18 @@
 /// Returns the final refusal; the request did not run.
 pub async fn acquire(node: &Rc<Node>, job: &Job) -> Result<Permit, Failure> {
     loop {
-        let candidates = candidates(node, job)?;
-        let mut waiting_room = None;
-        let mut last = peer::unreachable();
-        for endpoint in candidates.iter().take(CANDIDATES) {
-            match ask(node, job, endpoint, false).await {
-                Ok(permit) => return Ok(permit),
-                Err(refusal) => {
-                    if refusal.reason == Reason::Deadline {
-                        return Err(refusal.into());
-                    }
-                    if refusal.reason == Reason::Busy {
-                        waiting_room.get_or_insert_with(|| endpoint.clone());
-                    }
-                    last = refusal;
-                }
-            }
-        }
-        if let Some(endpoint) = waiting_room {
-            match ask(node, job, &endpoint, true).await {
-                Ok(permit) => return Ok(permit),
-                Err(refusal) => last = refusal,
+        let mut search = Search::new(candidates(node, job)?, job.deadline);
+        let pause = loop {
+            match search.step(clock::now()) {
+                Step::Ask { endpoint, patient } => match ask(node, job, &endpoint, patient).await {
+                    Ok(permit) => return Ok(permit),
+                    Err(refusal) => search.refused(refusal),
+                },
+                Step::Pause(time) => break time,
+                Step::Refuse(refusal) => return Err(refusal.into()),
             }
-        }
-        let passing = matches!(
-            last.reason,
-            Reason::NotOwner | Reason::Leaving | Reason::Busy
-        );
-        if !passing || clock::now() + OWNER_RETRY >= job.deadline {
-            return Err(last.into());
-        }
-        sleep(OWNER_RETRY).await;
+        };
+        sleep(pause).await;
     }
 }
 
@@ -154,12 +133,12 @@
         alone: job.alone,
         patient,
     };
-    let (vm, incarnation, address) = node.owner(endpoint).ok_or(peer::unreachable())?;
+    let (vm, incarnation, address) = node.owner(endpoint).ok_or(Refusal::not_owner())?;
     let (reply, owner): (Reply, Option<String>) = if node.is_me(&vm, incarnation) {
         (host::ask(node, endpoint, ask).await, None)
     } else {
         let reply = peer::ask(node, &address, endpoint, &ask).await;
-        (reply.unwrap_or(Err(peer::unreachable())), Some(address))
+        (reply.unwrap_or(Err(Refusal::not_owner())), Some(address))
     };
     let grant = reply?;
     let target = node
@@ -181,7 +160,7 @@
     if taken {
         Ok(permit)
     } else {
-        Err(peer::unreachable())
+        Err(Refusal::not_owner())
     }
 }
 
@@ -209,7 +188,7 @@
     request.insert_header("endivespur-attempt", attempt);
     request.insert_header("endivespur-fence", grant.fence.to_string());
     // A process that was paused may have lost the grant meanwhile.
-    if node.authority() == Authority::Lapsed && node.lease.get().id != 0 {
+    if node.authority() == Authority::Lapsed && node.lease_id.get() != 0 {
         return Err(Miss::NotRun("the lease has lapsed".to_string()));
     }
     let answer = match client::send(request, HEAD_TIMEOUT).await {
--- a/crates/endivespur_node/src/engine.rs
+++ b/crates/endivespur_node/src/engine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use endivespur_core::id::Endpoint;
-use endivespur_core::owner::Authority;
+use endivespur_core::lease::Authority;
 use endivespur_core::slot::Name;
 use endivespur_net::{body, client};
 use http_types::Method;
--- a/crates/endivespur_node/src/host.rs
+++ b/crates/endivespur_node/src/host.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use endivespur_core::clock::Time;
 use endivespur_core::config::{Kind, Snapshot, Stage};
 use endivespur_core::id::{Endpoint, Fence, Grant as GrantId, Model, Ticket};
-use endivespur_core::owner::{Action, Authority, Grant, Owner, Reason, Refusal, Spec, Want};
+use endivespur_core::lease::Authority;
+use endivespur_core::owner::{Action, Grant, Owner, Refusal, Spec, Want};
 use endivespur_core::queue::Ask;
 use log::{info, warn};
 use smol::channel::{Sender, bounded};
@@ -94,17 +94,13 @@
 
 /// Asks the owner in this process for a grant and waits for the answer.
 pub async fn ask(node: &Rc<Node>, endpoint: &str, mut ask: Ask) -> Reply {
-    let not_owner = Refusal {
-        reason: Reason::NotOwner,
-        retry_after: Duration::from_secs(1),
-    };
     ask.ticket = node.ticket();
     let ticket = ask.ticket;
     let (sender, receiver) = bounded(1);
     let actions = {
         let mut hosts = node.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(endpoint) else {
-            return Err(not_owner);
+            return Err(Refusal::not_owner());
         };
         host.tickets.insert(ticket, sender);
         host.owner.ask(clock::now(), node.authority(), ask)
@@ -117,7 +113,11 @@
         done: false,
     };
     apply(node, endpoint, actions);
-    let reply = waiter.receiver.recv().await.unwrap_or(Err(not_owner));
+    let reply = waiter
+        .receiver
+        .recv()
+        .await
+        .unwrap_or(Err(Refusal::not_owner()));
     waiter.done = true;
     reply
 }
--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -8,8 +8,8 @@
 use endivespur_core::clock::Time;
 use endivespur_core::config::Snapshot;
 use endivespur_core::id::{Endpoint, Fence, Grant, Organisation, Process, Vm};
+use endivespur_core::lease::{Authority, Lease};
 use endivespur_core::member::{Table, process};
-use endivespur_core::owner::Authority;
 use endivespur_core::retry::Budget;
 use endivespur_core::schedule::Scheduler;
 use endivespur_core::slot::Name;
@@ -24,8 +24,6 @@
 
 /// The time within which an accepted configuration is in force everywhere.
 pub const IN_FORCE: Duration = Duration::from_secs(7);
-/// The part of a lease that is relied on, because clocks run at different rates.
-const LEASE_SHARE: f64 = 0.9;
 
 /// A grant that this entry holds.
 #[derive(Clone, Debug)]
@@ -37,15 +35,6 @@
 /// Which grants are held, by endpoint, fencing number and grant.
 pub type Holdings = BTreeMap<(Endpoint, Fence, Grant), Holding>;
 
-/// The daemon's lease.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Lease {
-    /// The store's number, 0 while there is none.
-    pub id: u64,
-    /// Until when the lease holds for certain.
-    pub until: Time,
-}
-
 /// The state of a daemon.
 pub struct Node {
     /// The settings.
@@ -64,14 +53,10 @@
     pub config: RefCell<Snapshot>,
     /// Nodes and owners.
     pub table: RefCell<Table>,
-    /// The lease.
-    pub lease: Cell<Lease>,
-    /// Until when every peer has promised to take nothing over.
-    pub promised: Cell<Time>,
-    /// Until when this node has promised to take nothing over.
-    pub bound_until: Cell<Time>,
-    /// When the store last answered.
-    pub store_heard: Cell<Time>,
+    /// The store's number of the lease, 0 while there is none.
+    pub lease_id: Cell<u64>,
+    /// What the node may do with its endpoints.
+    pub lease: RefCell<Lease>,
     /// When the store or most peers last confirmed the configuration.
     pub config_heard: Cell<Time>,
     /// The owned endpoints.
@@ -116,27 +101,12 @@
 
     /// Returns what this node may do with the endpoints it owns.
     pub fn authority(&self) -> Authority {
-        let now = clock::now();
-        if now < self.lease.get().until {
-            Authority::Full
-        } else if now < self.promised.get() {
-            Authority::Frozen
-        } else {
-            Authority::Lapsed
-        }
-    }
-
-    /// Sets the lease's end from the time at which its renewal was sent.
-    pub fn renewed(&self, id: u64, sent: Time) {
-        let ttl = self.settings.lease.ttl;
-        let until = sent + ttl.mul_f64(LEASE_SHARE);
-        self.lease.set(Lease { id, until });
-        self.heard_store();
+        self.lease.borrow().authority(clock::now())
     }
 
     /// Notes that the store has answered.
     pub fn heard_store(&self) {
-        self.store_heard.set(clock::now());
+        self.lease.borrow_mut().hear(clock::now());
     }
 
     /// Tells whether the known configuration may be acted on.
--- a/crates/endivespur_node/src/once.rs
+++ b/crates/endivespur_node/src/once.rs
@@ -1,17 +1,18 @@
 //! Calls that run at most once, by a ledger in the platform's store.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::order::{self, Answer, Record, State, Verdict};
+use endivespur_core::order::{self, Answer, Attempt, Event, Found, Record, Reply, State, Step};
 use endivespur_net::store::{Error, Outcome, Pair, Write};
 use http_types::{Response, StatusCode};
 use log::warn;
 use smol::channel::{Sender, bounded};
 
-use crate::answer::{self, Failure};
+use crate::answer::{Failure, Outcome as Ran};
 use crate::clock;
 use crate::dispatch::{self, Job, Miss, Permit};
 use crate::node::{Node, sleep};
@@ -24,15 +25,14 @@
 const GROUP: Duration = Duration::from_millis(5);
 /// The most writes in one call.
 const GROUP_WRITES: usize = 64;
-/// The reads with which a lost answer of the store is settled.
-const READ_BACKS: u32 = 4;
+/// The looks after which a claim that never took effect is given up.
+const ABANDON_LOOKS: u32 = 10;
+/// The pause before a record is read back.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(100);
 /// The pause between two tries in the background.
 const BACKGROUND_RETRY: Duration = Duration::from_secs(1);
 /// The largest answer that is kept.
 const ANSWER_BYTES: usize = 256 << 10;
-/// Endpoints that are tried for one claim.
-const TRIES: usize = 3;
-
 type Waiting = (Write, Sender<Result<Outcome, String>>);
 
 thread_local! {
@@ -124,171 +124,117 @@
     receiver.recv().await.unwrap_or_else(|_| lost.answer())
 }
 
+/// Carries out the steps of the core's attempt.
 async fn execute(node: &Rc<Node>, call: &Call) -> Result<Response, Failure> {
     let key = order::key(&call.job.request.organisation, &call.key);
-    let mine = Record::new(
-        &call.job.id,
-        &node.settings.vm,
-        node.incarnation.get(),
-        call.digest,
-    );
-    // A stored answer is returned even while no endpoint has room.
-    if let Some(found) = node.store.get(&key).await.map_err(ledger_out)? {
-        let verdict = judge(node, &mine, &found);
-        return settled(verdict)
-            .unwrap_or_else(|| Err(Failure::unknown("a claim of this attempt stands")));
-    }
+    let incarnation = node.incarnation.get();
+    let mine = Record::new(&call.job.id, &node.settings.vm, incarnation, call.digest);
+    let mut attempt = Attempt::new(mine);
     let mut job = call.job.clone();
-    let mut permit = dispatch::acquire(node, &job).await?;
-    let claim = match claim(node, &key, &mine).await? {
-        Claimed::Mine(revision) => revision,
-        Claimed::Other(verdict) => {
-            return settled(verdict)
-                .unwrap_or_else(|| Err(Failure::unknown("the claim is unclear")));
-        }
-    };
-    let record = Entry { key, mine, claim };
-    for _ in 0..TRIES {
-        match attempt(call, &mut permit).await {
-            Ok(answer) => {
-                finish(node, &record, State::Done(kept(&answer))).await;
-                return Ok(response(&answer, &permit, &call.job));
+    let mut permit: Option<Permit> = None;
+    let mut refusal = None;
+    let mut steps = VecDeque::from([Step::Read]);
+    while let Some(step) = steps.pop_front() {
+        let event = match step {
+            Step::Read => read_record(node, &key).await,
+            Step::ReadBack => {
+                sleep(READ_BACK_PAUSE).await;
+                read_record(node, &key).await
             }
-            Err(Miss::Lost(message)) => {
-                finish(node, &record, State::Unknown).await;
-                return Err(Failure::unknown(&message));
+            Step::Acquire => {
+                // The grant of an endpoint that did not run the call is given back first.
+                job.avoid
+                    .extend(permit.take().map(|permit| permit.endpoint.clone()));
+                match dispatch::acquire(node, &job).await {
+                    Ok(granted) => {
+                        permit = Some(granted);
+                        Event::Granted
+                    }
+                    Err(failure) => {
+                        refusal = Some(failure);
+                        Event::Refused
+                    }
+                }
             }
-            Err(Miss::NotRun(_)) => {}
-        }
-        job.avoid.insert(permit.endpoint.clone());
-        drop(permit);
-        permit = match dispatch::acquire(node, &job).await {
-            Ok(permit) => permit,
-            Err(failure) => {
-                abandon(node, record);
-                return Err(failure);
+            Step::Claim => claim(node, &key, attempt.record()).await,
+            Step::Dispatch => send(call, permit.as_mut()).await,
+            Step::Finish(state, over) => {
+                let record = attempt.record().clone().with_state(keep(state));
+                finish(node, &key, &record, over).await;
+                continue;
+            }
+            Step::Abandon => {
+                abandon(node, &key, attempt.record());
+                continue;
             }
+            Step::Reply(reply) => return answer(reply, permit.as_ref(), &call.job, refusal),
+        };
+        let table = node.table.borrow();
+        let is_live = |vm: &str, incarnation: u64| {
+            table
+                .node(vm)
+                .is_some_and(|found| found.incarnation == incarnation)
         };
+        steps.extend(attempt.on(event, is_live));
     }
-    abandon(node, record);
-    let refused = Failure::not_run(StatusCode::ServiceUnavailable, "each endpoint refused");
-    Err(refused.with_retry(Duration::from_secs(2)))
+    Err(Failure::unknown("the attempt ended without an answer"))
 }
 
-fn ledger_out(error: impl std::fmt::Display) -> Failure {
-    let message = format!("the ledger is out: {error}");
-    Failure::not_run(StatusCode::ServiceUnavailable, &message).with_retry(Duration::from_secs(2))
+fn parse(pair: Option<Pair>) -> Option<Found> {
+    let pair = pair?;
+    let record = serde_json::from_str(pair.value.as_deref()?).ok()?;
+    Some((pair.revision, record))
 }
 
-struct Entry {
-    key: String,
-    mine: Record,
-    claim: u64,
-}
-
-enum Claimed {
-    Mine(u64),
-    Other(Verdict),
-}
-
-fn judge(node: &Node, mine: &Record, found: &Pair) -> Verdict {
-    let text = found.value.as_deref().unwrap_or_default();
-    let Ok(record) = serde_json::from_str::<Record>(text) else {
-        return Verdict::Unknown;
-    };
-    let table = node.table.borrow();
-    order::judge(mine, &record, |vm, incarnation| {
-        table
-            .node(vm)
-            .is_some_and(|found| found.incarnation == incarnation)
-    })
+async fn read_record(node: &Node, key: &str) -> Event {
+    match node.store.get(key).await {
+        Ok(found) => Event::Read(parse(found)),
+        Err(_) => Event::ReadFailed,
+    }
 }
 
-/// Returns the answer that a verdict settles, nothing if the attempt may run.
-fn settled(verdict: Verdict) -> Option<Result<Response, Failure>> {
-    let failure = match verdict {
-        Verdict::Run => return None,
-        Verdict::Replay(answer) => {
-            let mut response = plain(&answer);
-            response.insert_header("endivespur-replayed", "true");
-            return Some(Ok(response));
-        }
-        Verdict::Running => Failure {
-            status: StatusCode::Conflict,
-            ..Failure::unknown("the call is still running").with_retry(Duration::from_secs(1))
-        },
-        Verdict::Unknown => Failure::unknown("the call was dispatched and its outcome is unknown"),
-        Verdict::Mismatch => Failure::not_run(
-            StatusCode::UnprocessableEntity,
-            "the idempotency key was used for another call",
-        ),
+async fn claim(node: &Rc<Node>, key: &str, mine: &Record) -> Event {
+    let Ok(lease) = lease(node).await else {
+        return Event::ClaimLost;
     };
-    Some(Err(failure))
-}
-
-/// Claims the key; a lost answer of the store is settled by reading back.
-async fn claim(node: &Rc<Node>, key: &str, mine: &Record) -> Result<Claimed, Failure> {
-    let lease = lease(node).await.map_err(ledger_out)?;
     let text = serde_json::json!(mine).to_string();
     let claim = Write::new(key, &text).with_over(0).with_lease(lease);
-    let unsure = Entry {
-        key: key.to_string(),
-        mine: mine.clone(),
-        claim: 0,
-    };
-    let found = match write(claim).await {
-        Ok(Outcome::Written(revision)) => return Ok(Claimed::Mine(revision)),
-        Ok(Outcome::Conflict(found)) => found,
+    match write(claim).await {
+        Ok(Outcome::Written(revision)) => Event::Claimed(revision),
+        Ok(Outcome::Conflict(found)) => Event::Conflict(parse(found)),
         Err(message) => {
             warn!(
                 "ledger: {}: the claim's answer is lost: {message}",
                 mine.attempt
             );
-            let Some(found) = read_back(node, key).await else {
-                abandon(node, unsure);
-                return Err(ledger_out(message));
-            };
-            found
-        }
-    };
-    let Some(found) = found else {
-        // Not there: the claim may still be on its way, so it must not be believed lost.
-        abandon(node, unsure);
-        return Err(ledger_out("the claim did not take effect"));
-    };
-    match judge(node, mine, &found) {
-        Verdict::Run => Ok(Claimed::Mine(found.revision)),
-        verdict => Ok(Claimed::Other(verdict)),
-    }
-}
-
-/// Reads a key until the store answers; nothing if it does not.
-#[allow(clippy::option_option)]
-async fn read_back(node: &Node, key: &str) -> Option<Option<Pair>> {
-    for _ in 0..READ_BACKS {
-        if let Ok(found) = node.store.get(key).await {
-            return Some(found);
+            Event::ClaimLost
         }
-        sleep(Duration::from_millis(200)).await;
     }
-    None
 }
 
 /// Sends the call once, under a claim that stands.
-async fn attempt(call: &Call, permit: &mut Permit) -> Result<Answer, Miss> {
-    let request = (call.make)(permit).map_err(|failure| Miss::NotRun(failure.message))?;
-    let response = dispatch::send(permit, request, &call.job.id).await?;
-    (call.read)(response).await.map_err(Miss::Lost)
+async fn send(call: &Call, permit: Option<&mut Permit>) -> Event {
+    let Some(permit) = permit else {
+        return Event::NotRun;
+    };
+    let Ok(request) = (call.make)(permit) else {
+        return Event::NotRun;
+    };
+    match dispatch::send(permit, request, &call.job.id).await {
+        Ok(response) => match (call.read)(response).await {
+            Ok(answer) => Event::Answered(answer),
+            Err(_) => Event::Lost,
+        },
+        Err(Miss::NotRun(_)) => Event::NotRun,
+        Err(Miss::Lost(_)) => Event::Lost,
+    }
 }
 
 /// Records the outcome; if the store is out, goes on trying in the background.
-async fn finish(node: &Rc<Node>, entry: &Entry, state: State) {
-    let record = entry.mine.clone().with_state(state);
+async fn finish(node: &Rc<Node>, key: &str, record: &Record, over: u64) {
     let text = serde_json::json!(record).to_string();
     let lease = LEASE.with_borrow(|lease| lease.map_or(0, |(id, _)| id));
-    let done = Write::new(&entry.key, &text)
-        .with_over(entry.claim)
-        .with_lease(lease);
+    let done = Write::new(key, &text).with_over(over).with_lease(lease);
     if write(done.clone()).await.is_ok() {
         return;
     }
@@ -300,12 +246,12 @@
 }
 
 /// Removes a claim that was never dispatched, so that a resend may run.
-fn abandon(node: &Rc<Node>, entry: Entry) {
-    let node = node.clone();
+fn abandon(node: &Rc<Node>, key: &str, mine: &Record) {
+    let (node, key, mine) = (node.clone(), key.to_string(), mine.clone());
     node.clone().spawn(async move {
         let mut looks = 0;
-        while looks < READ_BACKS {
-            match remove(&node, &entry).await {
+        while looks < ABANDON_LOOKS {
+            match remove(&node, &key, &mine).await {
                 Ok(true) => return,
                 Ok(false) => looks += 1,
                 Err(_) => {}
@@ -315,28 +261,73 @@
     });
 }
 
-/// Removes the attempt's own claim; tells whether it stood there.
-async fn remove(node: &Node, entry: &Entry) -> Result<bool, String> {
+/// Removes the attempt's own claim; tells whether something stood there.
+async fn remove(node: &Node, key: &str, mine: &Record) -> Result<bool, String> {
     let found = node
         .store
-        .get(&entry.key)
+        .get(key)
         .await
         .map_err(|error| error.to_string())?;
-    let Some(found) = found else {
+    let Some((revision, found)) = parse(found) else {
         return Ok(false);
     };
-    if judge(node, &entry.mine, &found) != Verdict::Run {
+    if found.attempt != mine.attempt {
         return Ok(true);
     }
     let delete = Write {
-        key: entry.key.clone(),
+        key: key.to_string(),
         value: None,
-        over: Some(found.revision),
+        over: Some(revision),
         lease: 0,
     };
     write(delete).await.map(|_| true)
 }
 
+fn answer(
+    reply: Reply,
+    permit: Option<&Permit>,
+    job: &Job,
+    refusal: Option<Failure>,
+) -> Result<Response, Failure> {
+    let not_run = |message| {
+        let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
+        failure.with_retry(Duration::from_secs(2))
+    };
+    match reply {
+        Reply::Ran(answer) => {
+            let mut response = plain(&answer);
+            if let Some(permit) = permit {
+                crate::entry::place(&mut response, permit, job);
+            }
+            Ok(response)
+        }
+        Reply::Replayed(answer) => {
+            let mut response = plain(&answer);
+            response.insert_header("endivespur-replayed", "true");
+            Ok(response)
+        }
+        Reply::Running => Err(Failure {
+            status: StatusCode::Conflict,
+            ..Failure::unknown("the call is still running").with_retry(Duration::from_secs(1))
+        }),
+        Reply::Unknown => Err(Failure::unknown("the call's outcome is unknown")),
+        Reply::Mismatch => Err(Failure::not_run(
+            StatusCode::UnprocessableEntity,
+            "the idempotency key was used for another call",
+        )),
+        Reply::LedgerOut => Err(not_run("the ledger is out")),
+        Reply::NoEndpoint => Err(refusal.unwrap_or_else(|| not_run("each endpoint refused"))),
+    }
+}
+
+/// Returns the outcome as it is kept; an answer that is too large is replaced by a note.
+fn keep(state: State) -> State {
+    match state {
+        State::Done(answer) => State::Done(kept(&answer)),
+        other => other,
+    }
+}
+
 /// Returns the answer as it is kept; one that is too large is replaced by a note.
 fn kept(answer: &Answer) -> Answer {
     if answer.body.len() <= ANSWER_BYTES {
@@ -355,12 +346,6 @@
     let mut response = Response::new(status);
     response.set_body(answer.body.clone());
     response.insert_header("content-type", answer.media.as_str());
-    response.insert_header("endivespur-outcome", answer::Outcome::Ran.name());
-    response
-}
-
-fn response(answer: &Answer, permit: &Permit, job: &Job) -> Response {
-    let mut response = plain(answer);
-    crate::entry::place(&mut response, permit, job);
+    response.insert_header("endivespur-outcome", Ran::Ran.name());
     response
 }
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -8,7 +8,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_core::id::{Fence, Grant as GrantId, Model, Process};
-use endivespur_core::owner::{Grant, Reason, Refusal, Want};
+use endivespur_core::owner::{Grant, Want};
 use endivespur_core::queue::Ask;
 use endivespur_core::slot::Name;
 use endivespur_net::client;
@@ -358,14 +358,6 @@
     .await
 }
 
-/// Makes a refusal for an owner that cannot be reached.
-pub fn unreachable() -> Refusal {
-    Refusal {
-        reason: Reason::NotOwner,
-        retry_after: Duration::from_secs(1),
-    }
-}
-
 /// Marks a grant as held by this entry, unless a newer owner is known.
 pub fn take(node: &Node, endpoint: &str, grant: &Grant) -> bool {
     let newest = node.fences.borrow().get(endpoint).copied().unwrap_or(0);
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -208,7 +208,7 @@
         _: wire::PromiseParams,
         mut results: wire::PromiseResults,
     ) -> Result<(), capnp::Error> {
-        let time = sync::promise(&self.node);
+        let time = self.node.lease.borrow_mut().promise(clock::now());
         results.get().set_ms(time.as_millis() as u32);
         Ok(())
     }
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -7,6 +7,7 @@
 
 use endivespur_core::config::Snapshot;
 use endivespur_core::id::Endpoint;
+use endivespur_core::lease::Lease;
 use endivespur_core::member::Table;
 use endivespur_core::suspect::Court;
 use endivespur_net::{http, store};
@@ -18,7 +19,7 @@
 use snafu::Snafu;
 
 use crate::guard::Guard;
-use crate::node::{Lease, Node, sleep};
+use crate::node::{Node, sleep};
 use crate::settings::{Finding, Settings};
 use crate::{claim, clock, entry, loads, once, operator, peer, rpc, suspicion, sync, vms};
 
@@ -151,10 +152,8 @@
         callers: addresses.callers.to_string(),
         config: RefCell::new(Snapshot::default()),
         table: RefCell::new(Table::default()),
-        lease: Cell::new(Lease::default()),
-        promised: Cell::default(),
-        bound_until: Cell::default(),
-        store_heard: Cell::default(),
+        lease_id: Cell::new(0),
+        lease: RefCell::new(Lease::new(settings.lease.ttl)),
         config_heard: Cell::default(),
         hosts: RefCell::new(BTreeMap::new()),
         clean: RefCell::new(BTreeMap::new()),
@@ -222,7 +221,7 @@
         let node = self.node;
         node.stopping.set(true);
         info!("daemon: stopping");
-        let lease = node.lease.get().id;
+        let lease = node.lease_id.get();
         if let Err(error) = sync::write_record(&node, lease).await {
             warn!("daemon: the record is not written: {error}");
         }
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use endivespur_core::config::{self, Entry};
+use endivespur_core::lease::PROMISE;
 use endivespur_core::member::{Claim, NODES, Node as Record, OWNERS};
 use endivespur_net::store::{Error, Pair, Progress, Write};
 use log::{info, warn};
@@ -11,17 +12,13 @@
 
 use crate::adopt;
 use crate::clock;
-use crate::node::{Lease, Node, sleep};
+use crate::node::{Node, sleep};
 use crate::peer::{self, Failure};
 
 /// The prefix of everything that is watched.
 const PREFIX: &str = "endivespur/";
 /// The pause before the store is tried again.
 const RETRY: Duration = Duration::from_millis(200);
-/// The silence of the store after which peers are asked.
-const STORE_SILENCE: Duration = Duration::from_millis(1500);
-/// For how long a node promises to take nothing over; less than a lease's margin.
-const PROMISE: Duration = Duration::from_millis(1500);
 /// The time between two rounds of asking peers.
 const PEER_ROUND: Duration = Duration::from_millis(500);
 /// The time for which a watch may tell nothing before it is opened anew.
@@ -32,11 +29,11 @@
 /// Keeps the lease and the node's leased record until the future is dropped.
 pub async fn keep_lease(node: Rc<Node>) {
     loop {
-        let lease = node.lease.get();
-        let result = if lease.id == 0 {
+        let id = node.lease_id.get();
+        let result = if id == 0 {
             register(&node).await
         } else {
-            renew(&node, lease).await
+            renew(&node, id).await
         };
         match result {
             Ok(()) => sleep(node.settings.lease.renew).await,
@@ -52,7 +49,8 @@
     let sent = clock::now();
     let id = node.store.grant(node.settings.lease.ttl).await?;
     write_record(node, id).await?;
-    node.renewed(id, sent);
+    node.lease_id.set(id);
+    node.lease.borrow_mut().renewed(sent, clock::now());
     info!("lease: registered as {}", node.process());
     adopt::reconcile(node);
     Ok(())
@@ -75,15 +73,16 @@
     Ok(())
 }
 
-async fn renew(node: &Rc<Node>, lease: Lease) -> Result<(), Error> {
+async fn renew(node: &Rc<Node>, id: u64) -> Result<(), Error> {
     let sent = clock::now();
-    if node.store.renew(lease.id).await? {
-        node.renewed(lease.id, sent);
+    if node.store.renew(id).await? {
+        node.lease.borrow_mut().renewed(sent, clock::now());
         return Ok(());
     }
     // Others may have taken over meanwhile, so this process starts anew.
     warn!("lease: lapsed");
-    node.lease.set(Lease::default());
+    node.lease_id.set(0);
+    node.lease.borrow_mut().lapsed();
     node.incarnation.set(node.incarnation.get() + 1);
     adopt::reconcile(node);
     Ok(())
@@ -233,21 +232,11 @@
     (config.revision, serde_json::json!(changes).to_string())
 }
 
-/// Promises to take nothing over for a while, if the store does not answer this node.
-pub fn promise(node: &Node) -> Duration {
-    let now = clock::now();
-    if node.store_heard.get() + STORE_SILENCE > now {
-        return Duration::ZERO;
-    }
-    node.bound_until.set(now + PROMISE);
-    PROMISE
-}
-
 /// While the store is silent, follows the peers and gathers their promises.
 pub async fn consult_peers(node: Rc<Node>) {
     loop {
         sleep(PEER_ROUND).await;
-        if node.store_heard.get() + STORE_SILENCE > clock::now() {
+        if !node.lease.borrow().is_silent(clock::now()) {
             continue;
         }
         let peers = peers(&node);
@@ -316,7 +305,7 @@
 
 /// Extends the ownership without the lease if no peer can take anything over.
 async fn gather_promises(node: &Rc<Node>, peers: &[String]) {
-    if node.lease.get().id == 0 {
+    if node.lease_id.get() == 0 {
         return;
     }
     let asked = clock::now();
@@ -328,5 +317,5 @@
             _ => return,
         }
     }
-    node.promised.set(asked + PROMISE);
+    node.lease.borrow_mut().promised(asked);
 }
