--- a/crates/endivespur_core/src/owner.rs
+++ b/crates/endivespur_core/src/owner.rs
@@ -301,16 +301,20 @@
         {
             return refuse(Reason::Busy, Duration::from_secs(5));
         }
-        if let Some(model) = &ask.model
-            && !ask.patient
-            && !self.has(model)
-            && !(self.is_settled() && self.has_room())
-        {
+        if !ask.patient && !self.could_serve(ask) {
             return refuse(Reason::Busy, Duration::from_secs(1));
         }
         None
     }
 
+    /// Tells whether the endpoint serves a request, now or after a load.
+    fn could_serve(&self, ask: &Ask) -> bool {
+        let Some(model) = &ask.model else {
+            return true;
+        };
+        self.listed && (self.has(model) || self.is_settled() && self.has_room())
+    }
+
     /// Tells whether the adapter is loaded, being loaded, or already waited for.
     fn has(&self, model: &Model) -> bool {
         self.is_placed(model)
@@ -441,6 +445,13 @@
         self.pump(now, authority)
     }
 
+    /// Notes that the engine does not list its adapters: it is down or cold.
+    ///
+    /// Nothing is granted until [`Owner::listed`].
+    pub fn unlisted(&mut self) {
+        self.listed = false;
+    }
+
     /// Opens or closes the endpoint for new work; closing refuses what waits.
     pub fn set_open(&mut self, open: bool) -> Vec<Action> {
         self.open = open;
@@ -654,7 +665,7 @@
             return self.refuse_all(Reason::NotOwner, |_| true);
         }
         let mut actions = self.refuse_all(Reason::Deadline, |ask| ask.deadline <= now);
-        while self.held.len() < self.spec.batch && !self.runs_alone() {
+        while self.listed && self.held.len() < self.spec.batch && !self.runs_alone() {
             let idle = self.held.is_empty();
             let mut queue = std::mem::take(&mut self.queue);
             let next = queue.pop(|ask| (!ask.alone || idle) && self.is_ready(ask));
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -15,7 +15,7 @@
 
 const SLOTS: usize = 3;
 const BATCH: usize = 4;
-const HALF_LIFE: Duration = Duration::from_secs(60);
+const HALF_LIFE: Duration = Duration::from_mins(1);
 const FENCE: u64 = 9;
 
 fn spec() -> Spec {
@@ -91,7 +91,8 @@
         let times = self.asked.get(&name.model).map_or(&[][..], Vec::as_slice);
         times
             .iter()
-            .map(|at| (-(self.now - *at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2())
+            .map(|at| self.now.saturating_sub(*at).as_secs_f64() / HALF_LIFE.as_secs_f64())
+            .map(|half_lives| (-half_lives).exp2())
             .sum()
     }
 
--- a/crates/endivespur_core/tests/histories/schedule.rs
+++ b/crates/endivespur_core/tests/histories/schedule.rs
@@ -58,7 +58,7 @@
             scheduler.landed(&entry.endpoint, &entry.want.model, true);
             // The overdue by age, then class, then the most waiting, then age.
             naive.sort_by_key(|want| {
-                let overdue = at - want.since >= PATIENCE;
+                let overdue = at.saturating_sub(want.since) >= PATIENCE;
                 let age = if overdue { want.since } else { Duration::ZERO };
                 (!overdue, age, want.class, usize::MAX - want.waiting, want.since)
             });
--- a/crates/endivespur_dev/src/stand/engine.rs
+++ b/crates/endivespur_dev/src/stand/engine.rs
@@ -67,8 +67,12 @@
     pub keys: BTreeMap<String, u64>,
     /// Completions ended with their end mark.
     pub whole: u64,
-    /// Loads by adapter name.
+    /// Loads.
     pub loads: u64,
+    /// Each name that was ever loaded.
+    pub names: std::collections::BTreeSet<String>,
+    /// When a completion was begun last, in milliseconds since the Unix epoch.
+    pub last_start_ms: u64,
     /// Unloads of a name with running requests.
     pub evicted_in_use: u64,
     /// Orders refused for an old fencing number.
@@ -240,6 +244,7 @@
         return http::refusal(StatusCode::Conflict, "each slot is taken");
     }
     engine.counts.loads += 1;
+    engine.counts.names.insert(name.clone());
     engine.loaded.insert(name, Instant::now());
     http::json(StatusCode::Ok, &json!("Success"))
 }
@@ -290,6 +295,7 @@
             *engine.counts.keys.entry(key).or_default() += 1;
         }
         *engine.counts.runs.entry(attempt.clone()).or_default() += 1;
+        engine.counts.last_start_ms = super::unix_ms();
         engine.next += 1;
         let run = Run {
             id: engine.next,
--- a/crates/endivespur_dev/src/stand/mod.rs
+++ b/crates/endivespur_dev/src/stand/mod.rs
@@ -68,6 +68,14 @@
     answer
 }
 
+/// Returns the milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
+
 /// Waits for a number of milliseconds.
 pub async fn pause_ms(ms: u64) {
     if ms > 0 {
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -255,6 +255,8 @@
     let organisation = completion.job.request.organisation.clone();
     node.budget(&organisation, endivespur_core::retry::Budget::deposit);
     let mut last = Failure::unknown("no attempt was made");
+    // Place goes before everything else that is known of the request.
+    dispatch::candidates(node, &completion.job)?;
     for attempt in 0..TRIES {
         let verdict = suspicion::judge(node, completion.print).await;
         if verdict == Verdict::Quarantined {
@@ -318,8 +320,10 @@
         }
         Err(miss) => {
             if matches!(miss, Miss::Lost(_)) {
+                permit.missing = true;
                 settle(node, completion, &permit, attempt, false).await;
             }
+            permit.close().await;
             Err(miss)
         }
     }
--- a/crates/endivespur_node/src/dispatch.rs
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -55,28 +55,54 @@
     pub address: String,
     /// The grant.
     pub grant: Grant,
-    /// Whether the endpoint did not hold the granted slot.
+    /// Whether the owner has to look at the endpoint, since a slot or an answer was missing.
     pub missing: bool,
+    told: bool,
+}
+
+impl Permit {
+    /// Ends the grant and waits until the owner has looked at the endpoint again.
+    ///
+    /// Until then the owner grants nothing, so that a retry does not meet the same fault.
+    pub async fn close(self) {
+        let (node, owner, endpoint) =
+            (self.node.clone(), self.owner.clone(), self.endpoint.clone());
+        let key = (self.grant.fence, self.grant.id);
+        let missing = self.missing;
+        self.forget();
+        end(node, owner, endpoint, key, missing).await;
+    }
+
+    /// Drops the permit without telling the owner.
+    fn forget(mut self) {
+        self.told = true;
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let key: (Endpoint, Fence, u64) = (self.endpoint.clone(), self.grant.fence, self.grant.id);
-        self.node.held.borrow_mut().remove(&key);
-        let (node, missing) = (self.node.clone(), self.missing);
-        let (endpoint, fence, id) = key;
-        match self.owner.take() {
-            None => {
-                host::end(&node, &endpoint, fence, id);
-                if missing {
-                    let task = async move { crate::engine::relist(&node, &endpoint).await };
-                    self.node.spawn(task);
-                }
-            }
-            Some(address) => self.node.spawn(async move {
-                peer::end(&node, &address, &endpoint, (fence, id), missing).await;
-            }),
+        let key = (self.grant.fence, self.grant.id);
+        let holding: (Endpoint, Fence, u64) = (self.endpoint.clone(), key.0, key.1);
+        self.node.held.borrow_mut().remove(&holding);
+        if self.told {
+            return;
         }
+        let (node, owner) = (self.node.clone(), self.owner.take());
+        let task = end(node, owner, self.endpoint.clone(), key, self.missing);
+        self.node.spawn(task);
+    }
+}
+
+async fn end(
+    node: Rc<Node>,
+    owner: Option<String>,
+    endpoint: Endpoint,
+    key: (Fence, u64),
+    missing: bool,
+) {
+    match owner {
+        None => host::end_and_look(&node, &endpoint, key, missing).await,
+        Some(address) => peer::end(&node, &address, &endpoint, key, missing).await,
     }
 }
 
@@ -102,7 +128,12 @@
     }
 }
 
-fn candidates(node: &Node, job: &Job) -> Result<Vec<Endpoint>, Failure> {
+/// Returns the permitted endpoints, those tried in vain only if there is no other.
+///
+/// # Errors
+///
+/// Returns the refusal if none is permitted.
+pub fn candidates(node: &Node, job: &Job) -> Result<Vec<Endpoint>, Failure> {
     let entry = (node.settings.region.as_str(), node.settings.zone.as_str());
     let config = node.config.borrow();
     let all = route::choose(&config, &job.request, entry, |name| node.is_leaving(name))?;
@@ -121,7 +152,7 @@
         tenant.map_or(1, |tenant| tenant.weight)
     };
     let ask = Ask {
-        ticket: 0,
+        ticket: node.ticket(),
         entry: node.process(),
         organisation: job.request.organisation.clone(),
         weight,
@@ -155,6 +186,7 @@
         address: target.unwrap_or_default(),
         grant,
         missing: false,
+        told: false,
     };
     // A grant of an owner that has been replaced is given back unused.
     if taken {
--- a/crates/endivespur_node/src/engine.rs
+++ b/crates/endivespur_node/src/engine.rs
@@ -147,9 +147,12 @@
 /// Lists an engine's names now, because a request has met a missing one.
 pub async fn relist(node: &Rc<Node>, endpoint: &str) {
     let asked = clock::now();
-    if let Some(names) = list(node, endpoint).await {
-        host::change(node, endpoint, |owner, now, authority| {
-            owner.listed(now, authority, asked, &names)
-        });
-    }
+    let names = list(node, endpoint).await;
+    host::change(node, endpoint, |owner, now, authority| {
+        let Some(names) = &names else {
+            owner.unlisted();
+            return Vec::new();
+        };
+        owner.listed(now, authority, asked, names)
+    });
 }
--- a/crates/endivespur_node/src/host.rs
+++ b/crates/endivespur_node/src/host.rs
@@ -5,7 +5,7 @@
 
 use endivespur_core::clock::Time;
 use endivespur_core::config::{Kind, Snapshot, Stage};
-use endivespur_core::id::{Endpoint, Fence, Grant as GrantId, Model, Ticket};
+use endivespur_core::id::{Endpoint, Fence, Grant as GrantId, Model, Process, Ticket};
 use endivespur_core::lease::Authority;
 use endivespur_core::owner::{Action, Grant, Owner, Refusal, Spec, Want};
 use endivespur_core::queue::Ask;
@@ -19,13 +19,21 @@
 /// The answer to an ask.
 pub type Reply = Result<Grant, Refusal>;
 
+/// An ask that waits for its answer.
+struct Waiting {
+    entry: Process,
+    /// The number that the entry gave the ask.
+    id: u64,
+    sender: Sender<Reply>,
+}
+
 /// An owned endpoint.
 pub struct Host {
     /// The decisions.
     pub owner: Owner,
     /// The wants that the scheduler was told last, and when.
     pub told: (Vec<Want>, Time),
-    tickets: BTreeMap<Ticket, Sender<Reply>>,
+    tickets: BTreeMap<Ticket, Waiting>,
 }
 
 impl Host {
@@ -94,15 +102,20 @@
 
 /// Asks the owner in this process for a grant and waits for the answer.
 pub async fn ask(node: &Rc<Node>, endpoint: &str, mut ask: Ask) -> Reply {
+    let (sender, receiver) = bounded(1);
+    let waiting = Waiting {
+        entry: ask.entry.clone(),
+        id: ask.ticket,
+        sender,
+    };
     ask.ticket = node.ticket();
     let ticket = ask.ticket;
-    let (sender, receiver) = bounded(1);
     let actions = {
         let mut hosts = node.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(endpoint) else {
             return Err(Refusal::not_owner());
         };
-        host.tickets.insert(ticket, sender);
+        host.tickets.insert(ticket, waiting);
         host.owner.ask(clock::now(), node.authority(), ask)
     };
     let mut waiter = Waiter {
@@ -122,6 +135,20 @@
     reply
 }
 
+/// Drops a waiting request whose caller has left.
+pub fn cancel(node: &Node, endpoint: &str, entry: &str, id: u64) {
+    let mut hosts = node.hosts.borrow_mut();
+    let Some(host) = hosts.get_mut(endpoint) else {
+        return;
+    };
+    let is_it = |waiting: &Waiting| waiting.entry == entry && waiting.id == id;
+    let found = host.tickets.iter().find(|(_, waiting)| is_it(waiting));
+    if let Some(ticket) = found.map(|(ticket, _)| *ticket) {
+        host.owner.cancel(ticket);
+        host.tickets.remove(&ticket);
+    }
+}
+
 /// Notes that a granted request has ended.
 pub fn end(node: &Rc<Node>, endpoint: &str, fence: Fence, grant: GrantId) {
     change(node, endpoint, |owner, now, authority| {
@@ -129,6 +156,25 @@
     });
 }
 
+/// Ends a granted request; with `missing`, looks at the engine before anything is granted.
+pub async fn end_and_look(
+    node: &Rc<Node>,
+    endpoint: &str,
+    (fence, grant): (Fence, GrantId),
+    missing: bool,
+) {
+    if missing {
+        change(node, endpoint, |owner, _, _| {
+            owner.unlisted();
+            Vec::new()
+        });
+    }
+    end(node, endpoint, fence, grant);
+    if missing {
+        engine::relist(node, endpoint).await;
+    }
+}
+
 /// Applies a change to an owner and carries out the actions that follow.
 pub fn change(
     node: &Rc<Node>,
@@ -174,13 +220,13 @@
 }
 
 fn reply(node: &Rc<Node>, endpoint: &str, ticket: Ticket, reply: Reply) {
-    let sender = node
+    let waiting = node
         .hosts
         .borrow_mut()
         .get_mut(endpoint)
         .and_then(|host| host.tickets.remove(&ticket));
     let grant = reply.as_ref().ok().map(|grant| (grant.fence, grant.id));
-    let sent = sender.is_some_and(|sender| sender.try_send(reply).is_ok());
+    let sent = waiting.is_some_and(|waiting| waiting.sender.try_send(reply).is_ok());
     if let (false, Some((fence, id))) = (sent, grant) {
         end(node, endpoint, fence, id);
     }
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -14,6 +14,7 @@
 use endivespur_net::client;
 use endivespur_wire::{gate, node as wire};
 use futures_util::AsyncReadExt;
+use smol::channel::{Receiver, bounded};
 use smol::future::FutureExt;
 
 use crate::clock;
@@ -23,6 +24,8 @@
 
 /// The longest wait for a connection or a short call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest wait for the end of a grant, with a look at the endpoint.
+const END_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time beyond a request's own wait after which a grant is given up.
 const ASK_SLACK: Duration = Duration::from_secs(1);
 
@@ -136,12 +139,85 @@
     (found.incarnation.to_string() == incarnation).then(|| found.address.clone())
 }
 
+/// Cancels an ask whose answer is no longer waited for.
+struct Asked {
+    node: Rc<Node>,
+    address: String,
+    endpoint: String,
+    ask: Ask,
+    receiver: Receiver<Result<Reply, Failure>>,
+    done: bool,
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let (node, address, endpoint) = (
+            self.node.clone(),
+            self.address.clone(),
+            self.endpoint.clone(),
+        );
+        let answered = self.receiver.try_recv();
+        self.receiver.close();
+        let ask = self.ask.clone();
+        self.node.spawn(async move {
+            match answered {
+                Ok(reply) => give_back(&node, &address, &endpoint, reply).await,
+                Err(_) => cancel(&node, &address, &endpoint, &ask).await,
+            }
+        });
+    }
+}
+
 /// Asks the owner at an address for a grant and waits for the answer.
+///
+/// A grant that comes after the waiting has ended is given back.
 pub async fn ask(
     node: &Rc<Node>,
     address: &str,
     endpoint: &str,
     ask: &Ask,
+) -> Result<Reply, Failure> {
+    let (sender, receiver) = bounded(1);
+    let mut asked = Asked {
+        node: node.clone(),
+        address: address.to_string(),
+        endpoint: endpoint.to_string(),
+        ask: ask.clone(),
+        receiver,
+        done: false,
+    };
+    let task = (
+        node.clone(),
+        asked.address.clone(),
+        asked.endpoint.clone(),
+        ask.clone(),
+    );
+    node.spawn(async move {
+        let (node, address, endpoint, ask) = task;
+        let reply = send_ask(&node, &address, &endpoint, &ask).await;
+        if let Err(unwanted) = sender.try_send(reply) {
+            give_back(&node, &address, &endpoint, unwanted.into_inner()).await;
+        }
+    });
+    let reply = asked.receiver.recv().await;
+    asked.done = true;
+    reply.unwrap_or_else(|_| Err(Failure::Lost("closed".to_string())))
+}
+
+async fn give_back(node: &Rc<Node>, address: &str, endpoint: &str, reply: Result<Reply, Failure>) {
+    if let Ok(Ok(grant)) = reply {
+        end(node, address, endpoint, (grant.fence, grant.id), false).await;
+    }
+}
+
+async fn send_ask(
+    node: &Rc<Node>,
+    address: &str,
+    endpoint: &str,
+    ask: &Ask,
 ) -> Result<Reply, Failure> {
     let wait = ask.deadline.saturating_sub(clock::now());
     call(node, address, wait + ASK_SLACK, |client| {
@@ -155,6 +231,22 @@
     .await
 }
 
+async fn cancel(node: &Rc<Node>, address: &str, endpoint: &str, ask: &Ask) {
+    let result = call(node, address, CALL_TIMEOUT, |client| {
+        let mut request = client.cancel_request();
+        let mut params = request.get();
+        params.set_endpoint(endpoint);
+        params.set_entry(&ask.entry);
+        params.set_id(ask.ticket);
+        async move {
+            request.send().promise.await?;
+            Ok(())
+        }
+    });
+    // A lost cancel leaves the ask to its deadline, and its grant is given back.
+    result.await.ok();
+}
+
 /// Tells an owner that a granted request has ended, and whether its slot was missing.
 pub async fn end(
     node: &Rc<Node>,
@@ -163,7 +255,7 @@
     (fence, grant): (Fence, GrantId),
     missing: bool,
 ) {
-    let result = call(node, address, CALL_TIMEOUT, |client| {
+    let result = call(node, address, END_TIMEOUT, |client| {
         let mut request = client.end_request();
         let mut params = request.get();
         params.set_endpoint(endpoint);
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -213,6 +213,17 @@
         Ok(())
     }
 
+    async fn cancel(
+        self: Rc<Self>,
+        params: wire::CancelParams,
+        _: wire::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (endpoint, entry) = (text(params.get_endpoint()?)?, text(params.get_entry()?)?);
+        host::cancel(&self.node, &endpoint, &entry, params.get_id());
+        Ok(())
+    }
+
     async fn query(
         self: Rc<Self>,
         params: wire::QueryParams,
@@ -240,6 +251,7 @@
     to.set_wait_ms(wait.as_millis() as u32);
     to.set_alone(ask.alone);
     to.set_patient(ask.patient);
+    to.set_id(ask.ticket);
 }
 
 fn read_ask(from: ask::Reader<'_>) -> Result<(String, Ask), capnp::Error> {
@@ -247,7 +259,7 @@
     let adapter = text(from.get_adapter()?)?;
     let model = (!adapter.is_empty()).then(|| Model::new(&adapter, from.get_version()));
     let ask = Ask {
-        ticket: 0,
+        ticket: from.get_id(),
         entry: text(from.get_entry()?)?,
         organisation: text(from.get_organisation()?)?,
         weight: from.get_weight(),
--- /dev/null
+++ b/crates/endivespur_scenario/src/line.rs
@@ -0,0 +1,141 @@
+//! The words of a line, read one after the other with their columns.
+
+use std::time::Duration;
+
+use winnow::Parser;
+use winnow::ascii::{space0, space1};
+use winnow::combinator::{alt, delimited, separated};
+use winnow::stream::LocatingSlice;
+use winnow::token::take_while;
+
+use crate::Finding;
+
+/// A word with its column.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// The text, without quotation marks.
+    pub text: String,
+    /// The column, from 1.
+    pub column: usize,
+}
+
+fn word(input: &mut LocatingSlice<&str>) -> winnow::Result<Word> {
+    let quoted = delimited('"', take_while(0.., |c| c != '"'), '"');
+    let bare = take_while(1.., |c: char| !c.is_whitespace() && c != '"');
+    let (text, span) = alt((quoted, bare)).with_span().parse_next(input)?;
+    Ok(Word {
+        text: text.to_string(),
+        column: span.start + 1,
+    })
+}
+
+/// Reads the words of a line, which may end with a comment.
+fn words(text: &str) -> Vec<Word> {
+    let text = text.split('#').next().unwrap_or_default();
+    let mut parser = delimited(space0, separated(0.., word, space1), space0);
+    parser.parse(LocatingSlice::new(text)).unwrap_or_default()
+}
+
+/// A line that is being read; each mistake is a finding with its column.
+pub struct Line {
+    number: usize,
+    words: Vec<Word>,
+    next: usize,
+    end: usize,
+}
+
+/// The result of reading a part of a line.
+pub type Read<T> = Result<T, Finding>;
+
+impl Line {
+    /// Splits a line into words.
+    pub fn new(number: usize, text: &str) -> Self {
+        Self {
+            number,
+            words: words(text),
+            next: 0,
+            end: text.len() + 1,
+        }
+    }
+
+    /// Returns the line's number.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
+    /// Tells whether each word is read.
+    pub fn is_done(&self) -> bool {
+        self.next >= self.words.len()
+    }
+
+    /// Returns a finding at the word read last.
+    pub fn wrong(&self, expected: &str) -> Finding {
+        self.at(self.next.saturating_sub(1), expected)
+    }
+
+    fn at(&self, index: usize, expected: &str) -> Finding {
+        Finding {
+            line: self.number,
+            column: self.words.get(index).map_or(self.end, |word| word.column),
+            expected: expected.to_string(),
+        }
+    }
+
+    /// Reads a word.
+    pub fn word(&mut self, expected: &str) -> Read<String> {
+        let index = self.next;
+        self.next += 1;
+        let word = self.words.get(index).map(|word| word.text.clone());
+        word.ok_or_else(|| self.at(index, expected))
+    }
+
+    /// Reads one of the given words.
+    pub fn keyword(&mut self, wanted: &[&str]) -> Read<String> {
+        let expected = wanted.join(" or ");
+        let word = self.word(&expected)?;
+        if wanted.contains(&word.as_str()) {
+            return Ok(word);
+        }
+        Err(self.wrong(&expected))
+    }
+
+    /// Reads a word if it is the given one.
+    pub fn skip(&mut self, wanted: &str) -> bool {
+        let found = self
+            .words
+            .get(self.next)
+            .is_some_and(|word| word.text == wanted);
+        self.next += usize::from(found);
+        found
+    }
+
+    /// Reads a duration such as `1.5s`.
+    pub fn time(&mut self) -> Read<Duration> {
+        let expected = "a time such as 1s or 500ms";
+        let word = self.word(expected)?;
+        humantime::parse_duration(&word).map_err(|_| self.wrong(expected))
+    }
+
+    /// Reads a whole number.
+    pub fn number_word<T: std::str::FromStr>(&mut self) -> Read<T> {
+        let word = self.word("a number")?;
+        word.parse().map_err(|_| self.wrong("a number"))
+    }
+
+    /// Reads a list separated by commas.
+    pub fn list(&mut self, expected: &str) -> Read<Vec<String>> {
+        Ok(self
+            .word(expected)?
+            .split(',')
+            .map(ToString::to_string)
+            .collect())
+    }
+
+    /// Checks that nothing is left.
+    pub fn end(&self) -> Read<()> {
+        if self.is_done() {
+            return Ok(());
+        }
+        Err(self.at(self.next, "the end of the line"))
+    }
+}
--- /dev/null
+++ b/crates/endivespur_scenario/src/parse.rs
@@ -0,0 +1,234 @@
+//! Reading scenario files; all mistakes are found at once.
+
+use std::time::Duration;
+
+use crate::line::{Line, Read};
+use crate::{
+    Action, Adapter, Engine, Expect, Expectation, Fate, Fault, Finding, Outage, Part, Request,
+    Scenario, Step,
+};
+
+/// Reads a scenario.
+///
+/// # Errors
+///
+/// Returns each mistake with its line and column.
+pub fn parse(text: &str) -> Result<Scenario, Vec<Finding>> {
+    let mut scenario = Scenario::default();
+    let mut findings = Vec::new();
+    for (index, text) in text.lines().enumerate() {
+        let mut line = Line::new(index + 1, text);
+        if line.is_done() {
+            continue;
+        }
+        let read = read(&mut line, &mut scenario).and_then(|()| line.end());
+        findings.extend(read.err());
+    }
+    if findings.is_empty() {
+        Ok(scenario)
+    } else {
+        Err(findings)
+    }
+}
+
+fn read(line: &mut Line, scenario: &mut Scenario) -> Read<()> {
+    let first = ["seed", "vm", "engine", "plain", "adapter", "at", "expect"];
+    match line.keyword(&first)?.as_str() {
+        "seed" => scenario.seed = line.number_word()?,
+        "vm" => {
+            let (name, zone) = placed(line)?;
+            scenario.parts.push(Part::Vm(name, zone));
+        }
+        "plain" => {
+            let (name, zone) = placed(line)?;
+            scenario.parts.push(Part::Plain(name, zone));
+        }
+        "engine" => scenario.parts.push(Part::Engine(engine(line)?)),
+        "adapter" => scenario.parts.push(Part::Adapter(adapter(line)?)),
+        "at" => {
+            let at = line.time()?;
+            let action = action(line)?;
+            scenario.steps.push(Step {
+                at,
+                line: line.number(),
+                action,
+            });
+        }
+        _ => {
+            let what = expectation(line)?;
+            scenario.expects.push(Expect {
+                line: line.number(),
+                what,
+            });
+        }
+    }
+    Ok(())
+}
+
+fn placed(line: &mut Line) -> Read<(String, String)> {
+    let name = line.word("a name")?;
+    line.keyword(&["in"])?;
+    Ok((name, line.word("a zone")?))
+}
+
+fn engine(line: &mut Line) -> Read<Engine> {
+    let (name, zone) = placed(line)?;
+    let mut engine = Engine {
+        name,
+        zone,
+        slots: 2,
+        batch: 4,
+        step: Duration::from_millis(10),
+        fenced: true,
+    };
+    while !line.is_done() {
+        match line
+            .keyword(&["slots", "batch", "step", "unfenced"])?
+            .as_str()
+        {
+            "slots" => engine.slots = line.number_word()?,
+            "batch" => engine.batch = line.number_word()?,
+            "step" => engine.step = line.time()?,
+            _ => engine.fenced = false,
+        }
+    }
+    Ok(engine)
+}
+
+fn adapter(line: &mut Line) -> Read<Adapter> {
+    let name = line.word("a name")?;
+    let zones = if line.skip("zones") {
+        line.list("zones")?
+    } else {
+        Vec::new()
+    };
+    Ok(Adapter { name, zones })
+}
+
+fn action(line: &mut Line) -> Read<Action> {
+    let verbs = [
+        "request", "order", "start", "kill", "pause", "resume", "stop", "store", "endpoint",
+        "drain", "leaving", "retire",
+    ];
+    let verb = line.keyword(&verbs)?;
+    let fate = |fate, line: &mut Line| Ok(Action::Vm(fate, line.word("a vm")?));
+    match verb.as_str() {
+        "request" => Ok(Action::Request(request(line, true)?)),
+        "order" => Ok(Action::Request(request(line, false)?)),
+        "start" => fate(Fate::Start, line),
+        "kill" => fate(Fate::Kill, line),
+        "pause" => fate(Fate::Pause, line),
+        "resume" => fate(Fate::Resume, line),
+        "stop" => fate(Fate::Stop, line),
+        "store" => Ok(Action::Store(outage(line)?)),
+        "endpoint" => {
+            let name = line.word("an endpoint")?;
+            Ok(Action::Endpoint(name, fault(line)?))
+        }
+        "drain" => Ok(Action::Drain(line.word("an endpoint")?)),
+        "leaving" => Ok(Action::Leaving(line.word("an endpoint")?)),
+        _ => Ok(Action::Retire(line.word("ADAPTER@VERSION")?)),
+    }
+}
+
+fn request(line: &mut Line, completion: bool) -> Read<Request> {
+    let id = line.word("a name for the request")?;
+    line.keyword(&["through"])?;
+    let mut request = Request {
+        id,
+        vm: line.word("a vm")?,
+        model: None,
+        tokens: 8,
+        prompt: "draft".to_string(),
+        key: None,
+        leaves: false,
+    };
+    if completion {
+        line.keyword(&["model"])?;
+        request.model = Some(line.word("ADAPTER@VERSION")?);
+    } else {
+        line.keyword(&["key"])?;
+        request.key = Some(line.word("an idempotency key")?);
+    }
+    while !line.is_done() {
+        match line
+            .keyword(&["tokens", "prompt", "key", "leaves"])?
+            .as_str()
+        {
+            "tokens" => request.tokens = line.number_word()?,
+            "prompt" => request.prompt = line.word("a prompt")?,
+            "key" => request.key = Some(line.word("an idempotency key")?),
+            _ => request.leaves = true,
+        }
+    }
+    Ok(request)
+}
+
+fn outage(line: &mut Line) -> Read<Outage> {
+    let kinds = ["down", "up", "lose-answers", "silent-watches", "lapse"];
+    Ok(match line.keyword(&kinds)?.as_str() {
+        "down" => Outage::Down,
+        "up" => Outage::Up,
+        "lose-answers" => Outage::LoseAnswers(line.number_word()?),
+        "silent-watches" => Outage::SilentWatches,
+        _ => Outage::Lapse(line.word("a vm")?),
+    })
+}
+
+fn fault(line: &mut Line) -> Read<Fault> {
+    let kinds = [
+        "crash",
+        "fail-loads",
+        "cut-after",
+        "cross",
+        "crash-on",
+        "lose-answers",
+        "work",
+    ];
+    Ok(match line.keyword(&kinds)?.as_str() {
+        "crash" => Fault::Crash(line.time()?),
+        "fail-loads" => Fault::FailLoads(line.number_word()?),
+        "cut-after" => Fault::CutAfter(line.number_word()?),
+        "cross" => Fault::Cross(line.number_word()?),
+        "crash-on" => Fault::CrashOn(line.word("a text")?),
+        "lose-answers" => Fault::LoseAnswers(line.number_word()?),
+        _ => Fault::Work(line.time()?),
+    })
+}
+
+fn expectation(line: &mut Line) -> Read<Expectation> {
+    let first = line.word("a request, runs, crashes, clean or owned")?;
+    match first.as_str() {
+        "runs" => Ok(Expectation::Runs(line.word("a key")?, line.number_word()?)),
+        "crashes" => Ok(Expectation::Crashes(line.number_word()?)),
+        "clean" => Ok(Expectation::Clean(line.word("a vm")?)),
+        "owned" => Ok(Expectation::Owned),
+        _ => answer(line, first),
+    }
+}
+
+fn answer(line: &mut Line, id: String) -> Read<Expectation> {
+    let kinds = ["ran", "not-run", "unknown", "replayed", "within", "one-of"];
+    let kind = line.keyword(&kinds)?;
+    match kind.as_str() {
+        "replayed" => Ok(Expectation::Replayed(id)),
+        "within" => Ok(Expectation::Within(id, line.time()?)),
+        "one-of" => Ok(Expectation::Outcome {
+            id,
+            outcomes: line.list("outcomes")?,
+            on: None,
+        }),
+        _ => {
+            let on = if line.skip("on") {
+                Some(line.word("an endpoint")?)
+            } else {
+                None
+            };
+            Ok(Expectation::Outcome {
+                id,
+                outcomes: vec![kind],
+                on,
+            })
+        }
+    }
+}
--- a/crates/endivespur_wire/schema/node.capnp
+++ b/crates/endivespur_wire/schema/node.capnp
@@ -13,6 +13,7 @@
   waitMs @8 :UInt32;
   alone @9 :Bool;
   patient @10 :Bool;     # waits where no slot can be freed
+  id @11 :UInt64;        # names the ask for a cancel
 }
 
 struct Grant {
@@ -60,6 +61,7 @@
   changes @8 (after :UInt64) -> (revision :UInt64, entries :Text);
   promise @9 (vm :Text) -> (ms :UInt32);
   query @10 (line :Text) -> (result :Text);
+  cancel @11 (endpoint :Text, entry :Text, id :UInt64) -> ();
 }
 
 interface Gate {
--- a/crates/endivespur_wire/src/node_capnp.rs
+++ b/crates/endivespur_wire/src/node_capnp.rs
@@ -126,11 +126,15 @@
         pub fn get_patient(self) -> bool {
             self.reader.get_bool_field(73)
         }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -300,6 +304,14 @@
         pub fn set_patient(&mut self, value: bool)  {
             self.builder.set_bool_field(73, value);
         }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -311,100 +323,107 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 183] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 198] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(130, 66, 79, 13, 3, 15, 174, 188),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(33, 4, 233, 183, 197, 163, 241, 210),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 72, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 73, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -495,6 +514,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -509,6 +536,7 @@
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -522,9 +550,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,9,6,7,0,1,2,10,5,8,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,9,6,7,0,1,11,2,10,5,8,3];
         pub(crate) const TYPE_ID: u64 = 0xbcae_0f03_0d4f_4282;
     }
 }
@@ -1939,6 +1967,8 @@
     pub type PromiseResults<> = ::capnp::capability::Results<crate::node_capnp::node::promise_results::Owned>;
     pub type QueryParams<> = ::capnp::capability::Params<crate::node_capnp::node::query_params::Owned>;
     pub type QueryResults<> = ::capnp::capability::Results<crate::node_capnp::node::query_results::Owned>;
+    pub type CancelParams<> = ::capnp::capability::Params<crate::node_capnp::node::cancel_params::Owned>;
+    pub type CancelResults<> = ::capnp::capability::Results<crate::node_capnp::node::cancel_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2021,6 +2051,9 @@
         pub fn query_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::query_params::Owned,crate::node_capnp::node::query_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
         }
+        pub fn cancel_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::cancel_params::Owned,crate::node_capnp::node::cancel_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 11, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::ask not implemented".to_string()))) }
@@ -2034,6 +2067,7 @@
         fn changes(self: ::capnp::capability::Rc<Self>, _: ChangesParams<>, _: ChangesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::changes not implemented".to_string()))) }
         fn promise(self: ::capnp::capability::Rc<Self>, _: PromiseParams<>, _: PromiseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::promise not implemented".to_string()))) }
         fn query(self: ::capnp::capability::Rc<Self>, _: QueryParams<>, _: QueryResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::query not implemented".to_string()))) }
+        fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::cancel not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2074,6 +2108,7 @@
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::changes(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::promise(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::query(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                11 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6864,6 +6899,446 @@
             pub(crate) const TYPE_ID: u64 = 0x8bbd_ba34_3e12_2058;
         }
     }
+
+    pub mod cancel_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_entry(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_entry(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_entry(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_entry(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_entry(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_entry(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_id(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(137, 16, 88, 184, 92, 21, 22, 166),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
+                ::capnp::word(99, 97, 110, 99, 101, 108, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xa616_155c_b858_1089;
+        }
+    }
+
+    pub mod cancel_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(131, 234, 234, 211, 242, 218, 46, 153),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
+                ::capnp::word(99, 97, 110, 99, 101, 108, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x992e_daf2_d3ea_ea83;
+        }
+    }
 }
 
 
