Measure the policy in virtual time, against the naive and a clairvoyant one

Cause: no decision was measured yet.

Change: `endivespur_dev bench` drives the core's own owners, scheduler and search over generated traces; the naive version (every entry alone, least recently used, first come first served) and a clairvoyant one share its fakes.

--- a/crates/endivespur_dev/src/lib.rs
+++ b/crates/endivespur_dev/src/lib.rs
@@ -1,5 +1,6 @@
 //! Maintenance tasks: stand-ins, the demo, and the measurements.
 
+pub mod bench;
 pub mod demo;
 pub mod process;
 pub mod site;
--- a/crates/endivespur_dev/src/main.rs
+++ b/crates/endivespur_dev/src/main.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use endivespur_dev::demo;
 use endivespur_dev::stand::{self, engine};
+use endivespur_dev::{bench, demo};
 use smol::LocalExecutor;
 
 fn text(name: &'static str) -> Arg {
@@ -48,6 +48,7 @@
         .about("Maintenance tasks of endivespur")
         .subcommand_required(true)
         .subcommand(stand_command())
+        .subcommand(bench_command())
         .subcommand(
             Command::new("demo")
                 .about("Shows the whole path with separate processes")
@@ -60,10 +61,41 @@
         )
 }
 
+fn bench_command() -> Command {
+    Command::new("bench")
+        .about("Measures the policy in virtual time, against two others")
+        .arg(text("users").default_value("association"))
+        .arg(text("policy").value_parser(bench::POLICIES))
+        .arg(
+            text("seed")
+                .value_parser(value_parser!(u64))
+                .action(ArgAction::Append)
+                .default_value("1"),
+        )
+        .arg(text("slots").value_parser(value_parser!(u64)))
+        .arg(text("json"))
+}
+
+fn plan(matches: &ArgMatches) -> bench::Plan {
+    let text = |name: &str| matches.get_one::<String>(name).cloned();
+    bench::Plan {
+        user: text("users").unwrap_or_default(),
+        policy: text("policy"),
+        seeds: matches
+            .get_many::<u64>("seed")
+            .unwrap_or_default()
+            .copied()
+            .collect(),
+        json: text("json"),
+        slots: matches.get_one::<u64>("slots").map(|slots| *slots as usize),
+    }
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("stand", matches)) => stand_in(matches).map_err(|error| error.to_string()),
+        Some(("bench", matches)) => bench::run(&plan(matches)),
         Some(("demo", matches)) => demo::run(matches.get_flag("keep")),
         _ => Ok(()),
     };
