Share loads fairly and learn popularity faster

Cause: while one organisation floods, the median organisation's p99 wait rose from 1.7 s to 20 s, since the scheduler knew no organisations; and popularity over 5 min was slow after a shift.

--- a/crates/endivespur_core/src/owner.rs
+++ b/crates/endivespur_core/src/owner.rs
@@ -8,7 +8,7 @@
 use crate::clock::Time;
 use crate::config::Class;
 use crate::decay::Counter;
-use crate::id::{Fence, Grant as GrantId, Model, Process, Ticket};
+use crate::id::{Fence, Grant as GrantId, Model, Organisation, Process, Ticket};
 use crate::lease::Authority;
 use crate::queue::{Ask, Queue};
 use crate::slot::{Name, Phase, Slot};
@@ -126,6 +126,8 @@
 pub struct Want {
     /// The adapter and version.
     pub model: Model,
+    /// The organisation that waits longest.
+    pub organisation: Organisation,
     /// The most urgent class that waits.
     pub class: Class,
     /// The number of waiting requests.
@@ -494,6 +496,7 @@
             let Some(model) = &ask.model else { continue };
             let want = wants.entry(model).or_insert_with(|| Want {
                 model: model.clone(),
+                organisation: ask.organisation.clone(),
                 class: ask.class,
                 waiting: 0,
                 since: ask.since,
@@ -501,12 +504,16 @@
             });
             want.waiting += 1;
             want.class = want.class.min(ask.class);
-            want.since = want.since.min(ask.since);
+            if ask.since < want.since {
+                want.since = ask.since;
+                want.organisation.clone_from(&ask.organisation);
+            }
             want.deadline = want.deadline.min(ask.deadline);
         }
         for model in &self.pins {
             wants.entry(model).or_insert_with(|| Want {
                 model: model.clone(),
+                organisation: Organisation::new(),
                 class: Class::Summary,
                 waiting: 0,
                 since: now,
--- a/crates/endivespur_core/src/schedule.rs
+++ b/crates/endivespur_core/src/schedule.rs
@@ -1,12 +1,20 @@
 //! The region's scheduler of adapter loads from the rate-limited weight store.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::id::{Endpoint, Model, Vm};
+use crate::decay::Counter;
+use crate::id::{Endpoint, Model, Organisation, Vm};
 use crate::owner::Want;
 
+/// The time over which the loads that an organisation has used count half.
+const SHARE_HALF_LIFE: Duration = Duration::from_secs(30);
+
+/// The multiple of the mean share up to which an organisation's loads are not held back.
+const FREE_SHARES: f64 = 2.0;
+
 /// The limits of a region's weight store.
 #[derive(Clone, Debug)]
 pub struct Limit {
@@ -38,6 +46,8 @@
     next: Time,
     wants: BTreeMap<(Endpoint, Model), Entry>,
     transit: BTreeMap<(Endpoint, Model), Time>,
+    /// The loads that each organisation has used lately.
+    used: BTreeMap<Organisation, Counter>,
 }
 
 impl Scheduler {
@@ -48,6 +58,7 @@
             next: now,
             wants: BTreeMap::new(),
             transit: BTreeMap::new(),
+            used: BTreeMap::new(),
         }
     }
 
@@ -96,26 +107,62 @@
         if now < self.next || self.transit.len() >= self.limit.transit {
             return None;
         }
-        let patience = self.limit.patience;
+        let mean = self.mean_used(now);
         let key = self
             .wants
             .iter()
             .filter(|(key, _)| !self.transit.contains_key(*key))
-            .min_by(|a, b| rank(a.1, now, patience).cmp(&rank(b.1, now, patience)))
+            .min_by(|a, b| self.compare(a.1, b.1, mean, now))
             .map(|(key, _)| key.clone())?;
         let entry = self.wants.remove(&key)?;
         self.transit.insert(key, now);
+        let organisation = entry.want.organisation.clone();
+        let used = self.used.entry(organisation).or_default();
+        used.add(now, SHARE_HALF_LIFE, 1.0);
         self.next = self.next.max(now.saturating_sub(self.limit.interval)) + self.limit.interval;
         self.next = self.next.max(now);
         Some(entry)
     }
-}
 
-/// Orders wants: the overdue by age, then the class, then the most waiting, then the age.
-fn rank(entry: &Entry, now: Time, patience: Duration) -> (bool, Duration, u8, usize, Duration) {
-    let want = &entry.want;
-    let overdue = want.waiting > 0 && now.saturating_sub(want.since) >= patience;
-    let age = if overdue { want.since } else { Duration::ZERO };
-    let most = usize::MAX - want.waiting;
-    (!overdue, age, want.class as u8, most, want.since)
+    /// Orders wants: the overdue by age, then the class, then the worth, then the age.
+    fn compare(&self, a: &Entry, b: &Entry, mean: f64, now: Time) -> Ordering {
+        let overdue = |entry: &Entry| {
+            let want = &entry.want;
+            let late = now.saturating_sub(want.since) >= self.limit.patience;
+            (late && want.waiting > 0).then_some(want.since)
+        };
+        match (overdue(a), overdue(b)) {
+            (Some(a), Some(b)) => return a.cmp(&b),
+            (Some(_), None) => return Ordering::Less,
+            (None, Some(_)) => return Ordering::Greater,
+            (None, None) => {}
+        }
+        let (first, second) = (&a.want, &b.want);
+        first
+            .class
+            .cmp(&second.class)
+            .then_with(|| {
+                self.worth(second, mean, now)
+                    .total_cmp(&self.worth(first, mean, now))
+            })
+            .then_with(|| first.since.cmp(&second.since))
+    }
+
+    /// Returns the requests that a load serves, over how far their organisation exceeds
+    /// its share of the loads used lately.
+    fn worth(&self, want: &Want, mean: f64, now: Time) -> f64 {
+        let used = self.used.get(&want.organisation);
+        let used = used.map_or(0.0, |counter| counter.at(now, SHARE_HALF_LIFE));
+        want.waiting as f64 / (used / (mean * FREE_SHARES)).max(1.0)
+    }
+
+    /// Returns the mean of the loads that organisations have used lately.
+    fn mean_used(&self, now: Time) -> f64 {
+        let used = self
+            .used
+            .values()
+            .map(|counter| counter.at(now, SHARE_HALF_LIFE));
+        let sum: f64 = used.sum();
+        (sum / self.used.len().max(1) as f64).max(1.0)
+    }
 }
--- a/crates/endivespur_core/tests/histories/schedule.rs
+++ b/crates/endivespur_core/tests/histories/schedule.rs
@@ -27,6 +27,7 @@
 fn want(adapter: usize, class: u8, waiting: usize, since_ms: u64) -> Want {
     Want {
         model: Model::new(&format!("x{adapter}"), 1),
+        organisation: format!("o{}", adapter % 3),
         class: Class::from_number(class),
         waiting,
         since: Duration::from_millis(since_ms),
@@ -50,18 +51,36 @@
             scheduler.set("n", &format!("e{index:02}"), vec![want]);
         }
         let mut at = now;
+        let mut used: Vec<(String, Duration)> = Vec::new();
         while !naive.is_empty() {
             let Some(entry) = scheduler.permit(at) else {
                 at += INTERVAL;
                 continue;
             };
             scheduler.landed(&entry.endpoint, &entry.want.model, true);
-            // The overdue by age, then class, then the most waiting, then age.
-            naive.sort_by_key(|want| {
-                let overdue = at.saturating_sub(want.since) >= PATIENCE;
-                let age = if overdue { want.since } else { Duration::ZERO };
-                (!overdue, age, want.class, usize::MAX - want.waiting, want.since)
+            // The overdue by age, then class, then waiting over the excess share, then age.
+            let loads = |name: &str| -> f64 {
+                let own = used.iter().filter(|(other, _)| other == name);
+                let half_lives = own.map(|(_, then)| at.saturating_sub(*then).as_secs_f64() / 30.0);
+                half_lives.map(|half_lives| (-half_lives).exp2()).sum()
+            };
+            let names: BTreeSet<&String> = used.iter().map(|(name, _)| name).collect();
+            let sum: f64 = names.iter().map(|name| loads(name)).sum();
+            let mean = (sum / names.len().max(1) as f64).max(1.0);
+            let worth = |want: &Want| {
+                want.waiting as f64 / (loads(&want.organisation) / mean / 2.0).max(1.0)
+            };
+            naive.sort_by(|a, b| {
+                let overdue = |want: &Want| at.saturating_sub(want.since) >= PATIENCE;
+                let age = |want: &Want| if overdue(want) { want.since } else { Duration::ZERO };
+                let urgent = (!overdue(a), age(a)).cmp(&(!overdue(b), age(b)));
+                let class = if overdue(a) { std::cmp::Ordering::Equal } else { a.class.cmp(&b.class) };
+                urgent
+                    .then(class)
+                    .then(worth(b).total_cmp(&worth(a)))
+                    .then(a.since.cmp(&b.since))
             });
+            used.push((entry.want.organisation.clone(), at));
             prop_assert_eq!(entry.want.since, naive.remove(0).since);
         }
     }
--- a/crates/endivespur_dev/src/bench/chosen.rs
+++ b/crates/endivespur_dev/src/bench/chosen.rs
@@ -30,8 +30,8 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_mins(5),
-            patience: Duration::from_secs(10),
+            half_life: Duration::from_secs(150),
+            patience: Duration::from_secs(30),
             refuses: true,
         }
     }
--- a/crates/endivespur_dev/src/bench/measure.rs
+++ b/crates/endivespur_dev/src/bench/measure.rs
@@ -73,6 +73,8 @@
     pub jain: f64,
     /// The worst organisation's p99 over the median organisation's.
     pub worst_over_median: f64,
+    /// The median organisation's p99, refused requests at their limit.
+    pub median_p99: f64,
     /// The p99 wait of lookups.
     pub lookup_p99: f64,
     /// Most loads begun in any 10 seconds.
@@ -110,7 +112,7 @@
         .map(|(a, f)| if f.served { f.wait } else { patience(a.class) }.as_secs_f64())
         .collect();
     let lookups = class_waits(arrivals, fates, endivespur_core::config::Class::Lookup);
-    let (jain, worst_over_median) = fairness(arrivals, fates);
+    let (jain, worst_over_median, median_p99) = fairness(arrivals, fates);
     Figures {
         requests: arrivals.len(),
         served,
@@ -129,6 +131,7 @@
         in_time_per_load: in_time as f64 / usage.loads.max(1) as f64,
         jain,
         worst_over_median,
+        median_p99,
         lookup_p99: quantile(&lookups, 0.99),
         most_in_10s: usage.most_in_10s,
         idle_store: usage.idle_store,
@@ -154,7 +157,7 @@
     waits
 }
 
-fn fairness(arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64) {
+fn fairness(arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64, f64) {
     let mut asked = vec![0.0; ORGANISATIONS];
     let mut good = vec![0.0; ORGANISATIONS];
     let mut waits = vec![Vec::new(); ORGANISATIONS];
@@ -185,7 +188,7 @@
         .collect();
     worst.sort_by(f64::total_cmp);
     let median = worst[worst.len() / 2];
-    (jain, worst[worst.len() - 1] / median.max(0.001))
+    (jain, worst[worst.len() - 1] / median.max(0.001), median)
 }
 
 fn mean(values: &[f64]) -> f64 {
--- a/crates/endivespur_dev/src/bench/mod.rs
+++ b/crates/endivespur_dev/src/bench/mod.rs
@@ -19,7 +19,7 @@
 /// The policies in the order of the table.
 pub const POLICIES: [&str; 3] = ["naive", "chosen", "clairvoyant"];
 /// The rates of the sweep in requests a second.
-const RATES: [f64; 9] = [1.0, 2.0, 2.5, 3.0, 3.5, 4.0, 4.5, 5.0, 6.0];
+const RATES: [f64; 11] = [1.0, 2.0, 2.5, 3.0, 3.25, 3.5, 3.75, 4.0, 4.5, 5.0, 6.0];
 /// The rates at which the traces run: below and past the naive version's knee.
 const TRACE_RATES: [f64; 2] = [2.0, 4.0];
 /// The mean wait in seconds past which a rate lies behind the knee.
@@ -137,9 +137,9 @@
 fn traces(user: &User, policies: &[&str], plan: &Plan, rate: f64, rows: &mut Vec<Value>) {
     println!("\n{rate} requests/s, mean of {} seeds", plan.seeds.len());
     println!(
-        "| trace | policy | served | in time | loads | loads/req | stall s | p50 | p95 | p99 | max | batch | in time/load | Jain | worst/median p99 | lookup p99 | loads in 10 s |"
+        "| trace | policy | served | in time | loads | loads/req | stall s | p50 | p95 | p99 | max | batch | in time/load | Jain | worst/median p99 | median p99 | lookup p99 | loads in 10 s |"
     );
-    println!("|{}", "---|".repeat(17));
+    println!("|{}", "---|".repeat(18));
     for kind in &KINDS {
         for policy in policies {
             progress(&format!("{} {policy} at {rate}/s", kind.name));
@@ -165,7 +165,7 @@
         figures.iter().map(value).sum::<f64>() / figures.len().max(1) as f64
     };
     format!(
-        "| {trace} | {policy} | {:.0} | {:.0} | {:.0} | {:.3} | {:.0} | {:.2} | {:.2} | {:.2} | {:.1} | {:.3} | {:.2} | {:.3} | {:.1} | {:.2} | {:.0} |",
+        "| {trace} | {policy} | {:.0} | {:.0} | {:.0} | {:.3} | {:.0} | {:.2} | {:.2} | {:.2} | {:.1} | {:.3} | {:.2} | {:.3} | {:.1} | {:.2} | {:.2} | {:.0} |",
         mean(|f| f.served as f64),
         mean(|f| f.in_time as f64),
         mean(|f| f.loads as f64),
@@ -179,6 +179,7 @@
         mean(|f| f.in_time_per_load),
         mean(|f| f.jain),
         mean(|f| f.worst_over_median),
+        mean(|f| f.median_p99),
         mean(|f| f.lookup_p99),
         mean(|f| f.most_in_10s as f64),
     )
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -328,6 +328,7 @@
         let mut to = to.reborrow().get(index as u32);
         to.set_adapter(&want.model.adapter);
         to.set_version(want.model.version);
+        to.set_organisation(&want.organisation);
         to.set_class(want.class as u8);
         to.set_waiting(want.waiting as u32);
         to.set_age_ms(now.saturating_sub(want.since).as_millis() as u32);
@@ -343,6 +344,7 @@
         .map(|want| {
             Ok(Want {
                 model: Model::new(want.get_adapter()?.to_str()?, want.get_version()),
+                organisation: text(want.get_organisation()?)?,
                 class: Class::from_number(want.get_class()),
                 waiting: want.get_waiting() as usize,
                 since: now.saturating_sub(Duration::from_millis(u64::from(want.get_age_ms()))),
--- a/crates/endivespur_node/src/settings.rs
+++ b/crates/endivespur_node/src/settings.rs
@@ -156,8 +156,8 @@
         Self {
             interval: Duration::from_millis(500),
             transit: 8,
-            patience: Duration::from_secs(10),
-            half_life: Duration::from_mins(5),
+            patience: Duration::from_secs(30),
+            half_life: Duration::from_secs(150),
         }
     }
 }
--- a/crates/endivespur_wire/schema/node.capnp
+++ b/crates/endivespur_wire/schema/node.capnp
@@ -47,6 +47,7 @@
   waiting @3 :UInt32;
   ageMs @4 :UInt32;
   leftMs @5 :UInt32;
+  organisation @6 :Text;
 }
 
 interface Node {
--- a/crates/endivespur_wire/src/node_capnp.rs
+++ b/crates/endivespur_wire/src/node_capnp.rs
@@ -1685,11 +1685,19 @@
         pub fn get_left_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_organisation(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_organisation(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1795,6 +1803,22 @@
         pub fn set_left_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_organisation(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_organisation(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_organisation(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_organisation(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1806,65 +1830,72 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 106] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 122] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(125, 22, 163, 19, 47, 75, 76, 172),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(33, 4, 233, 183, 197, 163, 241, 210),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 87, 97, 110, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 100, 97, 112, 116, 101, 114, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1913,6 +1944,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
+            ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1922,6 +1962,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1935,9 +1976,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,2,5,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,2,5,6,1,3];
         pub(crate) const TYPE_ID: u64 = 0xac4c_4b2f_13a3_167d;
     }
 }
