Say "not run" only if no attempt of the request was ever sent

Cause: notrun_deadline_and_flood failed with "f3: called not-run, but ran on e1": its first attempt was lost in a crash, the retry waited past its deadline, and the refusal of the retry was passed on as the outcome of the request. The retries of plain calls had the same fault.

--- a/crates/endivespur_dev/src/demo.rs
+++ b/crates/endivespur_dev/src/demo.rs
@@ -70,7 +70,7 @@
     require(runs(&site) == 1, "the order did not run exactly once")?;
     println!("  the orders service ran it {} time", runs(&site));
 
-    let killed = owner(&site, draft.header("endivespur-endpoint"));
+    let killed = site.owner(draft.header("endivespur-endpoint"));
     if let Some(mut daemon) = site.daemons.remove(&killed) {
         daemon.process.kill();
     }
@@ -130,18 +130,6 @@
     Ok(site)
 }
 
-/// Returns the daemon that owns an endpoint.
-fn owner(site: &Site, endpoint: &str) -> String {
-    let owns = |name: &&String| {
-        let owned = site.state(name)["owned"]
-            .as_array()
-            .cloned()
-            .unwrap_or_default();
-        owned.iter().any(|host| host["endpoint"] == endpoint)
-    };
-    site.daemons.keys().find(owns).cloned().unwrap_or_default()
-}
-
 fn runs(site: &Site) -> u64 {
     ["orders-a", "orders-b"]
         .iter()
--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -334,6 +334,18 @@
         Ok(begun.elapsed())
     }
 
+    /// Returns the daemon that owns an endpoint, empty if none says so.
+    pub fn owner(&self, endpoint: &str) -> String {
+        let owns = |name: &&String| {
+            let owned = self.state(name)["owned"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
+            owned.iter().any(|host| host["endpoint"] == endpoint)
+        };
+        self.daemons.keys().find(owns).cloned().unwrap_or_default()
+    }
+
     /// Returns a daemon's own state.
     pub fn state(&self, daemon: &str) -> Value {
         let Some(daemon) = self.daemons.get(daemon) else {
--- a/crates/endivespur_dev/src/stand/engine.rs
+++ b/crates/endivespur_dev/src/stand/engine.rs
@@ -88,6 +88,8 @@
 struct Run {
     id: u64,
     name: String,
+    /// The name in the text of the answer.
+    shown: String,
     tokens: u64,
     sent: u64,
     attempt: String,
@@ -281,6 +283,7 @@
     let name = call["model"].as_str().unwrap_or_default().to_string();
     let stream = call["stream"].as_bool().unwrap_or(false);
     let (sender, body) = channel(PIECES);
+    let shown = engine.borrow_mut().shown_attempt(&attempt);
     {
         let mut engine = engine.borrow_mut();
         if name != engine.setup.base && !engine.loaded.contains_key(&name) {
@@ -297,8 +300,15 @@
         *engine.counts.runs.entry(attempt.clone()).or_default() += 1;
         engine.counts.last_start_ms = super::unix_ms();
         engine.next += 1;
+        let crossed = shown != attempt;
         let run = Run {
             id: engine.next,
+            // A crossed answer is the one to somebody else's request.
+            shown: if crossed {
+                "other@9.f0".to_string()
+            } else {
+                name.clone()
+            },
             name,
             tokens: call["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS).max(1),
             sent: 0,
@@ -309,7 +319,6 @@
         };
         engine.waiting.push_back(run);
     }
-    let shown = engine.borrow_mut().shown_attempt(attempt);
     let mut answer = Response::new(StatusCode::Ok);
     answer.insert_header("endivespur-attempt", shown);
     if stream {
@@ -345,9 +354,9 @@
             .is_some_and(|mark| text.contains(mark))
     }
 
-    fn shown_attempt(&mut self, attempt: String) -> String {
+    fn shown_attempt(&mut self, attempt: &str) -> String {
         if self.switch.cross == 0 {
-            return attempt;
+            return attempt.to_string();
         }
         self.switch.cross -= 1;
         "crossed".to_string()
@@ -456,7 +465,7 @@
 
     fn token(&self, number: u64) -> String {
         if number == 1 {
-            format!("[{}]", self.name)
+            format!("[{}]", self.shown)
         } else {
             format!(" {number}")
         }
--- a/crates/endivespur_dev/tests/scenarios.rs
+++ b/crates/endivespur_dev/tests/scenarios.rs
@@ -71,6 +71,8 @@
     left: BTreeMap<String, u64>,
     clean: BTreeMap<String, bool>,
     stopping: BTreeMap<String, endivespur_dev::site::Daemon>,
+    /// What `owner(ENDPOINT)` and `other(ENDPOINT)` stood for when first used.
+    aliases: BTreeMap<String, String>,
 }
 
 impl Stage {
@@ -124,6 +126,7 @@
             left: BTreeMap::new(),
             clean: BTreeMap::new(),
             stopping: BTreeMap::new(),
+            aliases: BTreeMap::new(),
         })
     }
 
@@ -177,7 +180,28 @@
         }
     }
 
+    /// Returns the VM that a name stands for: itself, or the owner of an endpoint, or
+    /// another VM than the owner.
+    fn resolve(&mut self, name: &str) -> String {
+        let Some((kind, endpoint)) = name.strip_suffix(')').and_then(|n| n.split_once('(')) else {
+            return name.to_string();
+        };
+        if let Some(known) = self.aliases.get(name) {
+            return known.clone();
+        }
+        let owner = self.site.owner(endpoint);
+        let mut others = self.site.daemons.keys().filter(|vm| **vm != owner);
+        let found = if kind == "owner" {
+            owner.clone()
+        } else {
+            others.next().cloned().unwrap_or_default()
+        };
+        self.aliases.insert(name.to_string(), found.clone());
+        found
+    }
+
     fn happen(&mut self, fate: Fate, name: &str) -> Result<(), String> {
+        let name = &self.resolve(name);
         if fate == Fate::Start {
             let zone = self.zones.get(name).ok_or("unknown vm")?.clone();
             return self.site.daemon(name, &zone);
@@ -198,14 +222,15 @@
             _ => {
                 daemon.process.signal("TERM")?;
                 if let Some(daemon) = self.site.daemons.remove(name) {
-                    self.stopping.insert(name.to_string(), daemon);
+                    self.stopping.insert(name.clone(), daemon);
                 }
                 Ok(())
             }
         }
     }
 
-    fn send(&mut self, request: Request) {
+    fn send(&mut self, mut request: Request) {
+        request.vm = self.resolve(&request.vm);
         self.requests.insert(request.id.clone(), request.clone());
         let daemons = self.site.daemons.get(&request.vm);
         let address = daemons
--- a/crates/endivespur_node/src/answer.rs
+++ b/crates/endivespur_node/src/answer.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Says that the request may have run, if an earlier attempt was sent and lost.
+    pub fn after(mut self, lost: bool) -> Self {
+        if lost {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// Sets when to come back.
     pub fn with_retry(mut self, after: Duration) -> Self {
         self.retry_after = Some(after);
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -255,31 +255,31 @@
     let organisation = completion.job.request.organisation.clone();
     node.budget(&organisation, endivespur_core::retry::Budget::deposit);
     let mut last = Failure::unknown("no attempt was made");
+    let mut may_have_run = false;
     // Place goes before everything else that is known of the request.
     dispatch::candidates(node, &completion.job)?;
     for attempt in 0..TRIES {
         let verdict = suspicion::judge(node, completion.print).await;
         if verdict == Verdict::Quarantined {
             let message = "the request has crashed the endpoints that ran it";
-            return Err(Failure {
-                outcome: Outcome::Unknown,
-                ..Failure::not_run(StatusCode::UnprocessableEntity, message)
-            });
+            return Err(Failure::not_run(StatusCode::UnprocessableEntity, message).after(true));
         }
         completion.job.alone = verdict == Verdict::Alone;
-        let permit = dispatch::acquire(node, &completion.job).await?;
+        let permit = dispatch::acquire(node, &completion.job)
+            .await
+            .map_err(|failure| failure.after(may_have_run))?;
         let endpoint = permit.endpoint.clone();
         let miss = match run(node, &completion, permit, attempt).await {
             Ok(response) => return Ok(response),
             Err(miss) => miss,
         };
-        warn!(
-            "entry: {}: {endpoint} gave no answer: {miss:?}",
-            completion.job.id
-        );
+        let id = &completion.job.id;
+        warn!("entry: {id}: {endpoint} gave no answer: {miss:?}");
+        may_have_run |= matches!(miss, Miss::Lost(_));
         last = match miss {
             Miss::NotRun(message) => Failure::not_run(StatusCode::ServiceUnavailable, &message)
-                .with_retry(Duration::from_secs(1)),
+                .with_retry(Duration::from_secs(1))
+                .after(may_have_run),
             Miss::Lost(message) => Failure::unknown(&message),
         };
         completion.job.avoid.insert(endpoint);
--- a/crates/endivespur_node/src/plain.rs
+++ b/crates/endivespur_node/src/plain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use endivespur_core::order::Answer;
+use endivespur_core::retry::Budget;
 use endivespur_core::route;
 use endivespur_net::{body, client};
 use http_types::{Method, Request, Response, StatusCode};
@@ -143,12 +144,16 @@
 }
 
 async fn repeatable(node: &Rc<Node>, mut job: Job, make: &once::Make) -> Result<Response, Failure> {
-    let mut last = String::new();
+    let mut last = Failure::unknown("no attempt was made");
+    let mut may_have_run = false;
+    node.budget(&job.request.organisation, Budget::deposit);
     for attempt in 0..TRIES {
         if attempt > 0 && !node.may_retry(&job.request.organisation) {
             break;
         }
-        let mut permit = dispatch::acquire(node, &job).await?;
+        let mut permit = dispatch::acquire(node, &job)
+            .await
+            .map_err(|failure| failure.after(may_have_run))?;
         let request = make(&permit)?;
         let id = format!("{}.{attempt}", job.id);
         let result = match dispatch::send(&mut permit, request, &id).await {
@@ -165,9 +170,17 @@
                 entry::place(&mut response, &permit, &job);
                 return Ok(response);
             }
-            Err(Miss::NotRun(message) | Miss::Lost(message)) => last = message,
+            Err(Miss::Lost(message)) => {
+                may_have_run = true;
+                last = Failure::unknown(&message);
+            }
+            Err(Miss::NotRun(message)) => {
+                last = Failure::not_run(StatusCode::ServiceUnavailable, &message)
+                    .with_retry(Duration::from_secs(1))
+                    .after(may_have_run);
+            }
         }
         job.avoid.insert(permit.endpoint.clone());
     }
-    Err(Failure::unknown(&last))
+    Err(last)
 }
