--- /dev/null
+++ b/crates/endivespur_core/src/burn.rs
@@ -0,0 +1,306 @@
+//! Service-level objectives and how fast their error budgets burn.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+use crate::id::{Organisation, Service};
+
+/// The length of a short bucket.
+const MINUTE: Duration = Duration::from_mins(1);
+/// The length of a long bucket.
+const HOUR: Duration = Duration::from_hours(1);
+/// The short buckets that are kept.
+const MINUTES: usize = 360;
+/// The long buckets that are kept.
+const HOURS: usize = 72;
+/// The largest delay that a histogram holds, in milliseconds.
+const MOST_MS: u64 = 600_000;
+
+/// The windows over which burn is reported.
+pub const WINDOWS: [(&str, Duration); 4] = [
+    ("5m", Duration::from_mins(5)),
+    ("1h", Duration::from_hours(1)),
+    ("6h", Duration::from_hours(6)),
+    ("3d", Duration::from_hours(72)),
+];
+
+/// What is measured of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Objective {
+    /// The request was answered by the service.
+    Availability,
+    /// The time to the first token.
+    FirstToken,
+    /// The mean time between two tokens.
+    BetweenTokens,
+    /// The wait for a grant, and so for an adapter.
+    LoadStall,
+}
+
+/// The bounds of the objectives, and the share of requests that may miss them.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The bound by objective; none for availability.
+    pub bounds: BTreeMap<Objective, Duration>,
+    /// The share of requests that may be bad, by objective.
+    pub budgets: BTreeMap<Objective, f64>,
+}
+
+impl Target {
+    /// Makes targets from the share to be served and the bounds for 95 in 100.
+    pub fn new(availability: f64, bounds: BTreeMap<Objective, Duration>) -> Self {
+        let mut budgets: BTreeMap<Objective, f64> =
+            bounds.keys().map(|objective| (*objective, 0.05)).collect();
+        budgets.insert(Objective::Availability, 1.0 - availability);
+        Self { bounds, budgets }
+    }
+}
+
+/// A bucket's counts: all requests and the bad ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// All requests.
+    pub all: u64,
+    /// The requests that missed the objective.
+    pub bad: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Series {
+    minutes: BTreeMap<u64, Count>,
+    hours: BTreeMap<u64, Count>,
+}
+
+/// What the counts belong to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    /// The service.
+    pub service: Service,
+    /// The organisation.
+    pub organisation: Organisation,
+    /// The objective.
+    pub objective: Objective,
+}
+
+/// The counts of one node since its start.
+#[derive(Debug)]
+pub struct Burn {
+    target: Target,
+    begun: Time,
+    series: BTreeMap<Key, Series>,
+    delays: BTreeMap<(Service, Objective), Histogram<u64>>,
+}
+
+/// Delays in milliseconds and how often each was seen.
+pub type Delays = Vec<(u64, u64)>;
+
+/// One node's part of a report, fit for merging.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Part {
+    /// Seconds that the node remembers.
+    pub remembers: u64,
+    /// Counts by key and window.
+    pub counts: Vec<(Key, Vec<Count>)>,
+    /// Delays by service and objective: milliseconds and how often.
+    pub delays: Vec<(Service, Objective, Delays)>,
+}
+
+/// One row of the merged report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// What the row is about.
+    pub key: Key,
+    /// The counts of each of [`WINDOWS`].
+    pub counts: Vec<Count>,
+    /// How fast the error budget burns in each window; 1 uses it up just in time.
+    pub burn: Vec<f64>,
+    /// The 95th percentile in milliseconds over the service, where there is one.
+    pub p95_ms: Option<u64>,
+}
+
+impl Burn {
+    /// Makes empty counts at `now`.
+    pub fn new(target: Target, now: Time) -> Self {
+        Self {
+            target,
+            begun: now,
+            series: BTreeMap::new(),
+            delays: BTreeMap::new(),
+        }
+    }
+
+    /// Counts whether a request was answered by the service.
+    pub fn served(&mut self, now: Time, service: &str, organisation: &str, good: bool) {
+        self.count(now, service, organisation, Objective::Availability, good);
+    }
+
+    /// Counts a delay of a request against its bound.
+    pub fn delayed(
+        &mut self,
+        now: Time,
+        service: &str,
+        organisation: &str,
+        objective: Objective,
+        delay: Duration,
+    ) {
+        let bound = self.target.bounds.get(&objective).copied();
+        let good = bound.is_none_or(|bound| delay <= bound);
+        self.count(now, service, organisation, objective, good);
+        let key = (service.to_string(), objective);
+        let new = || Histogram::new_with_bounds(1, MOST_MS, 2).ok();
+        if let std::collections::btree_map::Entry::Vacant(vacant) = self.delays.entry(key.clone())
+            && let Some(histogram) = new()
+        {
+            vacant.insert(histogram);
+        }
+        if let Some(histogram) = self.delays.get_mut(&key) {
+            histogram.saturating_record((delay.as_millis() as u64).clamp(1, MOST_MS));
+        }
+    }
+
+    fn count(
+        &mut self,
+        now: Time,
+        service: &str,
+        organisation: &str,
+        objective: Objective,
+        good: bool,
+    ) {
+        let key = Key {
+            service: service.to_string(),
+            organisation: organisation.to_string(),
+            objective,
+        };
+        let series = self.series.entry(key).or_default();
+        add(&mut series.minutes, now, MINUTE, MINUTES, good);
+        add(&mut series.hours, now, HOUR, HOURS, good);
+    }
+
+    /// Returns this node's part of a report.
+    pub fn part(&self, now: Time) -> Part {
+        let counts = self
+            .series
+            .iter()
+            .map(|(key, series)| (key.clone(), windows(series, now)))
+            .collect();
+        let delays = self
+            .delays
+            .iter()
+            .map(|((service, objective), histogram)| {
+                let values = histogram.iter_recorded();
+                let pairs = values.map(|v| (v.value_iterated_to(), v.count_at_value()));
+                (service.clone(), *objective, pairs.collect())
+            })
+            .collect();
+        Part {
+            remembers: now.saturating_sub(self.begun).as_secs(),
+            counts,
+            delays,
+        }
+    }
+
+    /// Merges the parts of nodes into rows, the fastest burning first.
+    pub fn merge(&self, parts: &[Part]) -> Vec<Row> {
+        let mut counts: BTreeMap<Key, Vec<Count>> = BTreeMap::new();
+        let mut delays: BTreeMap<(Service, Objective), BTreeMap<u64, u64>> = BTreeMap::new();
+        for part in parts {
+            for (key, windows) in &part.counts {
+                let sums = counts
+                    .entry(key.clone())
+                    .or_insert_with(|| vec![Count::default(); windows.len()]);
+                for (sum, count) in sums.iter_mut().zip(windows) {
+                    sum.all += count.all;
+                    sum.bad += count.bad;
+                }
+            }
+            for (service, objective, pairs) in &part.delays {
+                let sums = delays.entry((service.clone(), *objective)).or_default();
+                for (value, count) in pairs {
+                    *sums.entry(*value).or_default() += count;
+                }
+            }
+        }
+        let mut rows: Vec<Row> = counts
+            .into_iter()
+            .map(|(key, counts)| self.row(key, counts, &delays))
+            .collect();
+        rows.sort_by(|a, b| {
+            b.burn[0]
+                .total_cmp(&a.burn[0])
+                .then_with(|| a.key.cmp(&b.key))
+        });
+        rows
+    }
+
+    fn row(
+        &self,
+        key: Key,
+        counts: Vec<Count>,
+        delays: &BTreeMap<(Service, Objective), BTreeMap<u64, u64>>,
+    ) -> Row {
+        let budget = self
+            .target
+            .budgets
+            .get(&key.objective)
+            .copied()
+            .unwrap_or(0.05);
+        let burn = counts
+            .iter()
+            .map(|count| count.bad as f64 / count.all.max(1) as f64 / budget)
+            .collect();
+        let p95_ms = delays
+            .get(&(key.service.clone(), key.objective))
+            .and_then(p95);
+        Row {
+            key,
+            counts,
+            burn,
+            p95_ms,
+        }
+    }
+}
+
+fn add(buckets: &mut BTreeMap<u64, Count>, now: Time, length: Duration, most: usize, good: bool) {
+    let count = buckets.entry(now.as_secs() / length.as_secs()).or_default();
+    count.all += 1;
+    count.bad += u64::from(!good);
+    while buckets.len() > most {
+        buckets.pop_first();
+    }
+}
+
+fn windows(series: &Series, now: Time) -> Vec<Count> {
+    WINDOWS
+        .iter()
+        .map(|(_, window)| {
+            let short = *window <= MINUTE * MINUTES as u32;
+            let (buckets, length) = if short {
+                (&series.minutes, MINUTE)
+            } else {
+                (&series.hours, HOUR)
+            };
+            let last = now.as_secs() / length.as_secs();
+            let first = (last + 1).saturating_sub(window.as_secs() / length.as_secs());
+            let mut sum = Count::default();
+            for (_, count) in buckets.range(first..) {
+                sum.all += count.all;
+                sum.bad += count.bad;
+            }
+            sum
+        })
+        .collect()
+}
+
+fn p95(values: &BTreeMap<u64, u64>) -> Option<u64> {
+    let all: u64 = values.values().sum();
+    let mut seen = 0;
+    values.iter().find_map(|(value, count)| {
+        seen += count;
+        (seen * 100 >= all * 95).then_some(*value)
+    })
+}
--- /dev/null
+++ b/crates/endivespur_core/src/command.rs
@@ -0,0 +1,450 @@
+//! The operators' commands: planned against the known configuration, then written once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::{Value, json};
+
+use crate::config::{Change, Lora, Snapshot, Stage, Tenant};
+use crate::id::{Model, Revision};
+use crate::line::{Finding, Line, Read};
+use crate::place::Rule;
+use crate::query::{self, Query};
+
+/// What a command does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verb {
+    /// Creates an adapter with version 1.
+    CreateAdapter {
+        /// The adapter's name.
+        name: String,
+        /// The base model.
+        base: String,
+        /// The service whose engines run it.
+        service: String,
+        /// The organisations that may name it.
+        organisations: Vec<String>,
+        /// Where it may live.
+        place: Rule,
+    },
+    /// Creates an organisation.
+    CreateOrganisation {
+        /// The name.
+        name: String,
+        /// Where its requests may be handled.
+        place: Rule,
+        /// The share against others.
+        weight: u32,
+    },
+    /// Adds a version to an adapter.
+    AddVersion(Model),
+    /// Retires a version.
+    Retire(Model),
+    /// Changes where an adapter may live.
+    PlaceAdapter(String, Rule),
+    /// Changes where an organisation's requests may be handled.
+    PlaceOrganisation(String, Rule),
+    /// Keeps an adapter loaded on an endpoint, or no longer.
+    Pin(String, String, bool),
+    /// Drains an endpoint, or opens it again.
+    Drain(String, bool),
+}
+
+/// A command with its conditions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Command {
+    /// What it does.
+    pub verb: Verb,
+    /// The revision that the object must have.
+    pub revision: Option<Revision>,
+    /// The reason that is kept with the change.
+    pub reason: String,
+}
+
+/// A question or a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// A question.
+    Query(Query),
+    /// A command.
+    Command(Command),
+}
+
+const VERBS: [&str; 11] = [
+    "show", "explain", "report", "create", "add", "place", "pin", "unpin", "retire", "drain",
+    "undrain",
+];
+
+/// Reads a line that holds one statement.
+///
+/// # Errors
+///
+/// Returns the first mistake with its column.
+pub fn parse(number: usize, text: &str) -> Result<Statement, Finding> {
+    let mut line = Line::new(number, text);
+    let verb = line.keyword(&VERBS)?;
+    let statement = if matches!(verb.as_str(), "show" | "explain" | "report") {
+        Statement::Query(query::parse(&verb, &mut line)?)
+    } else {
+        Statement::Command(command(&verb, &mut line)?)
+    };
+    line.end()?;
+    Ok(statement)
+}
+
+fn command(verb: &str, line: &mut Line) -> Read<Command> {
+    let verb = match verb {
+        "create" => create(line)?,
+        "add" => {
+            line.keyword(&["version"])?;
+            Verb::AddVersion(query::model(line)?)
+        }
+        "retire" => Verb::Retire(query::model(line)?),
+        "place" => place(line)?,
+        "pin" | "unpin" => {
+            let adapter = line.word("an adapter")?;
+            line.keyword(&["on"])?;
+            Verb::Pin(adapter, line.word("an endpoint")?, verb == "pin")
+        }
+        _ => Verb::Drain(line.word("an endpoint")?, verb == "drain"),
+    };
+    let mut command = Command {
+        verb,
+        revision: None,
+        reason: String::new(),
+    };
+    while !line.is_done() {
+        match line.keyword(&["if", "because"])?.as_str() {
+            "if" => {
+                line.keyword(&["revision"])?;
+                command.revision = Some(line.number_word()?);
+            }
+            _ => command.reason = line.word("a reason in quotation marks")?,
+        }
+    }
+    Ok(command)
+}
+
+fn create(line: &mut Line) -> Read<Verb> {
+    let kind = line.keyword(&["adapter", "organisation"])?;
+    let name = line.word("a name")?;
+    if kind == "organisation" {
+        let place = rule(line)?;
+        let weight = if line.skip("weight") {
+            line.number_word()?
+        } else {
+            1
+        };
+        return Ok(Verb::CreateOrganisation {
+            name,
+            place,
+            weight,
+        });
+    }
+    line.keyword(&["base"])?;
+    let base = line.word("a base model")?;
+    line.keyword(&["service"])?;
+    let service = line.word("a service")?;
+    line.keyword(&["for"])?;
+    let organisations = line.list("organisations")?;
+    Ok(Verb::CreateAdapter {
+        name,
+        base,
+        service,
+        organisations,
+        place: rule(line)?,
+    })
+}
+
+fn place(line: &mut Line) -> Read<Verb> {
+    let kind = line.keyword(&["adapter", "organisation"])?;
+    let name = line.word("a name")?;
+    let rule = rule(line)?;
+    Ok(if kind == "adapter" {
+        Verb::PlaceAdapter(name, rule)
+    } else {
+        Verb::PlaceOrganisation(name, rule)
+    })
+}
+
+/// Reads `in REGION` or `in REGION/ZONE,ZONE`.
+fn rule(line: &mut Line) -> Read<Rule> {
+    line.keyword(&["in"])?;
+    let word = line.word("REGION or REGION/ZONE,ZONE")?;
+    let (region, zones) = word.split_once('/').unwrap_or((&word, ""));
+    let zones: Vec<&str> = zones.split(',').filter(|zone| !zone.is_empty()).collect();
+    Ok(Rule::new(region, &zones))
+}
+
+/// A planned write of one object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The key below [`crate::config::PREFIX`].
+    pub key: String,
+    /// The revision that the object must still have, 0 for a new one.
+    pub over: Revision,
+    /// The object before, if there is one.
+    pub before: Option<Value>,
+    /// The object after.
+    pub after: Value,
+}
+
+impl Plan {
+    /// Tells whether nothing but the note of the change would differ.
+    pub fn is_harmless(&self) -> bool {
+        let bare = |value: &Value| {
+            let mut value = value.clone();
+            if let Some(map) = value.as_object_mut() {
+                map.remove("change");
+            }
+            value
+        };
+        self.before.as_ref().map(bare) == Some(bare(&self.after))
+    }
+}
+
+/// Plans a command against the known configuration.
+///
+/// # Errors
+///
+/// Returns everything that speaks against it.
+pub fn plan(config: &Snapshot, command: &Command, change: Change) -> Result<Plan, Vec<String>> {
+    let mut findings = Vec::new();
+    let (key, after) = apply(config, &command.verb, change, &mut findings);
+    let over = config.revision_of(&key);
+    if let Some(wanted) = command.revision
+        && wanted != over
+    {
+        findings.push(format!("{key} has revision {over}, not {wanted}"));
+    }
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    Ok(Plan {
+        before: current(config, &key),
+        key,
+        over,
+        after,
+    })
+}
+
+/// Returns an object as it would be written now, with each default filled in.
+fn current(config: &Snapshot, key: &str) -> Option<Value> {
+    let (kind, name) = key.split_once('/')?;
+    match kind {
+        "adapter" => config.adapters.get(name).map(|lora| json!(lora)),
+        "organisation" => config.organisations.get(name).map(|tenant| json!(tenant)),
+        _ => config.endpoints.get(name).map(|target| json!(target)),
+    }
+}
+
+fn apply(
+    config: &Snapshot,
+    verb: &Verb,
+    change: Change,
+    findings: &mut Vec<String>,
+) -> (String, Value) {
+    match verb {
+        Verb::CreateAdapter {
+            name,
+            base,
+            service,
+            organisations,
+            place,
+        } => {
+            check_new(config, name, organisations, service, findings);
+            check_place(config, place, findings);
+            let lora = Lora {
+                base: base.clone(),
+                service: service.clone(),
+                organisations: organisations.iter().cloned().collect(),
+                versions: BTreeMap::from([(1, Stage::Active)]),
+                place: place.clone(),
+                pins: BTreeSet::new(),
+                change,
+            };
+            if config
+                .adapters
+                .get(name)
+                .is_some_and(|old| !same(old, &lora))
+            {
+                findings.push(format!("adapter {name} exists already"));
+            }
+            (format!("adapter/{name}"), json!(lora))
+        }
+        Verb::CreateOrganisation {
+            name,
+            place,
+            weight,
+        } => {
+            check_name(name, findings);
+            check_place(config, place, findings);
+            let tenant = Tenant {
+                place: place.clone(),
+                weight: *weight,
+                change,
+            };
+            (format!("organisation/{name}"), json!(tenant))
+        }
+        Verb::AddVersion(model) => adapter(
+            config,
+            &model.adapter,
+            change,
+            findings,
+            |lora, findings| {
+                let stage = lora.versions.entry(model.version).or_insert(Stage::Active);
+                if *stage == Stage::Retired {
+                    findings.push(format!(
+                        "{model} was retired, and a version never comes back"
+                    ));
+                }
+            },
+        ),
+        Verb::Retire(model) => adapter(
+            config,
+            &model.adapter,
+            change,
+            findings,
+            |lora, findings| match lora.versions.get_mut(&model.version) {
+                Some(stage) => *stage = Stage::Retired,
+                None => findings.push(format!("there is no {model}")),
+            },
+        ),
+        Verb::PlaceAdapter(name, rule) => {
+            check_place(config, rule, findings);
+            adapter(config, name, change, findings, |lora, _| {
+                lora.place = rule.clone();
+            })
+        }
+        Verb::PlaceOrganisation(name, rule) => {
+            check_place(config, rule, findings);
+            organisation(config, name, change, findings, rule)
+        }
+        Verb::Pin(name, endpoint, pinned) => {
+            if !config.endpoints.contains_key(endpoint) {
+                findings.push(format!("there is no endpoint {endpoint}"));
+            }
+            adapter(config, name, change, findings, |lora, findings| {
+                if *pinned {
+                    check_pin(config, lora, endpoint, findings);
+                    lora.pins.insert(endpoint.clone());
+                } else {
+                    lora.pins.remove(endpoint);
+                }
+            })
+        }
+        Verb::Drain(name, drained) => {
+            let Some(target) = config.endpoints.get(name) else {
+                findings.push(format!("there is no endpoint {name}"));
+                return (format!("endpoint/{name}"), Value::Null);
+            };
+            let mut target = target.clone();
+            target.drained = *drained;
+            target.change = change;
+            (format!("endpoint/{name}"), json!(target))
+        }
+    }
+}
+
+fn same(old: &Lora, new: &Lora) -> bool {
+    let bare = |lora: &Lora| Lora {
+        change: Change::default(),
+        ..lora.clone()
+    };
+    bare(old) == bare(new)
+}
+
+fn adapter(
+    config: &Snapshot,
+    name: &str,
+    change: Change,
+    findings: &mut Vec<String>,
+    edit: impl FnOnce(&mut Lora, &mut Vec<String>),
+) -> (String, Value) {
+    let key = format!("adapter/{name}");
+    let Some(lora) = config.adapters.get(name) else {
+        findings.push(format!("there is no adapter {name}"));
+        return (key, Value::Null);
+    };
+    let mut lora = lora.clone();
+    lora.change = change;
+    edit(&mut lora, findings);
+    (key, json!(lora))
+}
+
+fn organisation(
+    config: &Snapshot,
+    name: &str,
+    change: Change,
+    findings: &mut Vec<String>,
+    rule: &Rule,
+) -> (String, Value) {
+    let key = format!("organisation/{name}");
+    let Some(tenant) = config.organisations.get(name) else {
+        findings.push(format!("there is no organisation {name}"));
+        return (key, Value::Null);
+    };
+    let tenant = Tenant {
+        place: rule.clone(),
+        change,
+        ..tenant.clone()
+    };
+    (key, json!(tenant))
+}
+
+fn check_name(name: &str, findings: &mut Vec<String>) {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || !name.chars().all(fits) {
+        findings.push(format!(
+            "{name:?} is no name: letters, digits, '-', '_' and '.'"
+        ));
+    }
+}
+
+fn check_new(
+    config: &Snapshot,
+    name: &str,
+    organisations: &[String],
+    service: &str,
+    findings: &mut Vec<String>,
+) {
+    check_name(name, findings);
+    for organisation in organisations {
+        if !config.organisations.contains_key(organisation) {
+            findings.push(format!("there is no organisation {organisation}"));
+        }
+    }
+    if !config.services.contains_key(service) {
+        findings.push(format!("there is no service {service}"));
+    }
+}
+
+/// Checks that the region and the zones hold at least one endpoint.
+fn check_place(config: &Snapshot, rule: &Rule, findings: &mut Vec<String>) {
+    let targets = || {
+        config
+            .endpoints
+            .values()
+            .filter(|t| t.region == rule.region)
+    };
+    if targets().next().is_none() {
+        findings.push(format!("no endpoint lies in region {}", rule.region));
+        return;
+    }
+    for zone in &rule.zones {
+        if !targets().any(|target| target.zone == *zone) {
+            findings.push(format!("no endpoint lies in zone {zone}"));
+        }
+    }
+}
+
+fn check_pin(config: &Snapshot, lora: &Lora, endpoint: &str, findings: &mut Vec<String>) {
+    let Some(target) = config.endpoints.get(endpoint) else {
+        return;
+    };
+    if !lora.place.permits(&target.region, &target.zone) {
+        findings.push(format!("{endpoint} lies outside the adapter's place"));
+    }
+    if target.service != lora.service {
+        findings.push(format!("{endpoint} belongs to service {}", target.service));
+    }
+}
--- a/crates/endivespur_scenario/src/line.rs
+++ b/crates/endivespur_core/src/line.rs
@@ -1,22 +1,44 @@
 //! The words of a line, read one after the other with their columns.
+//!
+//! Operators' questions and commands and the scenario files are read with it.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use winnow::Parser;
 use winnow::ascii::{space0, space1};
 use winnow::combinator::{alt, delimited, separated};
 use winnow::stream::LocatingSlice;
 use winnow::token::take_while;
 
-use crate::Finding;
+/// A mistake in a line.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// The line, from 1.
+    pub line: usize,
+    /// The column, from 1.
+    pub column: usize,
+    /// What was expected there.
+    pub expected: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{}:{}: expected {}",
+            self.line, self.column, self.expected
+        )
+    }
+}
 
 /// A word with its column.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Word {
+struct Word {
     /// The text, without quotation marks.
-    pub text: String,
+    text: String,
     /// The column, from 1.
-    pub column: usize,
+    column: usize,
 }
 
 fn word(input: &mut LocatingSlice<&str>) -> winnow::Result<Word> {
@@ -82,6 +104,10 @@
     }
 
     /// Reads a word.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding with `expected` if the line has ended.
     pub fn word(&mut self, expected: &str) -> Read<String> {
         let index = self.next;
         self.next += 1;
@@ -90,6 +116,10 @@
     }
 
     /// Reads one of the given words.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding that names them if another word stands there.
     pub fn keyword(&mut self, wanted: &[&str]) -> Read<String> {
         let expected = wanted.join(" or ");
         let word = self.word(&expected)?;
@@ -110,6 +140,10 @@
     }
 
     /// Reads a duration such as `1.5s`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding if no duration stands there.
     pub fn time(&mut self) -> Read<Duration> {
         let expected = "a time such as 1s or 500ms";
         let word = self.word(expected)?;
@@ -117,12 +151,20 @@
     }
 
     /// Reads a whole number.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding if no number stands there.
     pub fn number_word<T: std::str::FromStr>(&mut self) -> Read<T> {
         let word = self.word("a number")?;
         word.parse().map_err(|_| self.wrong("a number"))
     }
 
     /// Reads a list separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding with `expected` if the line has ended.
     pub fn list(&mut self, expected: &str) -> Read<Vec<String>> {
         Ok(self
             .word(expected)?
@@ -132,6 +174,10 @@
     }
 
     /// Checks that nothing is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns a finding at the first word that is left.
     pub fn end(&self) -> Read<()> {
         if self.is_done() {
             return Ok(());
--- /dev/null
+++ b/crates/endivespur_core/src/query.rs
@@ -0,0 +1,206 @@
+//! The operators' questions: what runs where, and why.
+
+use std::cmp::Ordering;
+
+use serde_json::{Map, Value};
+
+use crate::id::Model;
+use crate::line::{Line, Read};
+
+/// What can be listed.
+pub const KINDS: [&str; 10] = [
+    "adapters",
+    "versions",
+    "endpoints",
+    "nodes",
+    "organisations",
+    "services",
+    "rules",
+    "slots",
+    "loads",
+    "suspects",
+];
+
+/// A row of an answer: values by column.
+pub type Row = Map<String, Value>;
+
+/// How a value is compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operator {
+    /// The values are equal.
+    Equal,
+    /// The values differ.
+    Unlike,
+    /// The row's value is smaller.
+    Less,
+    /// The row's value is greater.
+    Greater,
+    /// The row's text contains the value.
+    Contains,
+}
+
+/// A condition on a column.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Condition {
+    /// The column.
+    pub column: String,
+    /// The comparison.
+    pub operator: Operator,
+    /// The value to compare with.
+    pub value: String,
+}
+
+/// A list with conditions, an order and a limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Show {
+    /// One of [`KINDS`].
+    pub kind: String,
+    /// All must hold.
+    pub conditions: Vec<Condition>,
+    /// The column to sort by, and whether the greatest comes first.
+    pub order: Option<(String, bool)>,
+    /// The most rows.
+    pub limit: Option<usize>,
+}
+
+/// A question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Query {
+    /// Lists rows.
+    Show(Show),
+    /// Tells for each endpoint why it may run an organisation's request.
+    Explain {
+        /// The organisation.
+        organisation: String,
+        /// The adapter and version.
+        model: Model,
+    },
+    /// Reports the burn of the error budgets.
+    Burn,
+}
+
+/// Reads a question whose first word was `verb`.
+///
+/// # Errors
+///
+/// Returns the first mistake with its column.
+pub fn parse(verb: &str, line: &mut Line) -> Read<Query> {
+    match verb {
+        "show" => Ok(Query::Show(show(line)?)),
+        "explain" => {
+            let model = model(line)?;
+            line.keyword(&["for"])?;
+            let organisation = line.word("an organisation")?;
+            Ok(Query::Explain {
+                organisation,
+                model,
+            })
+        }
+        _ => {
+            line.keyword(&["burn"])?;
+            Ok(Query::Burn)
+        }
+    }
+}
+
+/// Reads `ADAPTER@VERSION`.
+///
+/// # Errors
+///
+/// Returns a finding if another form stands there.
+pub fn model(line: &mut Line) -> Read<Model> {
+    let expected = "ADAPTER@VERSION";
+    let word = line.word(expected)?;
+    let parts = word.rsplit_once('@');
+    let parsed = parts.and_then(|(adapter, version)| Some((adapter, version.parse().ok()?)));
+    let (adapter, version) = parsed.ok_or_else(|| line.wrong(expected))?;
+    Ok(Model::new(adapter, version))
+}
+
+fn show(line: &mut Line) -> Read<Show> {
+    let mut show = Show {
+        kind: line.keyword(&KINDS)?,
+        conditions: Vec::new(),
+        order: None,
+        limit: None,
+    };
+    while !line.is_done() {
+        match line.keyword(&["where", "and", "order", "limit"])?.as_str() {
+            "order" => {
+                line.keyword(&["by"])?;
+                let column = line.word("a column")?;
+                show.order = Some((column, line.skip("desc")));
+            }
+            "limit" => show.limit = Some(line.number_word()?),
+            _ => show.conditions.push(condition(line)?),
+        }
+    }
+    Ok(show)
+}
+
+fn condition(line: &mut Line) -> Read<Condition> {
+    let column = line.word("a column")?;
+    let operator = match line.keyword(&["=", "!=", "<", ">", "contains"])?.as_str() {
+        "=" => Operator::Equal,
+        "!=" => Operator::Unlike,
+        "<" => Operator::Less,
+        ">" => Operator::Greater,
+        _ => Operator::Contains,
+    };
+    let value = line.word("a value")?;
+    Ok(Condition {
+        column,
+        operator,
+        value,
+    })
+}
+
+/// Returns the rows that a list asks for, in its order.
+pub fn select(show: &Show, mut rows: Vec<Row>) -> Vec<Row> {
+    rows.retain(|row| {
+        show.conditions
+            .iter()
+            .all(|condition| holds(condition, row))
+    });
+    if let Some((column, descending)) = &show.order {
+        rows.sort_by(|a, b| {
+            let order = compare(&text(a.get(column)), &text(b.get(column)));
+            if *descending { order.reverse() } else { order }
+        });
+    }
+    rows.truncate(show.limit.unwrap_or(usize::MAX));
+    rows
+}
+
+fn holds(condition: &Condition, row: &Row) -> bool {
+    let found = text(row.get(&condition.column));
+    let order = compare(&found, &condition.value);
+    match condition.operator {
+        Operator::Equal => order == Ordering::Equal,
+        Operator::Unlike => order != Ordering::Equal,
+        Operator::Less => order == Ordering::Less,
+        Operator::Greater => order == Ordering::Greater,
+        Operator::Contains => found.contains(&condition.value),
+    }
+}
+
+/// Compares as numbers where both are, and as text elsewhere.
+fn compare(a: &str, b: &str) -> Ordering {
+    match (a.parse::<f64>(), b.parse::<f64>()) {
+        (Ok(a), Ok(b)) => a.total_cmp(&b),
+        _ => a.cmp(b),
+    }
+}
+
+/// Returns a value as people read it.
+pub fn text(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(list)) => {
+            let parts: Vec<String> = list.iter().map(|value| text(Some(value))).collect();
+            parts.join(",")
+        }
+        Some(other) => other.to_string(),
+    }
+}
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -234,6 +234,54 @@
     assert_eq!(actions, [Action::Unload(old)]);
 }
 
+#[test]
+fn takeover_idle_but_unreported_evicts_nothing() {
+    let now = Duration::from_secs(100);
+    let lag = Duration::from_secs(5);
+    let old = Name {
+        model: Model::new("old", 1),
+        fence: 3,
+    };
+    let one = Spec { slots: 1, ..spec() };
+    let mut owner = Owner::new(one, FENCE, BTreeSet::from(["m#1".to_string()]));
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&old));
+    owner.ask(now, Authority::Full, ask(1, 5, now, false));
+    let later = now + lag;
+    owner.idle(later, Authority::Full, &BTreeSet::new(), lag);
+    let wanted = Model::new("x5", 1);
+    // A grant that was just given may not have reached the engine yet.
+    assert!(owner.permit(later, Authority::Full, &wanted).is_empty());
+    owner.forget(later, "m#1");
+    assert_eq!(
+        owner.permit(later, Authority::Full, &wanted),
+        [Action::Unload(old)]
+    );
+}
+
+#[test]
+fn takeover_engine_still_running_evicts_nothing() {
+    let now = Duration::from_secs(100);
+    let lag = Duration::from_secs(5);
+    let old = Name {
+        model: Model::new("old", 1),
+        fence: 3,
+    };
+    let one = Spec { slots: 1, ..spec() };
+    // The entry that holds the grant is dead or suspended, so nobody reports it.
+    let mut owner = Owner::new(one, FENCE, BTreeSet::new());
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&old));
+    owner.ask(now, Authority::Full, ask(1, 5, now, false));
+    let wanted = Model::new("x5", 1);
+    let running = BTreeSet::from([old.clone()]);
+    owner.idle(now + lag, Authority::Full, &running, lag);
+    assert!(owner.permit(now + lag, Authority::Full, &wanted).is_empty());
+    owner.idle(now + lag, Authority::Full, &BTreeSet::new(), lag);
+    assert_eq!(
+        owner.permit(now + lag, Authority::Full, &wanted),
+        [Action::Unload(old)]
+    );
+}
+
 #[test]
 fn takeover_unfenced_paused_predecessor_slot_not_used() {
     let now = Duration::from_secs(100);
--- /dev/null
+++ b/crates/endivespur_core/tests/statements.rs
@@ -0,0 +1,169 @@
+//! Operators' statements: reading, planning, and selecting rows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use endivespur_core::burn::{Burn, Objective, Target};
+use endivespur_core::command::{Statement, Verb, parse, plan};
+use endivespur_core::config::{Change, Entry, Snapshot};
+use endivespur_core::query::{Query, Row, select};
+use serde_json::json;
+
+fn snapshot() -> Snapshot {
+    let mut config = Snapshot::default();
+    let objects = [
+        ("organisation/o", json!({ "place": { "region": "r" } })),
+        ("service/s", json!({ "class": "draft" })),
+        (
+            "endpoint/e1",
+            json!({ "kind": "engine", "service": "s", "address": "127.0.0.1:1", "region": "r",
+                    "zone": "z1", "slots": 4, "batch": 4 }),
+        ),
+        (
+            "adapter/hymns",
+            json!({ "base": "b", "service": "s", "organisations": ["o"],
+                    "versions": { "1": "active", "2": "retired" },
+                    "place": { "region": "r", "zones": ["z1"] } }),
+        ),
+    ];
+    for (index, (key, value)) in objects.into_iter().enumerate() {
+        config.apply(Entry {
+            key: key.to_string(),
+            revision: index as u64 + 10,
+            value: Some(value.to_string()),
+        });
+    }
+    assert!(config.findings.is_empty(), "{:?}", config.findings);
+    config
+}
+
+fn planned(line: &str) -> Result<endivespur_core::command::Plan, Vec<String>> {
+    let Ok(Statement::Command(command)) = parse(1, line) else {
+        panic!("no command: {line}");
+    };
+    plan(&snapshot(), &command, Change::default())
+}
+
+#[test]
+fn parse_mistakes_name_column_and_expected() {
+    let mistake = |line| parse(3, line).expect_err("a mistake").to_string();
+    assert_eq!(
+        mistake("show adapters wher x = 1"),
+        "3:15: expected where or and or order or limit"
+    );
+    assert_eq!(mistake("retire hymns"), "3:8: expected ADAPTER@VERSION");
+    assert_eq!(mistake("pin hymns on"), "3:13: expected an endpoint");
+    assert_eq!(mistake("drain e1 now"), "3:10: expected if or because");
+}
+
+#[test]
+fn parse_command_with_conditions() {
+    let parsed = parse(1, "drain e1 if revision 7 because \"new disk\"");
+    let Ok(Statement::Command(command)) = parsed else {
+        panic!("{parsed:?}");
+    };
+    assert_eq!(command.verb, Verb::Drain("e1".to_string(), true));
+    assert_eq!(
+        (command.revision, command.reason.as_str()),
+        (Some(7), "new disk")
+    );
+}
+
+#[test]
+fn plan_repeated_command_harmless() {
+    assert!(
+        planned("add version hymns@1")
+            .expect("planned")
+            .is_harmless()
+    );
+    assert!(
+        !planned("add version hymns@3")
+            .expect("planned")
+            .is_harmless()
+    );
+    assert!(planned("undrain e1").expect("planned").is_harmless());
+}
+
+#[test]
+fn plan_findings_together() {
+    let findings =
+        planned("create adapter x! base b service t for o,p in r/z1,z9").expect_err("findings");
+    assert_eq!(
+        findings,
+        [
+            "\"x!\" is no name: letters, digits, '-', '_' and '.'",
+            "there is no organisation p",
+            "there is no service t",
+            "no endpoint lies in zone z9",
+        ]
+    );
+}
+
+#[test]
+fn plan_retired_version_never_back() {
+    let findings = planned("add version hymns@2").expect_err("findings");
+    assert_eq!(
+        findings,
+        ["hymns@2 was retired, and a version never comes back"]
+    );
+}
+
+#[test]
+fn plan_other_revision_refused() {
+    let findings = planned("retire hymns@1 if revision 12").expect_err("findings");
+    assert_eq!(findings, ["adapter/hymns has revision 13, not 12"]);
+    let plan = planned("retire hymns@1 if revision 13").expect("planned");
+    assert_eq!((plan.key.as_str(), plan.over), ("adapter/hymns", 13));
+}
+
+#[test]
+fn select_conditions_order_and_limit() {
+    let rows: Vec<Row> = [("a", 9), ("b", 10), ("c", 2), ("d", 11)]
+        .into_iter()
+        .filter_map(|(name, users)| json!({ "name": name, "users": users }).as_object().cloned())
+        .collect();
+    let line = "show slots where users > 2 and name != d order by users desc limit 1";
+    let Ok(Statement::Query(Query::Show(show))) = parse(1, line) else {
+        panic!("no question");
+    };
+    let names: Vec<String> = select(&show, rows)
+        .iter()
+        .map(|row| row["name"].to_string())
+        .collect();
+    assert_eq!(names, ["\"b\""]);
+}
+
+#[test]
+fn burn_merges_nodes_and_forgets_windows() {
+    let bounds = BTreeMap::from([(Objective::FirstToken, Duration::from_millis(1700))]);
+    let new = || Burn::new(Target::new(0.99, bounds.clone()), Duration::ZERO);
+    let (mut a, mut b) = (new(), new());
+    let at = Duration::from_hours(2);
+    for number in 0..100 {
+        a.served(at, "s", "o", number != 0);
+        b.served(at, "s", "o", number > 2);
+        let delay = Duration::from_millis(if number < 90 { 100 } else { 3000 });
+        b.delayed(at, "s", "o", Objective::FirstToken, delay);
+    }
+    let rows = a.merge(&[a.part(at), b.part(at)]);
+    let find = |objective| {
+        rows.iter()
+            .find(|row| row.key.objective == objective)
+            .expect("a row")
+    };
+    // 4 of 200 are bad where 1% may be; 10 of 100 where 5% may be.
+    assert!((find(Objective::Availability).burn[0] - 2.0).abs() < 1e-9);
+    assert!((find(Objective::FirstToken).burn[0] - 2.0).abs() < 1e-9);
+    assert!(
+        find(Objective::FirstToken)
+            .p95_ms
+            .is_some_and(|ms| (2900..3100).contains(&ms))
+    );
+    let later = at + Duration::from_mins(30);
+    let rows = a.merge(&[a.part(later), b.part(later)]);
+    let counts = &rows[0].counts;
+    assert_eq!(counts[0].all, 0, "forgotten after 5 minutes");
+    assert!(counts[1].all > 0, "kept for an hour");
+    let objectives: BTreeSet<Objective> = rows.iter().map(|row| row.key.objective).collect();
+    assert_eq!(objectives.len(), 2);
+}
--- a/crates/endivespur_dev/src/stand/mod.rs
+++ b/crates/endivespur_dev/src/stand/mod.rs
@@ -57,15 +57,9 @@
         .map_err(|error| http::refusal(StatusCode::BadRequest, &error.to_string()))
 }
 
-/// Makes an answer that breaks off after its head, as a lost connection does.
+/// Makes an answer that never comes, as after a lost connection.
 pub fn broken() -> Response {
-    let (sender, body) = endivespur_net::body::channel(1);
-    sender
-        .try_send(Err(std::io::ErrorKind::ConnectionReset.into()))
-        .ok();
-    let mut answer = Response::new(StatusCode::Ok);
-    answer.set_body(body);
-    answer
+    http::hang_up()
 }
 
 /// Returns the milliseconds since the Unix epoch.
--- /dev/null
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -0,0 +1,338 @@
+//! Daemons as separate processes: bad input, operators' statements, settings.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use endivespur_dev::process;
+use endivespur_dev::site::{Site, Spot};
+use http_types::Method;
+use serde_json::{Value, json};
+
+/// The longest wait for an owner of each endpoint.
+const OWNED: Duration = Duration::from_secs(20);
+
+fn site(name: &str) -> Site {
+    let spots = vec![
+        Spot::new("e1", "za"),
+        Spot::new("e2", "zb"),
+        Spot::plain("p1", "za", "orders"),
+    ];
+    let mut site = Site::start(name, &["za", "zb"], spots).expect("stand-ins");
+    site.organisation("o").expect("written");
+    site.organisation("stranger").expect("written");
+    site.adapter("hymns", "o", &[]).expect("written");
+    site.adapter("local", "o", &["zb"]).expect("written");
+    site.configure("service/hymnal", &json!({ "class": "draft" }))
+        .expect("written");
+    let routes = json!([{ "method": "POST", "path": "/confirm" }]);
+    site.configure(
+        "service/orders",
+        &json!({ "class": "order", "routes": routes }),
+    )
+    .expect("written");
+    site.daemon("a", "za").expect("started");
+    site.daemon("b", "zb").expect("started");
+    site.wait_owned(OWNED).expect("owned");
+    site
+}
+
+/// Sends raw bytes and returns all that comes back.
+fn raw(address: &str, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("connected");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .expect("set");
+    stream.write_all(bytes).ok();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok();
+    String::from_utf8_lossy(&answer).to_string()
+}
+
+#[test]
+fn callers_bad_input_clear_answers() {
+    let site = site("bad-input");
+    let address = site.daemons["a"].callers.clone();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nendivespur-organisation: o\r\n";
+    let twice = format!("{head}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n");
+    for bytes in ["garbage\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", &twice] {
+        let answer = raw(&address, bytes.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 400"), "{bytes:?}: {answer:?}");
+        assert!(answer.contains("not-run"), "{answer:?}");
+    }
+    let flood = raw(&address, &vec![b'x'; 4 << 20]);
+    assert!(
+        flood.is_empty() || flood.starts_with("HTTP/1.1 4"),
+        "{flood:?}"
+    );
+    let cases: [(&str, &str, Value, u16); 7] = [
+        ("o", "hymnal/nothing@1", json!({}), 404),
+        ("o", "hymnal/hymns@7", json!({}), 404),
+        ("o", "other/hymns@1", json!({}), 404),
+        ("o", "hymns", json!({}), 400),
+        ("nobody", "hymnal/hymns@1", json!({}), 401),
+        ("stranger", "hymnal/hymns@1", json!({}), 403),
+        ("o", "hymnal/local@1", json!({}), 421),
+    ];
+    for (organisation, model, options, status) in cases {
+        let answer = site.complete("a", organisation, model, &options);
+        assert_eq!(
+            (answer.status, answer.outcome()),
+            (status, "not-run"),
+            "{model}"
+        );
+        assert!(answer.text().contains("\"error\""), "{}", answer.text());
+    }
+    let large = json!({ "prompt": "x".repeat(2 << 20) });
+    assert_eq!(
+        site.complete("a", "o", "hymnal/hymns@1", &large).status,
+        413
+    );
+    let headers = [("endivespur-organisation", "o")];
+    let keyless = site.call(
+        "a",
+        Method::Post,
+        "/services/orders/confirm",
+        &headers,
+        Some(&json!({})),
+    );
+    assert_eq!((keyless.status, keyless.outcome()), (400, "not-run"));
+    let other = [("endivespur-organisation", "o"), ("idempotency-key", "k")];
+    let call = |value: &Value| {
+        site.call(
+            "a",
+            Method::Post,
+            "/services/orders/confirm",
+            &other,
+            Some(value),
+        )
+    };
+    assert_eq!(call(&json!({ "boards": 1 })).status, 200);
+    assert_eq!(
+        call(&json!({ "boards": 2 })).status,
+        422,
+        "the key belongs to another call"
+    );
+    assert_eq!(
+        site.complete("a", "o", "hymnal/hymns@1", &json!({})).status,
+        200
+    );
+}
+
+#[test]
+fn callers_slow_body_answered_and_others_served() {
+    let site = site("slow-body");
+    let address = site.daemons["a"].callers.clone();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nendivespur-organisation: o\r\ncontent-length: 900\r\n\r\n{";
+    let slow: Vec<TcpStream> = (0..200)
+        .filter_map(|_| {
+            let mut stream = TcpStream::connect(&address).ok()?;
+            stream.write_all(head.as_bytes()).ok()?;
+            Some(stream)
+        })
+        .collect();
+    let begun = Instant::now();
+    let answer = site.complete("a", "o", "hymnal/hymns@1", &json!({}));
+    assert_eq!(answer.status, 200);
+    assert!(begun.elapsed() < Duration::from_secs(5));
+    let mut first = slow.into_iter().next().expect("a connection");
+    first
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .expect("set");
+    let mut text = String::new();
+    first.read_to_string(&mut text).ok();
+    assert!(text.starts_with("HTTP/1.1 408"), "{text:?}");
+}
+
+#[test]
+fn models_only_own_adapters() {
+    let site = site("models");
+    let list = |organisation| {
+        let headers = [("endivespur-organisation", organisation)];
+        site.call("b", Method::Get, "/v1/models", &headers, None)
+    };
+    assert!(list("o").text().contains("hymnal/hymns@2"));
+    assert!(!list("stranger").text().contains("hymns"));
+}
+
+fn control(site: &Site, daemon: &str, arguments: &[&str]) -> (i32, String) {
+    let tool = process::build().expect("built").join("endivespurctl");
+    let output = Command::new(tool)
+        .args([
+            "--address",
+            &site.daemons[daemon].operators,
+            "--author",
+            "wanjiru",
+        ])
+        .args(arguments)
+        .output()
+        .expect("run");
+    let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+    (output.status.code().unwrap_or(-1), text.to_string())
+}
+
+#[test]
+fn operators_statements_take_effect_everywhere() {
+    let site = site("operators");
+    let (code, text) = control(
+        &site,
+        "a",
+        &["--wait", "drain", "e1", "because", "new disk"],
+    );
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("in force on 2 of 2 nodes"), "{text}");
+    let (_, text) = control(&site, "b", &["show endpoints where drained = true"]);
+    assert!(
+        text.contains("wanjiru") && text.contains("new disk"),
+        "{text}"
+    );
+    let (_, text) = control(&site, "b", &["explain", "hymns@1", "for", "o"]);
+    assert!(text.contains("leaving or drained"), "{text}");
+    let (code, text) = control(&site, "a", &["drain", "e1"]);
+    assert!(code == 0 && text.contains("already so"), "{text}");
+    let (code, text) = control(&site, "a", &["retire hymns@1 if revision 1"]);
+    assert!(code == 3 && text.contains("not 1"), "{text}");
+    let (code, text) = control(&site, "a", &["shw adapters"]);
+    assert!(code == 2 && text.contains("1:1: expected show"), "{text}");
+    let (code, text) = control(
+        &site,
+        "b",
+        &["--dry-run", "place adapter hymns in nairobi/za"],
+    );
+    assert!(code == 0 && text.contains("would change"), "{text}");
+    let (code, text) = control(&site, "b", &["--wait", "place adapter hymns in nairobi/zb"]);
+    assert_eq!(code, 0, "{text}");
+    let refused = site.complete("a", "o", "hymnal/hymns@1", &json!({}));
+    assert_eq!(
+        refused.status, 421,
+        "the entry's zone is no longer permitted"
+    );
+    let served = site.complete("b", "o", "hymnal/hymns@1", &json!({}));
+    assert_eq!(
+        (served.status, served.header("endivespur-endpoint")),
+        (200, "e2")
+    );
+    let (_, text) = control(&site, "a", &["report", "burn"]);
+    assert!(
+        text.contains("availability") && text.contains("load-stall"),
+        "{text}"
+    );
+    let (_, text) = control(&site, "a", &["--output", "json", "show nodes"]);
+    let rows: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(rows["results"][0]["rows"].as_array().map(Vec::len), Some(2));
+}
+
+#[test]
+fn operators_race_one_accepted() {
+    let site = site("race");
+    let (a, b) = std::thread::scope(|scope| {
+        let a = scope.spawn(|| {
+            control(
+                &site,
+                "a",
+                &["place adapter hymns in nairobi/za because first"],
+            )
+        });
+        let b = scope.spawn(|| {
+            control(
+                &site,
+                "b",
+                &["place adapter hymns in nairobi/zb because second"],
+            )
+        });
+        (a.join().expect("joined"), b.join().expect("joined"))
+    });
+    // Both may be accepted one after the other; never does one vanish without a word.
+    let lost = [&a, &b].iter().filter(|(code, _)| *code == 3).count();
+    assert!(lost <= 1, "{a:?} {b:?}");
+    for (code, text) in [&a, &b] {
+        assert!(
+            *code == 0 || text.contains("lost against wanjiru"),
+            "{text}"
+        );
+    }
+    let (_, text) = control(
+        &site,
+        "a",
+        &["--output", "json", "show rules where name = hymns"],
+    );
+    let accepted = if a.0 == 3 { "zb" } else { "za" };
+    assert!(lost == 0 || text.contains(accepted), "{text}");
+}
+
+fn check(settings: &Value) -> (i32, String) {
+    let bin = process::build().expect("built");
+    let path = std::env::temp_dir().join(format!(
+        "endivespur-{}-{:p}.json",
+        std::process::id(),
+        settings
+    ));
+    std::fs::write(&path, settings.to_string()).expect("written");
+    let output = Command::new(bin.join("endivespurd"))
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("run");
+    std::fs::remove_file(&path).ok();
+    (
+        output.status.code().unwrap_or(-1),
+        String::from_utf8_lossy(&output.stderr).to_string(),
+    )
+}
+
+#[test]
+fn settings_findings_together() {
+    let settings = json!({
+        "vm": "a", "region": "r", "zone": "nowhere", "zones": ["za"], "colour": "red",
+        "listen": { "callers": "0.0.0.0:0", "operators": "127.0.0.1:0" },
+        "store": { "address": "127.0.0.1:2379", "timeout": "5 parsecs" },
+        "lease": { "ttl": "3s", "renew": "2s" },
+        "limits": { "body": "12" },
+    });
+    let (code, text) = check(&settings);
+    assert_eq!(code, 2);
+    let wanted = [
+        "colour: unknown field",
+        "listen: missing field `nodes`",
+        "store.timeout: \"5 parsecs\" is no duration",
+        "limits.body: \"12\" lacks a unit",
+        "zone: \"nowhere\" is not one of zones",
+        "lease.renew: must be at most half of lease.ttl",
+        "listen.callers: 0.0.0.0:0 is no loopback address and tokens.callers is not set",
+    ];
+    for finding in wanted {
+        assert!(text.contains(finding), "{finding} is missing in:\n{text}");
+    }
+    assert!(text.contains("7 findings"), "{text}");
+}
+
+#[test]
+fn settings_address_in_use_found_at_start() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = taken.local_addr().expect("address").to_string();
+    let settings = json!({
+        "vm": "a", "region": "r", "zone": "za", "zones": ["za"],
+        "listen": { "callers": address, "operators": address, "nodes": "127.0.0.1:0" },
+        "store": { "address": "127.0.0.1:2379" },
+        "tokens": { "operators": { "env": "ENDIVESPUR_NO_SUCH_VARIABLE" } },
+    });
+    let bin = process::build().expect("built");
+    let path = std::env::temp_dir().join(format!("endivespur-in-use-{}.json", std::process::id()));
+    std::fs::write(&path, settings.to_string()).expect("written");
+    let output = Command::new(bin.join("endivespurd"))
+        .arg("--settings")
+        .arg(&path)
+        .output()
+        .expect("run");
+    std::fs::remove_file(&path).ok();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for place in [
+        "listen.callers: ",
+        "listen.operators: ",
+        "tokens.operators: ",
+    ] {
+        assert!(text.contains(place), "{place} is missing in:\n{text}");
+    }
+}
--- a/crates/endivespur_net/src/http.rs
+++ b/crates/endivespur_net/src/http.rs
@@ -17,6 +17,11 @@
 /// Bytes beside the body: the head, chunk marks, and the reader's look-ahead.
 const HEAD_BYTES: usize = 16 << 10;
 
+/// Bytes that are read and dropped after a refusal.
+const LINGER_BYTES: usize = 8 << 20;
+/// The time for which they are.
+const LINGER: Duration = Duration::from_secs(2);
+
 /// Bounds on the connections of a server.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -97,6 +102,7 @@
                 refusal(StatusCode::BadRequest, &error.to_string())
             };
             write(stream, answer, http_types::Method::Get, limits).await;
+            linger(stream).await;
             return false;
         }
     };
@@ -111,8 +117,32 @@
     let Some(answer) = answered.or(gone).await else {
         return false;
     };
+    if answer.ext().get::<HangUp>().is_some() {
+        return false;
+    }
     let unread = had_body && answer.status().is_client_error();
-    write(stream, answer, method, limits).await && !close && !unread
+    let whole = write(stream, answer, method, limits).await;
+    if whole && unread {
+        linger(stream).await;
+    }
+    whole && !close && !unread
+}
+
+/// Reads and drops what the caller still sends, since closing at once would reset the
+/// connection before the caller has read the answer.
+async fn linger(stream: &Stream) {
+    use futures_util::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = stream.clone();
+    stream.allow(LINGER_BYTES);
+    stream.close().await.ok();
+    let drained = async {
+        let mut buffer = vec![0; 16 << 10];
+        while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+    };
+    let late = async {
+        smol::Timer::after(LINGER).await;
+    };
+    drained.or(late).await;
 }
 
 fn wants_close(request: &Request) -> bool {
@@ -154,6 +184,16 @@
     }
 }
 
+/// Marks an answer that is never written.
+struct HangUp;
+
+/// Makes an answer that is never written: the connection is closed without a head.
+pub fn hang_up() -> Response {
+    let mut answer = Response::new(StatusCode::Ok);
+    answer.ext_mut().insert(HangUp);
+    answer
+}
+
 /// Makes a refusal in the shape of `OpenAI`'s errors, marked as not run.
 pub fn refusal(status: StatusCode, message: &str) -> Response {
     let body = serde_json::json!({
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_core::burn::Objective;
+use endivespur_core::config::Class;
 use endivespur_core::id::Model;
 use endivespur_core::order::Answer;
 use endivespur_core::route;
@@ -101,16 +103,18 @@
         model: Some(model),
         place: caller.place.clone(),
     };
-    let class = {
+    let (service, class) = {
         let config = node.config.borrow();
         let service = route::check(&config, &request)?;
         let offer = config.services.get(&service);
-        offer.map_or(endivespur_core::config::Class::Draft, |offer| offer.class)
+        let class = offer.map_or(Class::Draft, |offer| offer.class);
+        (service, class)
     };
     let now = clock::now();
     let job = Job {
         id: caller.id.clone(),
         request,
+        service,
         class,
         cost: (bytes.len() / TOKEN_BYTES) as u32 + tokens.min(1 << 20) as u32,
         since: now,
@@ -355,6 +359,13 @@
     let mut reader = sse::Reader::new(response.take_body());
     let first = next(&mut reader, wait).await.map_err(Miss::Lost)?;
     let since = clock::now().saturating_sub(completion.job.since);
+    let job = &completion.job;
+    node.delayed(
+        &job.service,
+        &job.request.organisation,
+        Objective::FirstToken,
+        since,
+    );
     metrics::histogram!("endivespur_first_token_seconds").record(since.as_secs_f64());
     let (sender, body) = body::channel(PIECES);
     let mut streamed = Response::new(status);
@@ -380,8 +391,12 @@
     let id = completion.job.id.clone();
     let print = completion.print;
     let alone = completion.job.alone;
+    let service = completion.job.service.clone();
+    let organisation = completion.job.request.organisation.clone();
     async move {
         let mut event = stream.first.clone();
+        let begun = clock::now();
+        let mut events = 0;
         let failed = loop {
             let bytes = sse::event(&rename(&event, &model));
             if stream.sender.send(Ok(bytes)).await.is_err() {
@@ -391,11 +406,16 @@
             if event == "[DONE]" {
                 break None;
             }
+            events += 1;
             match next(&mut stream.reader, node.settings.waiting.token).await {
                 Ok(next) => event = next,
                 Err(message) => break Some(message),
             }
         };
+        if events > 1 {
+            let gap = clock::now().saturating_sub(begun) / (events - 1);
+            node.delayed(&service, &organisation, Objective::BetweenTokens, gap);
+        }
         note_run(&node, (print, alone), &permit, attempt, failed.is_none()).await;
         let Some(message) = failed else { return };
         warn!("entry: {id}: the stream broke: {message}");
--- a/crates/endivespur_node/src/dispatch.rs
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use endivespur_core::acquire::{Search, Step};
+use endivespur_core::burn::Objective;
 use endivespur_core::clock::Time;
 use endivespur_core::config::{Class, Kind};
-use endivespur_core::id::{Endpoint, Fence};
+use endivespur_core::id::{Endpoint, Fence, Service};
 use endivespur_core::lease::Authority;
 use endivespur_core::owner::{Grant, Refusal};
 use endivespur_core::queue::Ask;
@@ -31,6 +32,8 @@
     pub id: String,
     /// What the request names.
     pub request: route::Request,
+    /// The service that runs it.
+    pub service: Service,
     /// The class.
     pub class: Class,
     /// The expected tokens.
@@ -112,6 +115,20 @@
 ///
 /// Returns the final refusal; the request did not run.
 pub async fn acquire(node: &Rc<Node>, job: &Job) -> Result<Permit, Failure> {
+    let asked = clock::now();
+    let result = search(node, job).await;
+    let waited = clock::now().saturating_sub(asked);
+    node.delayed(
+        &job.service,
+        &job.request.organisation,
+        Objective::LoadStall,
+        waited,
+    );
+    metrics::histogram!("endivespur_grant_wait_seconds").record(waited.as_secs_f64());
+    result
+}
+
+async fn search(node: &Rc<Node>, job: &Job) -> Result<Permit, Failure> {
     loop {
         let mut search = Search::new(candidates(node, job)?, job.deadline);
         let pause = loop {
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -51,6 +51,11 @@
     }
     let since = clock::now();
     let id = format!("{}-{}", node.process().replace('#', "-"), node.ticket());
+    let service = service_of(&path);
+    let named = header(&request, "endivespur-organisation");
+    let organisation = node
+        .guard
+        .caller(bearer(&request).as_deref(), named.as_deref());
     let mut response = match route(&node, request, &path, &id).await {
         Ok(response) => response,
         Err(failure) => failure.answer(),
@@ -60,6 +65,11 @@
     if node.stopping.get() {
         response.insert_header("connection", "close");
     }
+    if let (Some(service), Some(organisation)) = (service, organisation) {
+        let good = !response.status().is_server_error();
+        let mut burn = node.burn.borrow_mut();
+        burn.served(clock::now(), &service, &organisation, good);
+    }
     let outcome = header_of(&response, "endivespur-outcome");
     let took = clock::now().saturating_sub(since);
     info!(
@@ -72,6 +82,14 @@
     response
 }
 
+/// Returns the service under which a path counts towards availability.
+fn service_of(path: &str) -> Option<String> {
+    if let Some(rest) = path.strip_prefix("/services/") {
+        return rest.split('/').next().map(ToString::to_string);
+    }
+    matches!(path, "/v1/completions" | "/v1/chat/completions").then(|| "completions".to_string())
+}
+
 fn header_of(response: &Response, name: &str) -> String {
     response
         .header(name)
--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -16,6 +16,7 @@
 mod operator;
 mod peer;
 mod plain;
+mod rows;
 mod rpc;
 pub mod settings;
 mod start;
--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_core::burn::{Burn, Objective};
 use endivespur_core::clock::Time;
 use endivespur_core::config::Snapshot;
 use endivespur_core::id::{Endpoint, Fence, Grant, Organisation, Process, Vm};
@@ -89,6 +90,8 @@
     pub tickets: Cell<u64>,
     /// Renders the metrics.
     pub metrics: metrics_exporter_prometheus::PrometheusHandle,
+    /// The counts against the service-level objectives.
+    pub burn: RefCell<Burn>,
     /// The secrets.
     pub guard: crate::guard::Guard,
 }
@@ -152,6 +155,18 @@
         change(budget)
     }
 
+    /// Counts a delay of an organisation's request against its objective.
+    pub fn delayed(
+        &self,
+        service: &str,
+        organisation: &str,
+        objective: Objective,
+        delay: Duration,
+    ) {
+        let mut burn = self.burn.borrow_mut();
+        burn.delayed(clock::now(), service, organisation, objective, delay);
+    }
+
     /// Runs a task on the daemon's thread.
     pub fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
         self.executor.spawn(task).detach();
--- a/crates/endivespur_node/src/operator.rs
+++ b/crates/endivespur_node/src/operator.rs
@@ -1,57 +1,342 @@
 //! The operators' side: questions, commands and metrics.
 
-use endivespur_net::http;
-use http_types::{Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::burn::Part;
+use endivespur_core::command::{self, Command, Plan, Statement};
+use endivespur_core::config::{Change, PREFIX};
+use endivespur_core::query::{Query, Row, Show, select};
+use endivespur_core::route;
+use endivespur_net::store::{Outcome, Pair, Write};
+use endivespur_net::{body, http};
+use futures_util::future::join_all;
+use http_types::{Method, Request, Response, StatusCode};
+use log::info;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use crate::clock;
 use crate::entry::bearer;
-use crate::node::Node;
+use crate::node::{Node, sleep};
+use crate::peer;
+use crate::rows;
+use crate::sync;
+
+/// The largest statement.
+const STATEMENT_BYTES: usize = 64 << 10;
+/// The reads with which a lost answer of the store is settled.
+const READ_BACKS: u32 = 5;
+
+/// A statement as the command-line tool sends it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Call {
+    /// One statement a line.
+    text: String,
+    /// The operator's name, kept with each change.
+    #[serde(default)]
+    author: String,
+    /// Whether commands are only planned.
+    #[serde(default)]
+    dry_run: bool,
+}
+
+/// What a statement led to.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "result")]
+enum Effect {
+    /// The rows of a list, and the nodes that did not answer.
+    Rows { rows: Vec<Row>, silent: Vec<String> },
+    /// A change that the store has accepted, or that was not needed.
+    Accepted {
+        key: String,
+        revision: u64,
+        changed: bool,
+    },
+    /// A change that would be made.
+    Planned {
+        key: String,
+        before: Value,
+        after: Value,
+    },
+    /// A command that was refused.
+    Refused { findings: Vec<String> },
+    /// A command that lost against another one.
+    Lost {
+        key: String,
+        revision: u64,
+        winner: Value,
+    },
+    /// The store did not say whether it took the change.
+    Unknown { key: String },
+}
 
 /// Answers an operator's request.
-pub fn answer(node: &Node, request: &Request) -> Response {
-    if !node.guard.is_operator(bearer(request).as_deref()) {
+pub async fn answer(node: Rc<Node>, mut request: Request) -> Response {
+    if !node.guard.is_operator(bearer(&request).as_deref()) {
         return http::refusal(StatusCode::Unauthorized, "wrong token");
     }
-    match request.url().path() {
-        "/metrics" => {
+    let path = request.url().path().to_string();
+    match (request.method(), path.as_str()) {
+        (Method::Get, "/metrics") => {
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(node.metrics.render());
             response.insert_header("content-type", "text/plain; version=0.0.4");
             response
         }
-        "/state" => http::json(StatusCode::Ok, &local(node, "state")),
+        (Method::Get, "/state") => http::json(StatusCode::Ok, &rows::state(&node)),
+        (Method::Get, "/in-force") => {
+            let wanted = request
+                .url()
+                .query_pairs()
+                .find(|(name, _)| name == "revision");
+            let wanted = wanted
+                .and_then(|(_, value)| value.parse().ok())
+                .unwrap_or(0);
+            http::json(StatusCode::Ok, &in_force(&node, wanted).await)
+        }
+        (Method::Post, "/statements") => match read(&mut request).await {
+            Ok(call) => statements(&node, &call).await,
+            Err(message) => http::refusal(StatusCode::BadRequest, &message),
+        },
         _ => http::refusal(StatusCode::NotFound, "unknown path"),
     }
 }
 
-/// Answers this node's part of a question.
-pub fn local(node: &Node, _line: &str) -> Value {
-    let hosts = node.hosts.borrow();
-    let owned: Vec<Value> = hosts
+async fn read(request: &mut Request) -> Result<Call, String> {
+    let mut content = request.take_body();
+    let bytes = body::read(&mut content, STATEMENT_BYTES)
+        .await
+        .map_err(|error| error.to_string())?;
+    serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+}
+
+/// Runs the statements of a text, unless one of its lines holds a mistake.
+async fn statements(node: &Rc<Node>, call: &Call) -> Response {
+    let mut findings = Vec::new();
+    let mut statements = Vec::new();
+    for (index, line) in call.text.lines().enumerate() {
+        if line
+            .split('#')
+            .next()
+            .is_none_or(|text| text.trim().is_empty())
+        {
+            continue;
+        }
+        match command::parse(index + 1, line) {
+            Ok(statement) => statements.push(statement),
+            Err(finding) => findings.push(finding),
+        }
+    }
+    if !findings.is_empty() {
+        return http::json(
+            StatusCode::UnprocessableEntity,
+            &json!({ "findings": findings }),
+        );
+    }
+    let mut results = Vec::new();
+    for statement in statements {
+        let result = match statement {
+            Statement::Query(query) => ask(node, &query).await,
+            Statement::Command(command) => perform(node, call, &command).await,
+        };
+        results.push(result);
+    }
+    http::json(StatusCode::Ok, &json!({ "results": results }))
+}
+
+async fn ask(node: &Rc<Node>, query: &Query) -> Effect {
+    match query {
+        Query::Show(show) => list(node, show).await,
+        Query::Burn => burn(node).await,
+        Query::Explain {
+            organisation,
+            model,
+        } => {
+            let request = route::Request {
+                organisation: organisation.clone(),
+                base: None,
+                service: None,
+                model: Some(model.clone()),
+                place: None,
+            };
+            let (slots, silent) = gather(node, "slots").await;
+            match rows::explain(node, &request, &slots) {
+                Ok(rows) => Effect::Rows { rows, silent },
+                Err(denial) => Effect::Refused {
+                    findings: vec![json!(denial).as_str().unwrap_or_default().to_string()],
+                },
+            }
+        }
+    }
+}
+
+async fn list(node: &Rc<Node>, show: &Show) -> Effect {
+    let (rows, silent) = match rows::configured(node, &show.kind) {
+        Some(rows) => (rows, Vec::new()),
+        None => gather(node, &show.kind).await,
+    };
+    Effect::Rows {
+        rows: select(show, rows),
+        silent,
+    }
+}
+
+/// Gathers the rows that each node knows, and the nodes that did not answer.
+async fn gather(node: &Rc<Node>, kind: &str) -> (Vec<Row>, Vec<String>) {
+    let mut rows = Vec::new();
+    let mut silent = Vec::new();
+    for (vm, answer) in ask_all(node, kind).await {
+        match answer.and_then(|text| serde_json::from_str::<Vec<Row>>(&text).ok()) {
+            Some(part) => rows.extend(part),
+            None => silent.push(vm),
+        }
+    }
+    (rows, silent)
+}
+
+/// Asks each live node, this one included.
+async fn ask_all(node: &Rc<Node>, line: &str) -> Vec<(String, Option<String>)> {
+    let nodes: Vec<(String, String)> = node
+        .table
+        .borrow()
+        .nodes()
+        .map(|(vm, record)| (vm.clone(), record.address.clone()))
+        .collect();
+    let calls = nodes.into_iter().map(|(vm, address)| async move {
+        if vm == node.settings.vm {
+            return (vm, Some(local(node, line).to_string()));
+        }
+        let answer = peer::query(node, &address, line).await.ok();
+        (vm, answer)
+    });
+    join_all(calls).await
+}
+
+/// Returns this node's part of an answer.
+pub fn local(node: &Node, line: &str) -> Value {
+    match line {
+        "revision" => json!(node.config.borrow().revision),
+        "burn" => json!(node.burn.borrow().part(clock::now())),
+        kind => json!(rows::own(node, kind)),
+    }
+}
+
+async fn burn(node: &Rc<Node>) -> Effect {
+    let mut parts: Vec<Part> = Vec::new();
+    let mut silent = Vec::new();
+    for (vm, answer) in ask_all(node, "burn").await {
+        match answer.and_then(|text| serde_json::from_str(&text).ok()) {
+            Some(part) => parts.push(part),
+            None => silent.push(vm),
+        }
+    }
+    let merged = node.burn.borrow().merge(&parts);
+    let remembers = parts.iter().map(|part| part.remembers).min().unwrap_or(0);
+    let rows = merged
+        .iter()
+        .map(|row| rows::burn(row, remembers))
+        .collect();
+    Effect::Rows { rows, silent }
+}
+
+/// Tells on how many nodes a revision is in force.
+async fn in_force(node: &Rc<Node>, wanted: u64) -> Value {
+    let answers = ask_all(node, "revision").await;
+    let of = answers.len();
+    let reached = |answer: &Option<String>| {
+        let revision = answer.as_ref().and_then(|text| text.parse::<u64>().ok());
+        revision.is_some_and(|revision| revision >= wanted)
+    };
+    let missing: Vec<&String> = answers
         .iter()
-        .map(|(name, host)| {
-            let slots: Vec<Value> = host
-                .owner
-                .slots()
-                .iter()
-                .map(|(name, slot)| json!({ "name": name.to_string(), "phase": slot.phase, "users": slot.users }))
-                .collect();
-            json!({
-                "endpoint": name,
-                "fence": host.owner.fence(),
-                "running": host.owner.held().len(),
-                "waiting": host.owner.waiting(),
-                "open": host.owner.is_open(),
-                "slots": slots,
-            })
-        })
+        .filter(|(_, answer)| !reached(answer))
+        .map(|(vm, _)| vm)
         .collect();
-    json!({
-        "vm": node.settings.vm,
-        "zone": node.settings.zone,
-        "incarnation": node.incarnation.get(),
-        "revision": node.config.borrow().revision,
-        "owned": owned,
-        "held": node.held.borrow().len(),
-    })
+    json!({ "in_force": of - missing.len(), "of": of, "missing": missing })
+}
+
+/// Plans a command and writes it over the revision it was planned against.
+async fn perform(node: &Rc<Node>, call: &Call, command: &Command) -> Effect {
+    let change = Change {
+        author: call.author.clone(),
+        at: clock::unix_seconds(),
+        reason: command.reason.clone(),
+    };
+    let planned = command::plan(&node.config.borrow(), command, change);
+    let plan = match planned {
+        Ok(plan) => plan,
+        Err(findings) => return Effect::Refused { findings },
+    };
+    if call.dry_run {
+        return Effect::Planned {
+            key: plan.key,
+            before: plan.before.unwrap_or(Value::Null),
+            after: plan.after,
+        };
+    }
+    if plan.is_harmless() {
+        return Effect::Accepted {
+            key: plan.key,
+            revision: plan.over,
+            changed: false,
+        };
+    }
+    write(node, plan).await
+}
+
+async fn write(node: &Rc<Node>, plan: Plan) -> Effect {
+    let key = format!("{PREFIX}{}", plan.key);
+    let text = plan.after.to_string();
+    let write = Write::new(&key, &text).with_over(plan.over);
+    let found = match node.store.write_one(write).await {
+        Ok(Outcome::Written(revision)) => Some(Pair {
+            key: key.clone(),
+            value: Some(text.clone()),
+            revision,
+        }),
+        Ok(Outcome::Conflict(found)) => found,
+        Err(_) => match read_back(node, &key).await {
+            Some(found) => found,
+            None => return Effect::Unknown { key: plan.key },
+        },
+    };
+    let Some(pair) = found else {
+        return Effect::Lost {
+            key: plan.key,
+            revision: 0,
+            winner: Value::Null,
+        };
+    };
+    let revision = pair.revision;
+    let value = pair.value.clone().unwrap_or_default();
+    sync::apply(node, pair);
+    crate::adopt::reconcile(node);
+    if value == text {
+        info!("config: {} is accepted at revision {revision}", plan.key);
+        return Effect::Accepted {
+            key: plan.key,
+            revision,
+            changed: true,
+        };
+    }
+    let found: Value = serde_json::from_str(&value).unwrap_or(Value::Null);
+    Effect::Lost {
+        key: plan.key,
+        revision,
+        winner: found["change"].clone(),
+    }
+}
+
+/// Reads a key until the store answers; nothing if it does not.
+#[allow(clippy::option_option)]
+async fn read_back(node: &Node, key: &str) -> Option<Option<Pair>> {
+    for _ in 0..READ_BACKS {
+        if let Ok(found) = node.store.get(key).await {
+            return Some(found);
+        }
+        sleep(Duration::from_millis(500)).await;
+    }
+    None
 }
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -450,6 +450,19 @@
     .await
 }
 
+/// Asks a node the operators' question and returns its part of the answer as JSON.
+pub async fn query(node: &Rc<Node>, address: &str, line: &str) -> Result<String, Failure> {
+    call(node, address, CALL_TIMEOUT, |client| {
+        let mut request = client.query_request();
+        request.get().set_line(line);
+        async move {
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_result()?.to_string()?)
+        }
+    })
+    .await
+}
+
 /// Marks a grant as held by this entry, unless a newer owner is known.
 pub fn take(node: &Node, endpoint: &str, grant: &Grant) -> bool {
     let newest = node.fences.borrow().get(endpoint).copied().unwrap_or(0);
--- a/crates/endivespur_node/src/plain.rs
+++ b/crates/endivespur_node/src/plain.rs
@@ -67,6 +67,7 @@
             model: None,
             place: caller.place.clone(),
         },
+        service: service.to_string(),
         class,
         cost: COST_TOKENS,
         since: now,
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use endivespur_core::burn::{Burn, Objective, Target};
 use endivespur_core::config::Snapshot;
 use endivespur_core::id::Endpoint;
 use endivespur_core::lease::Lease;
@@ -171,10 +172,21 @@
         tickets: Cell::new(1),
         metrics,
         guard,
+        burn: RefCell::new(Burn::new(target(&settings), clock::now())),
         settings,
     }
 }
 
+fn target(settings: &Settings) -> Target {
+    let objectives = &settings.objectives;
+    let bounds = BTreeMap::from([
+        (Objective::FirstToken, objectives.first_token),
+        (Objective::BetweenTokens, objectives.between_tokens),
+        (Objective::LoadStall, objectives.load_stall),
+    ]);
+    Target::new(objectives.availability, bounds)
+}
+
 fn spawn(node: &Rc<Node>, listeners: Listeners) {
     let limits = http::Limits {
         connections: node.settings.limits.connections,
@@ -185,10 +197,7 @@
     let callers = node.clone();
     let callers = http::handler(move |request| entry::answer(callers.clone(), request));
     let operators = node.clone();
-    let operators = http::handler(move |request| {
-        let node = operators.clone();
-        async move { operator::answer(&node, &request) }
-    });
+    let operators = http::handler(move |request| operator::answer(operators.clone(), request));
     let executor = node.executor.clone();
     node.spawn(http::serve(
         executor.clone(),
--- a/crates/endivespur_scenario/src/lib.rs
+++ b/crates/endivespur_scenario/src/lib.rs
@@ -4,34 +4,13 @@
 //! site, lines that start with `at` are steps, and lines that start with `expect` say
 //! what must hold at the end.
 
-mod line;
 mod parse;
 
+pub use endivespur_core::line::Finding;
 pub use parse::parse;
 
 use std::time::Duration;
 
-/// A mistake in a scenario file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Finding {
-    /// The line, from 1.
-    pub line: usize,
-    /// The column, from 1.
-    pub column: usize,
-    /// What was expected there.
-    pub expected: String,
-}
-
-impl std::fmt::Display for Finding {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "{}:{}: expected {}",
-            self.line, self.column, self.expected
-        )
-    }
-}
-
 /// An engine of the site.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Engine {
--- a/crates/endivespur_scenario/src/parse.rs
+++ b/crates/endivespur_scenario/src/parse.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::line::{Line, Read};
+use endivespur_core::line::{Line, Read};
+
 use crate::{
     Action, Adapter, Engine, Expect, Expectation, Fate, Fault, Finding, Outage, Part, Request,
     Scenario, Step,
