Refuse at once what its adapter would reach too late

Cause: past the knee a request for an adapter that is not loaded waited its whole deadline, 20 s, before it was refused, though the queue of loads already showed that its turn would come later.

Change: the scheduler answers each endpoint's wants with the time that a new load of each class would wait; an owner that knows it refuses a request whose deadline lies before, with that time to come back. Requests that can join a waiting load, or run on a loaded adapter, are not touched.

--- a/crates/endivespur_core/src/acquire.rs
+++ b/crates/endivespur_core/src/acquire.rs
@@ -53,6 +53,9 @@
 
     /// Returns the next step.
     pub fn step(&mut self, now: Time) -> Step {
+        if self.last.reason == Reason::Backlog {
+            return Step::Refuse(self.last);
+        }
         if self.last.reason == Reason::Deadline || now >= self.deadline {
             return Step::Refuse(Refusal {
                 reason: Reason::Deadline,
--- a/crates/endivespur_core/src/config.rs
+++ b/crates/endivespur_core/src/config.rs
@@ -128,6 +128,9 @@
 }
 
 impl Class {
+    /// All classes, the most urgent first.
+    pub const ALL: [Self; 4] = [Self::Order, Self::Lookup, Self::Draft, Self::Summary];
+
     /// Returns the class with the given number, the last one for a number beyond it.
     pub fn from_number(number: u8) -> Self {
         match number {
--- a/crates/endivespur_core/src/owner/mod.rs
+++ b/crates/endivespur_core/src/owner/mod.rs
@@ -16,6 +16,9 @@
 use crate::queue::{Ask, Queue};
 use crate::slot::{Name, Phase, Slot};
 
+/// The age up to which the scheduler's word on waiting loads is believed.
+const BACKLOG_AGE: Duration = Duration::from_secs(3);
+
 /// The endpoint's properties that decisions rest on.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -56,16 +59,19 @@
     NotOwner,
     /// Each slot is in use and another endpoint may have room.
     Busy,
+    /// So many loads wait that the adapter would come after the deadline.
+    Backlog,
 }
 
 impl Reason {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Deadline,
         Self::Full,
         Self::Leaving,
         Self::LoadFailed,
         Self::NotOwner,
         Self::Busy,
+        Self::Backlog,
     ];
 
     /// Returns the name under which the reason is passed on and shown.
@@ -77,6 +83,7 @@
             Self::LoadFailed => "load-failed",
             Self::NotOwner => "not-owner",
             Self::Busy => "busy",
+            Self::Backlog => "backlog",
         }
     }
 
@@ -177,6 +184,8 @@
     pins: BTreeSet<Model>,
     /// Whether slots that a predecessor loaded are used.
     adopt: bool,
+    /// How long a new load would wait, by class, and until when that is believed.
+    backlog: (BTreeMap<Class, Duration>, Time),
     /// Names that were unloaded, so that an older list does not bring them back.
     gone: BTreeMap<Name, Time>,
 }
@@ -203,6 +212,7 @@
             failures: BTreeMap::new(),
             pins: BTreeSet::new(),
             adopt: true,
+            backlog: (BTreeMap::new(), Time::ZERO),
             gone: BTreeMap::new(),
         }
     }
@@ -228,6 +238,21 @@
         self.pins = pins;
     }
 
+    /// Notes how long a new load would wait, as the scheduler tells it.
+    pub fn set_backlog(&mut self, now: Time, backlog: BTreeMap<Class, Duration>) {
+        self.backlog = (backlog, now + BACKLOG_AGE);
+    }
+
+    /// Returns how long a load would wait if it could not come before the deadline.
+    fn hopeless(&self, now: Time, ask: &Ask) -> Option<Duration> {
+        let model = ask.model.as_ref()?;
+        if now >= self.backlog.1 || self.has(model) {
+            return None;
+        }
+        let wait = *self.backlog.0.get(&ask.class)?;
+        (now + wait > ask.deadline).then_some(wait)
+    }
+
     /// Returns the fencing number.
     pub fn fence(&self) -> Fence {
         self.fence
@@ -301,6 +326,9 @@
         {
             return refuse(Reason::Busy, Duration::from_secs(5));
         }
+        if let Some(wait) = self.hopeless(now, ask) {
+            return refuse(Reason::Backlog, wait);
+        }
         if !ask.patient && !self.could_serve(ask) {
             return refuse(Reason::Busy, Duration::from_secs(1));
         }
--- a/crates/endivespur_core/src/schedule.rs
+++ b/crates/endivespur_core/src/schedule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::config::Class;
 use crate::decay::Counter;
 use crate::id::{Endpoint, Model, Organisation, Vm};
 use crate::owner::Want;
@@ -85,6 +86,20 @@
         self.wants.values()
     }
 
+    /// Returns how long a new want of each class would wait behind the present ones.
+    pub fn backlog(&self) -> BTreeMap<Class, Duration> {
+        let ahead = |class: Class| {
+            self.wants
+                .values()
+                .filter(|e| e.want.class <= class)
+                .count()
+        };
+        Class::ALL
+            .into_iter()
+            .map(|class| (class, self.limit.interval * ahead(class) as u32))
+            .collect()
+    }
+
     /// Notes that a load has ended or was not started.
     pub fn landed(&mut self, endpoint: &str, model: &Model, started: bool) {
         let key = (endpoint.to_string(), model.clone());
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -6,7 +6,7 @@
 use endivespur_core::config::Class;
 use endivespur_core::id::Model;
 use endivespur_core::lease::Authority;
-use endivespur_core::owner::{Action, Owner, Spec};
+use endivespur_core::owner::{Action, Owner, Reason, Spec};
 use endivespur_core::queue::Ask;
 use endivespur_core::slot::{Name, Phase};
 use proptest::prelude::*;
@@ -345,3 +345,35 @@
         "a cold engine still counts as loaded"
     );
 }
+
+#[test]
+fn ask_hopeless_load_refused_at_once() {
+    let now = Duration::from_secs(1);
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let loaded = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    owner.listed(now, Authority::Full, now, std::slice::from_ref(&loaded));
+    let backlog = |seconds| BTreeMap::from([(Class::Draft, Duration::from_secs(seconds))]);
+    owner.set_backlog(now, backlog(19));
+    let waits = owner.ask(now, Authority::Full, ask(1, 2, now, false));
+    assert!(waits.is_empty(), "there is time for the load: {waits:?}");
+    owner.set_backlog(now, backlog(21));
+    let joins = owner.ask(now, Authority::Full, ask(2, 2, now, false));
+    assert!(
+        joins.is_empty(),
+        "the load is waited for already: {joins:?}"
+    );
+    let granted = owner.ask(now, Authority::Full, ask(3, 1, now, false));
+    assert!(matches!(granted[..], [Action::Grant(3, _)]), "{granted:?}");
+    let refused = owner.ask(now, Authority::Full, ask(4, 3, now, false));
+    let [Action::Refuse(4, refusal)] = refused[..] else {
+        panic!("{refused:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Backlog);
+    assert_eq!(refusal.retry_after, Duration::from_secs(21));
+    let later = now + Duration::from_secs(10);
+    let waits = owner.ask(later, Authority::Full, ask(5, 4, later, false));
+    assert!(waits.is_empty(), "old word is not believed: {waits:?}");
+}
--- a/crates/endivespur_dev/src/bench/chosen.rs
+++ b/crates/endivespur_dev/src/bench/chosen.rs
@@ -305,7 +305,11 @@
         loop {
             for engine in std::mem::take(&mut self.changed) {
                 let wants = self.owners[engine].wants(now);
+                let is_told = !wants.is_empty();
                 self.scheduler.set("n", &self.names[engine], wants);
+                if is_told {
+                    self.owners[engine].set_backlog(now, self.scheduler.backlog());
+                }
             }
             if self.weights.ready() > now {
                 return;
--- a/crates/endivespur_node/src/answer.rs
+++ b/crates/endivespur_node/src/answer.rs
@@ -122,6 +122,7 @@
             Reason::LoadFailed => "the adapter could not be loaded",
             Reason::NotOwner => "no node owns the endpoint at the moment",
             Reason::Busy => "each slot is in use",
+            Reason::Backlog => "the adapter would come too late",
         };
         Self::not_run(StatusCode::ServiceUnavailable, message).with_retry(refusal.retry_after)
     }
--- a/crates/endivespur_node/src/loads.rs
+++ b/crates/endivespur_node/src/loads.rs
@@ -119,13 +119,24 @@
 
 async fn tell_one(node: &Rc<Node>, fallback: &mut Fallback, endpoint: &str, wants: Vec<Want>) {
     let vm = node.settings.vm.clone();
-    match scheduler_address(node) {
-        Some(None) => set(node, &vm, endpoint, wants),
-        Some(Some(address)) if peer::wants(node, &address, endpoint, &wants).await.is_ok() => {
-            fallback.scheduler.set(&vm, endpoint, Vec::new());
+    let backlog = match scheduler_address(node) {
+        Some(None) => {
+            set(node, &vm, endpoint, wants);
+            node.scheduler.borrow().backlog()
         }
-        _ => fallback.scheduler.set(&vm, endpoint, wants),
-    }
+        Some(Some(address)) => match peer::wants(node, &address, endpoint, &wants).await {
+            Ok(backlog) => {
+                fallback.scheduler.set(&vm, endpoint, Vec::new());
+                backlog
+            }
+            Err(_) => return fallback.scheduler.set(&vm, endpoint, wants),
+        },
+        None => return fallback.scheduler.set(&vm, endpoint, wants),
+    };
+    host::change(node, endpoint, |owner, now, _| {
+        owner.set_backlog(now, backlog);
+        Vec::new()
+    });
 }
 
 /// Returns the scheduler's address, nothing inside if this node is the scheduler.
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -7,6 +7,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_core::config::Class;
 use endivespur_core::id::{Fence, Grant as GrantId, Model, Process};
 use endivespur_core::owner::{Grant, Want};
 use endivespur_core::queue::Ask;
@@ -319,13 +320,13 @@
         .collect()
 }
 
-/// Tells the scheduler at an address what an endpoint wants.
+/// Tells the scheduler at an address what an endpoint wants, and learns its backlog.
 pub async fn wants(
     node: &Rc<Node>,
     address: &str,
     endpoint: &str,
     wants: &[Want],
-) -> Result<(), Failure> {
+) -> Result<BTreeMap<Class, Duration>, Failure> {
     call(node, address, CALL_TIMEOUT, |client| {
         let mut request = client.wants_request();
         let mut params = request.get();
@@ -333,8 +334,10 @@
         params.set_endpoint(endpoint);
         rpc::write_wants(params.init_wants(wants.len() as u32), wants);
         async move {
-            request.send().promise.await?;
-            Ok(())
+            let response = request.send().promise.await?;
+            let list = response.get()?.get_backlog_ms()?;
+            let backlog = list.iter().map(|ms| Duration::from_millis(u64::from(ms)));
+            Ok(Class::ALL.into_iter().zip(backlog).collect())
         }
     })
     .await
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -132,13 +132,18 @@
     async fn wants(
         self: Rc<Self>,
         params: wire::WantsParams,
-        _: wire::WantsResults,
+        mut results: wire::WantsResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let vm = text(params.get_vm()?)?;
         let endpoint = text(params.get_endpoint()?)?;
         let wants = read_wants(params.get_wants()?)?;
         loads::set(&self.node, &vm, &endpoint, wants);
+        let backlog = self.node.scheduler.borrow().backlog();
+        let mut list = results.get().init_backlog_ms(backlog.len() as u32);
+        for (index, wait) in backlog.values().enumerate() {
+            list.set(index as u32, wait.as_millis() as u32);
+        }
         Ok(())
     }
 
--- a/crates/endivespur_wire/schema/node.capnp
+++ b/crates/endivespur_wire/schema/node.capnp
@@ -54,7 +54,8 @@
   ask @0 (ask :Ask) -> (answer :Answer);
   end @1 (endpoint :Text, fence :UInt64, grant :UInt64, missing :Bool) -> ();
   held @2 (endpoint :Text, fence :UInt64) -> (grants :List(Held));
-  wants @3 (vm :Text, endpoint :Text, wants :List(Want)) -> ();
+  wants @3 (vm :Text, endpoint :Text, wants :List(Want)) -> (backlogMs :List(UInt32));
+  # By class, the most urgent first.
   permit @4 (endpoint :Text, adapter :Text, version :UInt32) -> (started :Bool);
   landed @5 (endpoint :Text, adapter :Text, version :UInt32) -> ();
   judge @6 (print :UInt64) -> (verdict :UInt8);
--- a/crates/endivespur_wire/src/node_capnp.rs
+++ b/crates/endivespur_wire/src/node_capnp.rs
@@ -3826,7 +3826,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3834,11 +3834,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_backlog_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_backlog_ms(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3888,6 +3896,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_backlog_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_backlog_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_backlog_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_backlog_ms(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3899,26 +3923,50 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(247, 35, 23, 109, 25, 20, 195, 157),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(119, 97, 110, 116, 115, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 99, 107, 108, 111, 103, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -3930,9 +3978,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x9dc3_1419_6d17_23f7;
         }
     }
--- a/crates/endivespurctl/src/show.rs
+++ b/crates/endivespurctl/src/show.rs
@@ -86,7 +86,7 @@
         .is_some_and(|row| row.get("objective").is_some());
     let mut table = Table::new();
     table
-        .load_preset(presets::UTF8_HORIZONTAL_ONLY)
+        .load_preset(presets::NOTHING)
         .set_content_arrangement(ContentArrangement::Disabled);
     let columns = columns(&rows);
     let mut header: Vec<String> = columns.clone();
@@ -116,7 +116,7 @@
 
 /// Returns the columns in a steady order: names first, then the others by name.
 fn columns(rows: &[Value]) -> Vec<String> {
-    const FIRST: [&str; 9] = [
+    const FIRST: [&str; 13] = [
         "name",
         "vm",
         "service",
@@ -126,6 +126,10 @@
         "asked",
         "adapter",
         "version",
+        "5m",
+        "1h",
+        "6h",
+        "3d",
     ];
     let Some(row) = rows.first().and_then(Value::as_object) else {
         return Vec::new();
