Cut daemons off from the store, and end the process when a task panics

A relay before the store that can be cut, and three scenarios with it, showed at once: after a cut of 9 s the daemon's endpoints had no owner for 20 s and more. Its task that follows the store had panicked ("RefCell already borrowed": a borrow lived through a loop that changes the same table), and the process went on without it.

Change: the borrow ends before the loop; a panic of any task now ends the process, so that its lease lapses and others take over; each scenario fails if a log holds a panic. An entry that was suspended is recognised by the age of its grant rather than by its lease, so that a daemon that is cut off from the store alone still serves through its peers' endpoints.

Ruled out: catching the panic and restarting the task, since the state that it left is not known.

--- a/crates/endivespur_dev/src/main.rs
+++ b/crates/endivespur_dev/src/main.rs
@@ -31,6 +31,11 @@
                 .arg(number("lag-ms", "500")),
         )
         .subcommand(Command::new("plain").arg(listen()))
+        .subcommand(
+            Command::new("relay")
+                .arg(listen())
+                .arg(text("to").required(true)),
+        )
         .subcommand(
             Command::new("engine")
                 .arg(listen())
@@ -133,6 +138,10 @@
             "weights" => stand::weights::run(executor.clone(), &listen).await,
             "vms" => stand::vms::run(executor.clone(), &listen, number("lag-ms")).await,
             "plain" => stand::plain::run(executor.clone(), &listen).await,
+            "relay" => {
+                let target = matches.get_one::<String>("to").cloned().unwrap_or_default();
+                stand::relay::run(executor.clone(), &target).await
+            }
             _ => {
                 let setup = engine::Setup {
                     base: matches
--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -143,6 +143,8 @@
     pub stands: BTreeMap<String, Process>,
     zones: Vec<String>,
     spots: BTreeMap<String, Spot>,
+    /// The store's address for daemons behind a relay, and the relay's switch.
+    relays: BTreeMap<String, (String, String)>,
 }
 
 impl Site {
@@ -168,6 +170,7 @@
             stands: BTreeMap::new(),
             zones: zones.iter().map(ToString::to_string).collect(),
             spots: BTreeMap::new(),
+            relays: BTreeMap::new(),
         };
         site.store = site.stand("store", &["store"])?;
         site.weights = site.stand("weights", &["weights"])?;
@@ -187,6 +190,33 @@
         Ok(address)
     }
 
+    /// Puts a relay between the store and a daemon that is started later.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the relay does not start.
+    pub fn relay(&mut self, daemon: &str) -> Result<(), String> {
+        let store = self.store.clone();
+        let line = self.stand(&format!("relay-{daemon}"), &["relay", "--to", &store])?;
+        let (data, control) = line.split_once(' ').ok_or("no addresses")?;
+        let relay = (data.to_string(), control.to_string());
+        self.relays.insert(daemon.to_string(), relay);
+        Ok(())
+    }
+
+    /// Cuts a daemon off from the store, or heals the cut.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the daemon has no relay.
+    pub fn cut(&self, daemon: &str, cut: bool) -> Result<(), String> {
+        let (_, control) = self.relays.get(daemon).ok_or("no relay")?;
+        let path = if cut { "/cut" } else { "/heal" };
+        smol::block_on(client::post_json(control, path, &json!({}), CALL_TIMEOUT))
+            .map(|_| ())
+            .map_err(|error| error.to_string())
+    }
+
     /// Starts an endpoint's stand-in and configures the endpoint.
     ///
     /// # Errors
@@ -277,12 +307,14 @@
     ///
     /// Returns a message if it does not start.
     pub fn daemon(&mut self, name: &str, zone: &str) -> Result<(), String> {
+        let relay = self.relays.get(name).map(|(data, _)| data.clone());
+        let store = relay.unwrap_or_else(|| self.store.clone());
         let settings = json!({
             "vm": name, "region": REGION, "zone": zone, "zones": self.zones,
             "listen": {
                 "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0",
             },
-            "store": { "address": self.store, "timeout": "500ms", "check": "1s" },
+            "store": { "address": store, "timeout": "500ms", "check": "1s" },
             "vms": { "address": self.vms, "interval": "500ms" },
             "lease": { "ttl": "3s", "renew": "1s", "margin": "2s" },
             "stop": { "grace": "500ms", "bound": "30s" },
--- a/crates/endivespur_dev/src/stand/mod.rs
+++ b/crates/endivespur_dev/src/stand/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod plain;
+pub mod relay;
 pub mod store;
 pub mod vms;
 pub mod weights;
--- a/crates/endivespur_dev/tests/scenarios.rs
+++ b/crates/endivespur_dev/tests/scenarios.rs
@@ -113,6 +113,11 @@
                 .iter()
                 .any(|step| step.action == Action::Vm(Fate::Start, name.clone()))
         };
+        for step in &scenario.steps {
+            if let Action::Cut(name, true) = &step.action {
+                site.relay(name)?;
+            }
+        }
         for (name, zone) in vms.iter().filter(|(name, _)| !late(name)) {
             site.daemon(name, zone)?;
         }
@@ -160,6 +165,7 @@
                 let address = self.site.endpoints.get(&name).ok_or("unknown endpoint")?;
                 self.site.switch(address, &fault_switch(fault))
             }
+            Action::Cut(name, cut) => self.site.cut(&name, cut),
             Action::Drain(name) => {
                 self.site.drain(&name)?;
                 self.left.insert(name, unix_ms());
@@ -268,6 +274,12 @@
         for (id, answer) in answers.iter() {
             faults.extend(self.judge_answer(id, answer, &counts));
         }
+        for (name, daemon) in self.site.daemons.iter().chain(&self.stopping) {
+            let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            if log.contains("panicked at") {
+                faults.push(format!("{name}: a task panicked"));
+            }
+        }
         for (name, count) in &counts {
             faults.extend(self.judge_endpoint(scenario, name, count));
         }
--- a/crates/endivespur_node/src/dispatch.rs
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -9,7 +9,6 @@
 use endivespur_core::clock::Time;
 use endivespur_core::config::{Class, Kind};
 use endivespur_core::id::{Endpoint, Fence, Service};
-use endivespur_core::lease::Authority;
 use endivespur_core::owner::{Grant, Refusal};
 use endivespur_core::queue::Ask;
 use endivespur_core::route;
@@ -22,6 +21,9 @@
 use crate::node::{Node, sleep};
 use crate::peer;
 
+/// The time within which a grant is used; shorter than an engine's report may lag, after
+/// which the grants of a dead process are cleared.
+const GRANT_USE: Duration = Duration::from_secs(3);
 /// The longest wait for an endpoint's connection and the head of its answer.
 pub const HEAD_TIMEOUT: Duration = Duration::from_mins(2);
 
@@ -61,6 +63,7 @@
     /// Whether the owner has to look at the endpoint, since a slot or an answer was missing.
     pub missing: bool,
     told: bool,
+    taken: Time,
 }
 
 impl Permit {
@@ -206,6 +209,7 @@
         grant,
         missing: false,
         told: false,
+        taken: clock::now(),
     };
     // A grant of an owner that has been replaced is given back unused.
     if taken {
@@ -238,9 +242,9 @@
     let grant = &permit.grant;
     request.insert_header("endivespur-attempt", attempt);
     request.insert_header("endivespur-fence", grant.fence.to_string());
-    // A process that was paused may have lost the grant meanwhile.
-    if node.authority() == Authority::Lapsed && node.lease_id.get() != 0 {
-        return Err(Miss::NotRun("the lease has lapsed".to_string()));
+    // A process that was suspended may have lost the grant meanwhile.
+    if permit.taken + GRANT_USE < clock::now() {
+        return Err(Miss::NotRun("the grant was not used in time".to_string()));
     }
     let answer = match client::send(request, HEAD_TIMEOUT).await {
         Ok(answer) => answer,
--- a/crates/endivespur_node/src/loads.rs
+++ b/crates/endivespur_node/src/loads.rs
@@ -158,15 +158,16 @@
 
 /// Gives the permits that are due.
 fn permit(node: &Rc<Node>) {
-    while let Some(entry) = node.scheduler.borrow_mut().permit(clock::now()) {
+    loop {
+        let permitted = node.scheduler.borrow_mut().permit(clock::now());
+        let Some(entry) = permitted else { return };
         let node = node.clone();
         node.clone().spawn(async move {
             let model = entry.want.model;
             let started = peer::permit(&node, &entry.vm, &entry.endpoint, &model).await;
             if !matches!(started, Ok(true)) {
-                node.scheduler
-                    .borrow_mut()
-                    .landed(&entry.endpoint, &model, false);
+                let mut scheduler = node.scheduler.borrow_mut();
+                scheduler.landed(&entry.endpoint, &model, false);
             }
         });
     }
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -173,7 +173,8 @@
         return;
     }
     let listed: Vec<String> = pairs.iter().map(|pair| pair.key.clone()).collect();
-    for vm in node.table.borrow().known_nodes() {
+    let known = node.table.borrow().known_nodes();
+    for vm in known {
         if !listed.contains(&format!("{NODES}{vm}")) {
             node.table.borrow_mut().set_node(&vm, revision, None);
         }
--- a/crates/endivespur_scenario/src/lib.rs
+++ b/crates/endivespur_scenario/src/lib.rs
@@ -127,6 +127,8 @@
     Vm(Fate, String),
     /// Something happens to the store.
     Store(Outage),
+    /// A VM is cut off from the store, or the cut is healed.
+    Cut(String, bool),
     /// Something happens to an endpoint.
     Endpoint(String, Fault),
     /// An operator drains an endpoint.
--- a/crates/endivespur_scenario/src/parse.rs
+++ b/crates/endivespur_scenario/src/parse.rs
@@ -109,7 +109,7 @@
 fn action(line: &mut Line) -> Read<Action> {
     let verbs = [
         "request", "order", "start", "kill", "pause", "resume", "stop", "store", "endpoint",
-        "drain", "leaving", "retire",
+        "drain", "leaving", "retire", "cut", "heal",
     ];
     let verb = line.keyword(&verbs)?;
     let fate = |fate, line: &mut Line| Ok(Action::Vm(fate, line.word("a vm")?));
@@ -127,6 +127,7 @@
             Ok(Action::Endpoint(name, fault(line)?))
         }
         "drain" => Ok(Action::Drain(line.word("an endpoint")?)),
+        "cut" | "heal" => Ok(Action::Cut(line.word("a vm")?, verb == "cut")),
         "leaving" => Ok(Action::Leaving(line.word("an endpoint")?)),
         _ => Ok(Action::Retire(line.word("ADAPTER@VERSION")?)),
     }
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -48,10 +48,20 @@
         println!("{path}: no findings");
         return ExitCode::SUCCESS;
     }
+    end_on_panic();
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.clone().run(run(executor, settings, path)))
 }
 
+/// Ends the process when a task panics, since the others would go on without it.
+fn end_on_panic() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print(info);
+        std::process::abort();
+    }));
+}
+
 fn read(path: &str) -> Result<Settings, Vec<Finding>> {
     let text = std::fs::read_to_string(path).map_err(|error| {
         vec![Finding {
