Hold suspects, streams and new daemons to their bounds

Causes, found by reading and by the new tests: - a suspect whose caller left, or that got no grant, held back its twins without end: the run alone was never ended. It is now given up in both cases and holds them back for a minute at most; a waiting twin is refused at its deadline. - judge_resent_request_crashes_at_most_two failed: a suspicion was forgotten ten minutes after the last crash though its caller went on sending.

The tests and the site are split into files of one job.

--- a/crates/endivespur_core/src/suspect.rs
+++ b/crates/endivespur_core/src/suspect.rs
@@ -25,10 +25,14 @@
     Wait,
 }
 
+/// The time after which a run alone no longer holds back its twins.
+const RUN_BOUND: Duration = Duration::from_mins(1);
+
 #[derive(Debug)]
 struct Case {
     crashes: BTreeSet<(Endpoint, u64)>,
-    running: bool,
+    /// Until when a run alone holds back its twins.
+    running: Time,
     at: Time,
 }
 
@@ -48,17 +52,22 @@
         }
     }
 
-    /// Returns how a request is to be run; an `Alone` run must end by `crashed` or `clean`.
+    /// Returns how a request is to be run; an `Alone` run ends by `crashed`, `clean` or
+    /// `given_up`, or holds back its twins for a minute.
     pub fn judge(&mut self, now: Time, print: Fingerprint) -> Verdict {
         let memory = self.memory;
         self.cases.retain(|_, case| case.at + memory > now);
-        match self.cases.get_mut(&print) {
+        let mut case = self.cases.get_mut(&print);
+        if let Some(case) = &mut case {
+            // A caller that goes on sending keeps the suspicion alive.
+            case.at = now;
+        }
+        match case {
             None => Verdict::Clear,
             Some(case) if case.crashes.len() >= CRASH_LIMIT => Verdict::Quarantined,
-            Some(case) if case.running => Verdict::Wait,
+            Some(case) if now < case.running => Verdict::Wait,
             Some(case) => {
-                case.running = true;
-                case.at = now;
+                case.running = now + RUN_BOUND;
                 Verdict::Alone
             }
         }
@@ -70,14 +79,21 @@
     pub fn crashed(&mut self, now: Time, print: Fingerprint, endpoint: &str, attempt: u64) {
         let case = self.cases.entry(print).or_insert_with(|| Case {
             crashes: BTreeSet::new(),
-            running: false,
+            running: Time::ZERO,
             at: now,
         });
         case.crashes.insert((endpoint.to_string(), attempt));
-        case.running = false;
+        case.running = Time::ZERO;
         case.at = now;
     }
 
+    /// Notes that a run alone was given up before it began.
+    pub fn given_up(&mut self, print: Fingerprint) {
+        if let Some(case) = self.cases.get_mut(&print) {
+            case.running = Time::ZERO;
+        }
+    }
+
     /// Notes that the request ran without a crash.
     pub fn clean(&mut self, print: Fingerprint) {
         self.cases.remove(&print);
--- a/crates/endivespur_core/tests/histories/main.rs
+++ b/crates/endivespur_core/tests/histories/main.rs
@@ -6,6 +6,7 @@
 mod queue;
 mod route;
 mod schedule;
+mod suspect;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- /dev/null
+++ b/crates/endivespur_core/tests/histories/suspect.rs
@@ -0,0 +1,56 @@
+//! Suspected requests: how often one may crash endpoints, whatever the order.
+
+use std::time::Duration;
+
+use endivespur_core::suspect::{CRASH_LIMIT, Court, Verdict};
+use proptest::prelude::*;
+
+use crate::fixed;
+
+const MEMORY: Duration = Duration::from_mins(10);
+
+proptest! {
+    #![proptest_config(fixed(2000))]
+
+    /// Callers send one crashing request again and again; each run that is let through
+    /// crashes its endpoint, is left by its caller, or is given up before it begins.
+    #[test]
+    fn judge_resent_request_crashes_at_most_two(
+        steps in prop::collection::vec((0u8..4, 1u64..20_000), 1..60),
+    ) {
+        let mut court = Court::new(MEMORY);
+        let mut now = Duration::ZERO;
+        let mut crashes = 0;
+        let mut alone_until = Duration::ZERO;
+        for (what, ms) in steps {
+            now += Duration::from_millis(ms);
+            let verdict = court.judge(now, 7);
+            match verdict {
+                Verdict::Clear => prop_assert_eq!(crashes, 0),
+                Verdict::Alone => prop_assert!(now >= alone_until, "two runs alone at once"),
+                Verdict::Wait => {
+                    prop_assert!(now < alone_until, "held back without a run");
+                    continue;
+                }
+                Verdict::Quarantined => {
+                    prop_assert!(crashes >= CRASH_LIMIT);
+                    continue;
+                }
+            }
+            match what {
+                0 | 1 => {
+                    crashes += 1;
+                    court.crashed(now, 7, &format!("e{crashes}"), crashes as u64);
+                    alone_until = Duration::ZERO;
+                }
+                2 if verdict == Verdict::Alone => {
+                    court.given_up(7);
+                    alone_until = Duration::ZERO;
+                }
+                _ if verdict == Verdict::Alone => alone_until = now + Duration::from_mins(1),
+                _ => {}
+            }
+            prop_assert!(crashes <= CRASH_LIMIT, "{} endpoints fell", crashes);
+        }
+    }
+}
--- a/crates/endivespur_dev/src/bench/measure.rs
+++ b/crates/endivespur_dev/src/bench/measure.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::trace::{Arrival, LENGTH, ORGANISATIONS};
+use super::trace::{Arrival, FLOODER, Kind, LENGTH, ORGANISATIONS, Twist};
 
 /// How one request fared.
 #[derive(Clone, Debug, Default)]
@@ -71,7 +71,8 @@
     pub in_time_per_load: f64,
     /// Jain's index over the organisations' shares of requests served in time.
     pub jain: f64,
-    /// The worst organisation's p99 over the median organisation's.
+    /// The worst organisation's p99 over the median organisation's; one that floods is
+    /// left out.
     pub worst_over_median: f64,
     /// The median organisation's p99, refused requests at their limit.
     pub median_p99: f64,
@@ -92,7 +93,7 @@
 }
 
 /// Sums up a run.
-pub fn sum_up(arrivals: &[Arrival], fates: &[Fate], usage: &Usage) -> Figures {
+pub fn sum_up(kind: &Kind, arrivals: &[Arrival], fates: &[Fate], usage: &Usage) -> Figures {
     let mut waits: Vec<f64> = fates
         .iter()
         .filter(|f| f.served)
@@ -112,7 +113,7 @@
         .map(|(a, f)| if f.served { f.wait } else { patience(a.class) }.as_secs_f64())
         .collect();
     let lookups = class_waits(arrivals, fates, endivespur_core::config::Class::Lookup);
-    let (jain, worst_over_median, median_p99) = fairness(arrivals, fates);
+    let (jain, worst_over_median, median_p99) = fairness(kind, arrivals, fates);
     Figures {
         requests: arrivals.len(),
         served,
@@ -157,7 +158,7 @@
     waits
 }
 
-fn fairness(arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64, f64) {
+fn fairness(kind: &Kind, arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64, f64) {
     let mut asked = vec![0.0; ORGANISATIONS];
     let mut good = vec![0.0; ORGANISATIONS];
     let mut waits = vec![Vec::new(); ORGANISATIONS];
@@ -179,9 +180,12 @@
     let sum: f64 = shares.iter().sum();
     let squares: f64 = shares.iter().map(|share| share * share).sum();
     let jain = sum * sum / (shares.len() as f64 * squares.max(1e-9));
+    let floods = |organisation: usize| kind.twist == Twist::Flood && organisation == FLOODER;
     let mut worst: Vec<f64> = waits
         .iter_mut()
-        .map(|waits| {
+        .enumerate()
+        .filter(|(organisation, _)| !floods(*organisation))
+        .map(|(_, waits)| {
             waits.sort_by(f64::total_cmp);
             quantile(waits, 0.99)
         })
--- a/crates/endivespur_dev/src/bench/mod.rs
+++ b/crates/endivespur_dev/src/bench/mod.rs
@@ -91,7 +91,7 @@
         "clairvoyant" => simple::run(Version::Clairvoyant, user, kind, &arrivals, seed),
         _ => chosen::run(user, kind, &arrivals, tuning),
     };
-    sum_up(&arrivals, &fates, &usage)
+    sum_up(kind, &arrivals, &fates, &usage)
 }
 
 /// Runs one policy over a trace for each seed, side by side.
--- a/crates/endivespur_dev/src/demo.rs
+++ b/crates/endivespur_dev/src/demo.rs
@@ -5,7 +5,8 @@
 use http_types::Method;
 use serde_json::json;
 
-use crate::site::{Answer, Site, Spot};
+use crate::call::Answer;
+use crate::site::{Site, Spot};
 
 /// The longest wait for an owner of each endpoint.
 const OWNED: Duration = Duration::from_secs(20);
@@ -142,13 +143,20 @@
 }
 
 fn show(what: &str, answer: &Answer) {
+    let place = if answer.header("endivespur-replayed") == "true" {
+        "kept from the first run".to_string()
+    } else {
+        let (endpoint, why) = (
+            answer.header("endivespur-endpoint"),
+            answer.header("endivespur-why"),
+        );
+        format!("on {endpoint} ({why})")
+    };
     println!(
-        "{what}: {} {} in {} ms on {} ({})",
+        "{what}: {} {} in {} ms, {place}",
         answer.status,
         answer.outcome(),
         answer.took.as_millis(),
-        answer.header("endivespur-endpoint"),
-        answer.header("endivespur-why"),
     );
     let text = answer
         .text()
--- a/crates/endivespur_dev/src/lib.rs
+++ b/crates/endivespur_dev/src/lib.rs
@@ -1,6 +1,7 @@
 //! Maintenance tasks: stand-ins, the demo, and the measurements.
 
 pub mod bench;
+pub mod call;
 pub mod demo;
 pub mod measure;
 pub mod process;
--- a/crates/endivespur_dev/src/measure.rs
+++ b/crates/endivespur_dev/src/measure.rs
@@ -7,8 +7,9 @@
 use http_types::Method;
 use serde_json::{Value, json};
 
+use crate::call;
 use crate::process::Process;
-use crate::site::{self, Site, Spot};
+use crate::site::{Site, Spot};
 
 /// Requests sent one after the other.
 const SEQUENTIAL: usize = 2000;
@@ -90,7 +91,7 @@
         call.extend(options.clone());
     }
     let headers = [("endivespur-organisation", CALLER)];
-    let answer = site::call(
+    let answer = call::call(
         address,
         Method::Post,
         "/v1/completions",
--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -4,18 +4,14 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use endivespur_net::client;
 use endivespur_net::store::{Client, Write};
-use endivespur_net::{body, client};
-use http_types::{Method, Request};
+use http_types::Method;
 use serde_json::{Value, json};
-use smol::future::FutureExt;
 
+use crate::call::{Answer, CALL_TIMEOUT, call};
 use crate::process::{self, Process};
 
-/// The longest wait for an answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// The largest answer that is read.
-const ANSWER_BYTES: usize = 8 << 20;
 /// The region of a site.
 pub const REGION: &str = "nairobi";
 
@@ -91,40 +87,12 @@
     pub callers: String,
     /// The address for operators.
     pub operators: String,
+    /// The address for other daemons.
+    pub nodes: String,
     /// The log file.
     pub log: PathBuf,
 }
 
-/// An answer to a caller.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    /// The HTTP status.
-    pub status: u16,
-    /// The headers that tell what became of the request.
-    pub headers: BTreeMap<String, String>,
-    /// The body; nothing if it was cut off.
-    pub body: Option<String>,
-    /// The time until the whole answer was there.
-    pub took: Duration,
-}
-
-impl Answer {
-    /// Returns a header, empty if there is none.
-    pub fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
-    }
-
-    /// Returns the outcome that the daemon tells.
-    pub fn outcome(&self) -> &str {
-        self.header("endivespur-outcome")
-    }
-
-    /// Returns the body's text.
-    pub fn text(&self) -> &str {
-        self.body.as_deref().unwrap_or("")
-    }
-}
-
 /// A running site.
 pub struct Site {
     folder: PathBuf,
@@ -143,6 +111,8 @@
     pub stands: BTreeMap<String, Process>,
     zones: Vec<String>,
     spots: BTreeMap<String, Spot>,
+    /// Whether daemons started from now on ask for tokens.
+    pub guarded: bool,
     /// The store's address for daemons behind a relay, and the relay's switch.
     relays: BTreeMap<String, (String, String)>,
 }
@@ -170,6 +140,7 @@
             stands: BTreeMap::new(),
             zones: zones.iter().map(ToString::to_string).collect(),
             spots: BTreeMap::new(),
+            guarded: false,
             relays: BTreeMap::new(),
         };
         site.store = site.stand("store", &["store"])?;
@@ -315,10 +286,12 @@
                 "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0",
             },
             "store": { "address": store, "timeout": "500ms", "check": "1s" },
+            "peers": self.daemons.values().map(|daemon| &daemon.nodes).collect::<Vec<_>>(),
             "vms": { "address": self.vms, "interval": "500ms" },
             "lease": { "ttl": "3s", "renew": "1s", "margin": "2s" },
             "stop": { "grace": "500ms", "bound": "30s" },
         });
+        let settings = self.guard(settings)?;
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).map_err(|error| error.to_string())?;
         let log = self.folder.join(format!("{name}.log"));
@@ -334,6 +307,7 @@
         let daemon = Daemon {
             callers: address("callers"),
             operators: address("operators"),
+            nodes: address("nodes"),
             zone: zone.to_string(),
             process,
             log,
@@ -342,6 +316,23 @@
         Ok(())
     }
 
+    /// Adds secrets to the settings, if they are wanted: `caller-NAME`, `operator`, `node`.
+    fn guard(&self, mut settings: Value) -> Result<Value, String> {
+        if !self.guarded {
+            return Ok(settings);
+        }
+        let secret = |text: &str| -> Result<Value, String> {
+            let path = self.folder.join(text);
+            std::fs::write(&path, text).map_err(|error| error.to_string())?;
+            Ok(json!({ "file": path }))
+        };
+        settings["tokens"] = json!({
+            "callers": { "o": secret("caller-o")?, "stranger": secret("caller-stranger")? },
+            "operators": secret("operator")?, "nodes": secret("node")?,
+        });
+        Ok(settings)
+    }
+
     /// Waits until each endpoint has a live owner, known to each daemon, with its list.
     ///
     /// # Errors
@@ -449,63 +440,6 @@
     }
 }
 
-/// Calls a daemon and waits for the whole answer; status 0 means that there was none.
-pub async fn call(
-    address: &str,
-    method: Method,
-    path: &str,
-    headers: &[(&str, &str)],
-    value: Option<&Value>,
-) -> Answer {
-    let begun = Instant::now();
-    let missing = || Answer {
-        status: 0,
-        headers: BTreeMap::new(),
-        body: None,
-        took: begun.elapsed(),
-    };
-    let Ok(mut request) = client::request(method, address, path) else {
-        return missing();
-    };
-    for (name, value) in headers {
-        request.insert_header(*name, *value);
-    }
-    if let Some(value) = value {
-        request.set_body(value.to_string());
-        request.insert_header("content-type", "application/json");
-    }
-    exchange(request).await.map_or_else(missing, |mut answer| {
-        answer.took = begun.elapsed();
-        answer
-    })
-}
-
-async fn exchange(request: Request) -> Option<Answer> {
-    let mut response = client::send(request, CALL_TIMEOUT).await.ok()?;
-    let headers = response
-        .iter()
-        .map(|(name, values)| {
-            (
-                name.as_str().to_string(),
-                values.last().as_str().to_string(),
-            )
-        })
-        .collect();
-    let status = response.status() as u16;
-    let mut content = response.take_body();
-    let late = async {
-        smol::Timer::after(CALL_TIMEOUT).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    let body = body::read(&mut content, ANSWER_BYTES).or(late).await.ok();
-    Some(Answer {
-        status,
-        headers,
-        body: body.and_then(|bytes| String::from_utf8(bytes).ok()),
-        took: Duration::ZERO,
-    })
-}
-
 /// Waits until a condition holds.
 ///
 /// # Errors
--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -10,6 +10,8 @@
 use http_types::Method;
 use serde_json::{Value, json};
 
+/// The time within which an accepted change is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(7);
 /// The longest wait for an owner of each endpoint.
 const OWNED: Duration = Duration::from_secs(20);
 
@@ -148,6 +150,13 @@
 #[test]
 fn models_only_own_adapters() {
     let site = site("models");
+    for path in ["/healthz", "/readyz"] {
+        assert_eq!(
+            site.call("a", Method::Get, path, &[], None).status,
+            200,
+            "{path}"
+        );
+    }
     let list = |organisation| {
         let headers = [("endivespur-organisation", organisation)];
         site.call("b", Method::Get, "/v1/models", &headers, None)
@@ -156,6 +165,92 @@
     assert!(!list("stranger").text().contains("hymns"));
 }
 
+#[test]
+fn chat_streamed_and_whole() {
+    let site = site("chat");
+    let headers = [("endivespur-organisation", "o")];
+    let ask = |stream: bool| {
+        let call = json!({
+            "model": "hymnal/hymns@2", "stream": stream, "max_tokens": 4,
+            "messages": [{ "role": "user", "content": "draft" }],
+        });
+        site.call(
+            "a",
+            Method::Post,
+            "/v1/chat/completions",
+            &headers,
+            Some(&call),
+        )
+    };
+    let whole = ask(false);
+    assert!(
+        whole.text().contains("\"role\":\"assistant\""),
+        "{}",
+        whole.text()
+    );
+    assert!(
+        whole.text().contains("\"model\":\"hymnal/hymns@2\""),
+        "{}",
+        whole.text()
+    );
+    let streamed = ask(true);
+    assert!(streamed.text().contains("\"delta\""), "{}", streamed.text());
+    assert!(
+        streamed.text().trim_end().ends_with("data: [DONE]"),
+        "{}",
+        streamed.text()
+    );
+}
+
+#[test]
+fn tokens_needed_on_each_side() {
+    let mut site = Site::start("tokens", &["za"], vec![Spot::new("e1", "za")]).expect("stand-ins");
+    site.organisation("o").expect("written");
+    site.organisation("stranger").expect("written");
+    site.adapter("hymns", "o", &[]).expect("written");
+    site.configure("service/hymnal", &json!({ "class": "draft" }))
+        .expect("written");
+    site.guarded = true;
+    site.daemon("a", "za").expect("started");
+    site.daemon("b", "za").expect("started");
+    let call = json!({ "model": "hymnal/hymns@1", "prompt": "x", "max_tokens": 2 });
+    let ask = |daemon, token: &str| {
+        let bearer = format!("Bearer {token}");
+        // The named organisation counts for nothing where tokens are asked for.
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("endivespur-organisation", "o"),
+        ];
+        site.call(
+            daemon,
+            Method::Post,
+            "/v1/completions",
+            &headers,
+            Some(&call),
+        )
+        .status
+    };
+    let begun = Instant::now();
+    while ask("a", "caller-o") != 200 || ask("b", "caller-o") != 200 {
+        assert!(begun.elapsed() < OWNED, "not served through both daemons");
+    }
+    assert_eq!((ask("a", "wrong"), ask("a", "caller-stranger")), (401, 403));
+    assert_eq!(control(&site, "a", &["show nodes"]).0, 1);
+    let secret = std::env::temp_dir().join(format!("endivespur-operator-{}", std::process::id()));
+    std::fs::write(&secret, "operator").expect("written");
+    let secret = secret.display().to_string();
+    let (code, text) = control(&site, "a", &["--token-file", &secret, "show nodes"]);
+    std::fs::remove_file(&secret).ok();
+    assert!(code == 0 && text.contains("2 rows"), "{text}");
+    for daemon in site.daemons.values() {
+        let log = std::fs::read_to_string(&daemon.log).expect("readable");
+        assert!(
+            !log.contains("caller-o") && !log.contains("draft"),
+            "a secret was logged"
+        );
+    }
+}
+
 fn control(site: &Site, daemon: &str, arguments: &[&str]) -> (i32, String) {
     let tool = process::build().expect("built").join("endivespurctl");
     let output = Command::new(tool)
@@ -223,6 +318,27 @@
     assert_eq!(rows["results"][0]["rows"].as_array().map(Vec::len), Some(2));
 }
 
+#[test]
+fn operators_lost_answer_settled_and_in_force() {
+    let site = site("lost-answer");
+    site.switch(&site.store, &json!({ "lose_answers": 1 }))
+        .expect("switched");
+    let begun = Instant::now();
+    let (code, text) = control(&site, "a", &["--wait", "retire hymns@1"]);
+    assert!(code == 0 && text.contains("accepted at revision"), "{text}");
+    assert!(text.contains("in force on 2 of 2 nodes"), "{text}");
+    assert!(begun.elapsed() < IN_FORCE, "{:?}", begun.elapsed());
+    for daemon in ["a", "b"] {
+        assert_eq!(
+            site.complete(daemon, "o", "hymnal/hymns@1", &json!({}))
+                .status,
+            404
+        );
+    }
+    let (code, text) = control(&site, "b", &["retire hymns@1"]);
+    assert!(code == 0 && text.contains("already so"), "{text}");
+}
+
 #[test]
 fn operators_race_one_accepted() {
     let site = site("race");
--- /dev/null
+++ b/crates/endivespur_dev/tests/scenarios/switch.rs
@@ -0,0 +1,64 @@
+//! The calls behind the actions of a scenario.
+
+use std::time::Duration;
+
+use endivespur_dev::call::{Answer, call};
+use endivespur_scenario::{Fault, Outage, Request};
+use http_types::Method;
+use serde_json::{Value, json};
+
+use crate::CALLER;
+
+/// Returns the switch of the store's stand-in.
+pub fn store(outage: Outage) -> Value {
+    match outage {
+        Outage::Down => json!({ "outage": true }),
+        Outage::Up => json!({}),
+        Outage::LoseAnswers(count) => json!({ "lose_answers": count }),
+        Outage::SilentWatches => json!({ "silent_watches": true }),
+        Outage::Lapse(vm) => json!({ "lapse": [format!("endivespur/nodes/{vm}")] }),
+    }
+}
+
+/// Returns the switch of an endpoint's stand-in.
+pub fn fault(fault: Fault) -> Value {
+    match fault {
+        Fault::Crash(cold) => json!({ "crash": true, "cold_ms": cold.as_millis() as u64 }),
+        Fault::FailLoads(count) => json!({ "fail_loads": count }),
+        Fault::CutAfter(tokens) => json!({ "cut_after": tokens }),
+        Fault::Cross(count) => json!({ "cross": count }),
+        Fault::CrashOn(text) => json!({ "crash_on": text, "cold_ms": 500 }),
+        Fault::LoseAnswers(count) => json!({ "lose_answers": count }),
+        Fault::Work(time) => json!({ "work_ms": time.as_millis() as u64 }),
+    }
+}
+
+/// Sends a request and waits for the whole answer, unless its caller leaves.
+pub async fn ask(address: &str, request: &Request) -> Answer {
+    let mut headers = vec![("endivespur-organisation", CALLER)];
+    if let Some(key) = &request.key {
+        headers.push(("idempotency-key", key));
+    }
+    let (path, value) = match &request.model {
+        Some(model) => {
+            let call = json!({
+                "model": format!("hymnal/{model}"), "prompt": request.prompt,
+                "max_tokens": request.tokens,
+            });
+            ("/v1/completions", call)
+        }
+        None => (
+            "/services/orders/confirm",
+            json!({ "prompt": request.prompt }),
+        ),
+    };
+    let whole = call(address, Method::Post, path, &headers, Some(&value));
+    if !request.leaves {
+        return whole.await;
+    }
+    let left = async {
+        smol::Timer::after(Duration::from_millis(300)).await;
+        call("127.0.0.1:1", Method::Get, "/", &[], None).await
+    };
+    smol::future::or(whole, left).await
+}
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -21,7 +21,7 @@
 use crate::clock;
 use crate::dispatch::{self, Job, Miss, Permit};
 use crate::engine;
-use crate::entry::{self, Caller};
+use crate::entry::{self, Caller, Seat};
 use crate::node::Node;
 use crate::once;
 use crate::suspicion::{self, fingerprint};
@@ -45,6 +45,8 @@
     stream: bool,
     call: Value,
     print: u64,
+    /// Held until the answer has ended.
+    seat: Rc<Seat>,
 }
 
 /// Answers a call of the completions API.
@@ -128,6 +130,7 @@
         path,
         model: name.to_string(),
         stream: call["stream"].as_bool().unwrap_or(false),
+        seat: caller.seat.clone(),
         call,
     })
 }
@@ -263,15 +266,28 @@
     // Place goes before everything else that is known of the request.
     dispatch::candidates(node, &completion.job)?;
     for attempt in 0..TRIES {
-        let verdict = suspicion::judge(node, completion.print).await;
+        let deadline = completion.job.deadline;
+        let verdict = suspicion::judge(node, completion.print, deadline).await;
         if verdict == Verdict::Quarantined {
             let message = "the request has crashed the endpoints that ran it";
             return Err(Failure::not_run(StatusCode::UnprocessableEntity, message).after(true));
         }
+        if verdict == Verdict::Wait {
+            let message = "the request is under suspicion and runs elsewhere";
+            return Err(Failure::not_run(StatusCode::ServiceUnavailable, message)
+                .with_retry(Duration::from_secs(2))
+                .after(may_have_run));
+        }
         completion.job.alone = verdict == Verdict::Alone;
-        let permit = dispatch::acquire(node, &completion.job)
-            .await
-            .map_err(|failure| failure.after(may_have_run))?;
+        let permit = match dispatch::acquire(node, &completion.job).await {
+            Ok(permit) => permit,
+            Err(failure) => {
+                if completion.job.alone {
+                    suspicion::give_up(node, completion.print).await;
+                }
+                return Err(failure.after(may_have_run));
+            }
+        };
         let endpoint = permit.endpoint.clone();
         let miss = match run(node, &completion, permit, attempt).await {
             Ok(response) => return Ok(response),
@@ -391,16 +407,21 @@
     let id = completion.job.id.clone();
     let print = completion.print;
     let alone = completion.job.alone;
+    let seat = completion.seat.clone();
     let service = completion.job.service.clone();
     let organisation = completion.job.request.organisation.clone();
     async move {
         let mut event = stream.first.clone();
+        let _seat = seat;
         let begun = clock::now();
         let mut events = 0;
         let failed = loop {
             let bytes = sse::event(&rename(&event, &model));
             if stream.sender.send(Ok(bytes)).await.is_err() {
                 // The caller has left; dropping the connection cancels the run.
+                if alone {
+                    suspicion::give_up(&node, print).await;
+                }
                 return;
             }
             if event == "[DONE]" {
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -28,6 +28,8 @@
     pub key: Option<String>,
     /// The request's own place.
     pub place: Option<Rule>,
+    /// The organisation's seat that the request takes.
+    pub seat: Rc<Seat>,
 }
 
 fn header(request: &Request, name: &str) -> Option<String> {
@@ -121,7 +123,6 @@
         let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
         return Err(failure.with_retry(Duration::from_secs(1)));
     }
-    let _seat = Seat::take(node, &caller.organisation)?;
     let is_post = request.method() == Method::Post;
     match path {
         "/v1/models" if request.method() == Method::Get => Ok(models(node, &caller)),
@@ -139,7 +140,7 @@
     }
 }
 
-fn identify(node: &Node, request: &Request, id: &str) -> Result<Caller, Failure> {
+fn identify(node: &Rc<Node>, request: &Request, id: &str) -> Result<Caller, Failure> {
     let named = header(request, "endivespur-organisation");
     let organisation = node
         .guard
@@ -157,6 +158,7 @@
         Rule::new(&node.settings.region, &zones)
     });
     Ok(Caller {
+        seat: Rc::new(Seat::take(node, &organisation)?),
         id: id.to_string(),
         organisation,
         key,
@@ -164,8 +166,8 @@
     })
 }
 
-/// One of the requests that an organisation may have in flight.
-struct Seat {
+/// One of the requests that an organisation may have in flight, streams included.
+pub struct Seat {
     node: Rc<Node>,
     organisation: String,
 }
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -403,6 +403,20 @@
     .await
 }
 
+/// Tells a fingerprint's home that a run alone never began.
+pub async fn give_up(node: &Rc<Node>, address: &str, print: u64) {
+    let result = call(node, address, CALL_TIMEOUT, |client| {
+        let mut request = client.give_up_request();
+        request.get().set_print(print);
+        async move {
+            request.send().promise.await?;
+            Ok(())
+        }
+    });
+    // Lost, the run holds back its twins for a minute at most.
+    result.await.ok();
+}
+
 /// Tells a node how the run of a suspected request went.
 pub async fn ran(
     node: &Rc<Node>,
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -186,6 +186,16 @@
         Ok(())
     }
 
+    async fn give_up(
+        self: Rc<Self>,
+        params: wire::GiveUpParams,
+        _: wire::GiveUpResults,
+    ) -> Result<(), capnp::Error> {
+        let print = params.get()?.get_print();
+        self.node.court.borrow_mut().given_up(print);
+        Ok(())
+    }
+
     async fn ran(
         self: Rc<Self>,
         params: wire::RanParams,
--- a/crates/endivespur_node/src/suspicion.rs
+++ b/crates/endivespur_node/src/suspicion.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_core::clock::Time;
 use endivespur_core::hash;
 use endivespur_core::suspect::{Fingerprint, Verdict};
 
@@ -11,7 +12,7 @@
 use crate::peer;
 
 /// The time for which a suspicion is kept.
-pub const MEMORY: Duration = Duration::from_mins(10);
+pub const MEMORY: Duration = Duration::from_hours(24);
 /// The pause before a suspect asks again whether it may run.
 const WAIT: Duration = Duration::from_millis(200);
 
@@ -61,7 +62,9 @@
 }
 
 /// Decides how a request is run, waiting while a suspected twin of it runs.
-pub async fn judge(node: &Rc<Node>, print: Fingerprint) -> Verdict {
+///
+/// Returns [`Verdict::Wait`] if the twin still runs at `deadline`.
+pub async fn judge(node: &Rc<Node>, print: Fingerprint, deadline: Time) -> Verdict {
     let known = node.suspects.borrow().contains_key(&print);
     if !known {
         return Verdict::Clear;
@@ -75,13 +78,21 @@
                 Err(_) => Verdict::Alone,
             },
         };
-        if judged != Verdict::Wait {
+        if judged != Verdict::Wait || clock::now() >= deadline {
             return judged;
         }
         sleep(WAIT).await;
     }
 }
 
+/// Lets twins of a suspect go on, since its run alone never began.
+pub async fn give_up(node: &Rc<Node>, print: Fingerprint) {
+    match home(node, print) {
+        None => node.court.borrow_mut().given_up(print),
+        Some(address) => peer::give_up(node, &address, print).await,
+    }
+}
+
 /// Notes in this node how a run went.
 pub fn note(node: &Node, print: Fingerprint, endpoint: &str, attempt: u64, crashed: bool) {
     let now = clock::now();
--- a/crates/endivespur_wire/schema/node.capnp
+++ b/crates/endivespur_wire/schema/node.capnp
@@ -64,6 +64,7 @@
   promise @9 (vm :Text) -> (ms :UInt32, revision :UInt64);
   query @10 (line :Text) -> (result :Text);
   cancel @11 (endpoint :Text, entry :Text, id :UInt64) -> ();
+  giveUp @12 (print :UInt64) -> ();
 }
 
 interface Gate {
