Derive a slot's users from the grants that are out

Cause, found by reading: each slot counted its users beside the table of grants. After a cold restart of the engine the slot was new, but the end of a grant from before it took one from the new count, so that an adapter with a running request could be evicted. The new test fails on the commit before with "evicted in use".

Also found by reading: a request that was refused over and over counted as popularity each time; and an entry that was suspended could answer a look for lost grants before it read a grant on its way, so that a grant is now ended only after two looks without it.

--- a/crates/endivespur_core/src/owner/load.rs
+++ b/crates/endivespur_core/src/owner/load.rs
@@ -116,7 +116,8 @@
         let wanted: BTreeSet<&Model> = self.queue.iter().filter_map(|a| a.model.as_ref()).collect();
         self.slots
             .iter()
-            .filter(|(_, slot)| slot.phase == Phase::Ready && slot.users == 0 && slot.known)
+            .filter(|(_, slot)| slot.phase == Phase::Ready && slot.known)
+            .filter(|(name, _)| self.users(name) == 0)
             .filter(|(name, _)| {
                 !self.is_usable(name)
                     || !(wanted.contains(&name.model) || self.is_pinned(&name.model))
--- a/crates/endivespur_core/src/owner/mod.rs
+++ b/crates/endivespur_core/src/owner/mod.rs
@@ -283,20 +283,22 @@
         self.open
     }
 
-    /// Tells whether the engine's list of adapters is known.
-    pub fn is_listed(&self) -> bool {
-        self.listed
+    /// Returns the number of grants that are out on a name, those from before a restart
+    /// of the engine included.
+    pub fn users(&self, name: &Name) -> usize {
+        let held = self.held.values();
+        held.filter(|held| held.slot.as_ref() == Some(name)).count()
     }
 
     /// Takes a request that asks for a grant.
     pub fn ask(&mut self, now: Time, authority: Authority, ask: Ask) -> Vec<Action> {
+        if let Some(refusal) = self.refusal(now, authority, &ask) {
+            return vec![Action::Refuse(ask.ticket, refusal)];
+        }
         if let Some(model) = &ask.model {
             let counter = self.popularity.entry(model.clone()).or_default();
             counter.add(now, self.spec.half_life, 1.0);
         }
-        if let Some(refusal) = self.refusal(now, authority, &ask) {
-            return vec![Action::Refuse(ask.ticket, refusal)];
-        }
         self.queue.push(ask);
         self.pump(now, authority)
     }
@@ -370,13 +372,8 @@
         fence: Fence,
         grant: GrantId,
     ) -> Vec<Action> {
-        let Some(held) = self.held.remove(&(fence, grant)) else {
+        if self.held.remove(&(fence, grant)).is_none() {
             return Vec::new();
-        };
-        if let Some(name) = &held.slot
-            && let Some(slot) = self.slots.get_mut(name)
-        {
-            slot.users = slot.users.saturating_sub(1);
         }
         self.pump(now, authority)
     }
@@ -434,7 +431,6 @@
         if let Some(name) = &slot
             && let Some(entry) = self.slots.get_mut(name)
         {
-            entry.users += 1;
             entry.used = now;
         }
         let id = self.next;
--- a/crates/endivespur_core/src/owner/takeover.rs
+++ b/crates/endivespur_core/src/owner/takeover.rs
@@ -23,11 +23,9 @@
                 continue;
             }
             if let Some(name) = &slot {
-                let entry = self
-                    .slots
+                self.slots
                     .entry(name.clone())
                     .or_insert_with(|| Slot::new(Phase::Ready, now));
-                entry.users += 1;
             }
             let held = Held {
                 entry: process.to_string(),
--- a/crates/endivespur_core/src/slot.rs
+++ b/crates/endivespur_core/src/slot.rs
@@ -49,8 +49,6 @@
 pub struct Slot {
     /// What the slot does.
     pub phase: Phase,
-    /// The grants that are out.
-    pub users: usize,
     /// When a grant was last given.
     pub used: Time,
     /// When the slot came into its phase.
@@ -64,7 +62,6 @@
     pub fn new(phase: Phase, now: Time) -> Self {
         Self {
             phase,
-            users: 0,
             used: now,
             since: now,
             known: false,
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -377,3 +377,36 @@
     let waits = owner.ask(later, Authority::Full, ask(5, 4, later, false));
     assert!(waits.is_empty(), "old word is not believed: {waits:?}");
 }
+
+#[test]
+fn end_of_grant_from_before_restart_keeps_new_one_in_use() {
+    let at = Duration::from_secs;
+    let full = Authority::Full;
+    let one = Spec { slots: 1, ..spec() };
+    let mut owner = Owner::new(one, FENCE, BTreeSet::new());
+    let name = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    owner.listed(at(0), full, at(0), &[]);
+    let serve = |owner: &mut Owner, now, ticket| {
+        owner.ask(now, full, ask(ticket, 1, now, false));
+        owner.permit(now, full, &name.model);
+        owner.loaded(now, full, &name, true)
+    };
+    let first = serve(&mut owner, at(1), 1);
+    assert!(matches!(first[..], [Action::Grant(1, _)]), "{first:?}");
+    // The engine restarts cold; the entry has not yet noticed that its request is gone.
+    owner.listed(at(2), full, at(2), &[]);
+    let second = serve(&mut owner, at(3), 2);
+    assert!(matches!(second[..], [Action::Grant(2, _)]), "{second:?}");
+    owner.end(at(4), full, FENCE, 1);
+    owner.ask(at(4), full, ask(3, 2, at(4), false));
+    let wanted = Model::new("x2", 1);
+    assert!(
+        owner.permit(at(4), full, &wanted).is_empty(),
+        "evicted in use"
+    );
+    owner.end(at(5), full, FENCE, 2);
+    assert_eq!(owner.permit(at(5), full, &wanted), [Action::Unload(name)]);
+}
--- a/crates/endivespur_node/src/adopt.rs
+++ b/crates/endivespur_node/src/adopt.rs
@@ -128,6 +128,7 @@
 /// Looks at an owned engine until the ownership ends.
 async fn look(node: Rc<Node>, endpoint: Endpoint, fence: Fence) {
     let is_engine = endivespur_core::route::is_engine(&node.config.borrow(), &endpoint);
+    let mut absent = BTreeSet::new();
     loop {
         let owned = node
             .hosts
@@ -148,39 +149,52 @@
                 owner.idle(now, authority, &running, engine::REPORT_LAG)
             });
         }
-        check_old_grants(&node, &endpoint, fence).await;
+        absent = end_lost(&node, &endpoint, fence, &absent).await;
         sleep(LOOK).await;
     }
 }
 
-/// Asks entries whether they still hold grants that have been out for long.
+/// A grant of an entry that has been out for long.
+type Old = (Process, Fence, u64);
+
+/// Asks entries whether they still hold grants that have been out for long, and ends those
+/// that were absent in the look before as well; returns the absent ones.
 ///
-/// The end of a grant, or the grant itself, may have been lost with a connection.
-async fn check_old_grants(node: &Rc<Node>, endpoint: &str, fence: Fence) {
-    let now = crate::clock::now();
-    let old: Vec<(Process, Fence, u64)> = node
-        .hosts
-        .borrow()
-        .get(endpoint)
-        .map(|host| {
-            host.owner
-                .held()
-                .iter()
-                .filter(|(_, held)| held.since + engine::REPORT_LAG <= now && held.dead.is_none())
-                .map(|((fence, id), held)| (held.entry.clone(), *fence, *id))
-                .collect()
-        })
-        .unwrap_or_default();
+/// The end of a grant, or the grant itself, may have been lost with a connection. One look
+/// is not enough: an entry that was suspended may answer before it reads a late grant.
+async fn end_lost(
+    node: &Rc<Node>,
+    endpoint: &str,
+    fence: Fence,
+    before: &BTreeSet<Old>,
+) -> BTreeSet<Old> {
+    let old = old_grants(node, endpoint);
     let processes: BTreeSet<Process> = old.iter().map(|(process, _, _)| process.clone()).collect();
+    let mut absent = BTreeSet::new();
     for process in processes {
         let Some(grants) = peer::held(node, &process, endpoint, fence).await else {
             continue;
         };
         let kept: BTreeSet<(Fence, u64)> = grants.iter().map(|(f, id, _)| (*f, *id)).collect();
-        for (_, fence, id) in old.iter().filter(|(p, _, _)| *p == process) {
-            if !kept.contains(&(*fence, *id)) {
-                host::end(node, endpoint, *fence, *id);
-            }
-        }
+        let lost = old
+            .iter()
+            .filter(|(holder, fence, id)| *holder == process && !kept.contains(&(*fence, *id)));
+        absent.extend(lost.cloned());
     }
+    for (_, fence, id) in absent.intersection(before) {
+        host::end(node, endpoint, *fence, *id);
+    }
+    absent
+}
+
+fn old_grants(node: &Node, endpoint: &str) -> Vec<Old> {
+    let now = crate::clock::now();
+    let hosts = node.hosts.borrow();
+    let Some(host) = hosts.get(endpoint) else {
+        return Vec::new();
+    };
+    let held = host.owner.held().iter();
+    held.filter(|(_, held)| held.since + engine::REPORT_LAG <= now && held.dead.is_none())
+        .map(|((fence, id), held)| (held.entry.clone(), *fence, *id))
+        .collect()
 }
--- a/crates/endivespur_node/src/rows.rs
+++ b/crates/endivespur_node/src/rows.rs
@@ -130,7 +130,7 @@
                 row(json!({
                     "endpoint": endpoint, "adapter": name.model.adapter,
                     "version": name.model.version, "fence": name.fence,
-                    "phase": slot.phase, "running": slot.users, "owner": node.settings.vm,
+                    "phase": slot.phase, "running": host.owner.users(name), "owner": node.settings.vm,
                 }))
             })
         })
