--- a/crates/endivespur_dev/src/demo.rs
+++ b/crates/endivespur_dev/src/demo.rs
@@ -119,12 +119,7 @@
     site.organisation(CALLER)?;
     site.adapter("hymns", CALLER, &[])?;
     site.adapter("psalms", CALLER, &[])?;
-    site.configure("service/hymnal", &json!({ "class": "draft" }))?;
-    let confirm = json!([{ "method": "POST", "path": "/confirm" }]);
-    site.configure(
-        "service/orders",
-        &json!({ "class": "order", "routes": confirm }),
-    )?;
+    site.services()?;
     for (name, zone) in ["vm-a", "vm-b", "vm-c"].into_iter().zip(zones) {
         site.daemon(name, zone)?;
     }
--- a/crates/endivespur_dev/src/measure.rs
+++ b/crates/endivespur_dev/src/measure.rs
@@ -66,7 +66,7 @@
     let mut site = Site::start("measure", &["za", "zb"], vec![spot])?;
     site.organisation(CALLER)?;
     site.adapter("hymns", CALLER, &[])?;
-    site.configure("service/hymnal", &json!({ "class": "draft" }))?;
+    site.services()?;
     site.daemon("vm-a", "za")?;
     site.daemon("vm-b", "zb")?;
     site.wait_owned(Duration::from_secs(20))?;
--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -262,6 +262,20 @@
         self.configure(&format!("adapter/{name}"), &adapter)
     }
 
+    /// Writes the services `hymnal`, and `orders` with a route that may not be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the store does not answer.
+    pub fn services(&self) -> Result<(), String> {
+        self.configure("service/hymnal", &json!({ "class": "draft" }))?;
+        let routes = json!([{ "method": "POST", "path": "/confirm" }]);
+        self.configure(
+            "service/orders",
+            &json!({ "class": "order", "routes": routes }),
+        )
+    }
+
     /// Writes an organisation that may use the whole region.
     ///
     /// # Errors
--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -26,14 +26,7 @@
     site.organisation("stranger").expect("written");
     site.adapter("hymns", "o", &[]).expect("written");
     site.adapter("local", "o", &["zb"]).expect("written");
-    site.configure("service/hymnal", &json!({ "class": "draft" }))
-        .expect("written");
-    let routes = json!([{ "method": "POST", "path": "/confirm" }]);
-    site.configure(
-        "service/orders",
-        &json!({ "class": "order", "routes": routes }),
-    )
-    .expect("written");
+    site.services().expect("written");
     site.daemon("a", "za").expect("started");
     site.daemon("b", "zb").expect("started");
     site.wait_owned(OWNED).expect("owned");
@@ -208,8 +201,7 @@
     site.organisation("o").expect("written");
     site.organisation("stranger").expect("written");
     site.adapter("hymns", "o", &[]).expect("written");
-    site.configure("service/hymnal", &json!({ "class": "draft" }))
-        .expect("written");
+    site.services().expect("written");
     site.guarded = true;
     site.daemon("a", "za").expect("started");
     site.daemon("b", "za").expect("started");
--- a/crates/endivespur_dev/tests/scenarios/main.rs
+++ b/crates/endivespur_dev/tests/scenarios/main.rs
@@ -268,12 +268,7 @@
 
 fn configure(site: &Site, scenario: &Scenario) -> Result<(), String> {
     site.organisation(CALLER)?;
-    site.configure("service/hymnal", &json!({ "class": "draft" }))?;
-    let confirm = json!([{ "method": "POST", "path": "/confirm" }]);
-    site.configure(
-        "service/orders",
-        &json!({ "class": "order", "routes": confirm }),
-    )?;
+    site.services()?;
     for part in &scenario.parts {
         if let Part::Adapter(Adapter { name, zones }) = part {
             let zones: Vec<&str> = zones.iter().map(String::as_str).collect();
--- /dev/null
+++ b/crates/endivespur_node/src/answered.rs
@@ -0,0 +1,88 @@
+//! Reading engines' answers, whole or event by event.
+
+use std::time::Duration;
+
+use endivespur_core::order::Answer;
+use endivespur_net::{body, sse};
+use http_types::Response;
+use serde_json::Value;
+use smol::future::FutureExt;
+
+use crate::dispatch;
+
+/// The largest whole answer of an engine.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Reads an answer whole and checks that it is.
+pub async fn read_whole(
+    mut response: Response,
+    model: &str,
+    wait: Duration,
+) -> Result<Answer, String> {
+    let status = response.status() as u16;
+    let media = response
+        .header("content-type")
+        .map_or("application/json", |value| value.as_str())
+        .to_string();
+    if media.starts_with("text/event-stream") {
+        let mut reader = sse::Reader::new(response.take_body());
+        let mut text = String::new();
+        loop {
+            let event = next(&mut reader, wait).await?;
+            text.push_str(&String::from_utf8_lossy(&sse::event(&rename(
+                &event, model,
+            ))));
+            if event == "[DONE]" {
+                return Ok(Answer {
+                    status,
+                    media,
+                    body: text,
+                });
+            }
+        }
+    }
+    let mut content = response.take_body();
+    let late = async {
+        smol::Timer::after(dispatch::HEAD_TIMEOUT).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let bytes = body::read(&mut content, ANSWER_BYTES)
+        .or(late)
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut value: Value =
+        serde_json::from_slice(&bytes).map_err(|_| "the answer is no JSON".to_string())?;
+    if value["model"].is_string() {
+        value["model"] = Value::from(model);
+    }
+    Ok(Answer {
+        status,
+        media,
+        body: value.to_string(),
+    })
+}
+
+/// Waits for the next event; an answer that ends without its end mark is an error.
+pub async fn next(reader: &mut sse::Reader, wait: Duration) -> Result<String, String> {
+    let late = async {
+        smol::Timer::after(wait).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    match reader.next().or(late).await {
+        Ok(Some(event)) => Ok(event),
+        Ok(None) => Err("the answer ended without its end mark".to_string()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Replaces the slot's name by the model that the caller named.
+pub fn rename(event: &str, model: &str) -> String {
+    let mark = "\"model\":\"";
+    let Some(start) = event.find(mark).map(|at| at + mark.len()) else {
+        return event.to_string();
+    };
+    let Some(length) = event[start..].find('"') else {
+        return event.to_string();
+    };
+    format!("{}{model}{}", &event[..start], &event[start + length..])
+}
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -6,7 +6,6 @@
 use endivespur_core::burn::Objective;
 use endivespur_core::config::Class;
 use endivespur_core::id::Model;
-use endivespur_core::order::Answer;
 use endivespur_core::route;
 use endivespur_core::suspect::Verdict;
 use endivespur_net::body::Piece;
@@ -15,9 +14,9 @@
 use log::warn;
 use serde_json::Value;
 use smol::channel::Sender;
-use smol::future::FutureExt;
 
 use crate::answer::{Failure, Outcome};
+use crate::answered::{next, read_whole, rename};
 use crate::clock;
 use crate::dispatch::{self, Job, Miss, Permit};
 use crate::engine;
@@ -32,8 +31,6 @@
 const TOKEN_BYTES: usize = 4;
 /// The most engines that one request is sent to.
 const TRIES: u64 = 4;
-/// The largest whole answer of an engine.
-const ANSWER_BYTES: usize = 8 << 20;
 /// Events that wait for a slow caller.
 const PIECES: usize = 64;
 
@@ -188,75 +185,6 @@
     once::run(node, call).await
 }
 
-/// Reads an answer whole and checks that it is.
-async fn read_whole(mut response: Response, model: &str, wait: Duration) -> Result<Answer, String> {
-    let status = response.status() as u16;
-    let media = response
-        .header("content-type")
-        .map_or("application/json", |value| value.as_str())
-        .to_string();
-    if media.starts_with("text/event-stream") {
-        let mut reader = sse::Reader::new(response.take_body());
-        let mut text = String::new();
-        loop {
-            let event = next(&mut reader, wait).await?;
-            text.push_str(&String::from_utf8_lossy(&sse::event(&rename(
-                &event, model,
-            ))));
-            if event == "[DONE]" {
-                return Ok(Answer {
-                    status,
-                    media,
-                    body: text,
-                });
-            }
-        }
-    }
-    let mut content = response.take_body();
-    let late = async {
-        smol::Timer::after(dispatch::HEAD_TIMEOUT).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    let bytes = body::read(&mut content, ANSWER_BYTES)
-        .or(late)
-        .await
-        .map_err(|error| error.to_string())?;
-    let mut value: Value =
-        serde_json::from_slice(&bytes).map_err(|_| "the answer is no JSON".to_string())?;
-    if value["model"].is_string() {
-        value["model"] = Value::from(model);
-    }
-    Ok(Answer {
-        status,
-        media,
-        body: value.to_string(),
-    })
-}
-
-async fn next(reader: &mut sse::Reader, wait: Duration) -> Result<String, String> {
-    let late = async {
-        smol::Timer::after(wait).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    match reader.next().or(late).await {
-        Ok(Some(event)) => Ok(event),
-        Ok(None) => Err("the answer ended without its end mark".to_string()),
-        Err(error) => Err(error.to_string()),
-    }
-}
-
-/// Replaces the slot's name by the model that the caller named.
-fn rename(event: &str, model: &str) -> String {
-    let mark = "\"model\":\"";
-    let Some(start) = event.find(mark).map(|at| at + mark.len()) else {
-        return event.to_string();
-    };
-    let Some(length) = event[start..].find('"') else {
-        return event.to_string();
-    };
-    format!("{}{model}{}", &event[..start], &event[start + length..])
-}
-
 /// Runs a completion, and again elsewhere while nothing of it was answered.
 async fn repeatable(node: &Rc<Node>, mut completion: Completion) -> Result<Response, Failure> {
     let organisation = completion.job.request.organisation.clone();
--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod adopt;
 mod answer;
+mod answered;
 mod claim;
 mod clock;
 mod complete;
