Serve the neighbours of a request that crashes its engine

Cause: reading showed that a request that has to run alone is only granted on an idle endpoint, so on a busy one it is refused at its deadline; the new history alone_on_busy_endpoint_runs_after_patience failed with "the suspect never ran". The new scenario crash_neighbours_served then failed in about every other run: an innocent neighbour was quarantined. Its log, with each grant and end, showed that the owner gave the next grant to the crashed engine in the same moment in which another daemon told it of the lost answer: that path ended the grant before it looked at the engine, unlike the local one.

Ruled out: two runs alone at once (grants 9 and 10 followed each other), and a second count of the first crash.

Change: an endpoint is kept free for a ready request that has waited 1 s to run alone; both paths use the same function, which grants nothing until the engine has listed its adapters; a list that was asked for before is not believed.

--- a/crates/endivespur_core/src/owner/mod.rs
+++ b/crates/endivespur_core/src/owner/mod.rs
@@ -19,6 +19,9 @@
 /// The age up to which the scheduler's word on waiting loads is believed.
 const BACKLOG_AGE: Duration = Duration::from_secs(3);
 
+/// The wait after which an endpoint is kept free for a request that has to run alone.
+const ALONE_PATIENCE: Duration = Duration::from_secs(1);
+
 /// The endpoint's properties that decisions rest on.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -172,6 +175,8 @@
     next: GrantId,
     open: bool,
     listed: bool,
+    /// When the engine was last found missing.
+    doubted: Time,
     /// Processes whose held grants are still unknown after a takeover.
     missing: BTreeSet<Process>,
     slots: BTreeMap<Name, Slot>,
@@ -203,6 +208,7 @@
             next: 1,
             open: true,
             listed: plain,
+            doubted: Time::ZERO,
             missing: live,
             slots: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -413,8 +419,12 @@
         let mut actions = self.refuse_all(Reason::Deadline, |ask| ask.deadline <= now);
         while self.listed && self.held.len() < self.spec.batch && !self.runs_alone() {
             let idle = self.held.is_empty();
+            let reserved = self.is_reserved(now);
             let mut queue = std::mem::take(&mut self.queue);
-            let next = queue.pop(|ask| (!ask.alone || idle) && self.is_ready(ask));
+            let next = queue.pop(|ask| {
+                let fits = if ask.alone { idle } else { !reserved };
+                fits && self.is_ready(ask)
+            });
             self.queue = queue;
             let Some(ask) = next else { break };
             actions.push(self.grant(now, ask));
@@ -422,6 +432,16 @@
         actions
     }
 
+    /// Tells whether the endpoint is kept free for a request that has to run alone.
+    ///
+    /// Without that it would never find a busy endpoint idle.
+    fn is_reserved(&self, now: Time) -> bool {
+        let waits = |ask: &Ask| ask.alone && now.saturating_sub(ask.since) >= ALONE_PATIENCE;
+        self.queue
+            .iter()
+            .any(|ask| waits(ask) && self.is_ready(ask))
+    }
+
     fn runs_alone(&self) -> bool {
         self.held.values().any(|held| held.alone)
     }
--- a/crates/endivespur_core/src/owner/takeover.rs
+++ b/crates/endivespur_core/src/owner/takeover.rs
@@ -79,7 +79,8 @@
 
     /// Takes the engine's list of loaded names, which was asked for at `asked`.
     ///
-    /// A name that the list lacks is gone: the engine was restarted from a cold start.
+    /// A name that the list lacks is gone: the engine was restarted from a cold start. A
+    /// list from before the engine was last found missing is not believed.
     pub fn listed(
         &mut self,
         now: Time,
@@ -87,6 +88,9 @@
         asked: Time,
         names: &[Name],
     ) -> Vec<Action> {
+        if asked < self.doubted {
+            return Vec::new();
+        }
         self.listed = true;
         self.slots.retain(|name, slot| {
             slot.phase != Phase::Ready || slot.since >= asked || names.contains(name)
@@ -103,8 +107,9 @@
     /// Notes that the engine does not list its adapters: it is down or cold.
     ///
     /// Nothing is granted until [`Owner::listed`].
-    pub fn unlisted(&mut self) {
+    pub fn unlisted(&mut self, now: Time) {
         self.listed = false;
+        self.doubted = now;
     }
 
     /// Tells whether the grants and adapters that a predecessor left are known.
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -410,3 +410,68 @@
     owner.end(at(5), full, FENCE, 2);
     assert_eq!(owner.permit(at(5), full, &wanted), [Action::Unload(name)]);
 }
+
+#[test]
+fn alone_on_busy_endpoint_runs_after_patience() {
+    let at = Duration::from_secs;
+    let full = Authority::Full;
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let loaded = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    owner.listed(at(0), full, at(0), std::slice::from_ref(&loaded));
+    let mut running: Vec<u64> = Vec::new();
+    let take = |actions: Vec<Action>, running: &mut Vec<u64>| {
+        let granted = actions.into_iter().filter_map(|action| match action {
+            Action::Grant(ticket, grant) => Some((ticket, grant.id)),
+            _ => None,
+        });
+        let granted: Vec<(u64, u64)> = granted.collect();
+        running.extend(granted.iter().map(|(_, id)| *id));
+        granted.iter().any(|(ticket, _)| *ticket == 99)
+    };
+    take(
+        owner.ask(at(0), full, ask(1, 1, at(0), false)),
+        &mut running,
+    );
+    let mut suspect = ask(99, 1, at(0), true);
+    suspect.organisation = "o9".to_string();
+    take(owner.ask(at(0), full, suspect), &mut running);
+    // A new neighbour comes each second before the one before it has ended.
+    for second in 1..10 {
+        let now = at(second);
+        let neighbour = owner.ask(now, full, ask(second + 1, 1, now, false));
+        let mut ran = take(neighbour, &mut running);
+        if !running.is_empty() {
+            let id = running.remove(0);
+            ran |= take(owner.end(now, full, FENCE, id), &mut running);
+        }
+        if ran {
+            assert_eq!(running.len(), 1, "the suspect got company");
+            return;
+        }
+    }
+    panic!("the suspect never ran");
+}
+
+#[test]
+fn listed_from_before_doubt_grants_nothing() {
+    let at = Duration::from_millis;
+    let full = Authority::Full;
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let loaded = Name {
+        model: Model::new("x1", 1),
+        fence: FENCE,
+    };
+    let names = std::slice::from_ref(&loaded);
+    owner.listed(at(0), full, at(0), names);
+    owner.unlisted(at(20));
+    let mut waiting = ask(1, 1, at(21), false);
+    waiting.patient = true;
+    assert!(owner.ask(at(21), full, waiting).is_empty());
+    let late = owner.listed(at(22), full, at(10), names);
+    assert!(late.is_empty(), "an old list was believed: {late:?}");
+    let granted = owner.listed(at(40), full, at(30), names);
+    assert!(matches!(granted[..], [Action::Grant(1, _)]), "{granted:?}");
+}
--- a/crates/endivespur_dev/src/bench/chosen.rs
+++ b/crates/endivespur_dev/src/bench/chosen.rs
@@ -147,7 +147,7 @@
                 self.change(now, engine, |owner| {
                     let actions =
                         owner.listed(now, Authority::Full, now + Duration::from_nanos(1), &[]);
-                    owner.unlisted();
+                    owner.unlisted(now);
                     actions
                 });
                 self.change(now, engine, |owner| owner.set_open(false));
--- a/crates/endivespur_node/src/engine.rs
+++ b/crates/endivespur_node/src/engine.rs
@@ -150,7 +150,7 @@
     let names = list(node, endpoint).await;
     host::change(node, endpoint, |owner, now, authority| {
         let Some(names) = &names else {
-            owner.unlisted();
+            owner.unlisted(now);
             return Vec::new();
         };
         owner.listed(now, authority, asked, names)
--- a/crates/endivespur_node/src/host.rs
+++ b/crates/endivespur_node/src/host.rs
@@ -9,7 +9,7 @@
 use endivespur_core::lease::Authority;
 use endivespur_core::owner::{Action, Grant, Owner, Refusal, Spec, Want};
 use endivespur_core::queue::Ask;
-use log::{info, warn};
+use log::{debug, info, warn};
 use smol::channel::{Sender, bounded};
 
 use crate::clock;
@@ -153,6 +153,7 @@
 
 /// Notes that a granted request has ended.
 pub fn end(node: &Rc<Node>, endpoint: &str, fence: Fence, grant: GrantId) {
+    debug!("owner: {endpoint} ends grant {grant}");
     change(node, endpoint, |owner, now, authority| {
         owner.end(now, authority, fence, grant)
     });
@@ -166,8 +167,8 @@
     missing: bool,
 ) {
     if missing {
-        change(node, endpoint, |owner, _, _| {
-            owner.unlisted();
+        change(node, endpoint, |owner, now, _| {
+            owner.unlisted(now);
             Vec::new()
         });
     }
@@ -207,7 +208,13 @@
 fn apply(node: &Rc<Node>, endpoint: &str, actions: Vec<Action>) {
     for action in actions {
         match action {
-            Action::Grant(ticket, grant) => reply(node, endpoint, ticket, Ok(grant)),
+            Action::Grant(ticket, grant) => {
+                debug!(
+                    "owner: {endpoint} gives grant {} for ask {ticket}",
+                    grant.id
+                );
+                reply(node, endpoint, ticket, Ok(grant));
+            }
             Action::Refuse(ticket, refusal) => reply(node, endpoint, ticket, Err(refusal)),
             Action::Load(name) => {
                 info!("owner: {endpoint} loads {name}");
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -17,7 +17,7 @@
 use crate::counted::Counted;
 use crate::host::Reply;
 use crate::node::Node;
-use crate::{clock, engine, host, loads, operator, peer, suspicion, sync};
+use crate::{clock, host, loads, operator, peer, suspicion, sync};
 
 /// Serves other daemons until the future is dropped.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
@@ -97,15 +97,8 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = text(params.get_endpoint()?)?;
-        host::end(
-            &self.node,
-            &endpoint,
-            params.get_fence(),
-            params.get_grant(),
-        );
-        if params.get_missing() {
-            engine::relist(&self.node, &endpoint).await;
-        }
+        let key = (params.get_fence(), params.get_grant());
+        host::end_and_look(&self.node, &endpoint, key, params.get_missing()).await;
         Ok(())
     }
 
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -36,7 +36,9 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
     let path = matches
         .get_one::<String>("settings")
         .map_or("", String::as_str);
