--- a/crates/endivespur_core/src/member.rs
+++ b/crates/endivespur_core/src/member.rs
@@ -256,11 +256,6 @@
         }
     }
 
-    /// Forgets since when owners are lost, because the store was out of reach until now.
-    pub fn restart_margins(&mut self) {
-        self.lost.clear();
-    }
-
     /// Returns the endpoints that the process owns by the records.
     pub fn owned(&self, vm: &str, incarnation: u64) -> BTreeMap<Endpoint, Fence> {
         self.owners
