Serve callers through the users' platform

What was missing: the daemon spoke only its own protocols. `platform/` holds the platform's names, formats and calls and decodes them once; `endivespur_gateway` serves callers with them, `endivespur_http` frames HTTP/1.1, and `endivespur_core::gateway` decides.

- One owner an engine gives its orders: a claim in the store under the VM's lease, whose revision is the fencing number.
Every request asks that owner for a grant over Cap'n Proto; the entry streams directly.
- Each order carries the number of orders that the engine has accepted, so that one that arrives late fails.
- An engine fetches one adapter at a time.
- A request that asked an owner waits there; it moves on only where the estimated delay is above 0.6 of its objective.
- After SIGTERM requests are taken for 2.9 s, then the listener closes.

Ruled out: to poll a load by an order that expects an impossible count; once the adapter is there the engine answers 409 instead of 200.

--- a/crates/endivespur_node/src/clock.rs
+++ b/crates/endivespur_clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The daemon's clock, which counts the time that the machine is suspended.
+//! The daemons' clock, which counts the time that the machine is suspended.
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -0,0 +1,14 @@
+//! The decisions of a gateway in front of engines that place adapters by order.
+//!
+//! [`table`] says where a request may go, [`endpoint`] what the endpoints tell of
+//! themselves, [`ownership`] which VM gives an endpoint its orders, [`placement`] which
+//! adapters it holds, [`choice`] in which order endpoints are tried, and [`health`] which
+//! of them are avoided.
+
+pub mod choice;
+pub mod endpoint;
+pub mod health;
+pub mod ownership;
+pub mod placement;
+pub mod prefix;
+pub mod table;
--- /dev/null
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -0,0 +1,635 @@
+//! The adapters on one engine, and the orders that its owner gives it.
+//!
+//! The owner gives one order at a time, each under the number of orders that the engine
+//! has accepted, so that an order which arrives late fails instead of overfilling it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::decay::Counter;
+use crate::gateway::endpoint::{Base, Weights};
+use crate::gateway::prefix::{Cache, Part};
+use crate::gateway::table::EngineClass;
+use crate::id::{Grant, Version};
+
+/// The adapters that may be on their way to one engine at the same time, by its own bound.
+const MAX_LOADING: usize = 4;
+/// The adapters that an owner fetches from the weight store at the same time. The store's
+/// bandwidth is shared by all engines, so that more at once only take longer each.
+const MAX_FETCHING: usize = 1;
+/// The adapters that an engine is counted on to keep beside its slots, from where they load
+/// in a tenth of the time; engines keep 48 or more.
+const KEPT_BESIDE: usize = 40;
+/// How long a fetch from the weight store is expected to take before one was seen.
+const FETCH_TIME: Duration = Duration::from_millis(250);
+/// How long a load of an adapter that the engine keeps is expected to take.
+const RELOAD_TIME: Duration = Duration::from_millis(25);
+/// The weight of the newest fetch in the moving average of fetch times.
+const NEWEST_SHARE: f64 = 0.3;
+/// How far an engine's report may lag behind its state.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// When a load is looked at for the first time: an adapter that the engine held before
+/// takes a tenth of a fetch.
+const FIRST_CHECK: Duration = Duration::from_millis(28);
+/// When a load that was not done at the first look is looked at again: a fetch from the
+/// weight store takes a quarter of a second.
+const SECOND_CHECK: Duration = Duration::from_millis(255);
+/// The time between later looks.
+const LATER_CHECK: Duration = Duration::from_millis(40);
+/// The time over which an adapter's uses lose half of their weight.
+const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
+/// The prompt tokens that an engine reads in a millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 40.0;
+/// The longest time that a grant counts as in use if its end is never told.
+const GRANT_BOUND: Duration = Duration::from_secs(20);
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Loads weights, or replaces them by a newer version.
+    Load,
+    /// Unloads weights.
+    Unload,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// What it does.
+    pub action: Action,
+    /// The weights.
+    pub weights: Weights,
+    /// The version to load; the newest if there is none.
+    pub version: Option<Version>,
+    /// The number of orders that the engine must have accepted before.
+    pub expected: u64,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Holds,
+    /// Another order is under way, or the engine has accepted others.
+    Conflict,
+    /// No answer; it may still be carried out.
+    Lost,
+}
+
+/// What an engine's report says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// The base models with their adapters.
+    pub bases: BTreeMap<String, Base>,
+    /// The adapters on their way.
+    pub loading: BTreeMap<Weights, Version>,
+    /// The orders accepted.
+    pub orders: u64,
+    /// Whether the order of a base model is being carried out.
+    pub is_busy: bool,
+}
+
+/// What the owner does next with an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It gives an order.
+    Order(Order),
+    /// It reads the report.
+    Report,
+    /// It waits until that moment, or until something changes.
+    Sleep(Option<Time>),
+}
+
+/// A request for a grant.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The weights that the request names.
+    pub weights: Weights,
+    /// The prompt's tokens.
+    pub tokens: u64,
+    /// The prompt's parts in order.
+    pub parts: Vec<Part>,
+    /// The longest delay to be put up with; none if any is.
+    pub max_delay: Option<Duration>,
+}
+
+/// The answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may be sent.
+    Granted(Grant),
+    /// The adapter is not there yet; ask again when something changes.
+    Wait,
+    /// Another engine should be tried first; the estimated delay here.
+    Busy(Duration),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// On its way, to be looked at next at that moment.
+    Loading {
+        since: Time,
+        check: Time,
+    },
+    Resident,
+    /// The unload was ordered.
+    Unloading,
+}
+
+#[derive(Clone, Debug)]
+struct Copy {
+    version: Version,
+    state: State,
+    users: BTreeMap<Grant, Time>,
+    popularity: Counter,
+}
+
+impl Copy {
+    fn new(version: Version, state: State) -> Self {
+        Self {
+            version,
+            state,
+            users: BTreeMap::new(),
+            popularity: Counter::default(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Want {
+    since: Time,
+    waiting: usize,
+}
+
+/// The state of one engine at its owner.
+#[derive(Debug)]
+pub struct Engine {
+    slots: usize,
+    bases: BTreeSet<String>,
+    servable: Vec<String>,
+    copies: BTreeMap<Weights, Copy>,
+    wants: BTreeMap<Weights, Want>,
+    newest: BTreeMap<Weights, Version>,
+    orders: u64,
+    report_at: Option<Time>,
+    base_check: Option<Time>,
+    repeated: Option<Order>,
+    busy_until: Time,
+    cache: Cache,
+    next_grant: Grant,
+    /// When adapters that the engine may still keep beside its slots were unloaded.
+    kept: BTreeMap<Weights, Time>,
+    fetch_time: Duration,
+}
+
+impl Engine {
+    /// Makes the state of an engine whose report is still to be read.
+    pub fn new(now: Time, class: &EngineClass) -> Self {
+        Self {
+            slots: class.adapter_slots,
+            bases: BTreeSet::new(),
+            servable: class.bases.keys().cloned().collect(),
+            copies: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            orders: 0,
+            report_at: Some(now),
+            base_check: None,
+            repeated: None,
+            busy_until: now,
+            cache: Cache::new(class.memory_tokens),
+            next_grant: 1,
+            kept: BTreeMap::new(),
+            fetch_time: FETCH_TIME,
+        }
+    }
+
+    /// Notes the newest version of an adapter.
+    pub fn announce(&mut self, weights: &Weights, version: Version) {
+        let newest = self.newest.entry(weights.clone()).or_default();
+        *newest = (*newest).max(version);
+    }
+
+    /// Returns the number of adapters here and on their way.
+    pub fn taken(&self) -> usize {
+        self.copies.len()
+    }
+
+    /// Returns the estimated time until a prompt sent now is read.
+    pub fn backlog(&self, now: Time) -> Duration {
+        self.busy_until.saturating_sub(now)
+    }
+
+    /// Tells whether an adapter is there in its newest version.
+    pub fn is_ready(&self, weights: &Weights) -> bool {
+        if self.report_at.is_some() && self.copies.is_empty() && self.bases.is_empty() {
+            return false;
+        }
+        if !self.bases.contains(&weights.base) {
+            return false;
+        }
+        weights.adapter.is_empty()
+            || self.copies.get(weights).is_some_and(|copy| {
+                copy.state == State::Resident && copy.version >= self.newest_of(weights)
+            })
+    }
+
+    fn newest_of(&self, weights: &Weights) -> Version {
+        self.newest.get(weights).copied().unwrap_or_default()
+    }
+
+    /// Answers a request for a grant.
+    pub fn ask(&mut self, now: Time, ask: &Ask) -> Verdict {
+        let delay = self.delay(now, &ask.weights);
+        if ask.max_delay.is_some_and(|most| delay > most) {
+            return Verdict::Busy(delay);
+        }
+        if self.is_ready(&ask.weights) {
+            return Verdict::Granted(self.grant(now, ask));
+        }
+        if ask.max_delay.is_some() && self.is_stuck(&ask.weights) {
+            return Verdict::Busy(delay + REPORT_LAG);
+        }
+        Verdict::Wait
+    }
+
+    /// Notes that a request waits for an adapter; [`Engine::leave`] ends it.
+    pub fn join(&mut self, now: Time, weights: &Weights) {
+        self.wants
+            .entry(weights.clone())
+            .or_insert(Want {
+                since: now,
+                waiting: 0,
+            })
+            .waiting += 1;
+    }
+
+    /// Notes that a request no longer waits for an adapter.
+    pub fn leave(&mut self, weights: &Weights) {
+        if let Some(want) = self.wants.get_mut(weights) {
+            want.waiting -= 1;
+            if want.waiting == 0 {
+                self.wants.remove(weights);
+            }
+        }
+    }
+
+    /// Returns the estimated time until the engine begins to read a prompt for these weights.
+    pub fn delay(&self, now: Time, weights: &Weights) -> Duration {
+        let backlog = self.backlog(now);
+        if self.is_ready(weights) || weights.adapter.is_empty() {
+            return backlog;
+        }
+        let fetch = self.fetch_time;
+        let remaining: Duration = self
+            .copies
+            .iter()
+            .filter_map(|(other, copy)| match copy.state {
+                State::Loading { since, .. } if !self.kept.contains_key(other) => {
+                    Some((since + fetch).saturating_sub(now))
+                }
+                _ => None,
+            })
+            .sum();
+        if self.is_loading(weights) {
+            return backlog.max(remaining);
+        }
+        if self.kept.contains_key(weights) {
+            return backlog.max(RELOAD_TIME);
+        }
+        let ahead = self
+            .wants
+            .keys()
+            .filter(|other| *other != weights)
+            .filter(|other| !self.copies.contains_key(other) && !self.kept.contains_key(other))
+            .count();
+        backlog.max(remaining + fetch * (ahead as u32 + 1))
+    }
+
+    /// Tells whether an adapter cannot come soon: every slot is in use, or a newer version
+    /// waits for running requests.
+    fn is_stuck(&self, weights: &Weights) -> bool {
+        match self.copies.get(weights) {
+            Some(copy) => copy.state == State::Resident && !copy.users.is_empty(),
+            None => {
+                self.copies.len() >= self.slots
+                    && self.copies.values().all(|copy| !copy.users.is_empty())
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Time, ask: &Ask) -> Grant {
+        let grant = self.next_grant;
+        self.next_grant += 1;
+        let unread = ask
+            .tokens
+            .saturating_sub(self.cache.kept(&ask.weights, &ask.parts));
+        self.cache.note(now, &ask.weights, &ask.parts);
+        let cost = Duration::from_secs_f64(unread as f64 / PREFILL_TOKENS_PER_MS / 1000.0);
+        self.busy_until = self.busy_until.max(now) + cost;
+        if let Some(copy) = self.copies.get_mut(&ask.weights) {
+            copy.users.insert(grant, now + GRANT_BOUND);
+            copy.popularity.add(now, POPULARITY_HALF_LIFE, 1.0);
+        }
+        grant
+    }
+
+    /// Notes that a granted request has ended.
+    pub fn release(&mut self, weights: &Weights, grant: Grant) {
+        if let Some(copy) = self.copies.get_mut(weights) {
+            copy.users.remove(&grant);
+        }
+    }
+
+    /// Notes that the engine said it does not hold what it was believed to hold.
+    pub fn missing(&mut self, now: Time) {
+        self.report_at.get_or_insert(now + REPORT_LAG);
+    }
+
+    /// Takes a report as the engine's state.
+    ///
+    /// An adapter with users stays in use if the report still lists it.
+    pub fn reconcile(&mut self, now: Time, report: &Report) {
+        let mut copies = BTreeMap::new();
+        for (name, base) in &report.bases {
+            for (adapter, version) in &base.adapters {
+                let weights = Weights::new(name, adapter);
+                copies.insert(weights, (*version, State::Resident));
+            }
+        }
+        let loading = State::Loading {
+            since: now,
+            check: now,
+        };
+        for (weights, version) in &report.loading {
+            copies.insert(weights.clone(), (*version, loading));
+        }
+        let mut old = std::mem::take(&mut self.copies);
+        for (weights, (version, state)) in copies {
+            let mut copy = old
+                .remove(&weights)
+                .unwrap_or_else(|| Copy::new(version, state));
+            copy.version = version;
+            copy.state = state;
+            self.copies.insert(weights, copy);
+        }
+        for weights in old.keys() {
+            self.cache.forget(weights);
+        }
+        self.bases = report.bases.keys().cloned().collect();
+        self.orders = report.orders;
+        self.base_check = None;
+        self.repeated = None;
+        self.report_at = report.is_busy.then_some(now + REPORT_LAG);
+    }
+
+    /// Returns what the owner does next.
+    pub fn step(&mut self, now: Time) -> Step {
+        self.expire(now);
+        if let Some(at) = self.report_at {
+            return if now >= at {
+                Step::Report
+            } else {
+                Step::Sleep(Some(at))
+            };
+        }
+        if let Some(order) = self.repeated.clone() {
+            return Step::Order(order);
+        }
+        if let Some(at) = self.base_check {
+            return if now >= at {
+                Step::Report
+            } else {
+                Step::Sleep(Some(at))
+            };
+        }
+        if let Some(order) = self.load_base().or_else(|| self.replace()) {
+            return Step::Order(order);
+        }
+        if let Some(order) = self.load_wanted(now) {
+            return Step::Order(order);
+        }
+        self.check(now)
+    }
+
+    fn expire(&mut self, now: Time) {
+        for copy in self.copies.values_mut() {
+            copy.users.retain(|_, until| now < *until);
+        }
+    }
+
+    fn order(&self, action: Action, weights: &Weights, version: Option<Version>) -> Order {
+        Order {
+            action,
+            weights: weights.clone(),
+            version,
+            expected: self.orders,
+        }
+    }
+
+    /// An engine that holds no base model loads one that is asked for, or the first.
+    fn load_base(&self) -> Option<Order> {
+        if !self.bases.is_empty() {
+            return None;
+        }
+        let wanted = self.wants.keys().map(|weights| &weights.base);
+        let base = wanted
+            .chain(self.servable.iter())
+            .find(|base| self.servable.contains(base))?;
+        Some(self.order(Action::Load, &Weights::new(base, ""), None))
+    }
+
+    fn replace(&self) -> Option<Order> {
+        let loading = self.loading();
+        self.copies
+            .iter()
+            .filter(|(_, copy)| copy.state == State::Resident)
+            .filter(|(weights, copy)| copy.version < self.newest_of(weights))
+            .min_by_key(|(_, copy)| std::cmp::Reverse(copy.users.len()))
+            .filter(|_| loading < MAX_LOADING)
+            .map(|(weights, _)| self.order(Action::Load, weights, Some(self.newest_of(weights))))
+    }
+
+    fn loading(&self) -> usize {
+        self.copies
+            .values()
+            .filter(|copy| matches!(copy.state, State::Loading { .. }))
+            .count()
+    }
+
+    /// Loads what most requests wait for, what waited longest first among equals.
+    fn load_wanted(&mut self, now: Time) -> Option<Order> {
+        if self.loading() >= MAX_LOADING {
+            return None;
+        }
+        let may_fetch = self.fetching() < MAX_FETCHING;
+        let wanted = self
+            .wants
+            .iter()
+            .filter(|(weights, _)| !weights.adapter.is_empty())
+            .filter(|(weights, _)| self.bases.contains(&weights.base))
+            .filter(|(weights, _)| !self.copies.contains_key(weights))
+            .filter(|(weights, _)| may_fetch || self.kept.contains_key(weights))
+            .min_by_key(|(_, want)| (std::cmp::Reverse(want.waiting), want.since))
+            .map(|(weights, _)| weights.clone())?;
+        if self.copies.len() < self.slots {
+            let newest = self.newest.get(&wanted).copied();
+            return Some(self.order(Action::Load, &wanted, newest));
+        }
+        let victim = self.victim(now)?;
+        Some(self.order(Action::Unload, &victim, None))
+    }
+
+    /// Returns the adapters that are on their way from the weight store.
+    fn fetching(&self) -> usize {
+        self.copies
+            .iter()
+            .filter(|(weights, copy)| {
+                matches!(copy.state, State::Loading { .. }) && !self.kept.contains_key(weights)
+            })
+            .count()
+    }
+
+    /// Returns the least popular adapter that no request uses.
+    fn victim(&self, now: Time) -> Option<Weights> {
+        self.copies
+            .iter()
+            .filter(|(_, copy)| copy.state == State::Resident && copy.users.is_empty())
+            .filter(|(weights, _)| !self.wants.contains_key(weights))
+            .min_by(|(_, a), (_, b)| {
+                let a = a.popularity.at(now, POPULARITY_HALF_LIFE);
+                let b = b.popularity.at(now, POPULARITY_HALF_LIFE);
+                a.total_cmp(&b)
+            })
+            .map(|(weights, _)| weights.clone())
+    }
+
+    /// Repeats the order of a load that may be done: the engine accepts it again, without
+    /// counting it, as long as the adapter is on its way, and then says that it holds.
+    fn check(&self, now: Time) -> Step {
+        let next = self
+            .copies
+            .iter()
+            .filter_map(|(weights, copy)| match copy.state {
+                State::Loading { check, .. } => Some((check, weights, copy.version)),
+                _ => None,
+            })
+            .min();
+        match next {
+            Some((at, weights, version)) if now >= at => {
+                let version = (version > 0).then_some(version);
+                Step::Order(self.order(Action::Load, weights, version))
+            }
+            Some((at, _, _)) => Step::Sleep(Some(at)),
+            None => Step::Sleep(None),
+        }
+    }
+
+    /// Notes what became of an order.
+    pub fn answered(&mut self, now: Time, order: &Order, answer: Answer) {
+        let was_repeated = self.repeated.take().is_some();
+        match answer {
+            Answer::Accepted if self.is_loading(&order.weights) => {
+                self.still_loading(now, &order.weights);
+            }
+            Answer::Accepted => self.accepted(now, order),
+            Answer::Holds => self.holds(now, order),
+            // The order itself may have been accepted already, with its answer lost.
+            Answer::Conflict if was_repeated && order.expected == self.orders => {
+                let mut next = order.clone();
+                next.expected += 1;
+                self.repeated = Some(next);
+            }
+            Answer::Conflict => self.report_at = Some(now + REPORT_LAG),
+            // The repetition fails if the lost one is carried out first, and the other way round.
+            Answer::Lost if was_repeated => self.report_at = Some(now + REPORT_LAG),
+            Answer::Lost => self.repeated = Some(order.clone()),
+        }
+    }
+
+    fn accepted(&mut self, now: Time, order: &Order) {
+        self.orders = order.expected + 1;
+        if order.weights.adapter.is_empty() {
+            self.base_check = Some(now + REPORT_LAG);
+            return;
+        }
+        match order.action {
+            Action::Load => {
+                let state = State::Loading {
+                    since: now,
+                    check: now + FIRST_CHECK,
+                };
+                let version = order.version.unwrap_or_default();
+                let copy = self
+                    .copies
+                    .entry(order.weights.clone())
+                    .or_insert_with(|| Copy::new(version, state));
+                if copy.version != version {
+                    self.cache.forget(&order.weights);
+                }
+                copy.version = version;
+                copy.state = state;
+            }
+            Action::Unload => {
+                if let Some(copy) = self.copies.get_mut(&order.weights) {
+                    copy.state = State::Unloading;
+                }
+                self.report_at = Some(now + REPORT_LAG);
+            }
+        }
+    }
+
+    fn holds(&mut self, now: Time, order: &Order) {
+        match order.action {
+            Action::Load => {
+                if let Some(copy) = self.copies.get_mut(&order.weights) {
+                    if let State::Loading { since, .. } = copy.state
+                        && !self.kept.contains_key(&order.weights)
+                    {
+                        let took = now.saturating_sub(since);
+                        self.fetch_time = self.fetch_time.mul_f64(1.0 - NEWEST_SHARE)
+                            + took.mul_f64(NEWEST_SHARE);
+                    }
+                    copy.state = State::Resident;
+                }
+                self.kept.remove(&order.weights);
+            }
+            Action::Unload => {
+                self.orders = order.expected + 1;
+                self.copies.remove(&order.weights);
+                self.cache.forget(&order.weights);
+                self.keep_beside(now, &order.weights);
+            }
+        }
+    }
+
+    fn keep_beside(&mut self, now: Time, weights: &Weights) {
+        self.kept.insert(weights.clone(), now);
+        if self.kept.len() > KEPT_BESIDE {
+            let oldest = self.kept.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(weights, _)| weights.clone()) {
+                self.kept.remove(&oldest);
+            }
+        }
+    }
+
+    fn is_loading(&self, weights: &Weights) -> bool {
+        let copy = self.copies.get(weights);
+        copy.is_some_and(|copy| matches!(copy.state, State::Loading { .. }))
+    }
+
+    fn still_loading(&mut self, now: Time, weights: &Weights) {
+        if let Some(copy) = self.copies.get_mut(weights)
+            && let State::Loading { since, check } = &mut copy.state
+        {
+            *check = if now < *since + SECOND_CHECK {
+                *since + SECOND_CHECK
+            } else {
+                now + LATER_CHECK
+            };
+        }
+    }
+}
--- a/crates/endivespur_core/src/hash.rs
+++ b/crates/endivespur_core/src/hash.rs
@@ -44,3 +44,8 @@
     scored.sort_by(compare);
     scored.into_iter().map(|(_, node)| node).collect()
 }
+
+/// Returns a hash of `key` under `seed`.
+pub fn mix(key: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), seed)
+}
--- /dev/null
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -0,0 +1,498 @@
+//! Requests to model engines: the adapter's home is tried first.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::gateway::choice;
+use endivespur_core::gateway::endpoint::{Instance, Weights};
+use endivespur_core::gateway::placement::Ask;
+use endivespur_core::gateway::table::Repeat;
+use endivespur_core::id::{Endpoint, Grant, Version};
+use endivespur_http::head::Framing;
+use endivespur_platform::header::Dispatch;
+use log::info;
+use smol::Timer;
+
+use crate::exchange::{Call, Caller, Ending};
+use crate::owner::Reply;
+use crate::relay::{self, Failure};
+use crate::state::{Running, State};
+use crate::{peer, timer};
+
+/// The share of the objective that a request may wait for its adapter, or behind other
+/// prompts, before another engine is tried; the rest is for reading the prompt.
+const DELAY_SHARE: f64 = 0.6;
+/// The part of the deadline that is left to answer a request that cannot be served.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// The pause before engines without an owner are tried again.
+const OWNER_PAUSE: Duration = Duration::from_millis(60);
+/// When a caller should come back that found no engine: a takeover of an owner.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// The most engines that are offered a request that none of them ran.
+const MAX_OFFERS: usize = 4;
+/// The longest body of a refusal that is read to keep the connection.
+const MAX_REFUSAL_BYTES: usize = 4096;
+/// How long after the deadline a stream may still end by itself.
+const STREAM_SLACK: Duration = Duration::from_millis(300);
+
+/// Where an engine's owner is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seat {
+    /// In this process.
+    Here,
+    /// On another VM.
+    Peer(SocketAddr),
+}
+
+/// Permission to send a request to an engine; the owner is told when it is dropped.
+struct Permit {
+    state: Rc<State>,
+    instance: Rc<Instance>,
+    weights: Weights,
+    grant: Option<(Seat, Grant)>,
+    version: Option<Version>,
+    is_missing: bool,
+    _running: Running,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let Some((seat, grant)) = self.grant else {
+            return;
+        };
+        let (id, is_missing) = (self.instance.id.clone(), self.is_missing);
+        let Seat::Peer(address) = seat else {
+            self.state
+                .owners
+                .release(&id, &self.weights, grant, is_missing);
+            return;
+        };
+        let (state, weights) = (self.state.clone(), self.weights.clone());
+        self.state.spawn(async move {
+            peer::release(&state, address, &id, &weights, grant, is_missing).await;
+        });
+    }
+}
+
+/// The events of a stream that were passed on.
+struct Progress {
+    last_event: Option<u64>,
+    /// The bytes of an event that is not whole yet.
+    partial: Vec<u8>,
+}
+
+/// How the answer of one engine ended.
+enum Passed {
+    Whole,
+    /// It broke off; another engine may go on.
+    Broken(String),
+    /// The caller has left.
+    Left(String),
+}
+
+/// What is to be done after one engine was offered the request.
+enum Offer {
+    /// The request has ended.
+    Ended(Ending),
+    /// The engine did not run it.
+    NotRun(String),
+    /// The engine ran it, or may have, and another may go on.
+    Failed(Ending),
+}
+
+/// What is known of a request so far.
+struct Course {
+    tried: BTreeSet<Endpoint>,
+    /// The engines that ran it, or may have.
+    runs: u32,
+    progress: Progress,
+}
+
+/// Answers a request to a model engine.
+pub async fn answer(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Ending {
+    let mut course = Course {
+        tried: BTreeSet::new(),
+        runs: 0,
+        progress: Progress {
+            last_event: call.fields.last_event,
+            partial: Vec::new(),
+        },
+    };
+    let mut last = Ending::refused("late", RETRY_AFTER);
+    for offer in 0..MAX_OFFERS {
+        if call.left().is_zero() {
+            break;
+        }
+        let permit = match acquire(state, call, &course.tried).await {
+            Ok(permit) => permit,
+            Err(reason) => {
+                if course.runs == 0 {
+                    last = Ending::refused(reason, RETRY_AFTER);
+                }
+                break;
+            }
+        };
+        if offer > 0 && !state.withdraw_retry(&call.service) {
+            break;
+        }
+        match offer_to(state, call, caller, permit, &mut course).await {
+            Offer::Ended(ending) => return ending,
+            Offer::NotRun(reason) if course.runs == 0 => {
+                last = Ending::refused(&reason, RETRY_AFTER);
+            }
+            Offer::NotRun(_) => {}
+            Offer::Failed(ending) => {
+                last = ending;
+                let may_resume = call.route.repeat == Repeat::ResumableStream;
+                if !may_resume || course.runs >= call.route.max_endpoints {
+                    break;
+                }
+            }
+        }
+    }
+    if caller.has_begun {
+        return Ending::Broken("stream not resumed".to_string());
+    }
+    last
+}
+
+/// Sends the request to one engine and passes its answer on.
+async fn offer_to(
+    state: &Rc<State>,
+    call: &Call,
+    caller: &mut Caller<'_>,
+    mut permit: Permit,
+    course: &mut Course,
+) -> Offer {
+    let instance = permit.instance.clone();
+    let now = clock::now();
+    let sent = send(state, call, &permit, course.progress.last_event, caller).await;
+    let failure = match sent {
+        Ok(reply) if reply.answer.is_not_run => {
+            return not_run(state, call, &mut permit, course, reply).await;
+        }
+        Ok(mut reply) if reply.answer.is_signed => {
+            let is_failure = reply.head.status >= 500;
+            let may_resume = call.route.repeat == Repeat::ResumableStream
+                && course.runs + 1 < call.route.max_endpoints;
+            if is_failure && (caller.has_begun || may_resume) {
+                format!("engine-status-{}", reply.head.status)
+            } else {
+                if !is_failure {
+                    let took = clock::now().saturating_sub(now);
+                    let mut health = state.health.borrow_mut();
+                    health.answered(clock::now(), &instance.id, took);
+                }
+                match pass_on(call, caller, &mut reply, &mut course.progress).await {
+                    Passed::Whole => {
+                        let status = reply.head.status;
+                        reply.finish(state);
+                        return Offer::Ended(Ending::Relayed(status));
+                    }
+                    Passed::Left(reason) => return Offer::Ended(Ending::Broken(reason)),
+                    Passed::Broken(reason) => reason,
+                }
+            }
+        }
+        Ok(reply) => format!("unsigned-status-{}", reply.head.status),
+        Err(Failure::NotSent(reason)) => {
+            log_attempt(call, &instance, "not-sent", &reason);
+            state.health.borrow_mut().failed(clock::now(), &instance.id);
+            course.tried.insert(instance.id.clone());
+            return Offer::NotRun(reason);
+        }
+        Err(Failure::Late) => {
+            log_attempt(call, &instance, "late", "no answer in time");
+            state.health.borrow_mut().failed(clock::now(), &instance.id);
+            return Offer::Ended(Ending::unknown(504, "late"));
+        }
+        Err(Failure::Lost(reason)) => reason,
+    };
+    course.runs += 1;
+    log_attempt(call, &instance, "unknown", &failure);
+    state.health.borrow_mut().failed(clock::now(), &instance.id);
+    course.tried.insert(instance.id.clone());
+    Offer::Failed(Ending::unknown(502, &failure))
+}
+
+/// Notes that an engine did not run the request; one that lacks the adapter is asked again.
+async fn not_run(
+    state: &Rc<State>,
+    call: &Call,
+    permit: &mut Permit,
+    course: &mut Course,
+    mut reply: relay::Reply,
+) -> Offer {
+    let status = reply.head.status;
+    permit.is_missing = status == 421;
+    if status != 421 || permit.grant.is_none() {
+        course.tried.insert(permit.instance.id.clone());
+    }
+    let reason = format!("engine-status-{status}");
+    log_attempt(call, &permit.instance, "not-run", &reason);
+    if let Ok(Some(_)) = reply.whole(MAX_REFUSAL_BYTES).await {
+        reply.finish(state);
+    }
+    Offer::NotRun(reason)
+}
+
+fn log_attempt(call: &Call, instance: &Instance, outcome: &str, reason: &str) {
+    info!(
+        event = "attempt", request = call.fields.attempt.as_str(),
+        endpoint = instance.id.as_str(), outcome, reason; "engine gave no answer"
+    );
+}
+
+async fn send(
+    state: &Rc<State>,
+    call: &Call,
+    permit: &Permit,
+    last_event: Option<u64>,
+    caller: &Caller<'_>,
+) -> Result<relay::Reply, Failure> {
+    let left = call.left();
+    let request = call.dispatch(&Dispatch {
+        endpoint: permit.instance.id.clone(),
+        deadline: left,
+        version: permit.version,
+        priority: Some(call.route.priority.min(9)),
+        resume_after: last_event.filter(|_| caller.has_begun),
+    });
+    relay::send(
+        state,
+        &permit.instance,
+        &request,
+        &call.body,
+        &call.fields.attempt,
+        left,
+    )
+    .await
+}
+
+/// Passes an engine's answer on, whole events at a time.
+async fn pass_on(
+    call: &Call,
+    caller: &mut Caller<'_>,
+    reply: &mut relay::Reply,
+    progress: &mut Progress,
+) -> Passed {
+    let is_stream = call.route.repeat.is_stream() && reply.head.status == 200;
+    let limit = call.left() + STREAM_SLACK;
+    let work = async {
+        if !caller.has_begun {
+            let framing = if is_stream {
+                Framing::Chunked
+            } else {
+                reply.framing
+            };
+            if let Err(error) = caller.begin(&reply.head, framing).await {
+                return Passed::Left(error.to_string());
+            }
+        }
+        progress.partial.clear();
+        loop {
+            let bytes = match reply.next().await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break,
+                Err(error) => return Passed::Broken(error.to_string()),
+            };
+            let written = if is_stream {
+                let events = whole_events(progress, &bytes);
+                caller.piece(&events).await
+            } else {
+                caller.piece(&bytes).await
+            };
+            if let Err(error) = written {
+                return Passed::Left(error.to_string());
+            }
+        }
+        if is_stream && !progress.partial.is_empty() {
+            return Passed::Broken("stream ended inside an event".to_string());
+        }
+        match caller.end().await {
+            Ok(()) => Passed::Whole,
+            Err(error) => Passed::Left(error.to_string()),
+        }
+    };
+    timer::within(limit, work)
+        .await
+        .unwrap_or_else(|| Passed::Left("deadline".to_string()))
+}
+
+/// Returns the events that are whole with these bytes, less those passed on before.
+fn whole_events(progress: &mut Progress, bytes: &[u8]) -> Vec<u8> {
+    progress.partial.extend_from_slice(bytes);
+    let mut events = Vec::new();
+    while let Some(end) = progress.partial.windows(2).position(|pair| pair == b"\n\n") {
+        let event: Vec<u8> = progress.partial.drain(..end + 2).collect();
+        let id = event_id(&event);
+        let is_repeated = matches!((id, progress.last_event), (Some(id), Some(last)) if id <= last);
+        if is_repeated {
+            continue;
+        }
+        progress.last_event = id.or(progress.last_event);
+        events.extend_from_slice(&event);
+    }
+    events
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))
+        .and_then(|value| std::str::from_utf8(value).ok())
+        .and_then(|value| value.trim().parse().ok())
+}
+
+/// Finds an engine that may run the request now.
+async fn acquire(
+    state: &Rc<State>,
+    call: &Call,
+    tried: &BTreeSet<Endpoint>,
+) -> Result<Permit, &'static str> {
+    let weights = call
+        .fields
+        .weights
+        .clone()
+        .unwrap_or_else(|| Weights::new("", ""));
+    loop {
+        let engines = candidates(state, call, tried);
+        if engines.is_empty() {
+            return Err("no-engine");
+        }
+        let borrowed = engines.iter().map(Rc::as_ref).collect();
+        let homes: Vec<Endpoint> = choice::homes(&weights, borrowed)
+            .into_iter()
+            .map(|instance| instance.id.clone())
+            .collect();
+        let mut least: Option<(Duration, Rc<Instance>)> = None;
+        let mut has_owner = false;
+        for id in homes {
+            let Some(instance) = engines.iter().find(|instance| instance.id == id) else {
+                continue;
+            };
+            let delay = call.route.objective.mul_f64(DELAY_SHARE);
+            let wait = call.left().saturating_sub(ANSWER_MARGIN);
+            match ask(state, call, instance, &weights, Some(delay), wait).await {
+                Some(Ok(permit)) => return Ok(permit),
+                Some(Err(Reply::Busy(backlog))) => {
+                    has_owner = true;
+                    if least.as_ref().is_none_or(|(least, _)| backlog < *least) {
+                        least = Some((backlog, instance.clone()));
+                    }
+                }
+                Some(Err(Reply::Late)) => has_owner = true,
+                Some(Err(_)) | None => {
+                    if let Some(permit) = unowned(state, instance, &weights) {
+                        return Ok(permit);
+                    }
+                }
+            }
+            if call.left().is_zero() {
+                return Err("late");
+            }
+        }
+        if let Some((delay, instance)) = least {
+            let wait = call.left().saturating_sub(ANSWER_MARGIN);
+            if delay < wait
+                && let Some(Ok(permit)) = ask(state, call, &instance, &weights, None, wait).await
+            {
+                return Ok(permit);
+            }
+            return Err("busy");
+        }
+        if has_owner || call.objective_left().is_zero() {
+            return Err("adapter-late");
+        }
+        Timer::after(OWNER_PAUSE).await;
+    }
+}
+
+/// Returns the service's engines less those tried, and less those avoided if others remain.
+fn candidates(state: &State, call: &Call, tried: &BTreeSet<Endpoint>) -> Vec<Rc<Instance>> {
+    let now = clock::now();
+    let mut engines = state.catalog.borrow().serving(&call.service);
+    engines.retain(|instance| !tried.contains(&instance.id));
+    let health = state.health.borrow();
+    let sound: Vec<_> = engines
+        .iter()
+        .filter(|instance| !health.is_avoided(now, &instance.id))
+        .cloned()
+        .collect();
+    if sound.is_empty() { engines } else { sound }
+}
+
+/// Asks an engine's owner; nothing if it has none, or that is silent.
+async fn ask(
+    state: &Rc<State>,
+    call: &Call,
+    instance: &Rc<Instance>,
+    weights: &Weights,
+    max_delay: Option<Duration>,
+    wait: Duration,
+) -> Option<Result<Permit, Reply>> {
+    let ask = Ask {
+        weights: weights.clone(),
+        tokens: call.fields.prompt_tokens,
+        parts: call.fields.parts.clone(),
+        max_delay,
+    };
+    let seat = seat(state, &instance.id)?;
+    let reply = match seat {
+        Seat::Here => state.owners.ask(&instance.id, &ask, wait).await,
+        Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait)
+            .await
+            .ok()?,
+    };
+    Some(match reply {
+        Reply::Granted(grant) => Ok(permit(state, instance, weights, Some((seat, grant)))),
+        other => Err(other),
+    })
+}
+
+/// Returns where an engine's owner is, if it has one that is known.
+fn seat(state: &State, endpoint: &str) -> Option<Seat> {
+    let claims = state.claims.borrow();
+    let claim = claims.get(endpoint)?;
+    if claim.process == state.process {
+        return Some(Seat::Here);
+    }
+    let catalog = state.catalog.borrow();
+    let peer = catalog.peer(&claim.vm)?;
+    (peer.process == claim.process).then_some(Seat::Peer(peer.address))
+}
+
+/// Permits an engine whose owner does not answer, if it holds the adapter by its own word.
+fn unowned(state: &Rc<State>, instance: &Rc<Instance>, weights: &Weights) -> Option<Permit> {
+    let base = instance.bases.get(&weights.base)?;
+    let newest = state.catalog.borrow().version(weights);
+    let mut permit = permit(state, instance, weights, None);
+    if !weights.adapter.is_empty() {
+        let held = *base.adapters.get(&weights.adapter)?;
+        if newest.is_some_and(|newest| held < newest) {
+            return None;
+        }
+        permit.version = (held > 0).then_some(held);
+    }
+    Some(permit)
+}
+
+fn permit(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    weights: &Weights,
+    grant: Option<(Seat, Grant)>,
+) -> Permit {
+    Permit {
+        state: state.clone(),
+        instance: instance.clone(),
+        weights: weights.clone(),
+        grant,
+        version: None,
+        is_missing: false,
+        _running: Running::new(state, &instance.id),
+    }
+}
--- /dev/null
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The gateway: serves callers from engines that the platform registers.
+//!
+//! [`follow`] keeps the [`catalog`] and the claims as the store tells them, [`member`] the
+//! VM's lease and claims, [`owner`] the engines that this VM gives orders, [`peer`] and
+//! [`rpc`] the calls between VMs, and [`serve`] answers callers.
+
+mod catalog;
+mod exchange;
+mod follow;
+mod generate;
+mod member;
+mod owner;
+mod peer;
+mod plain;
+mod readiness;
+mod relay;
+mod rpc;
+mod serve;
+mod start;
+mod state;
+mod timer;
+
+pub use start::{Error, run};
--- /dev/null
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -0,0 +1,178 @@
+//! Calls to other gateways, over one kept connection each.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_clock as clock;
+use endivespur_core::clock::Time;
+use endivespur_core::gateway::endpoint::Weights;
+use endivespur_core::gateway::placement::Ask;
+use endivespur_core::id::Grant;
+use endivespur_wire::gateway_capnp::owner;
+use futures_util::AsyncReadExt;
+use log::{info, warn};
+use smol::net::TcpStream;
+
+use crate::owner::Reply;
+use crate::rpc;
+use crate::state::State;
+use crate::timer;
+
+/// The longest time for a connection to another VM, a few round trips between zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long an answer may take beyond the wait that it was asked for.
+const ANSWER_SLACK: Duration = Duration::from_millis(80);
+/// How long a VM that did not answer is not asked again.
+const SILENCE: Duration = Duration::from_millis(400);
+
+/// The kept connections.
+#[derive(Default)]
+pub struct Peers {
+    clients: RefCell<BTreeMap<SocketAddr, owner::Client>>,
+    silent: RefCell<BTreeMap<SocketAddr, Time>>,
+}
+
+/// A VM that did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silent;
+
+impl Peers {
+    /// Makes a list without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let now = clock::now();
+        let silent = self.silent.borrow();
+        silent.get(&address).is_some_and(|until| now < *until)
+    }
+
+    fn failed(&self, address: SocketAddr, message: &str) {
+        self.clients.borrow_mut().remove(&address);
+        let until = clock::now() + SILENCE;
+        let known = self.silent.borrow_mut().insert(address, until);
+        if known.is_none() {
+            warn!(event = "peer-lost", address:% = address; "{message}");
+        }
+    }
+
+    fn answered(&self, address: SocketAddr) {
+        if self.silent.borrow_mut().remove(&address).is_some() {
+            info!(event = "peer-regained", address:% = address; "answers again");
+        }
+    }
+}
+
+async fn client(state: &Rc<State>, address: SocketAddr) -> Result<owner::Client, String> {
+    if let Some(client) = state.peers.clients.borrow().get(&address) {
+        return Ok(client.clone());
+    }
+    let stream = timer::within(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .ok_or("connect: timeout")?
+        .map_err(|error| error.to_string())?;
+    stream.set_nodelay(true).ok();
+    let (reader, writer) = stream.split();
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        Side::Client,
+        capnp::message::ReaderOptions::new(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: owner::Client = system.bootstrap(Side::Server);
+    let task_state = state.clone();
+    state.spawn(async move {
+        if let Err(error) = system.await {
+            info!(event = "peer-connection", address:% = address; "{error}");
+        }
+        task_state.peers.clients.borrow_mut().remove(&address);
+    });
+    state
+        .peers
+        .clients
+        .borrow_mut()
+        .insert(address, client.clone());
+    Ok(client)
+}
+
+/// Asks the owner at an address for a grant.
+///
+/// # Errors
+///
+/// Returns [`Silent`] if it does not answer.
+pub async fn ask(
+    state: &Rc<State>,
+    address: SocketAddr,
+    endpoint: &str,
+    ask: &Ask,
+    wait: Duration,
+) -> Result<Reply, Silent> {
+    if state.peers.is_silent(address) {
+        return Err(Silent);
+    }
+    let call = async {
+        let client = client(state, address).await?;
+        let mut request = client.ask_request();
+        rpc::write_ask(request.get().init_ask(), endpoint, ask, wait);
+        let response = request
+            .send()
+            .promise
+            .await
+            .map_err(|error| error.to_string())?;
+        let reply = response
+            .get()
+            .and_then(owner::ask_results::Reader::get_reply)
+            .and_then(rpc::read_reply);
+        reply.map_err(|error| error.to_string())
+    };
+    let result = timer::within(wait + ANSWER_SLACK, call)
+        .await
+        .unwrap_or_else(|| Err("timeout".to_string()));
+    match result {
+        Ok(reply) => {
+            state.peers.answered(address);
+            Ok(reply)
+        }
+        Err(message) => {
+            state.peers.failed(address, &message);
+            Err(Silent)
+        }
+    }
+}
+
+/// Tells the owner at an address that a granted request has ended.
+pub async fn release(
+    state: &Rc<State>,
+    address: SocketAddr,
+    endpoint: &str,
+    weights: &Weights,
+    grant: Grant,
+    is_missing: bool,
+) {
+    let call = async {
+        let client = client(state, address).await?;
+        let mut request = client.release_request();
+        let mut to = request.get();
+        to.set_endpoint(endpoint);
+        to.set_base(&weights.base);
+        to.set_adapter(&weights.adapter);
+        to.set_grant(grant);
+        to.set_missing(is_missing);
+        request
+            .send()
+            .promise
+            .await
+            .map_err(|error| error.to_string())
+    };
+    // The owner forgets the grant by itself if this is lost.
+    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
+        state.peers.failed(address, &message);
+    }
+}
--- /dev/null
+++ b/crates/endivespur_gateway/src/start.rs
@@ -0,0 +1,108 @@
+//! Starts the gateway's parts, and ends them on SIGTERM.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use endivespur_clock as clock;
+use endivespur_platform::settings::{self, Settings};
+use log::{error, info};
+use smol::net::TcpListener;
+use smol::stream::StreamExt;
+use smol::{LocalExecutor, Timer};
+use snafu::{ResultExt, Snafu};
+
+use crate::state::State;
+use crate::{follow, member, owner, readiness, rpc, serve};
+
+/// For how long requests are taken after readiness was given up: the platform asks once a
+/// second and believes two misses.
+const ROTATION_TIME: Duration = Duration::from_millis(2900);
+/// The part of the grace period that is kept as a reserve.
+const GRACE_RESERVE: Duration = Duration::from_millis(700);
+
+/// Why the gateway did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[snafu(display("{address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+/// Runs the gateway until it is asked to stop.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub async fn run(executor: Rc<LocalExecutor<'static>>, settings: Settings) -> Result<(), Error> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context(SignalsSnafu)?;
+    let process = format!("{}#{}", settings.vm, clock::now().as_nanos());
+    let callers = listen(settings.callers).await?;
+    let peers = listen(settings.peers).await?;
+    let questions = listen(settings.readiness).await?;
+    info!(event = "start", vm = settings.vm.as_str(), process = process.as_str(); "started");
+    let state = Rc::new(State::new(settings, process, executor));
+    follow::start(&state);
+    member::start(&state);
+    owner::start(&state);
+    state.spawn(rpc::serve(state.clone(), peers));
+    state.spawn(readiness::serve(state.clone(), questions));
+    state.spawn(serve::listen(state.clone(), callers));
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(),
+            Ok(_) => break,
+            Err(failure) => error!(event = "signal"; "{failure}"),
+        }
+    }
+    stop(&state).await;
+    Ok(())
+}
+
+/// Checks the changed settings; what they name at the start stays until the next start.
+fn reload() {
+    match settings::read() {
+        Ok(_) => info!(event = "reload"; "settings are readable"),
+        Err(failure) => error!(event = "reload"; "{failure}"),
+    }
+}
+
+/// Hands the engines over, and waits for the requests under way.
+async fn stop(state: &Rc<State>) {
+    let asked = clock::now();
+    let last = asked + state.settings.grace.saturating_sub(GRACE_RESERVE);
+    info!(event = "stop", open = state.open_requests.get(); "asked to stop");
+    state.is_stopping.set(true);
+    state.notify();
+    member::leave(state).await;
+    Timer::after(ROTATION_TIME).await;
+    state.is_closing.set(true);
+    state.closing.notify(usize::MAX);
+    loop {
+        Timer::after(Duration::from_millis(50)).await;
+        if clock::now() >= last || state.open_requests.get() == 0 {
+            break;
+        }
+    }
+    let took_ms = clock::now().saturating_sub(asked).as_millis() as u64;
+    info!(event = "stopped", open = state.open_requests.get(), took_ms; "stopped");
+}
--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -4,7 +4,6 @@
 mod answer;
 mod answered;
 mod claim;
-mod clock;
 mod complete;
 mod counted;
 mod dispatch;
@@ -27,4 +26,5 @@
 mod units;
 mod vms;
 
+use endivespur_clock as clock;
 pub use start::{Addresses, Error, Running, start};
--- a/crates/endivespur_wire/src/lib.rs
+++ b/crates/endivespur_wire/src/lib.rs
@@ -11,4 +11,15 @@
 #[rustfmt::skip]
 pub mod node_capnp;
 
+/// The generated code of `schema/gateway.capnp`.
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unreachable_pub,
+    unused_qualifications
+)]
+#[rustfmt::skip]
+pub mod gateway_capnp;
+
 pub use node_capnp::{answer, ask, gate, grant, held, node, refusal, want};
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -23,7 +23,7 @@
             Arg::new("settings")
                 .long("settings")
                 .value_name("FILE")
-                .required(true)
+                .required_unless_present("platform")
                 .help("The JSON settings"),
         )
         .arg(
@@ -32,6 +32,13 @@
                 .action(ArgAction::SetTrue)
                 .help("Only checks the settings"),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("settings")
+                .help("Runs as a gateway with the settings that the platform provides"),
+        )
 }
 
 fn main() -> ExitCode {
@@ -39,6 +46,9 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
+    if matches.get_flag("platform") {
+        return run_gateway(matches.get_flag("check"));
+    }
     let path = matches
         .get_one::<String>("settings")
         .map_or("", String::as_str);
@@ -64,6 +74,31 @@
     }));
 }
 
+/// Runs on the platform, which names the settings file in the environment.
+fn run_gateway(only_check: bool) -> ExitCode {
+    let settings = match endivespur_platform::settings::read() {
+        Ok(settings) => settings,
+        Err(failure) => {
+            eprintln!("{failure}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if only_check {
+        println!("no findings");
+        return ExitCode::SUCCESS;
+    }
+    end_on_panic();
+    let executor = Rc::new(LocalExecutor::new());
+    let run = endivespur_gateway::run(executor.clone(), settings);
+    match smol::block_on(executor.run(run)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            error!(event = "start"; "{failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn read(path: &str) -> Result<Settings, Vec<Finding>> {
     let text = std::fs::read_to_string(path).map_err(|error| {
         vec![Finding {
