--- a/crates/endivespur_core/src/gateway/health.rs
+++ b/crates/endivespur_core/src/gateway/health.rs
@@ -16,12 +16,16 @@
 /// How long an avoided endpoint rests before one request tries it.
 const REST: Duration = Duration::from_millis(1500);
 
+/// How long an endpoint with requests may go without an answer.
+const SILENCE: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Debug, Default)]
 struct Record {
     failed: Counter,
     answered: Counter,
     rest_until: Time,
     latency: Option<f64>,
+    last_answer: Time,
 }
 
 /// What this VM has seen of the endpoints' answers.
@@ -42,11 +46,21 @@
         const NEWEST_SHARE: f64 = 0.2;
         let record = self.records.entry(endpoint.to_string()).or_default();
         record.answered.add(now, HALF_LIFE, 1.0);
+        record.last_answer = now;
         let took = took.as_secs_f64();
         let latency = record.latency.unwrap_or(took);
         record.latency = Some(latency + NEWEST_SHARE * (took - latency));
     }
 
+    /// Notes that a request had no answer in time, which counts as a failure only if the
+    /// endpoint has answered no other request lately: a long queue is no failure.
+    pub fn late(&mut self, now: Time, endpoint: &str) {
+        let record = self.records.entry(endpoint.to_string()).or_default();
+        if now.saturating_sub(record.last_answer) > SILENCE {
+            self.failed(now, endpoint);
+        }
+    }
+
     /// Notes a failed answer; the endpoint rests if a good share of its answers failed.
     pub fn failed(&mut self, now: Time, endpoint: &str) {
         let record = self.records.entry(endpoint.to_string()).or_default();
--- a/crates/endivespur_core/src/gateway/placement.rs
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -39,8 +39,16 @@
 const LATER_CHECK: Duration = Duration::from_millis(40);
 /// The time over which an adapter's uses lose half of their weight.
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
-/// The prompt tokens that an engine reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 40.0;
+/// The prompt tokens that an engine reads in a millisecond, by the engines' data sheet.
+const PREFILL_TOKENS_PER_MS: f64 = 40.8;
+/// The time for a million pairs of prompt tokens in attention, by the data sheet.
+const MS_PER_MILLION_PAIRS: f64 = 0.485;
+/// The time to the first token of an empty prompt: one step and the first token's own time.
+const FIRST_TOKEN_MS: f64 = 14.0;
+/// The weight of the newest answer in an engine's pace.
+const NEWEST_PACE_SHARE: f64 = 0.15;
+/// The bounds of an engine's pace; beyond the upper one it is the answers' failures that tell.
+const PACE_BOUNDS: (f64, f64) = (0.7, 12.0);
 /// The longest time that a grant counts as in use if its end is never told.
 const GRANT_BOUND: Duration = Duration::from_secs(20);
 
@@ -114,6 +122,8 @@
     pub parts: Vec<Part>,
     /// The longest delay to be put up with; none if any is.
     pub max_delay: Option<Duration>,
+    /// Whether the adapter must be there already.
+    pub only_resident: bool,
 }
 
 /// The answer to an ask.
@@ -164,6 +174,16 @@
     waiting: usize,
 }
 
+/// A prompt that was sent to the engine.
+#[derive(Clone, Copy, Debug)]
+struct Prompt {
+    sent: Time,
+    /// The time that it takes by the data sheet.
+    cost: Duration,
+    /// Whether the engine had no other prompt to read.
+    is_alone: bool,
+}
+
 /// The state of one engine at its owner.
 #[derive(Debug)]
 pub struct Engine {
@@ -177,7 +197,10 @@
     report_at: Option<Time>,
     base_check: Option<Time>,
     repeated: Option<Order>,
-    busy_until: Time,
+    /// The prompts that are not read yet.
+    unread: BTreeMap<Grant, Prompt>,
+    /// The time that prompts take, as a multiple of what the data sheet says.
+    pace: f64,
     cache: Cache,
     next_grant: Grant,
     /// When adapters that the engine may still keep beside its slots were unloaded.
@@ -199,7 +222,8 @@
             report_at: Some(now),
             base_check: None,
             repeated: None,
-            busy_until: now,
+            unread: BTreeMap::new(),
+            pace: 1.0,
             cache: Cache::new(class.memory_tokens),
             next_grant: 1,
             kept: BTreeMap::new(),
@@ -220,7 +244,13 @@
 
     /// Returns the estimated time until a prompt sent now is read.
     pub fn backlog(&self, now: Time) -> Duration {
-        self.busy_until.saturating_sub(now)
+        let cost: Duration = self.unread.values().map(|prompt| prompt.cost).sum();
+        let oldest = self.unread.values().map(|prompt| prompt.sent).min();
+        // The engine has been at work since the oldest was sent, on that one at least.
+        let done = oldest.map_or(Duration::ZERO, |sent| now.saturating_sub(sent));
+        let first = self.unread.values().next().map(|prompt| prompt.cost);
+        let done = done.min(first.unwrap_or_default().mul_f64(self.pace));
+        cost.mul_f64(self.pace).saturating_sub(done)
     }
 
     /// Tells whether an adapter is there in its newest version.
@@ -250,6 +280,9 @@
         if self.is_ready(&ask.weights) {
             return Verdict::Granted(self.grant(now, ask));
         }
+        if ask.only_resident {
+            return Verdict::Busy(delay);
+        }
         if ask.max_delay.is_some() && self.is_stuck(&ask.weights) {
             return Verdict::Busy(delay + REPORT_LAG);
         }
@@ -324,12 +357,14 @@
     fn grant(&mut self, now: Time, ask: &Ask) -> Grant {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let unread = ask
-            .tokens
-            .saturating_sub(self.cache.kept(&ask.weights, &ask.parts));
+        let kept = self.cache.kept(&ask.weights, &ask.parts);
         self.cache.note(now, &ask.weights, &ask.parts);
-        let cost = Duration::from_secs_f64(unread as f64 / PREFILL_TOKENS_PER_MS / 1000.0);
-        self.busy_until = self.busy_until.max(now) + cost;
+        let prompt = Prompt {
+            sent: now,
+            cost: cost(ask.tokens, kept),
+            is_alone: self.unread.is_empty(),
+        };
+        self.unread.insert(grant, prompt);
         if let Some(copy) = self.copies.get_mut(&ask.weights) {
             copy.users.insert(grant, now + GRANT_BOUND);
             copy.popularity.add(now, POPULARITY_HALF_LIFE, 1.0);
@@ -337,8 +372,22 @@
         grant
     }
 
+    /// Notes that the answer to a granted request has begun: its prompt was read.
+    pub fn began(&mut self, now: Time, grant: Grant) {
+        let Some(prompt) = self.unread.remove(&grant) else {
+            return;
+        };
+        if prompt.is_alone {
+            let took = now.saturating_sub(prompt.sent).as_secs_f64();
+            let ratio = took / prompt.cost.as_secs_f64();
+            let ratio = ratio.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+            self.pace += NEWEST_PACE_SHARE * (ratio - self.pace);
+        }
+    }
+
     /// Notes that a granted request has ended.
     pub fn release(&mut self, weights: &Weights, grant: Grant) {
+        self.unread.remove(&grant);
         if let Some(copy) = self.copies.get_mut(weights) {
             copy.users.remove(&grant);
         }
@@ -419,6 +468,8 @@
         for copy in self.copies.values_mut() {
             copy.users.retain(|_, until| now < *until);
         }
+        self.unread
+            .retain(|_, prompt| now < prompt.sent + GRANT_BOUND);
     }
 
     fn order(&self, action: Action, weights: &Weights, version: Option<Version>) -> Order {
@@ -633,3 +684,11 @@
         }
     }
 }
+
+/// Returns the time to read a prompt of which `kept` tokens at the front are kept.
+fn cost(tokens: u64, kept: u64) -> Duration {
+    let unread = tokens.saturating_sub(kept) as f64;
+    let pairs = unread * (kept as f64 + unread / 2.0) / 1e6;
+    let ms = FIRST_TOKEN_MS + unread / PREFILL_TOKENS_PER_MS + pairs * MS_PER_MILLION_PAIRS;
+    Duration::from_secs_f64(ms / 1000.0)
+}
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -22,9 +22,12 @@
 use crate::state::{Running, State};
 use crate::{peer, timer};
 
+/// The share of the objective that a request may wait behind other prompts before an
+/// engine is preferred that also holds its adapter.
+const SHORT_DELAY_SHARE: f64 = 0.2;
 /// The share of the objective that a request may wait for its adapter, or behind other
-/// prompts, before another engine is tried; the rest is for reading the prompt.
-const DELAY_SHARE: f64 = 0.6;
+/// prompts, before another engine fetches the adapter too; the rest is for reading the prompt.
+const LONG_DELAY_SHARE: f64 = 0.6;
 /// The part of the deadline that is left to answer a request that cannot be served.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// The pause before engines without an owner are tried again.
@@ -33,6 +36,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The most engines that are offered a request that none of them ran.
 const MAX_OFFERS: usize = 4;
+/// The largest share of a service's engines that is avoided: the others would have to fetch
+/// the adapters of more.
+const MAX_AVOIDED_SHARE: f64 = 0.34;
 /// The longest body of a refusal that is read to keep the connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
 /// How long after the deadline a stream may still end by itself.
@@ -58,6 +64,23 @@
     _running: Running,
 }
 
+impl Permit {
+    /// Tells the owner that the answer has begun.
+    fn began(&self) {
+        let Some((seat, grant)) = self.grant else {
+            return;
+        };
+        let Seat::Peer(address) = seat else {
+            self.state.owners.began(&self.instance.id, grant);
+            return;
+        };
+        let (state, id) = (self.state.clone(), self.instance.id.clone());
+        self.state.spawn(async move {
+            peer::began(&state, address, &id, grant).await;
+        });
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let Some((seat, grant)) = self.grant else {
@@ -138,6 +161,7 @@
         if offer > 0 && !state.withdraw_retry(&call.service) {
             break;
         }
+        log_permit(call, &permit, offer);
         match offer_to(state, call, caller, permit, &mut course).await {
             Offer::Ended(ending) => return ending,
             Offer::NotRun(reason) if course.runs == 0 => {
@@ -175,6 +199,12 @@
             return not_run(state, call, &mut permit, course, reply).await;
         }
         Ok(mut reply) if reply.answer.is_signed => {
+            info!(
+                event = "head", request = call.fields.attempt.as_str(),
+                endpoint = instance.id.as_str(), status = reply.head.status,
+                took_ms = clock::now().saturating_sub(now).as_millis() as u64; "answer began"
+            );
+            permit.began();
             let is_failure = reply.head.status >= 500;
             let may_resume = call.route.repeat == Repeat::ResumableStream
                 && course.runs + 1 < call.route.max_endpoints;
@@ -206,7 +236,7 @@
         }
         Err(Failure::Late) => {
             log_attempt(call, &instance, "late", "no answer in time");
-            state.health.borrow_mut().failed(clock::now(), &instance.id);
+            state.health.borrow_mut().late(clock::now(), &instance.id);
             return Offer::Ended(Ending::unknown(504, "late"));
         }
         Err(Failure::Lost(reason)) => reason,
@@ -239,6 +269,16 @@
     Offer::NotRun(reason)
 }
 
+fn log_permit(call: &Call, permit: &Permit, offer: usize) {
+    info!(
+        event = "granted", request = call.fields.attempt.as_str(),
+        endpoint = permit.instance.id.as_str(), adapter = permit.weights.to_string(),
+        owner:? = permit.grant.map(|(seat, _)| seat), version = permit.version, offer,
+        tokens = call.fields.prompt_tokens,
+        waited_ms = clock::now().saturating_sub(call.started).as_millis() as u64; "granted"
+    );
+}
+
 fn log_attempt(call: &Call, instance: &Instance, outcome: &str, reason: &str) {
     info!(
         event = "attempt", request = call.fields.attempt.as_str(),
@@ -364,50 +404,118 @@
             return Err("no-engine");
         }
         let borrowed = engines.iter().map(Rc::as_ref).collect();
-        let homes: Vec<Endpoint> = choice::homes(&weights, borrowed)
+        let homes: Vec<Rc<Instance>> = choice::homes(&weights, borrowed)
             .into_iter()
-            .map(|instance| instance.id.clone())
+            .filter_map(|home| engines.iter().find(|engine| engine.id == home.id))
+            .cloned()
             .collect();
-        let mut least: Option<(Duration, Rc<Instance>)> = None;
-        let mut has_owner = false;
-        for id in homes {
-            let Some(instance) = engines.iter().find(|instance| instance.id == id) else {
-                continue;
-            };
-            let delay = call.route.objective.mul_f64(DELAY_SHARE);
-            let wait = call.left().saturating_sub(ANSWER_MARGIN);
-            match ask(state, call, instance, &weights, Some(delay), wait).await {
-                Some(Ok(permit)) => return Ok(permit),
-                Some(Err(Reply::Busy(backlog))) => {
-                    has_owner = true;
-                    if least.as_ref().is_none_or(|(least, _)| backlog < *least) {
-                        least = Some((backlog, instance.clone()));
-                    }
-                }
-                Some(Err(Reply::Late)) => has_owner = true,
+        let search = Search {
+            state,
+            call,
+            weights: &weights,
+        };
+        match search.run(&homes).await {
+            Found::Permit(permit) => return Ok(*permit),
+            Found::Busy => return Err("busy"),
+            Found::NoOwner if call.objective_left().is_zero() => return Err("no-owner"),
+            Found::NoOwner => Timer::after(OWNER_PAUSE).await,
+        };
+    }
+}
+
+/// The search of an engine among an adapter's homes.
+struct Search<'a> {
+    state: &'a Rc<State>,
+    call: &'a Call,
+    weights: &'a Weights,
+}
+
+/// What a search found.
+enum Found {
+    Permit(Box<Permit>),
+    /// No engine can run the request in time.
+    Busy,
+    /// No owner answered.
+    NoOwner,
+}
+
+impl Search<'_> {
+    /// Asks the homes: first for a short delay where the adapter is, then for a longer one
+    /// or a fetch, then for what is shortest.
+    async fn run(&self, homes: &[Rc<Instance>]) -> Found {
+        let objective = self.call.route.objective;
+        let short = Some(objective.mul_f64(SHORT_DELAY_SHARE));
+        let long = Some(objective.mul_f64(LONG_DELAY_SHARE));
+        let mut delays: Vec<(Duration, Rc<Instance>)> = Vec::new();
+        for home in homes {
+            match self.ask(home, short, true).await {
+                Some(Ok(permit)) => return Found::Permit(Box::new(permit)),
+                Some(Err(Reply::Busy(delay))) => delays.push((delay, home.clone())),
+                Some(Err(Reply::Late)) => return Found::Busy,
                 Some(Err(_)) | None => {
-                    if let Some(permit) = unowned(state, instance, &weights) {
-                        return Ok(permit);
+                    if let Some(permit) = unowned(self.state, home, self.weights) {
+                        return Found::Permit(Box::new(permit));
                     }
                 }
             }
-            if call.left().is_zero() {
-                return Err("late");
-            }
         }
-        if let Some((delay, instance)) = least {
-            let wait = call.left().saturating_sub(ANSWER_MARGIN);
-            if delay < wait
-                && let Some(Ok(permit)) = ask(state, call, &instance, &weights, None, wait).await
-            {
-                return Ok(permit);
+        if delays.is_empty() {
+            return Found::NoOwner;
+        }
+        for (_, home) in &delays {
+            match self.ask(home, long, false).await {
+                Some(Ok(permit)) => return Found::Permit(Box::new(permit)),
+                Some(Err(Reply::Late)) => return Found::Busy,
+                Some(Err(_)) | None => {}
             }
-            return Err("busy");
         }
-        if has_owner || call.objective_left().is_zero() {
-            return Err("adapter-late");
+        delays.sort_by_key(|(delay, _)| *delay);
+        for (delay, home) in &delays {
+            if *delay >= self.wait() {
+                break;
+            }
+            if let Some(Ok(permit)) = self.ask(home, None, false).await {
+                return Found::Permit(Box::new(permit));
+            }
         }
-        Timer::after(OWNER_PAUSE).await;
+        Found::Busy
+    }
+
+    /// Returns how long the request may wait and still be answered.
+    fn wait(&self) -> Duration {
+        self.call.left().saturating_sub(ANSWER_MARGIN)
+    }
+
+    /// Asks an engine's owner; nothing if it has none, or that is silent.
+    async fn ask(
+        &self,
+        instance: &Rc<Instance>,
+        max_delay: Option<Duration>,
+        only_resident: bool,
+    ) -> Option<Result<Permit, Reply>> {
+        let fields = &self.call.fields;
+        let ask = Ask {
+            weights: self.weights.clone(),
+            tokens: fields.prompt_tokens,
+            parts: fields.parts.clone(),
+            max_delay,
+            only_resident,
+        };
+        let state = self.state;
+        let wait = self.wait();
+        let seat = seat(state, &instance.id)?;
+        let reply = match seat {
+            Seat::Here => state.owners.ask(&instance.id, &ask, wait).await,
+            Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait)
+                .await
+                .ok()?,
+        };
+        Some(match reply {
+            Reply::Granted(grant) => {
+                Ok(permit(state, instance, self.weights, Some((seat, grant))))
+            }
+            other => Err(other),
+        })
     }
 }
 
@@ -422,35 +530,12 @@
         .filter(|instance| !health.is_avoided(now, &instance.id))
         .cloned()
         .collect();
-    if sound.is_empty() { engines } else { sound }
-}
-
-/// Asks an engine's owner; nothing if it has none, or that is silent.
-async fn ask(
-    state: &Rc<State>,
-    call: &Call,
-    instance: &Rc<Instance>,
-    weights: &Weights,
-    max_delay: Option<Duration>,
-    wait: Duration,
-) -> Option<Result<Permit, Reply>> {
-    let ask = Ask {
-        weights: weights.clone(),
-        tokens: call.fields.prompt_tokens,
-        parts: call.fields.parts.clone(),
-        max_delay,
-    };
-    let seat = seat(state, &instance.id)?;
-    let reply = match seat {
-        Seat::Here => state.owners.ask(&instance.id, &ask, wait).await,
-        Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait)
-            .await
-            .ok()?,
-    };
-    Some(match reply {
-        Reply::Granted(grant) => Ok(permit(state, instance, weights, Some((seat, grant)))),
-        other => Err(other),
-    })
+    let avoided = engines.len() - sound.len();
+    if avoided as f64 > engines.len() as f64 * MAX_AVOIDED_SHARE {
+        engines
+    } else {
+        sound
+    }
 }
 
 /// Returns where an engine's owner is, if it has one that is known.
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -74,6 +74,14 @@
         self.owned.borrow().get(endpoint).cloned()
     }
 
+    /// Notes that the answer to a granted request has begun.
+    pub fn began(&self, endpoint: &str, grant: Grant) {
+        if let Some(owned) = self.get(endpoint) {
+            owned.engine.borrow_mut().began(clock::now(), grant);
+            owned.changed.notify(usize::MAX);
+        }
+    }
+
     /// Notes that a granted request has ended, and whether the engine lacked the adapter.
     pub fn release(&self, endpoint: &str, weights: &Weights, grant: Grant, is_missing: bool) {
         if let Some(owned) = self.get(endpoint) {
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -147,6 +147,25 @@
     }
 }
 
+/// Tells the owner at an address that the answer to a granted request has begun.
+pub async fn began(state: &Rc<State>, address: SocketAddr, endpoint: &str, grant: Grant) {
+    let call = async {
+        let client = client(state, address).await?;
+        let mut request = client.began_request();
+        request.get().set_endpoint(endpoint);
+        request.get().set_grant(grant);
+        request
+            .send()
+            .promise
+            .await
+            .map_err(|error| error.to_string())
+    };
+    // The end of the request tells the same if this is lost.
+    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
+        state.peers.failed(address, &message);
+    }
+}
+
 /// Tells the owner at an address that a granted request has ended.
 pub async fn release(
     state: &Rc<State>,
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -80,7 +80,7 @@
             }
             Attempt::Late => {
                 log_attempt(call, &instance, "late", "no answer in time");
-                state.health.borrow_mut().failed(clock::now(), &instance.id);
+                state.health.borrow_mut().late(clock::now(), &instance.id);
                 last = Ending::unknown(504, "late");
                 runs += 1;
             }
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -73,6 +73,17 @@
         Ok(())
     }
 
+    async fn began(
+        self: Rc<Self>,
+        params: owner::BeganParams,
+        _: owner::BeganResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = params.get_endpoint()?.to_str()?;
+        self.state.owners.began(endpoint, params.get_grant());
+        Ok(())
+    }
+
     async fn release(
         self: Rc<Self>,
         params: owner::ReleaseParams,
@@ -103,6 +114,7 @@
     let most = ask.max_delay.unwrap_or_default();
     to.set_max_backlog_ms(most.as_millis() as u32);
     to.set_wait_ms(wait.as_millis() as u32);
+    to.set_only_resident(ask.only_resident);
     let mut parts = to.init_parts(ask.parts.len() as u32);
     for (index, part) in ask.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -128,6 +140,7 @@
         tokens: from.get_tokens(),
         parts: parts?,
         max_delay: from.get_bounded().then_some(most),
+        only_resident: from.get_only_resident(),
     };
     let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     Ok((from.get_endpoint()?.to_string()?, ask, wait))
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -10,7 +10,7 @@
 use endivespur_http::connection::{self, Connection};
 use endivespur_http::head::{Framing, Request};
 use endivespur_platform::header;
-use log::{Level, debug, info, log};
+use log::{debug, info};
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
@@ -247,13 +247,8 @@
             caller.whole(&head, b"").await?;
         }
         Ending::Relayed(status) => {
-            let level = if *status < 300 {
-                Level::Debug
-            } else {
-                Level::Info
-            };
-            log!(
-                level, event = "answered", request = attempt, status = *status,
+            info!(
+                event = "answered", request = attempt, status = *status,
                 outcome = "relayed", took_ms; "answered"
             );
         }
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -15,6 +15,7 @@
   bounded @5 :Bool;       # whether maxBacklogMs applies
   maxBacklogMs @6 :UInt32;
   waitMs @7 :UInt32;
+  onlyResident @8 :Bool;
 }
 
 struct Reply {
@@ -29,4 +30,5 @@
 interface Owner {
   ask @0 (ask :Ask) -> (reply :Reply);
   release @1 (endpoint :Text, base :Text, adapter :Text, grant :UInt64, missing :Bool) -> ();
+  began @2 (endpoint :Text, grant :UInt64) -> ();
 }
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -349,6 +349,10 @@
         pub fn get_wait_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_only_resident(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -499,6 +503,14 @@
         pub fn set_wait_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_only_resident(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_only_resident(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -510,7 +522,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 226, 102, 33, 94, 154, 131, 177),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
@@ -520,70 +532,77 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(37, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -654,6 +673,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 108, 121, 82, 101, 115, 105),
+            ::capnp::word(100, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -665,6 +693,7 @@
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -678,9 +707,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,5,0,6,4,3,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,5,0,6,8,4,3,7];
         pub(crate) const TYPE_ID: u64 = 0xb183_9a5e_2166_e283;
     }
 }
@@ -1004,6 +1033,8 @@
     pub type AskResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::ask_results::Owned>;
     pub type ReleaseParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::release_params::Owned>;
     pub type ReleaseResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::release_results::Owned>;
+    pub type BeganParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::began_params::Owned>;
+    pub type BeganResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::began_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1059,10 +1090,14 @@
         pub fn release_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::release_params::Owned,crate::gateway_capnp::owner::release_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
+        pub fn began_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::began_params::Owned,crate::gateway_capnp::owner::began_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::ask not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::release not implemented".to_string()))) }
+        fn began(self: ::capnp::capability::Rc<Self>, _: BeganParams<>, _: BeganResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::began not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1094,6 +1129,7 @@
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ask(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::began(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2031,4 +2067,406 @@
             pub(crate) const TYPE_ID: u64 = 0xdeb9_1574_43ad_b728;
         }
     }
+
+    pub mod began_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_grant(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_grant(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_grant(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(16, 11, 35, 179, 219, 150, 119, 179),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
+                ::capnp::word(110, 101, 114, 46, 98, 101, 103, 97),
+                ::capnp::word(110, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xb377_96db_b323_0b10;
+        }
+    }
+
+    pub mod began_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(45, 51, 1, 31, 35, 112, 139, 177),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
+                ::capnp::word(110, 101, 114, 46, 98, 101, 103, 97),
+                ::capnp::word(110, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xb18b_7023_1f01_332d;
+        }
+    }
 }
