Balance engines by slots and reading work, and load first what can be on time

On the fullest engines 7.3 of 8 slots were held by running streams, on others 3.6 to 5.4.

Change: where no home holds the adapter, the one with the least delay fetches it, counting slots in use and the work of reading prompts; among waiting adapters those whose requests can still meet their objective come first.

--- a/crates/endivespur_core/src/gateway/placement.rs
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -39,6 +39,15 @@
 const LATER_CHECK: Duration = Duration::from_millis(40);
 /// The time over which an adapter's uses lose half of their weight.
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
+/// The delay that an engine without a free slot counts for: a short stream's time.
+const FULL_DELAY: Duration = Duration::from_secs(1);
+/// The delay that an engine with one free slot counts for: a fetch that may have to wait.
+const LAST_SLOT_DELAY: Duration = Duration::from_millis(200);
+/// The delay that an engine counts for that does nothing but read prompts: its streams take
+/// several times as long.
+const READING_DELAY: Duration = Duration::from_millis(300);
+/// The time over which the work of reading prompts loses half of its weight.
+const WORK_HALF_LIFE: Duration = Duration::from_secs(3);
 /// The prompt tokens that an engine reads in a millisecond, by the engines' data sheet.
 const PREFILL_TOKENS_PER_MS: f64 = 40.8;
 /// The time for a million pairs of prompt tokens in attention, by the data sheet.
@@ -124,6 +133,8 @@
     pub max_delay: Option<Duration>,
     /// Whether the adapter must be there already.
     pub only_resident: bool,
+    /// The time within which the prompt must be sent to meet the request's objective.
+    pub due: Duration,
 }
 
 /// The answer to an ask.
@@ -172,6 +183,8 @@
 struct Want {
     since: Time,
     waiting: usize,
+    /// Until when the last of the waiting requests can meet its objective.
+    due: Time,
 }
 
 /// A prompt that was sent to the engine.
@@ -199,6 +212,8 @@
     repeated: Option<Order>,
     /// The prompts that are not read yet.
     unread: BTreeMap<Grant, Prompt>,
+    /// The seconds of work of the prompts that were sent.
+    work: Counter,
     /// The time that prompts take, as a multiple of what the data sheet says.
     pace: f64,
     cache: Cache,
@@ -223,6 +238,7 @@
             base_check: None,
             repeated: None,
             unread: BTreeMap::new(),
+            work: Counter::default(),
             pace: 1.0,
             cache: Cache::new(class.memory_tokens),
             next_grant: 1,
@@ -275,29 +291,45 @@
     pub fn ask(&mut self, now: Time, ask: &Ask) -> Verdict {
         let delay = self.delay(now, &ask.weights);
         if ask.max_delay.is_some_and(|most| delay > most) {
-            return Verdict::Busy(delay);
+            return Verdict::Busy(delay + self.pressure(now));
         }
         if self.is_ready(&ask.weights) {
             return Verdict::Granted(self.grant(now, ask));
         }
-        if ask.only_resident {
-            return Verdict::Busy(delay);
-        }
-        if ask.max_delay.is_some() && self.is_stuck(&ask.weights) {
-            return Verdict::Busy(delay + REPORT_LAG);
+        let is_stuck = ask.max_delay.is_some() && self.is_stuck(&ask.weights);
+        if ask.only_resident || is_stuck {
+            return Verdict::Busy(delay + self.pressure(now));
         }
         Verdict::Wait
     }
 
+    /// Returns what the use of slots and of reading time adds to the delay here, when engines
+    /// are compared.
+    fn pressure(&self, now: Time) -> Duration {
+        let in_use = self
+            .copies
+            .values()
+            .filter(|copy| !copy.users.is_empty())
+            .count();
+        let slots = match self.slots.saturating_sub(in_use) {
+            0 => FULL_DELAY,
+            1 => LAST_SLOT_DELAY,
+            _ => Duration::ZERO,
+        };
+        let window = WORK_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let share = self.work.at(now, WORK_HALF_LIFE) / window;
+        slots + READING_DELAY.mul_f64(share.min(2.0))
+    }
+
     /// Notes that a request waits for an adapter; [`Engine::leave`] ends it.
-    pub fn join(&mut self, now: Time, weights: &Weights) {
-        self.wants
-            .entry(weights.clone())
-            .or_insert(Want {
-                since: now,
-                waiting: 0,
-            })
-            .waiting += 1;
+    pub fn join(&mut self, now: Time, ask: &Ask) {
+        let want = self.wants.entry(ask.weights.clone()).or_insert(Want {
+            since: now,
+            waiting: 0,
+            due: now,
+        });
+        want.waiting += 1;
+        want.due = want.due.max(now + ask.due);
     }
 
     /// Notes that a request no longer waits for an adapter.
@@ -365,6 +397,8 @@
             is_alone: self.unread.is_empty(),
         };
         self.unread.insert(grant, prompt);
+        let work = prompt.cost.mul_f64(self.pace).as_secs_f64();
+        self.work.add(now, WORK_HALF_LIFE, work);
         if let Some(copy) = self.copies.get_mut(&ask.weights) {
             copy.users.insert(grant, now + GRANT_BOUND);
             copy.popularity.add(now, POPULARITY_HALF_LIFE, 1.0);
@@ -511,7 +545,8 @@
             .count()
     }
 
-    /// Loads what most requests wait for, what waited longest first among equals.
+    /// Loads what most requests wait for that can still meet their objective, what waited
+    /// longest first among equals; then what comes late in any case.
     fn load_wanted(&mut self, now: Time) -> Option<Order> {
         if self.loading() >= MAX_LOADING {
             return None;
@@ -524,7 +559,10 @@
             .filter(|(weights, _)| self.bases.contains(&weights.base))
             .filter(|(weights, _)| !self.copies.contains_key(weights))
             .filter(|(weights, _)| may_fetch || self.kept.contains_key(weights))
-            .min_by_key(|(_, want)| (std::cmp::Reverse(want.waiting), want.since))
+            .min_by_key(|(_, want)| {
+                let is_late = want.due < now;
+                (is_late, std::cmp::Reverse(want.waiting), want.since)
+            })
             .map(|(weights, _)| weights.clone())?;
         if self.copies.len() < self.slots {
             let newest = self.newest.get(&wanted).copied();
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -28,6 +28,8 @@
 /// The share of the objective that a request may wait for its adapter, or behind other
 /// prompts, before another engine fetches the adapter too; the rest is for reading the prompt.
 const LONG_DELAY_SHARE: f64 = 0.6;
+/// The share of the objective within which a prompt must be sent: reading it takes the rest.
+const DUE_SHARE: f64 = 0.7;
 /// The part of the deadline that is left to answer a request that cannot be served.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// The pause before engines without an owner are tried again.
@@ -462,6 +464,7 @@
         if delays.is_empty() {
             return Found::NoOwner;
         }
+        delays.sort_by_key(|(delay, _)| *delay);
         for (_, home) in &delays {
             match self.ask(home, long, false).await {
                 Some(Ok(permit)) => return Found::Permit(Box::new(permit)),
@@ -469,11 +472,7 @@
                 Some(Err(_)) | None => {}
             }
         }
-        delays.sort_by_key(|(delay, _)| *delay);
-        for (delay, home) in &delays {
-            if *delay >= self.wait() {
-                break;
-            }
+        for (_, home) in &delays {
             if let Some(Ok(permit)) = self.ask(home, None, false).await {
                 return Found::Permit(Box::new(permit));
             }
@@ -500,6 +499,7 @@
             parts: fields.parts.clone(),
             max_delay,
             only_resident,
+            due: self.call.objective_left().mul_f64(DUE_SHARE),
         };
         let state = self.state;
         let wait = self.wait();
@@ -511,9 +511,7 @@
                 .ok()?,
         };
         Some(match reply {
-            Reply::Granted(grant) => {
-                Ok(permit(state, instance, self.weights, Some((seat, grant))))
-            }
+            Reply::Granted(grant) => Ok(permit(state, instance, self.weights, Some((seat, grant)))),
             other => Err(other),
         })
     }
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -115,7 +115,7 @@
             if now >= deadline {
                 return Reply::Late;
             }
-            waiting.get_or_insert_with(|| Waiting::new(&owned, &ask.weights));
+            waiting.get_or_insert_with(|| Waiting::new(&owned, ask));
             if timer::within(deadline.saturating_sub(now), listener)
                 .await
                 .is_none()
@@ -139,12 +139,12 @@
 }
 
 impl Waiting {
-    fn new(owned: &Rc<Owned>, weights: &Weights) -> Self {
-        owned.engine.borrow_mut().join(clock::now(), weights);
+    fn new(owned: &Rc<Owned>, ask: &Ask) -> Self {
+        owned.engine.borrow_mut().join(clock::now(), ask);
         owned.wanted.notify(usize::MAX);
         Self {
             owned: owned.clone(),
-            weights: weights.clone(),
+            weights: ask.weights.clone(),
         }
     }
 }
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -115,6 +115,7 @@
     to.set_max_backlog_ms(most.as_millis() as u32);
     to.set_wait_ms(wait.as_millis() as u32);
     to.set_only_resident(ask.only_resident);
+    to.set_due_ms(ask.due.as_millis() as u32);
     let mut parts = to.init_parts(ask.parts.len() as u32);
     for (index, part) in ask.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -141,6 +142,7 @@
         parts: parts?,
         max_delay: from.get_bounded().then_some(most),
         only_resident: from.get_only_resident(),
+        due: Duration::from_millis(u64::from(from.get_due_ms())),
     };
     let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     Ok((from.get_endpoint()?.to_string()?, ask, wait))
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -16,6 +16,7 @@
   maxBacklogMs @6 :UInt32;
   waitMs @7 :UInt32;
   onlyResident @8 :Bool;
+  dueMs @9 :UInt32;
 }
 
 struct Reply {
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -353,6 +353,10 @@
         pub fn get_only_resident(self) -> bool {
             self.reader.get_bool_field(65)
         }
+        #[inline]
+        pub fn get_due_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -511,6 +515,14 @@
         pub fn set_only_resident(&mut self, value: bool)  {
             self.builder.set_bool_field(65, value);
         }
+        #[inline]
+        pub fn get_due_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_due_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -522,7 +534,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 226, 102, 33, 94, 154, 131, 177),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
@@ -532,77 +544,84 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -682,6 +701,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 117, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -694,6 +721,7 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -707,9 +735,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,5,0,6,8,4,3,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,5,9,0,6,8,4,3,7];
         pub(crate) const TYPE_ID: u64 = 0xb183_9a5e_2166_e283;
     }
 }
