Refuse at once what cannot begin before its caller leaves

A caller of a stream leaves without a first event after the longest of 2 s, four objectives and eight pauses, long before its deadline; requests waited in full engines until then.

Change: the owner learns how often a slot becomes free while requests queue, and its estimate covers the queue; a request whose best estimate is beyond its caller's patience is refused at once, with when to come back.

--- a/crates/endivespur_core/src/gateway/placement.rs
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -23,6 +23,9 @@
 const KEPT_BESIDE: usize = 40;
 /// How long a fetch from the weight store is expected to take before one was seen.
 const FETCH_TIME: Duration = Duration::from_millis(250);
+/// How long an engine whose slots are all in use is expected to take until one is free,
+/// before it was seen.
+const TURN_TIME: Duration = Duration::from_millis(400);
 /// How long a load of an adapter that the engine keeps is expected to take.
 const RELOAD_TIME: Duration = Duration::from_millis(25);
 /// The weight of the newest fetch in the moving average of fetch times.
@@ -39,8 +42,8 @@
 const LATER_CHECK: Duration = Duration::from_millis(40);
 /// The time over which an adapter's uses lose half of their weight.
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
-/// The delay that an engine without a free slot counts for: a short stream's time.
-const FULL_DELAY: Duration = Duration::from_secs(1);
+/// The delay that an engine without a free slot counts for beside the wait for one.
+const FULL_DELAY: Duration = Duration::from_millis(400);
 /// The delay that an engine with one free slot counts for: a fetch that may have to wait.
 const LAST_SLOT_DELAY: Duration = Duration::from_millis(200);
 /// The delay that an engine counts for that does nothing but read prompts: its streams take
@@ -221,6 +224,9 @@
     /// When adapters that the engine may still keep beside its slots were unloaded.
     kept: BTreeMap<Weights, Time>,
     fetch_time: Duration,
+    /// The time between two loads while requests wait for others: a slot must become free.
+    turn: Duration,
+    last_turn: Option<Time>,
 }
 
 impl Engine {
@@ -244,6 +250,8 @@
             next_grant: 1,
             kept: BTreeMap::new(),
             fetch_time: FETCH_TIME,
+            turn: TURN_TIME,
+            last_turn: None,
         }
     }
 
@@ -296,8 +304,7 @@
         if self.is_ready(&ask.weights) {
             return Verdict::Granted(self.grant(now, ask));
         }
-        let is_stuck = ask.max_delay.is_some() && self.is_stuck(&ask.weights);
-        if ask.only_resident || is_stuck {
+        if ask.only_resident {
             return Verdict::Busy(delay + self.pressure(now));
         }
         Verdict::Wait
@@ -359,31 +366,34 @@
                 _ => None,
             })
             .sum();
-        if self.is_loading(weights) {
-            return backlog.max(remaining);
-        }
-        if self.kept.contains_key(weights) {
-            return backlog.max(RELOAD_TIME);
+        match self.copies.get(weights).map(|copy| copy.state) {
+            Some(State::Loading { .. }) => return backlog.max(remaining),
+            // A newer version waits for the requests that run on the older one.
+            Some(_) => return backlog.max(self.turn + fetch),
+            None => {}
         }
         let ahead = self
             .wants
             .keys()
-            .filter(|other| *other != weights)
-            .filter(|other| !self.copies.contains_key(other) && !self.kept.contains_key(other))
+            .filter(|other| *other != weights && !self.copies.contains_key(other))
             .count();
-        backlog.max(remaining + fetch * (ahead as u32 + 1))
-    }
-
-    /// Tells whether an adapter cannot come soon: every slot is in use, or a newer version
-    /// waits for running requests.
-    fn is_stuck(&self, weights: &Weights) -> bool {
-        match self.copies.get(weights) {
-            Some(copy) => copy.state == State::Resident && !copy.users.is_empty(),
-            None => {
-                self.copies.len() >= self.slots
-                    && self.copies.values().all(|copy| !copy.users.is_empty())
-            }
-        }
+        let idle = self
+            .copies
+            .values()
+            .filter(|copy| copy.state == State::Resident && copy.users.is_empty())
+            .count();
+        let free = self.slots.saturating_sub(self.copies.len()) + idle;
+        let load = if self.kept.contains_key(weights) {
+            RELOAD_TIME
+        } else {
+            remaining + fetch
+        };
+        let queue = if free > ahead {
+            fetch * ahead as u32
+        } else {
+            self.turn.max(fetch) * (ahead + 1 - free) as u32
+        };
+        backlog.max(load + queue)
     }
 
     fn grant(&mut self, now: Time, ask: &Ask) -> Grant {
@@ -647,6 +657,7 @@
         }
         match order.action {
             Action::Load => {
+                self.note_turn(now, &order.weights);
                 let state = State::Loading {
                     since: now,
                     check: now + FIRST_CHECK,
@@ -671,6 +682,18 @@
         }
     }
 
+    fn note_turn(&mut self, now: Time, weights: &Weights) {
+        if let Some(last) = self.last_turn {
+            let took = now.saturating_sub(last);
+            self.turn = self.turn.mul_f64(1.0 - NEWEST_SHARE) + took.mul_f64(NEWEST_SHARE);
+        }
+        let is_queued = self
+            .wants
+            .keys()
+            .any(|other| other != weights && !self.copies.contains_key(other));
+        self.last_turn = is_queued.then_some(now);
+    }
+
     fn holds(&mut self, now: Time, order: &Order) {
         match order.action {
             Action::Load => {
--- a/crates/endivespur_core/src/gateway/table.rs
+++ b/crates/endivespur_core/src/gateway/table.rs
@@ -51,11 +51,21 @@
     pub timeout: Duration,
     /// The objective: until the answer, or until the first event of a stream.
     pub objective: Duration,
+    /// The longest pause between two events of a stream that meets its objective.
+    pub max_pause: Duration,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
 }
 
+/// The shortest time that a caller waits for the next event of a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
 impl Route {
+    /// Returns how long a caller waits for the first event of a stream before it leaves.
+    pub fn patience(&self) -> Duration {
+        MIN_PATIENCE.max(self.objective * 4).max(self.max_pause * 8)
+    }
+
     /// Returns the service for a request with that hash, by the targets' weights.
     pub fn service(&self, hash: u64) -> Option<&Service> {
         let total: u64 = self
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -36,6 +36,16 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Returns the time until the caller leaves if no answer has begun.
+    pub fn patience_left(&self) -> Duration {
+        let patience = (self.started + self.route.patience()).saturating_sub(clock::now());
+        if self.route.repeat.is_stream() {
+            patience.min(self.left())
+        } else {
+            self.left()
+        }
+    }
+
     /// Returns the time until the objective is missed.
     pub fn objective_left(&self) -> Duration {
         (self.started + self.route.objective).saturating_sub(clock::now())
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -473,7 +473,7 @@
             }
         }
         for (_, home) in &delays {
-            if let Some(Ok(permit)) = self.ask(home, None, false).await {
+            if let Some(Ok(permit)) = self.ask(home, Some(self.wait()), false).await {
                 return Found::Permit(Box::new(permit));
             }
         }
@@ -482,7 +482,7 @@
 
     /// Returns how long the request may wait and still be answered.
     fn wait(&self) -> Duration {
-        self.call.left().saturating_sub(ANSWER_MARGIN)
+        self.call.patience_left().saturating_sub(ANSWER_MARGIN)
     }
 
     /// Asks an engine's owner; nothing if it has none, or that is silent.
