--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -0,0 +1,92 @@
+//! The gateway's decisions, each against the load or failure that it answers.
+
+mod choice;
+mod health;
+mod ownership;
+mod placement;
+mod table;
+mod version;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use endivespur_core::gateway::endpoint::{Base, Weights};
+use endivespur_core::gateway::placement::{Answer, Ask, Engine, Order, Report, Step, Verdict};
+use endivespur_core::gateway::table::EngineClass;
+
+/// The base model of all tests.
+const BASE: &str = "base";
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn weights(adapter: &str) -> Weights {
+    Weights::new(BASE, adapter)
+}
+
+fn class(slots: usize) -> EngineClass {
+    EngineClass {
+        batch: 64,
+        adapter_slots: slots,
+        memory_tokens: 280_000,
+        bases: BTreeMap::from([(BASE.to_string(), 70_000.0)]),
+        weights_mb: 75_000.0,
+    }
+}
+
+fn report(adapters: &[(&str, u32)], orders: u64) -> Report {
+    let base = Base {
+        version: 1,
+        adapters: adapters
+            .iter()
+            .map(|(name, version)| (name.to_string(), *version))
+            .collect(),
+    };
+    Report {
+        bases: BTreeMap::from([(BASE.to_string(), base)]),
+        loading: BTreeMap::new(),
+        orders,
+        is_busy: false,
+    }
+}
+
+/// An engine that holds those adapters in version 1.
+fn engine(slots: usize, adapters: &[&str]) -> Engine {
+    let mut engine = Engine::new(ms(0), &class(slots));
+    let held: Vec<_> = adapters.iter().map(|name| (*name, 1)).collect();
+    engine.reconcile(ms(0), &report(&held, 0));
+    engine
+}
+
+fn ask(adapter: &str) -> Ask {
+    Ask {
+        weights: weights(adapter),
+        tokens: 1000,
+        parts: Vec::new(),
+        max_delay: None,
+        only_resident: false,
+        due: ms(500),
+    }
+}
+
+fn grant(engine: &mut Engine, now: Duration, adapter: &str) -> u64 {
+    match engine.ask(now, &ask(adapter)) {
+        Verdict::Granted(grant) => grant,
+        other => panic!("{adapter}: {other:?}"),
+    }
+}
+
+fn order(engine: &mut Engine, now: Duration) -> Order {
+    match engine.step(now) {
+        Step::Order(order) => order,
+        other => panic!("no order: {other:?}"),
+    }
+}
+
+/// Gives the next order, which the engine answers like that.
+fn answer(engine: &mut Engine, now: Duration, answer: Answer) -> Order {
+    let order = order(engine, now);
+    engine.answered(now, &order, answer);
+    order
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/ownership.rs
@@ -0,0 +1,70 @@
+//! Owners: one an engine, through kills, restarts and news that arrive out of order.
+
+use assert_matches::assert_matches;
+use endivespur_core::gateway::ownership::{Claim, Claims, RANK_DELAY, Verdict};
+
+use crate::ms;
+
+const VMS: [&str; 3] = ["a", "b", "c"];
+
+fn claim(vm: &str, process: &str, fence: u64) -> Claim {
+    Claim {
+        vm: vm.to_string(),
+        process: process.to_string(),
+        fence,
+    }
+}
+
+fn judge(claims: &mut Claims, now: u64, vm: &str) -> Verdict {
+    let process = format!("{vm}#1");
+    claims.judge(ms(now), "e", (vm, &process), VMS.into_iter())
+}
+
+#[test]
+fn judge_unowned_one_at_a_time() {
+    let mut claims = Claims::new();
+    let verdicts = VMS.map(|vm| judge(&mut claims, 0, vm));
+    let at_once = verdicts
+        .iter()
+        .filter(|verdict| **verdict == Verdict::Claim(0));
+    assert_eq!(at_once.count(), 1);
+}
+
+#[test]
+fn judge_first_in_rank_is_silent() {
+    let mut claims = Claims::new();
+    let waiting = VMS.map(|vm| judge(&mut claims, 0, vm));
+    let later = RANK_DELAY.as_millis() as u64;
+    for (vm, verdict) in VMS.iter().zip(waiting) {
+        if let Verdict::Wait(at) = verdict
+            && at <= ms(later)
+        {
+            assert_eq!(judge(&mut claims, later, vm), Verdict::Claim(0));
+        }
+    }
+}
+
+#[test]
+fn judge_owner_of_an_earlier_process() {
+    let mut claims = Claims::new();
+    claims.set(ms(0), "e", 7, Some(claim("a", "a#0", 7)));
+    assert_eq!(judge(&mut claims, 0, "a"), Verdict::Claim(7));
+    assert_eq!(judge(&mut claims, 10_000, "b"), Verdict::Owned);
+}
+
+#[test]
+fn judge_vm_that_is_not_listed() {
+    let mut claims = Claims::new();
+    let verdict = claims.judge(ms(0), "e", ("z", "z#1"), VMS.into_iter());
+    assert_matches!(verdict, Verdict::Wait(at) if at == RANK_DELAY * 4);
+}
+
+#[test]
+fn set_older_news() {
+    let mut claims = Claims::new();
+    claims.set(ms(0), "e", 9, Some(claim("a", "a#1", 9)));
+    claims.set(ms(1), "e", 8, None);
+    assert_eq!(claims.get("e").map(|claim| claim.fence), Some(9));
+    claims.set(ms(2), "e", 10, None);
+    assert_eq!(claims.get("e"), None);
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -0,0 +1,226 @@
+//! Adapters on an engine: slots in use, orders that are lost or late, loads in a row.
+
+use assert_matches::assert_matches;
+use endivespur_core::gateway::placement::{Action, Answer, Order, Step, Verdict};
+
+use crate::{answer, ask, engine, grant, ms, order, report, weights};
+
+#[test]
+fn step_before_the_report() {
+    let mut engine = endivespur_core::gateway::placement::Engine::new(ms(0), &crate::class(2));
+    assert_eq!(engine.ask(ms(0), &ask("a")), Verdict::Wait);
+    assert_eq!(engine.step(ms(0)), Step::Report);
+}
+
+#[test]
+fn step_without_base() {
+    let mut engine = engine(2, &[]);
+    engine.reconcile(ms(0), &endivespur_core::gateway::placement::Report::default());
+    let order = order(&mut engine, ms(0));
+    assert_eq!(order.weights, weights(""));
+    assert_eq!(order.action, Action::Load);
+}
+
+#[test]
+fn step_slots_in_use() {
+    let mut engine = engine(2, &["a", "b"]);
+    let first = grant(&mut engine, ms(0), "a");
+    grant(&mut engine, ms(0), "b");
+    engine.join(ms(1), &ask("c"));
+    assert_matches!(engine.step(ms(1)), Step::Sleep(_));
+    engine.release(&weights("a"), first);
+    let unload = answer(&mut engine, ms(2), Answer::Holds);
+    assert_eq!((unload.action, unload.weights), (Action::Unload, weights("a")));
+    let load = order(&mut engine, ms(2));
+    assert_eq!((load.action, load.weights), (Action::Load, weights("c")));
+}
+
+#[test]
+fn step_never_more_than_the_slots() {
+    let mut engine = engine(2, &[]);
+    for adapter in ["a", "b", "c", "d"] {
+        engine.join(ms(0), &ask(adapter));
+    }
+    for now in 0..2000 {
+        if let Step::Order(order) = engine.step(ms(now)) {
+            let reply = if now % 300 < 250 { Answer::Accepted } else { Answer::Holds };
+            engine.answered(ms(now), &order, reply);
+        }
+        assert!(engine.taken() <= 2);
+    }
+}
+
+#[test]
+fn step_least_popular_leaves() {
+    let mut engine = engine(2, &["a", "b"]);
+    for now in 0..3 {
+        let used = grant(&mut engine, ms(now), "b");
+        engine.release(&weights("b"), used);
+    }
+    let used = grant(&mut engine, ms(5), "a");
+    engine.release(&weights("a"), used);
+    engine.join(ms(6), &ask("c"));
+    assert_eq!(order(&mut engine, ms(6)).weights, weights("a"));
+}
+
+#[test]
+fn answered_load_seen_twice() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    let load = answer(&mut engine, ms(0), Answer::Accepted);
+    assert_eq!(load.expected, 0);
+    assert_matches!(engine.step(ms(1)), Step::Sleep(Some(_)));
+    // On its way: accepted again without being counted.
+    let check = answer(&mut engine, ms(30), Answer::Accepted);
+    assert_eq!((check.expected, check.weights), (1, weights("a")));
+    assert!(!engine.is_ready(&weights("a")));
+    let check = answer(&mut engine, ms(260), Answer::Holds);
+    assert_eq!(check.expected, 1);
+    assert!(engine.is_ready(&weights("a")));
+}
+
+#[test]
+fn answered_lost_is_repeated_unchanged() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    let lost = answer(&mut engine, ms(0), Answer::Lost);
+    let again = order(&mut engine, ms(250));
+    assert_eq!(lost, again);
+}
+
+#[test]
+fn answered_lost_had_been_accepted() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    answer(&mut engine, ms(0), Answer::Lost);
+    answer(&mut engine, ms(250), Answer::Conflict);
+    let next = order(&mut engine, ms(251));
+    assert_eq!(next.expected, 1);
+}
+
+#[test]
+fn answered_lost_twice_reads_the_report() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    answer(&mut engine, ms(0), Answer::Lost);
+    answer(&mut engine, ms(250), Answer::Lost);
+    assert_matches!(engine.step(ms(500)), Step::Sleep(Some(_)));
+    assert_eq!(engine.step(ms(900)), Step::Report);
+}
+
+#[test]
+fn answered_conflict_reads_the_report() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    answer(&mut engine, ms(0), Answer::Conflict);
+    assert_eq!(engine.step(ms(400)), Step::Report);
+    engine.reconcile(ms(400), &report(&[("x", 1), ("y", 1)], 7));
+    let order = order(&mut engine, ms(400));
+    assert_eq!((order.action, order.expected), (Action::Unload, 7));
+}
+
+#[test]
+fn step_one_fetch_at_a_time() {
+    let mut engine = engine(8, &[]);
+    engine.join(ms(0), &ask("a"));
+    engine.join(ms(0), &ask("b"));
+    answer(&mut engine, ms(0), Answer::Accepted);
+    assert_matches!(engine.step(ms(1)), Step::Sleep(_));
+    answer(&mut engine, ms(30), Answer::Accepted);
+    answer(&mut engine, ms(260), Answer::Holds);
+    assert_eq!(order(&mut engine, ms(261)).weights, weights("b"));
+}
+
+#[test]
+fn step_kept_beside_loads_during_a_fetch() {
+    let mut engine = engine(1, &["a"]);
+    engine.join(ms(0), &ask("b"));
+    answer(&mut engine, ms(0), Answer::Holds);
+    let estimate = engine.delay(ms(0), &weights("a"));
+    assert!(estimate < engine.delay(ms(0), &weights("z")));
+}
+
+#[test]
+fn step_on_time_before_late() {
+    let mut engine = engine(8, &[]);
+    let mut late = ask("late");
+    late.due = ms(0);
+    engine.join(ms(0), &late);
+    engine.join(ms(10), &ask("on-time"));
+    assert_eq!(order(&mut engine, ms(20)).weights, weights("on-time"));
+}
+
+#[test]
+fn step_most_waiting_first() {
+    let mut engine = engine(8, &[]);
+    engine.join(ms(0), &ask("one"));
+    engine.join(ms(1), &ask("two"));
+    engine.join(ms(2), &ask("two"));
+    assert_eq!(order(&mut engine, ms(3)).weights, weights("two"));
+}
+
+#[test]
+fn leave_nobody_waits() {
+    let mut engine = engine(8, &[]);
+    engine.join(ms(0), &ask("a"));
+    engine.leave(&weights("a"));
+    assert_eq!(engine.step(ms(1)), Step::Sleep(None));
+}
+
+#[test]
+fn ask_behind_unread_prompts() {
+    let mut engine = engine(2, &["a"]);
+    let mut long = ask("a");
+    long.tokens = 40_000;
+    assert_matches!(engine.ask(ms(0), &long), Verdict::Granted(_));
+    let mut next = ask("a");
+    next.max_delay = Some(ms(500));
+    assert_matches!(engine.ask(ms(0), &next), Verdict::Busy(delay) if delay > ms(900));
+    engine.began(ms(1300), 1);
+    assert_matches!(engine.ask(ms(1300), &next), Verdict::Granted(_));
+}
+
+#[test]
+fn ask_slow_engine() {
+    let mut engine = engine(2, &["a"]);
+    for start in 0..20 {
+        let now = ms(start * 1000);
+        let grant = grant(&mut engine, now, "a");
+        engine.began(now + ms(300), grant);
+        engine.release(&weights("a"), grant);
+    }
+    // About 38 ms of work by the data sheet.
+    grant(&mut engine, ms(30_000), "a");
+    assert!(engine.backlog(ms(30_000)) > ms(200));
+}
+
+#[test]
+fn ask_only_resident() {
+    let mut engine = engine(2, &["a"]);
+    let mut absent = ask("b");
+    absent.only_resident = true;
+    absent.max_delay = Some(ms(5000));
+    assert_matches!(engine.ask(ms(0), &absent), Verdict::Busy(_));
+    assert_eq!(engine.step(ms(0)), Step::Sleep(None));
+}
+
+#[test]
+fn delay_queue_for_slots() {
+    let mut engine = engine(1, &["a"]);
+    grant(&mut engine, ms(0), "a");
+    let empty = engine.delay(ms(0), &weights("z"));
+    for adapter in ["b", "c", "d"] {
+        engine.join(ms(0), &ask(adapter));
+    }
+    assert!(engine.delay(ms(0), &weights("z")) > empty * 2);
+}
+
+#[test]
+fn release_lost_is_bounded() {
+    let mut engine = engine(1, &["a"]);
+    grant(&mut engine, ms(0), "a");
+    engine.join(ms(0), &ask("b"));
+    assert_matches!(engine.step(ms(1000)), Step::Sleep(_));
+    let order: Order = order(&mut engine, ms(21_000));
+    assert_eq!(order.action, Action::Unload);
+}
--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/version.rs
@@ -0,0 +1,49 @@
+//! New versions of adapters that are in use.
+
+use endivespur_core::gateway::placement::{Answer, Verdict};
+
+use crate::{answer, ask, engine, grant, ms, order, weights};
+
+#[test]
+fn announce_replaces_at_once() {
+    let mut engine = engine(2, &["a", "b"]);
+    grant(&mut engine, ms(0), "a");
+    engine.announce(&weights("a"), 2);
+    let order = order(&mut engine, ms(1));
+    assert_eq!((order.weights, order.version), (weights("a"), Some(2)));
+}
+
+#[test]
+fn announce_stops_grants_of_the_old() {
+    let mut engine = engine(2, &["a"]);
+    engine.announce(&weights("a"), 2);
+    assert_eq!(engine.ask(ms(0), &ask("a")), Verdict::Wait);
+    answer(&mut engine, ms(0), Answer::Accepted);
+    assert_eq!(engine.ask(ms(100), &ask("a")), Verdict::Wait);
+    answer(&mut engine, ms(260), Answer::Holds);
+    grant(&mut engine, ms(261), "a");
+}
+
+#[test]
+fn announce_most_used_first() {
+    let mut engine = engine(2, &["a", "b"]);
+    grant(&mut engine, ms(0), "b");
+    engine.announce(&weights("a"), 2);
+    engine.announce(&weights("b"), 2);
+    assert_eq!(order(&mut engine, ms(1)).weights, weights("b"));
+}
+
+#[test]
+fn announce_older_changes_nothing() {
+    let mut engine = engine(2, &["a"]);
+    engine.announce(&weights("a"), 1);
+    grant(&mut engine, ms(0), "a");
+}
+
+#[test]
+fn announce_absent_loads_the_newest() {
+    let mut engine = engine(2, &[]);
+    engine.announce(&weights("a"), 3);
+    engine.join(ms(0), &ask("a"));
+    assert_eq!(order(&mut engine, ms(0)).version, Some(3));
+}
