Write structured logs without blocking, and serve metrics on the platform

One JSON object a line on standard output, through a queue of 2,048 lines with a thread of its own; ordinary lines are dropped first and all drops are counted and told. A test logs 100,000 lines into a pipe that nobody reads in under a second, loses no warning and counts exactly. Counters and histograms at the port that the deploy file names.

The test of docs/METRICS.md read one crate's sources; it now reads those of all crates.

--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -15,7 +15,10 @@
 #[test]
 fn step_without_base() {
     let mut engine = engine(2, &[]);
-    engine.reconcile(ms(0), &endivespur_core::gateway::placement::Report::default());
+    engine.reconcile(
+        ms(0),
+        &endivespur_core::gateway::placement::Report::default(),
+    );
     let order = order(&mut engine, ms(0));
     assert_eq!(order.weights, weights(""));
     assert_eq!(order.action, Action::Load);
@@ -30,7 +33,10 @@
     assert_matches!(engine.step(ms(1)), Step::Sleep(_));
     engine.release(&weights("a"), first);
     let unload = answer(&mut engine, ms(2), Answer::Holds);
-    assert_eq!((unload.action, unload.weights), (Action::Unload, weights("a")));
+    assert_eq!(
+        (unload.action, unload.weights),
+        (Action::Unload, weights("a"))
+    );
     let load = order(&mut engine, ms(2));
     assert_eq!((load.action, load.weights), (Action::Load, weights("c")));
 }
@@ -43,7 +49,11 @@
     }
     for now in 0..2000 {
         if let Step::Order(order) = engine.step(ms(now)) {
-            let reply = if now % 300 < 250 { Answer::Accepted } else { Answer::Holds };
+            let reply = if now % 300 < 250 {
+                Answer::Accepted
+            } else {
+                Answer::Holds
+            };
             engine.answered(ms(now), &order, reply);
         }
         assert!(engine.taken() <= 2);
--- a/crates/endivespur_core/tests/gateway/table.rs
+++ b/crates/endivespur_core/tests/gateway/table.rs
@@ -40,9 +40,15 @@
 
 #[test]
 fn route_longest_prefix() {
-    assert_eq!(found("a.example", "/one/two/x").as_deref(), Some("/one/two/"));
+    assert_eq!(
+        found("a.example", "/one/two/x").as_deref(),
+        Some("/one/two/")
+    );
     assert_eq!(found("a.example", "/one/twox").as_deref(), Some("/one/"));
-    assert_eq!(found("A.Example:80", "/one/?q=/one/two/").as_deref(), Some("/one/"));
+    assert_eq!(
+        found("A.Example:80", "/one/?q=/one/two/").as_deref(),
+        Some("/one/")
+    );
 }
 
 #[test]
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::member;
 use crate::state::State;
+use crate::telemetry;
 
 /// How long a watch waits for a change; with the time-out of a call this bounds how long a
 /// silent connection goes unnoticed.
@@ -60,6 +61,7 @@
         let page = match state.store.list(subject.prefix).await {
             Ok(page) => page,
             Err(error) => {
+                telemetry::store_failed("watch");
                 if !is_lost {
                     warn!(event = "store-lost", prefix = subject.prefix; "{error}");
                 }
@@ -130,6 +132,7 @@
                 return;
             }
             Err(error) => {
+                telemetry::store_failed("watch");
                 if !is_lost {
                     warn!(event = "store-lost", prefix = subject.prefix; "{error}");
                 }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -20,7 +20,7 @@
 use crate::owner::Reply;
 use crate::relay::{self, Failure};
 use crate::state::{Running, State};
-use crate::{peer, timer};
+use crate::{peer, telemetry, timer};
 
 /// The share of the objective that a request may wait behind other prompts before an
 /// engine is preferred that also holds its adapter.
@@ -201,6 +201,7 @@
             return not_run(state, call, &mut permit, course, reply).await;
         }
         Ok(mut reply) if reply.answer.is_signed => {
+            telemetry::began(clock::now().saturating_sub(now));
             info!(
                 event = "head", request = call.fields.attempt.as_str(),
                 endpoint = instance.id.as_str(), status = reply.head.status,
@@ -272,16 +273,19 @@
 }
 
 fn log_permit(call: &Call, permit: &Permit, offer: usize) {
+    let waited = clock::now().saturating_sub(call.started);
+    telemetry::granted(waited);
     info!(
         event = "granted", request = call.fields.attempt.as_str(),
         endpoint = permit.instance.id.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(seat, _)| seat), version = permit.version, offer,
         tokens = call.fields.prompt_tokens,
-        waited_ms = clock::now().saturating_sub(call.started).as_millis() as u64; "granted"
+        waited_ms = waited.as_millis() as u64; "granted"
     );
 }
 
-fn log_attempt(call: &Call, instance: &Instance, outcome: &str, reason: &str) {
+fn log_attempt(call: &Call, instance: &Instance, outcome: &'static str, reason: &str) {
+    telemetry::attempt_failed(outcome);
     info!(
         event = "attempt", request = call.fields.attempt.as_str(),
         endpoint = instance.id.as_str(), outcome, reason; "engine gave no answer"
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod serve;
 mod start;
 mod state;
+mod telemetry;
 mod timer;
 
 pub use start::{Error, run};
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -14,7 +14,7 @@
 
 use crate::catalog::Peer;
 use crate::state::State;
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// The prefix of this project's keys in the store.
 pub const PREFIX: &str = "endivespur/";
@@ -160,6 +160,7 @@
         match result {
             Ok(()) => Timer::after(RENEW_EVERY).await,
             Err(message) => {
+                telemetry::store_failed("lease");
                 warn!(event = "lease"; "{message}");
                 Timer::after(RETRY_PAUSE).await
             }
@@ -323,6 +324,7 @@
             false
         }
         Err(error) => {
+            telemetry::store_failed("claim");
             warn!(event = "claim", count = batch.len(); "{error}");
             false
         }
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -8,16 +8,16 @@
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::{Instance, Weights};
-use endivespur_core::gateway::placement::{Answer, Ask, Engine, Order, Step, Verdict};
+use endivespur_core::gateway::placement::{Action, Answer, Ask, Engine, Order, Step, Verdict};
 use endivespur_core::id::{Endpoint, Fence, Grant, Version};
 use endivespur_platform::engine::{self, Target};
 use event_listener::Event;
-use log::{debug, info, warn};
+use log::{info, warn};
 use smol::Timer;
 
 use crate::member;
 use crate::state::State;
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// How long an engine may take to answer an order or a report.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns the number of owned engines.
+    pub fn count(&self) -> usize {
+        self.owned.borrow().len()
+    }
+
     fn get(&self, endpoint: &str) -> Option<Rc<Owned>> {
         self.owned.borrow().get(endpoint).cloned()
     }
@@ -328,10 +333,27 @@
     true
 }
 
+fn outcome(answer: &engine::Answer) -> &'static str {
+    match answer {
+        engine::Answer::Accepted => "accepted",
+        engine::Answer::Holds => "holds",
+        engine::Answer::Conflict(_) => "conflict",
+        engine::Answer::Stale => "stale",
+        engine::Answer::OtherInstance => "other-instance",
+        engine::Answer::Failed(..) => "failed",
+        engine::Answer::Lost(_) => "lost",
+    }
+}
+
 fn log_order(instance: &Instance, order: &Order, answer: &engine::Answer, took: Time) {
-    debug!(
-        event = "order", endpoint = instance.id.as_str(), action:? = order.action,
+    let action = match order.action {
+        Action::Load => "load",
+        Action::Unload => "unload",
+    };
+    telemetry::ordered(action, outcome(answer));
+    info!(
+        event = "order", endpoint = instance.id.as_str(), action,
         adapter = order.weights.to_string(), version:? = order.version,
-        expected = order.expected, outcome:? = answer, took_ms = took.as_millis() as u64; "order"
+        expected = order.expected, outcome = outcome(answer), took_ms = took.as_millis() as u64; "order"
     );
 }
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -17,7 +17,7 @@
 use crate::exchange::{Call, Caller, Ending};
 use crate::relay::{self, Failure};
 use crate::state::{Running, State};
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// The longest answer that is read whole before it is passed on.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -95,7 +95,8 @@
     }
 }
 
-fn log_attempt(call: &Call, instance: &Instance, outcome: &str, reason: &str) {
+fn log_attempt(call: &Call, instance: &Instance, outcome: &'static str, reason: &str) {
+    telemetry::attempt_failed(outcome);
     info!(
         event = "attempt", request = call.fields.attempt.as_str(),
         endpoint = instance.id.as_str(), outcome, reason; "endpoint gave no answer"
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -17,7 +17,7 @@
 
 use crate::exchange::{Call, Caller, Ending};
 use crate::state::State;
-use crate::{generate, plain, timer};
+use crate::{generate, plain, telemetry, timer};
 
 /// The pause after an accept that failed, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -162,9 +162,11 @@
     let attempt = fields.attempt.clone();
     let mut caller = Caller::new(connection, &head, state.is_stopping.get());
     let table = state.catalog.borrow().table();
+    let mut service = String::new();
     let ending = match prepare(table.as_deref(), head, body, fields, started) {
         Err(ending) => ending,
         Ok(call) => {
+            service.clone_from(&call.service);
             state.deposit_retry(&call.service);
             let is_engine = table
                 .as_deref()
@@ -188,6 +190,7 @@
         Ending::Own { reason, .. } if caller.has_begun => Ending::Broken(reason),
         ending => ending,
     };
+    telemetry::answered(&service, &ending, clock::now().saturating_sub(started));
     finish(&mut caller, &attempt, &ending, started).await?;
     let is_open = !caller.closes && !matches!(ending, Ending::Broken(_));
     Ok(if is_open { Next::Request } else { Next::Close })
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{follow, member, owner, readiness, rpc, serve};
+use crate::{follow, member, owner, readiness, rpc, serve, telemetry};
 
 /// For how long requests are taken after readiness was given up: the platform asks once a
 /// second and believes two misses.
@@ -47,12 +47,16 @@
         .context(ListenSnafu { address })
 }
 
-/// Runs the gateway until it is asked to stop.
+/// Runs the gateway until it is asked to stop; metrics are served if a port is given.
 ///
 /// # Errors
 ///
 /// Returns an [`Error`] if it cannot start.
-pub async fn run(executor: Rc<LocalExecutor<'static>>, settings: Settings) -> Result<(), Error> {
+pub async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    settings: Settings,
+    metrics_port: Option<u16>,
+) -> Result<(), Error> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context(SignalsSnafu)?;
     let process = format!("{}#{}", settings.vm, clock::now().as_nanos());
@@ -61,6 +65,10 @@
     let questions = listen(settings.readiness).await?;
     info!(event = "start", vm = settings.vm.as_str(), process = process.as_str(); "started");
     let state = Rc::new(State::new(settings, process, executor));
+    if let Some((port, handle)) = metrics_port.zip(telemetry::install()) {
+        let address = SocketAddr::new(state.settings.callers.ip(), port);
+        state.spawn(telemetry::serve(state.clone(), address, handle));
+    }
     follow::start(&state);
     member::start(&state);
     owner::start(&state);
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::member::Lease;
 use crate::owner::Owners;
 use crate::peer::Peers;
+use crate::telemetry;
 
 /// The share of the permitted retries that this VM counts on: callers reach VMs unevenly.
 const RETRY_SHARE: f64 = 0.6;
@@ -111,7 +112,9 @@
 
     /// Takes one retry at a service; tells whether one was left.
     pub fn withdraw_retry(&self, service: &str) -> bool {
-        self.with_budget(service, Budget::withdraw)
+        let is_permitted = self.with_budget(service, Budget::withdraw);
+        telemetry::retried(is_permitted);
+        is_permitted
     }
 
     fn with_budget<T>(&self, service: &str, use_budget: impl FnOnce(&mut Budget) -> T) -> T {
--- a/crates/endivespur_http/tests/body.rs
+++ b/crates/endivespur_http/tests/body.rs
@@ -31,7 +31,10 @@
 #[test]
 fn decode_length_leaves_the_rest() {
     let (body, left) = decode(Framing::Length(3), b"abcdef", 2).unwrap();
-    assert_eq!((body.as_slice(), left.as_slice()), (&b"abc"[..], &b"def"[..]));
+    assert_eq!(
+        (body.as_slice(), left.as_slice()),
+        (&b"abc"[..], &b"def"[..])
+    );
 }
 
 #[test]
--- a/crates/endivespur_http/tests/head.rs
+++ b/crates/endivespur_http/tests/head.rs
@@ -35,7 +35,13 @@
 
 #[test]
 fn parse_unusual_codings() {
-    for coding in ["gzip, chunked", "chunked, chunked", "xchunked", "identity", "chunked\x0b"] {
+    for coding in [
+        "gzip, chunked",
+        "chunked, chunked",
+        "xchunked",
+        "identity",
+        "chunked\x0b",
+    ] {
         let result = request(&format!("Transfer-Encoding: {coding}\r\n"));
         assert_matches!(result, Err(_), "{coding:?}");
     }
--- /dev/null
+++ b/crates/endivespur_log/src/lib.rs
@@ -0,0 +1,25 @@
+//! Structured logs: one JSON object a line, written without ever blocking who logs.
+
+mod line;
+mod queue;
+
+use std::io::Write;
+
+use env_logger::{Builder, Env, Target};
+
+pub use queue::Queue;
+
+/// Sets the process's logger up; it writes to standard output.
+///
+/// `RUST_LOG` filters by part and level as `env_logger` describes; `info` is the default.
+pub fn start() {
+    let queue = Queue::new(std::io::stdout());
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(queue)))
+        .format(|out, record| {
+            let mut line = line::encode(record);
+            line.push(b'\n');
+            out.write_all(&line)
+        })
+        .init();
+}
--- /dev/null
+++ b/crates/endivespur_log/src/queue.rs
@@ -0,0 +1,104 @@
+//! A bounded queue of lines before a writer that may be slow or stuck.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+
+/// The lines that wait at most; at 200 to 300 bytes each this is below one megabyte.
+const MAX_LINES: usize = 2048;
+/// The waiting lines above which only warnings and errors are taken.
+const MAX_ORDINARY_LINES: usize = 1536;
+
+/// A writer that hands whole lines to a thread and drops what does not fit.
+#[derive(Debug)]
+pub struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    waiting: Arc<AtomicUsize>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Queue {
+    /// Makes a queue before a writer, with a thread of its own.
+    pub fn new(to: impl Write + Send + 'static) -> Self {
+        let (lines, received) = sync_channel(MAX_LINES);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let dropped = Arc::new(AtomicU64::new(0));
+        let drain = Drain {
+            received,
+            waiting: waiting.clone(),
+            dropped: dropped.clone(),
+        };
+        thread::spawn(move || drain.run(to));
+        Self {
+            lines,
+            waiting,
+            dropped,
+        }
+    }
+
+    /// Returns the number of lines that were dropped and are not reported yet.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("endivespur_log_dropped_total").increment(1);
+    }
+}
+
+fn is_urgent(line: &[u8]) -> bool {
+    let has = |text: &[u8]| line.windows(text.len()).any(|part| part == text);
+    has(br#""level":"warn""#) || has(br#""level":"error""#)
+}
+
+impl Write for Queue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let is_crowded = self.waiting.load(Ordering::Relaxed) >= MAX_ORDINARY_LINES;
+        if is_crowded && !is_urgent(line) {
+            self.drop_line();
+            return Ok(line.len());
+        }
+        match self.lines.try_send(line.to_vec()) {
+            Ok(()) => {
+                self.waiting.fetch_add(1, Ordering::Relaxed);
+            }
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.drop_line(),
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Drain {
+    received: Receiver<Vec<u8>>,
+    waiting: Arc<AtomicUsize>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Drain {
+    fn run(self, mut to: impl Write) {
+        while let Ok(line) = self.received.recv() {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+            let dropped = self.dropped.swap(0, Ordering::Relaxed);
+            let mut written = Ok(());
+            if dropped > 0 {
+                let note = format!(
+                    "{{\"level\":\"warn\",\"part\":\"endivespur_log\",\"event\":\"log-dropped\",\
+                     \"count\":{dropped},\"message\":\"lines were dropped\"}}\n"
+                );
+                written = to.write_all(note.as_bytes());
+            }
+            // Nobody reads any more: the lines that follow are dropped and counted.
+            if written.and_then(|()| to.write_all(&line)).is_err() {
+                return;
+            }
+            to.flush().ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/endivespur_log/tests/queue.rs
@@ -0,0 +1,79 @@
+//! Logs never block: a full pipe that nobody reads costs lines, not time or memory.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use endivespur_log::Queue;
+
+/// A pipe that takes nothing until it is opened.
+struct Stuck {
+    open: Receiver<()>,
+    is_open: bool,
+    lines: Sender<String>,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.is_open {
+            self.open.recv().unwrap();
+            self.is_open = true;
+        }
+        self.lines
+            .send(String::from_utf8(bytes.to_vec()).unwrap())
+            .unwrap();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+const LINE: &[u8] = b"{\"level\":\"info\",\"event\":\"granted\"}\n";
+const URGENT: &[u8] = b"{\"level\":\"warn\",\"event\":\"store-lost\"}\n";
+const LINES: u64 = 100_000;
+
+#[test]
+fn write_nobody_reads() {
+    let (open, gate) = channel();
+    let (lines, received) = channel();
+    let mut queue = Queue::new(Stuck {
+        open: gate,
+        is_open: false,
+        lines,
+    });
+    let since = Instant::now();
+    for _ in 0..LINES {
+        queue.write_all(LINE).unwrap();
+    }
+    queue.write_all(URGENT).unwrap();
+    assert!(since.elapsed() < Duration::from_secs(1), "logging blocked");
+    let dropped = queue.dropped();
+    assert!(dropped > 0 && dropped < LINES);
+    open.send(()).unwrap();
+    drop(queue);
+    let written: Vec<String> = received.iter().collect();
+    let count = |text: &str| written.iter().filter(|line| line.contains(text)).count() as u64;
+    assert_eq!(count("granted") + dropped, LINES);
+    assert_eq!(count("store-lost"), 1, "a warning has room left");
+    assert_eq!(count(&format!("\"count\":{dropped}")), 1);
+}
+
+#[test]
+fn write_reader_gone() {
+    struct Gone;
+    impl Write for Gone {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            Err(io::ErrorKind::BrokenPipe.into())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut queue = Queue::new(Gone);
+    for _ in 0..10_000 {
+        queue.write_all(LINE).unwrap();
+    }
+    assert!(queue.dropped() > 0);
+}
--- a/crates/endivespur_node/tests/pages.rs
+++ b/crates/endivespur_node/tests/pages.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Returns all sources below a folder, tests left out.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let mut found = files(folder, "rs");
+    let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    for path in entries.map(|entry| entry.path()) {
+        if path.is_dir() && !path.ends_with("tests") {
+            found.extend(sources(&path));
+        }
+    }
+    found
+}
+
 /// Returns each name in quotation marks or backticks that starts with the prefix.
 fn names(text: &str, mark: char) -> BTreeSet<String> {
     let prefix = "endivespur_";
@@ -49,7 +61,7 @@
 #[test]
 fn metrics_page_lists_each_metric() {
     let mut code = BTreeSet::new();
-    for path in files(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), "rs") {
+    for path in sources(&root().join("crates")) {
         code.extend(names(
             &std::fs::read_to_string(path).expect("readable"),
             '"',
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use async_signal::{Signal, Signals};
-use clap::{Arg, ArgAction, Command, crate_version};
+use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use endivespur_node::settings::{self, Finding, Settings};
 use endivespur_node::{Error, start};
 use log::{error, info};
@@ -39,16 +39,26 @@
                 .conflicts_with("settings")
                 .help("Runs as a gateway with the settings that the platform provides"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .value_parser(value_parser!(u16))
+                .requires("platform")
+                .help("Serves metrics at /metrics on this port of the VM's address"),
+        )
 }
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    if matches.get_flag("platform") {
+        endivespur_log::start();
+        let port = matches.get_one::<u16>("metrics-port").copied();
+        return run_gateway(matches.get_flag("check"), port);
+    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    if matches.get_flag("platform") {
-        return run_gateway(matches.get_flag("check"));
-    }
     let path = matches
         .get_one::<String>("settings")
         .map_or("", String::as_str);
@@ -75,7 +85,7 @@
 }
 
 /// Runs on the platform, which names the settings file in the environment.
-fn run_gateway(only_check: bool) -> ExitCode {
+fn run_gateway(only_check: bool, metrics_port: Option<u16>) -> ExitCode {
     let settings = match endivespur_platform::settings::read() {
         Ok(settings) => settings,
         Err(failure) => {
@@ -89,7 +99,7 @@
     }
     end_on_panic();
     let executor = Rc::new(LocalExecutor::new());
-    let run = endivespur_gateway::run(executor.clone(), settings);
+    let run = endivespur_gateway::run(executor.clone(), settings, metrics_port);
     match smol::block_on(executor.run(run)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
