Never take a conflict for a lost order's own acceptance

Cause, from its order log: a load that was lost at 20.95 s was carried out late at 21.76 s, between another lost load and its repetition. The owner took the repetition's 409 for the sign that the order itself had been accepted and repeated it with the next count.

Change: a conflict always leads to the engine's report. A lost order now counts as lost after 120 ms instead of 250 ms.

--- a/crates/endivespur_core/src/gateway/placement.rs
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -636,12 +636,8 @@
             }
             Answer::Accepted => self.accepted(now, order),
             Answer::Holds => self.holds(now, order),
-            // The order itself may have been accepted already, with its answer lost.
-            Answer::Conflict if was_repeated && order.expected == self.orders => {
-                let mut next = order.clone();
-                next.expected += 1;
-                self.repeated = Some(next);
-            }
+            // An order that was lost earlier may have been carried out, and it need not be this
+            // one: only the report tells what the engine holds.
             Answer::Conflict => self.report_at = Some(now + REPORT_LAG),
             // The repetition fails if the lost one is carried out first, and the other way round.
             Answer::Lost if was_repeated => self.report_at = Some(now + REPORT_LAG),
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -19,8 +19,9 @@
 use crate::state::State;
 use crate::{telemetry, timer};
 
-/// How long an engine may take to answer an order or a report.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long an engine may take to answer an order or a report: some twenty times what it
+/// usually takes between zones.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
 /// The pause after an engine gave no usable answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause of an owner that has nothing to do: it looks whether it still owns.
