Ask engines that hold an adapter by their own word, those of this zone first

Change: registrations name the engines that hold an adapter; they are asked first, those of the caller's zone before others.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -2,14 +2,32 @@
 
 use crate::gateway::endpoint::{Instance, Weights};
 use crate::hash;
-use crate::id::Endpoint;
+use crate::id::{Endpoint, Version};
 
 /// The engines that are tried for one adapter: its home, and those it spreads to under load.
 pub const HOMES: usize = 4;
 
-/// Returns the engines for an adapter, its home first.
-pub fn homes<'a>(weights: &Weights, engines: Vec<&'a Instance>) -> Vec<&'a Instance> {
-    hash::rank(&weights.to_string(), engines, |engine| &engine.id, HOMES)
+/// Returns the engines to be asked for an adapter: those that hold it by their own word, in
+/// this zone first, then its homes.
+pub fn engines<'a>(
+    weights: &Weights,
+    version: Version,
+    zone: &str,
+    engines: Vec<&'a Instance>,
+) -> Vec<&'a Instance> {
+    let holds = |engine: &Instance| {
+        let base = engine.bases.get(&weights.base);
+        let held = base.and_then(|base| base.adapters.get(&weights.adapter));
+        held.is_some_and(|held| *held >= version)
+    };
+    let count = engines.len();
+    let ranked = hash::rank(&weights.to_string(), engines, |engine| &engine.id, count);
+    let (mut first, others): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|engine| holds(engine));
+    first.sort_by_key(|engine| engine.zone != zone);
+    let missing = HOMES.saturating_sub(first.len());
+    first.extend(others.into_iter().take(missing));
+    first
 }
 
 /// What is known of an endpoint's load.
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -1,6 +1,66 @@
-//! The order in which the endpoints of a plain service are tried.
+//! The order in which endpoints are tried.
 
-use endivespur_core::gateway::choice::{self, Load};
+use std::collections::BTreeMap;
+
+use endivespur_core::gateway::choice::{self, HOMES, Load};
+use endivespur_core::gateway::endpoint::{Base, Instance};
+
+use crate::{BASE, ms, weights};
+
+fn engine(id: &str, zone: &str, held: Option<u32>) -> Instance {
+    let adapters = held.map(|version| ("a".to_string(), version));
+    let base = Base {
+        version: 1,
+        adapters: adapters.into_iter().collect(),
+    };
+    Instance {
+        id: id.to_string(),
+        born: 1,
+        service: "s".to_string(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.to_string(),
+        slots: 64,
+        is_leaving: false,
+        cold: ms(0),
+        bases: BTreeMap::from([(BASE.to_string(), base)]),
+        orders: 0,
+    }
+}
+
+fn engines(zone: &str, version: u32, engines: &[Instance]) -> Vec<String> {
+    let all = engines.iter().collect();
+    choice::engines(&weights("a"), version, zone, all)
+        .into_iter()
+        .map(|engine| engine.id.clone())
+        .collect()
+}
+
+#[test]
+fn engines_holding_in_this_zone_first() {
+    let all: Vec<_> = (0..9)
+        .map(|number| {
+            let zone = ["x", "y", "z"][number % 3];
+            engine(&format!("e{number}"), zone, (number > 6).then_some(1))
+        })
+        .collect();
+    let found = engines("z", 0, &all);
+    assert_eq!(found[..2], ["e8", "e7"]);
+    assert_eq!(found.len(), HOMES);
+}
+
+#[test]
+fn engines_same_homes_for_all_zones() {
+    let all: Vec<_> = (0..9)
+        .map(|number| engine(&format!("e{number}"), ["x", "y"][number % 2], None))
+        .collect();
+    assert_eq!(engines("x", 0, &all), engines("y", 0, &all));
+}
+
+#[test]
+fn engines_holding_an_older_version() {
+    let all = [engine("old", "x", Some(1)), engine("new", "y", Some(2))];
+    assert_eq!(engines("x", 2, &all)[0], "new");
+}
 
 fn load(endpoint: &str, running: usize, is_near: bool) -> Load {
     Load {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -28,6 +28,9 @@
 /// The share of the objective that a request may wait for its adapter, or behind other
 /// prompts, before another engine fetches the adapter too; the rest is for reading the prompt.
 const LONG_DELAY_SHARE: f64 = 0.6;
+/// The delay that an engine in another zone counts for when an adapter is to be fetched: the
+/// prompts' bytes between zones are paid for.
+const FAR_DELAY: Duration = Duration::from_millis(40);
 /// The share of the objective within which a prompt must be sent: reading it takes the rest.
 const DUE_SHARE: f64 = 0.7;
 /// The part of the deadline that is left to answer a request that cannot be served.
@@ -410,7 +413,9 @@
             return Err("no-engine");
         }
         let borrowed = engines.iter().map(Rc::as_ref).collect();
-        let homes: Vec<Rc<Instance>> = choice::homes(&weights, borrowed)
+        let version = state.catalog.borrow().version(&weights).unwrap_or_default();
+        let zone = &state.settings.zone;
+        let homes: Vec<Rc<Instance>> = choice::engines(&weights, version, zone, borrowed)
             .into_iter()
             .filter_map(|home| engines.iter().find(|engine| engine.id == home.id))
             .cloned()
@@ -463,7 +468,11 @@
         for home in homes {
             match self.ask(home, short, true).await {
                 Some(Ok(permit)) => return Found::Permit(Box::new(permit)),
-                Some(Err(Reply::Busy(delay))) => delays.push((delay, home.clone())),
+                Some(Err(Reply::Busy(delay))) => {
+                    let is_near = home.zone == self.state.settings.zone;
+                    let far = if is_near { Duration::ZERO } else { FAR_DELAY };
+                    delays.push((delay + far, home.clone()));
+                }
                 Some(Err(Reply::Late)) => return Found::Busy,
                 Some(Err(_)) | None => {
                     if let Some(permit) = unowned(self.state, home, self.weights) {
