Do not grant again what an engine has just said it lacks

The owner reads the report 300 ms later only, since reports lag.

Change: weights that an engine lacks are not granted before its report was read. The test missing_is_not_granted_again failed before.

--- a/crates/endivespur_core/src/gateway/placement.rs
+++ b/crates/endivespur_core/src/gateway/placement.rs
@@ -212,6 +212,8 @@
     copies: BTreeMap<Weights, Copy>,
     wants: BTreeMap<Weights, Want>,
     newest: BTreeMap<Weights, Version>,
+    /// The weights that the engine lacked although it was believed to hold them.
+    doubtful: BTreeSet<Weights>,
     orders: u64,
     report_at: Option<Time>,
     base_check: Option<Time>,
@@ -243,6 +245,7 @@
             copies: BTreeMap::new(),
             wants: BTreeMap::new(),
             newest: BTreeMap::new(),
+            doubtful: BTreeSet::new(),
             orders: 0,
             report_at: Some(now),
             base_check: None,
@@ -286,7 +289,7 @@
         if self.report_at.is_some() && self.copies.is_empty() && self.bases.is_empty() {
             return false;
         }
-        if !self.bases.contains(&weights.base) {
+        if !self.bases.contains(&weights.base) || self.doubtful.contains(weights) {
             return false;
         }
         weights.adapter.is_empty()
@@ -453,8 +456,10 @@
         }
     }
 
-    /// Notes that the engine said it does not hold what it was believed to hold.
-    pub fn missing(&mut self, now: Time) {
+    /// Notes that the engine said it does not hold weights that it was believed to hold; they
+    /// are not granted again before its report was read.
+    pub fn missing(&mut self, now: Time, weights: &Weights) {
+        self.doubtful.insert(weights.clone());
         self.report_at.get_or_insert(now + REPORT_LAG);
     }
 
@@ -490,6 +495,7 @@
         }
         self.bases = report.bases.keys().cloned().collect();
         self.orders = report.orders;
+        self.doubtful.clear();
         self.base_check = None;
         self.repeated = None;
         self.report_at = report.is_busy.then_some(now + REPORT_LAG);
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -247,6 +247,21 @@
     assert!(engine.delay(ms(0), &weights("z")) > empty * 2);
 }
 
+/// After a takeover or a crash an owner may believe in an adapter that is gone; to grant it
+/// again at once would only spend the retry budget.
+#[test]
+fn missing_is_not_granted_again() {
+    let mut engine = engine(2, &["a"]);
+    let wrong = grant(&mut engine, ms(0), "a");
+    engine.missing(ms(1), &weights("a"));
+    engine.release(&weights("a"), wrong);
+    assert_eq!(engine.ask(ms(2), &ask("a")), Verdict::Wait);
+    assert_eq!(engine.step(ms(400)), Step::Report);
+    engine.reconcile(ms(400), &report(&[], 0));
+    engine.join(ms(400), &ask("a"));
+    assert_eq!(order(&mut engine, ms(400)).action, Action::Load);
+}
+
 #[test]
 fn release_lost_is_bounded() {
     let mut engine = engine(1, &["a"]);
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -94,7 +94,7 @@
             let mut engine = owned.engine.borrow_mut();
             engine.release(weights, grant);
             if is_missing {
-                engine.missing(clock::now());
+                engine.missing(clock::now(), weights);
             }
             owned.wanted.notify(usize::MAX);
         }
