Follow the store with one watch whose pause grows with the fleet

Change: one watch of all keys instead of three; after changes of registrations only, the next one waits 50 ms for each VM, from 0.4 s to 0.4 of the time in which a leaving engine must stop getting work. A watch waits for what the time to settle leaves.

--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -6,7 +6,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::ownership::Claim;
-use endivespur_platform::store::{Change, Item};
+use endivespur_platform::store::{self, Change, Item};
 use endivespur_platform::{document, registration};
 use log::{info, warn};
 use smol::Timer;
@@ -15,65 +15,47 @@
 use crate::state::State;
 use crate::telemetry;
 
-/// How long a watch waits for a change; with the time-out of a call this bounds how long a
-/// silent connection goes unnoticed.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// The part of the time after which a VM counts as undisturbed again that is left to notice a
+/// silent connection and to list anew; a watch waits for the rest.
+const RECOVERY_TIME: Duration = Duration::from_millis(1200);
+/// The shortest wait of a watch.
+const MIN_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// The pause between two watches of registrations, so that one answer holds several.
-const REGISTRATION_PAUSE: Duration = Duration::from_millis(400);
-
-/// What stands below one prefix, and how it is applied.
-struct Subject {
-    prefix: &'static str,
-    pause: Duration,
-    apply: fn(&State, &Item),
-}
+/// The prefix of all keys.
+const EVERYTHING: &str = "";
+/// The shortest pause after changes of registrations only.
+const MIN_PAUSE: Duration = Duration::from_millis(400);
+/// The pause after other changes: where a lease has ended, claims follow.
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
+/// What each VM adds to that pause: the calls of all together stay about the same.
+const PAUSE_PER_VM: Duration = Duration::from_millis(50);
+/// The longest share of the time in which a leaving endpoint must stop getting work that the
+/// pause may take.
+const MAX_PAUSE_SHARE: f64 = 0.4;
 
 /// Starts to follow the store.
 pub fn start(state: &Rc<State>) {
-    let subjects = [
-        Subject {
-            prefix: document::PREFIX,
-            pause: Duration::ZERO,
-            apply: apply_document,
-        },
-        Subject {
-            prefix: registration::PREFIX,
-            pause: REGISTRATION_PAUSE,
-            apply: apply_registration,
-        },
-        Subject {
-            prefix: member::PREFIX,
-            pause: Duration::ZERO,
-            apply: apply_member,
-        },
-    ];
-    for subject in subjects {
-        state.spawn(follow(state.clone(), subject));
-    }
+    state.spawn(follow(state.clone()));
 }
 
-async fn follow(state: Rc<State>, subject: Subject) {
+/// Lists all keys and follows their changes, over and over.
+///
+/// One watch covers documents, registrations and this project's own keys: each VM's calls
+/// are paid for, a waiting one too.
+async fn follow(state: Rc<State>) {
     let mut keys = BTreeSet::new();
-    let mut is_lost = false;
+    let mut contact = Contact { is_lost: false };
     loop {
-        let page = match state.store.list(subject.prefix).await {
+        let page = match state.store.list(EVERYTHING).await {
             Ok(page) => page,
             Err(error) => {
-                telemetry::store_failed("watch");
-                if !is_lost {
-                    warn!(event = "store-lost", prefix = subject.prefix; "{error}");
-                }
-                is_lost = true;
+                contact.lost(&error);
                 Timer::after(RETRY_PAUSE).await;
                 continue;
             }
         };
-        if is_lost {
-            is_lost = false;
-            regained(&state, &subject);
-        }
+        contact.regained(&state);
         let listed: BTreeSet<String> = page.items.iter().map(|item| item.key.clone()).collect();
         for key in keys.difference(&listed) {
             let gone = Item {
@@ -82,67 +64,97 @@
                 revision: page.revision,
                 lease: 0,
             };
-            (subject.apply)(&state, &gone);
+            apply(&state, &gone);
+        }
+        for item in &page.items {
+            apply(&state, item);
         }
-        page.items
-            .iter()
-            .for_each(|item| (subject.apply)(&state, item));
         keys = listed;
         state.notify();
-        watch(&state, &subject, page.revision, &mut keys).await;
+        watch(&state, &mut contact, page.revision, &mut keys).await;
     }
 }
 
-fn regained(state: &State, subject: &Subject) {
-    info!(event = "store-regained", prefix = subject.prefix; "store answers again");
-    state.catalog.borrow_mut().store_returned(clock::now());
+/// Whether the store answers.
+struct Contact {
+    is_lost: bool,
+}
+
+impl Contact {
+    fn lost(&mut self, error: &store::Error) {
+        telemetry::store_failed("watch");
+        if !self.is_lost {
+            warn!(event = "store-lost"; "{error}");
+        }
+        self.is_lost = true;
+    }
+
+    fn regained(&mut self, state: &State) {
+        if self.is_lost {
+            info!(event = "store-regained"; "store answers again");
+            let now = clock::now();
+            state.catalog.borrow_mut().store_returned(now);
+        }
+        self.is_lost = false;
+    }
 }
 
 /// Applies changes until the history is no longer kept.
-async fn watch(state: &State, subject: &Subject, from: u64, keys: &mut BTreeSet<String>) {
+async fn watch(state: &State, contact: &mut Contact, from: u64, keys: &mut BTreeSet<String>) {
     let mut revision = from;
-    let mut is_lost = false;
+    let wait = state.settings.stable_time.saturating_sub(RECOVERY_TIME);
+    let wait = wait.max(MIN_WATCH_WAIT);
     loop {
-        match state
-            .store
-            .watch(subject.prefix, revision, WATCH_WAIT)
-            .await
-        {
+        match state.store.watch(EVERYTHING, revision, wait).await {
             Ok(Change::Changes(page)) => {
-                if is_lost {
-                    is_lost = false;
-                    regained(state, subject);
-                }
+                contact.regained(state);
                 for item in &page.items {
                     if item.value.is_some() {
                         keys.insert(item.key.clone());
                     } else {
                         keys.remove(&item.key);
                     }
-                    (subject.apply)(state, item);
+                    apply(state, item);
                 }
                 revision = revision.max(page.revision);
                 if !page.items.is_empty() {
                     state.notify();
-                    Timer::after(subject.pause).await;
+                    Timer::after(pause(state, &page.items)).await;
                 }
             }
             Ok(Change::Compacted) => {
-                info!(event = "store-compacted", prefix = subject.prefix, revision; "listing again");
+                info!(event = "store-compacted", revision; "listing again");
                 return;
             }
             Err(error) => {
-                telemetry::store_failed("watch");
-                if !is_lost {
-                    warn!(event = "store-lost", prefix = subject.prefix; "{error}");
-                }
-                is_lost = true;
+                contact.lost(&error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
     }
 }
 
+/// Returns the pause between two watches, in which changes are gathered.
+fn pause(state: &State, items: &[Item]) -> Duration {
+    let is_routine = |item: &Item| item.key.starts_with(registration::PREFIX);
+    if !items.iter().all(is_routine) {
+        return SHORT_PAUSE;
+    }
+    let vms = state.catalog.borrow().peers().count() as u32;
+    let longest = state.settings.leave_bound.mul_f64(MAX_PAUSE_SHARE);
+    (PAUSE_PER_VM * vms).max(MIN_PAUSE).min(longest)
+}
+
+fn apply(state: &State, item: &Item) {
+    if item.key.starts_with(document::PREFIX) {
+        apply_document(state, item);
+    } else if item.key.starts_with(registration::PREFIX) {
+        apply_registration(state, item);
+    } else if item.key.starts_with(member::PREFIX) {
+        apply_member(state, item);
+    }
+}
+
 fn apply_document(state: &State, item: &Item) {
     let Some(value) = &item.value else {
         info!(event = "document-removed", key = item.key.as_str(); "kept as it was");
