Let gateways tell each other what the store told, while it refuses some

Change: a gateway whose store is silent for 0.5 s asks the others in turn for claims, registrations and versions; older claims are ignored, and one whose own store is away says nothing. Lease failures are logged once, not each 200 ms.

own_engines_of_a_refused_gateway failed before (503) and passes; it was run three times with all others.

--- a/crates/endivespur_core/src/gateway/endpoint.rs
+++ b/crates/endivespur_core/src/gateway/endpoint.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{Endpoint, Service, Version, Zone};
 
 /// A base model that an engine holds, with its adapters.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     /// The version of the base model's weights.
     pub version: Version,
@@ -16,7 +18,7 @@
 }
 
 /// One start of an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
     /// The name that the endpoint's registration bears.
     pub id: Endpoint,
@@ -41,7 +43,7 @@
 }
 
 /// The name of an adapter of a base model.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Weights {
     /// The base model.
     pub base: String,
--- a/crates/endivespur_core/src/gateway/ownership.rs
+++ b/crates/endivespur_core/src/gateway/ownership.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Time;
 use crate::hash;
 use crate::id::{Endpoint, Fence, Process, Vm};
@@ -14,7 +16,7 @@
 const MAX_RANK: u32 = 4;
 
 /// The record in the store that names an endpoint's owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// The VM.
     pub vm: Vm,
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -9,12 +9,13 @@
 use endivespur_core::gateway::endpoint::{Instance, Weights};
 use endivespur_core::gateway::table::Table;
 use endivespur_core::id::{Endpoint, Process, Version, Vm, Zone};
+use serde::{Deserialize, Serialize};
 
 /// How long a registration that lapsed while the store was away may take to come back.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
 /// Another gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
     /// Its process.
     pub process: Process,
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -45,17 +45,16 @@
 /// are paid for, a waiting one too.
 async fn follow(state: Rc<State>) {
     let mut keys = BTreeSet::new();
-    let mut contact = Contact { is_lost: false };
     loop {
         let page = match state.store.list(EVERYTHING).await {
             Ok(page) => page,
             Err(error) => {
-                contact.lost(&error);
+                lost(&state, &error);
                 Timer::after(RETRY_PAUSE).await;
                 continue;
             }
         };
-        contact.regained(&state);
+        regained(&state);
         let listed: BTreeSet<String> = page.items.iter().map(|item| item.key.clone()).collect();
         for key in keys.difference(&listed) {
             let gone = Item {
@@ -71,43 +70,38 @@
         }
         keys = listed;
         state.notify();
-        watch(&state, &mut contact, page.revision, &mut keys).await;
+        watch(&state, page.revision, &mut keys).await;
     }
 }
 
-/// Whether the store answers.
-struct Contact {
-    is_lost: bool,
-}
-
-impl Contact {
-    fn lost(&mut self, error: &store::Error) {
-        telemetry::store_failed("watch");
-        if !self.is_lost {
-            warn!(event = "store-lost"; "{error}");
-        }
-        self.is_lost = true;
+/// Notes that the store did not answer.
+fn lost(state: &State, error: &store::Error) {
+    telemetry::store_failed("watch");
+    if state.store_lost.get().is_none() {
+        warn!(event = "store-lost"; "{error}");
+        state.store_lost.set(Some(clock::now()));
     }
+}
 
-    fn regained(&mut self, state: &State) {
-        if self.is_lost {
-            info!(event = "store-regained"; "store answers again");
-            let now = clock::now();
-            state.catalog.borrow_mut().store_returned(now);
-        }
-        self.is_lost = false;
+/// Notes that the store has answered.
+fn regained(state: &State) {
+    if let Some(since) = state.store_lost.take() {
+        let now = clock::now();
+        let age_ms = now.saturating_sub(since).as_millis() as u64;
+        info!(event = "store-regained", age_ms; "store answers again");
+        state.catalog.borrow_mut().store_returned(now);
     }
 }
 
 /// Applies changes until the history is no longer kept.
-async fn watch(state: &State, contact: &mut Contact, from: u64, keys: &mut BTreeSet<String>) {
+async fn watch(state: &State, from: u64, keys: &mut BTreeSet<String>) {
     let mut revision = from;
     let wait = state.settings.stable_time.saturating_sub(RECOVERY_TIME);
     let wait = wait.max(MIN_WATCH_WAIT);
     loop {
         match state.store.watch(EVERYTHING, revision, wait).await {
             Ok(Change::Changes(page)) => {
-                contact.regained(state);
+                regained(state);
                 for item in &page.items {
                     if item.value.is_some() {
                         keys.insert(item.key.clone());
@@ -127,7 +121,7 @@
                 return;
             }
             Err(error) => {
-                contact.lost(&error);
+                lost(state, &error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod follow;
 mod generate;
+mod gossip;
 mod member;
 mod owner;
 mod peer;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -150,6 +150,7 @@
 }
 
 async fn keep(state: Rc<State>) {
+    let mut is_failing = false;
     while !state.is_stopping.get() {
         let sent = clock::now();
         let id = state.lease.borrow().id;
@@ -158,10 +159,16 @@
             None => join(&state, sent).await,
         };
         match result {
-            Ok(()) => Timer::after(RENEW_EVERY).await,
+            Ok(()) => {
+                is_failing = false;
+                Timer::after(RENEW_EVERY).await
+            }
             Err(message) => {
                 telemetry::store_failed("lease");
-                warn!(event = "lease"; "{message}");
+                if !is_failing {
+                    warn!(event = "lease"; "not renewed: {message}");
+                }
+                is_failing = true;
                 Timer::after(RETRY_PAUSE).await
             }
         };
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -147,6 +147,39 @@
     }
 }
 
+/// Asks the gateway at an address what it knows from the store.
+///
+/// # Errors
+///
+/// Returns [`Silent`] if it does not answer.
+pub async fn known(state: &Rc<State>, address: SocketAddr) -> Result<String, Silent> {
+    if state.peers.is_silent(address) {
+        return Err(Silent);
+    }
+    let call = async {
+        let client = client(state, address).await?;
+        let response = client
+            .known_request()
+            .send()
+            .promise
+            .await
+            .map_err(|error| error.to_string())?;
+        let text = response
+            .get()
+            .and_then(owner::known_results::Reader::get_text);
+        let text = text.map_err(|error| error.to_string())?;
+        text.to_string().map_err(|error| error.to_string())
+    };
+    let result = timer::within(ANSWER_SLACK, call).await;
+    match result.unwrap_or_else(|| Err("timeout".to_string())) {
+        Ok(text) => Ok(text),
+        Err(message) => {
+            state.peers.failed(address, &message);
+            Err(Silent)
+        }
+    }
+}
+
 /// Tells the owner at an address that the answer to a granted request has begun.
 pub async fn began(state: &Rc<State>, address: SocketAddr, endpoint: &str, grant: Grant) {
     let call = async {
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -14,6 +14,7 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::gossip;
 use crate::owner::Reply;
 use crate::state::State;
 
@@ -84,6 +85,15 @@
         Ok(())
     }
 
+    async fn known(
+        self: Rc<Self>,
+        _: owner::KnownParams,
+        mut results: owner::KnownResults,
+    ) -> Result<(), capnp::Error> {
+        results.get().set_text(gossip::known(&self.state));
+        Ok(())
+    }
+
     async fn release(
         self: Rc<Self>,
         params: owner::ReleaseParams,
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::health::Board;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::id::{Endpoint, Process};
@@ -46,6 +47,8 @@
     pub changed: Event,
     /// This VM's lease.
     pub lease: RefCell<Lease>,
+    /// Since when the store has not answered this VM.
+    pub store_lost: Cell<Option<Time>>,
     /// The engines that this VM owns.
     pub owners: Owners,
     /// The connections to other VMs.
@@ -81,6 +84,7 @@
             claims: RefCell::new(Claims::new()),
             changed: Event::new(),
             lease: RefCell::new(Lease::new()),
+            store_lost: Cell::new(None),
             owners: Owners::new(),
             peers: Peers::new(),
             pool: RefCell::new(Pool::new()),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -32,4 +32,6 @@
   ask @0 (ask :Ask) -> (reply :Reply);
   release @1 (endpoint :Text, base :Text, adapter :Text, grant :UInt64, missing :Bool) -> ();
   began @2 (endpoint :Text, grant :UInt64) -> ();
+  # What this gateway knows from the store, as JSON; empty while the store is away for it too.
+  known @3 () -> (text :Text);
 }
