Refuse requests that have crashed three endpoints

Cause: a request may crash each engine that begins to run it and comes again at any gateway; nothing kept it from the next engine.

Change: after a lost answer the entry looks whether the endpoint still accepts connections, notes the crash under a hash of method, target and body, and tells all gateways; after three the request is refused with 503, before it is sent. Requests without a body are left out, since they are too alike. serve_request_that_crashes_engines failed before (a fourth run).

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! [`table`] says where a request may go, [`endpoint`] what the endpoints tell of
 //! themselves, [`ownership`] which VM gives an endpoint its orders, [`placement`] which
-//! adapters it holds, [`choice`] in which order endpoints are tried, and [`health`] which
-//! of them are avoided.
+//! adapters it holds, [`choice`] in which order endpoints are tried, [`health`] which of
+//! them are avoided, and [`crash`] which requests are refused since they crash endpoints.
 
 pub mod choice;
+pub mod crash;
 pub mod endpoint;
 pub mod health;
 pub mod ownership;
--- a/crates/endivespur_core/src/hash.rs
+++ b/crates/endivespur_core/src/hash.rs
@@ -45,6 +45,13 @@
     scored.into_iter().map(|(_, node)| node).collect()
 }
 
+/// Returns a hash of several texts in order.
+pub fn digest(parts: &[&[u8]]) -> u64 {
+    parts
+        .iter()
+        .fold(0, |seed, part| xxh3_64_with_seed(part, seed))
+}
+
 /// Returns a hash of `key` under `seed`.
 pub fn mix(key: &str, seed: u64) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), seed)
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway's decisions, each against the load or failure that it answers.
 
 mod choice;
+mod crash;
 mod health;
 mod ownership;
 mod placement;
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -20,7 +20,7 @@
 use crate::owner::Reply;
 use crate::relay::{self, Failure};
 use crate::state::{Running, State};
-use crate::{peer, telemetry, timer};
+use crate::{crash, peer, telemetry, timer};
 
 /// The share of the objective that a request may wait behind other prompts before an
 /// engine is preferred that also holds its adapter.
@@ -248,6 +248,7 @@
         Err(Failure::Lost(reason)) => reason,
     };
     course.runs += 1;
+    crash::suspect(state, call, instance.address);
     log_attempt(call, &instance, "unknown", &failure);
     state.health.borrow_mut().failed(clock::now(), &instance.id);
     course.tried.insert(instance.id.clone());
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`rpc`] the calls between VMs, and [`serve`] answers callers.
 
 mod catalog;
+mod crash;
 mod exchange;
 mod follow;
 mod generate;
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -13,6 +13,7 @@
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::id::Grant;
+use endivespur_core::suspect::Fingerprint;
 use endivespur_wire::gateway_capnp::owner;
 use futures_util::AsyncReadExt;
 use log::{info, warn};
@@ -199,6 +200,24 @@
     }
 }
 
+/// Tells the gateway at an address that an endpoint crashed while it ran a request.
+pub async fn crashed(state: &Rc<State>, address: SocketAddr, print: Fingerprint) {
+    let call = async {
+        let client = client(state, address).await?;
+        let mut request = client.crashed_request();
+        request.get().set_print(print);
+        request
+            .send()
+            .promise
+            .await
+            .map_err(|error| error.to_string())
+    };
+    // A gateway that misses it counts the next crash.
+    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
+        state.peers.failed(address, &message);
+    }
+}
+
 /// Tells the owner at an address that a granted request has ended.
 pub async fn release(
     state: &Rc<State>,
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -17,7 +17,7 @@
 use crate::exchange::{Call, Caller, Ending};
 use crate::relay::{self, Failure};
 use crate::state::{Running, State};
-use crate::{telemetry, timer};
+use crate::{crash, telemetry, timer};
 
 /// The longest answer that is read whole before it is passed on.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -74,6 +74,7 @@
             }
             Attempt::Unknown(reason) => {
                 log_attempt(call, &instance, "unknown", &reason);
+                crash::suspect(state, call, instance.address);
                 state.health.borrow_mut().failed(clock::now(), &instance.id);
                 runs += 1;
                 last = Ending::unknown(502, &reason);
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -5,6 +5,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::gateway::prefix::Part;
@@ -85,6 +86,17 @@
         Ok(())
     }
 
+    async fn crashed(
+        self: Rc<Self>,
+        params: owner::CrashedParams,
+        _: owner::CrashedResults,
+    ) -> Result<(), capnp::Error> {
+        let print = params.get()?.get_print();
+        let mut crashes = self.state.crashes.borrow_mut();
+        crashes.crashed(clock::now(), print);
+        Ok(())
+    }
+
     async fn known(
         self: Rc<Self>,
         _: owner::KnownParams,
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -17,12 +17,14 @@
 
 use crate::exchange::{Call, Caller, Ending};
 use crate::state::State;
-use crate::{generate, plain, telemetry, timer};
+use crate::{crash, generate, plain, telemetry, timer};
 
 /// The pause after an accept that failed, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a caller should come back that reached a VM without configuration.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When a caller should come back whose request crashes endpoints.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(2);
 /// The longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -173,6 +175,9 @@
                 .and_then(|table| table.services.get(&call.service))
                 .is_some_and(|group| group.engine.is_some());
             let work = async {
+                if crash::is_quarantined(state, &call) {
+                    return Ending::refused("crashes-endpoints", QUARANTINE_RETRY_AFTER);
+                }
                 if is_engine {
                     generate::answer(state, &call, &mut caller).await
                 } else {
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use endivespur_core::clock::Time;
+use endivespur_core::gateway::crash::Record;
 use endivespur_core::gateway::health::Board;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::id::{Endpoint, Process};
@@ -57,6 +58,8 @@
     pub pool: RefCell<Pool>,
     /// How endpoints answered.
     pub health: RefCell<Board>,
+    /// The requests that crashed endpoints.
+    pub crashes: RefCell<Record>,
     /// The requests under way, by endpoint.
     pub running: RefCell<BTreeMap<Endpoint, usize>>,
     /// The retries that are left, by service.
@@ -89,6 +92,7 @@
             peers: Peers::new(),
             pool: RefCell::new(Pool::new()),
             health: RefCell::new(Board::new()),
+            crashes: RefCell::new(Record::new()),
             running: RefCell::new(BTreeMap::new()),
             retries: RefCell::new(BTreeMap::new()),
             is_stopping: Cell::new(false),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -34,4 +34,6 @@
   began @2 (endpoint :Text, grant :UInt64) -> ();
   # What this gateway knows from the store, as JSON; empty while the store is away for it too.
   known @3 () -> (text :Text);
+  # An endpoint crashed while it ran the request with this fingerprint.
+  crashed @4 (print :UInt64) -> ();
 }
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -1065,6 +1065,8 @@
     pub type BeganResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::began_results::Owned>;
     pub type KnownParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::known_params::Owned>;
     pub type KnownResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::known_results::Owned>;
+    pub type CrashedParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::crashed_params::Owned>;
+    pub type CrashedResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::crashed_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1126,12 +1128,16 @@
         pub fn known_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::known_params::Owned,crate::gateway_capnp::owner::known_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn crashed_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::crashed_params::Owned,crate::gateway_capnp::owner::crashed_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::ask not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::release not implemented".to_string()))) }
         fn began(self: ::capnp::capability::Rc<Self>, _: BeganParams<>, _: BeganResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::began not implemented".to_string()))) }
         fn known(self: ::capnp::capability::Rc<Self>, _: KnownParams<>, _: KnownResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::known not implemented".to_string()))) }
+        fn crashed(self: ::capnp::capability::Rc<Self>, _: CrashedParams<>, _: CrashedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::crashed not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1165,6 +1171,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::began(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::known(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::crashed(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2877,4 +2884,365 @@
             pub(crate) const TYPE_ID: u64 = 0xc3ce_c3de_e69e_422d;
         }
     }
+
+    pub mod crashed_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_print(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_print(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_print(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(150, 64, 70, 25, 16, 181, 200, 173),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
+                ::capnp::word(110, 101, 114, 46, 99, 114, 97, 115),
+                ::capnp::word(104, 101, 100, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 114, 105, 110, 116, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xadc8_b510_1946_4096;
+        }
+    }
+
+    pub mod crashed_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(90, 52, 252, 49, 58, 108, 249, 183),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
+                ::capnp::word(110, 101, 114, 46, 99, 114, 97, 115),
+                ::capnp::word(104, 101, 100, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xb7f9_6c3a_31fc_345a;
+        }
+    }
 }
