Cut the gateway's files so that none uses another in a circle

The shared state had named the tasks' files, which named it; the store's lease, the owned engines, the kept connections, the messages and the metrics' server are now files of their own. A test reads the graph and fails on a circle, and finds one made on purpose.

--- /dev/null
+++ b/crates/endivespur_gateway/src/exposition.rs
@@ -0,0 +1,82 @@
+//! Serves the metrics to whoever collects them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_http::connection::Connection;
+use endivespur_http::head::Response;
+use log::{info, warn};
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusHandle;
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::state::State;
+use crate::timer;
+
+/// The time between two looks at gauges and histograms.
+const UPKEEP: Duration = Duration::from_secs(5);
+/// The longest head of a question.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// How long a connection may idle between two questions.
+const IDLE: Duration = Duration::from_secs(10);
+/// The pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves the metrics until the future is dropped.
+pub async fn serve(state: Rc<State>, address: SocketAddr, handle: PrometheusHandle) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(event = "metrics", address:% = address; "{error}");
+            return;
+        }
+    };
+    info!(event = "metrics", address:% = address; "served");
+    state.spawn(keep_up(state.clone(), handle.clone()));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => state.spawn(answer(stream, handle.clone())),
+            Err(error) => {
+                info!(event = "accept"; "{error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn keep_up(state: Rc<State>, handle: PrometheusHandle) {
+    loop {
+        handle.run_upkeep();
+        {
+            let catalog = state.catalog.borrow();
+            let version = catalog.table().map_or(0, |table| table.version);
+            gauge!("endivespur_gateway_configuration_version").set(version as f64);
+            gauge!("endivespur_gateway_endpoints").set(catalog.endpoints().count() as f64);
+            gauge!("endivespur_gateway_peers").set(catalog.peers().count() as f64);
+        }
+        gauge!("endivespur_gateway_owned_engines").set(state.owners.count() as f64);
+        gauge!("endivespur_gateway_open_requests").set(state.open_requests.get() as f64);
+        Timer::after(UPKEEP).await;
+    }
+}
+
+async fn answer(stream: TcpStream, handle: PrometheusHandle) {
+    let mut connection = Connection::new(stream);
+    while let Some(Ok(Some((request, _)))) =
+        timer::within(IDLE, connection.read_request(MAX_HEAD_BYTES)).await
+    {
+        let body = handle.render();
+        let mut head = Response::new(200);
+        head.headers
+            .push("Content-Type", b"text/plain; version=0.0.4");
+        head.headers
+            .push("Content-Length", body.len().to_string().as_bytes());
+        let mut message = head.encode();
+        message.extend_from_slice(body.as_bytes());
+        if connection.write(&message).await.is_err() || !request.keeps_connection() {
+            return;
+        }
+    }
+}
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -17,7 +17,7 @@
 use smol::Timer;
 
 use crate::exchange::{Call, Caller, Ending};
-use crate::owner::Reply;
+use crate::owned::Reply;
 use crate::relay::{self, Failure};
 use crate::state::{Running, State};
 use crate::{crash, peer, telemetry, timer};
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -7,12 +7,17 @@
 mod catalog;
 mod crash;
 mod exchange;
+mod exposition;
 mod follow;
 mod generate;
 mod gossip;
+mod lease;
 mod member;
+mod message;
+mod owned;
 mod owner;
 mod peer;
+mod peers;
 mod plain;
 mod readiness;
 mod relay;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -29,8 +29,6 @@
 const RENEW_EVERY: Duration = Duration::from_millis(600);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// The part of a lease that is relied on, because clocks run at different rates.
-const RELIED_SHARE: f64 = 0.9;
 /// The claims written in one call; a call holds at most 32 rows.
 const MAX_CLAIMS: usize = 16;
 /// The longest time between two looks at the claims.
@@ -38,42 +36,6 @@
 /// The pause of a watcher beyond which the process is taken to have been suspended.
 const SUSPENDED: Duration = Duration::from_millis(700);
 
-/// The lease that this VM's keys are tied to.
-#[derive(Debug, Default)]
-pub struct Lease {
-    id: Option<u64>,
-    /// Until when the store keeps it for certain.
-    until: Time,
-    /// Whether the process may have been suspended since the last renewal.
-    is_doubtful: bool,
-}
-
-impl Lease {
-    /// Makes the state of a VM without a lease.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    fn renewed(&mut self, id: u64, sent: Time, ttl: Duration) {
-        self.id = Some(id);
-        self.until = sent + ttl.mul_f64(RELIED_SHARE);
-        self.is_doubtful = false;
-    }
-
-    fn end(&mut self) {
-        self.id = None;
-        self.until = Time::ZERO;
-    }
-
-    /// Tells whether engines may be given orders under it.
-    ///
-    /// Where engines refuse old fencing numbers, orders go on while the store is silent:
-    /// a successor's number makes them fail.
-    fn permits_orders(&self, now: Time, is_fenced: bool) -> bool {
-        self.id.is_some() && !self.is_doubtful && (is_fenced || now < self.until)
-    }
-}
-
 #[derive(Serialize, Deserialize)]
 struct VmRecord {
     process: Process,
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -1,21 +1,21 @@
-//! The engines that this VM owns: one task an engine gives its orders.
+//! Gives the orders of the engines that this VM owns: one task an engine.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::endpoint::{Instance, Weights};
-use endivespur_core::gateway::placement::{Action, Answer, Ask, Engine, Order, Step, Verdict};
-use endivespur_core::id::{Endpoint, Fence, Grant, Version};
+use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::placement::{Action, Answer, Engine, Order, Step};
+use endivespur_core::id::{Endpoint, Fence};
 use endivespur_platform::engine::{self, Target};
 use event_listener::Event;
 use log::{info, warn};
 use smol::Timer;
 
 use crate::member;
+use crate::owned::Owned;
 use crate::state::State;
 use crate::{telemetry, timer};
 
@@ -27,140 +27,6 @@
 /// The longest pause of an owner that has nothing to do: it looks whether it still owns.
 const IDLE: Duration = Duration::from_millis(500);
 
-/// One owned engine.
-struct Owned {
-    fence: Fence,
-    born: u64,
-    engine: RefCell<Engine>,
-    /// Signals a change of what the engine should hold; wakes the task that orders.
-    wanted: Event,
-    /// Signals a change of what the engine holds; wakes the asks that wait.
-    changed: Event,
-}
-
-/// The owned engines.
-#[derive(Default)]
-pub struct Owners {
-    owned: RefCell<BTreeMap<Endpoint, Rc<Owned>>>,
-}
-
-/// The answer to a request for a grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// The request may be sent.
-    Granted(Grant),
-    /// Another engine should be tried; the estimated delay at this one.
-    Busy(Duration),
-    /// This VM does not own the engine.
-    NotOwner,
-    /// The adapter did not come in time.
-    Late,
-}
-
-impl Owners {
-    /// Makes an empty list.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Passes on an adapter's newest version.
-    pub fn announce(&self, weights: &Weights, version: Version) {
-        for owned in self.owned.borrow().values() {
-            owned.engine.borrow_mut().announce(weights, version);
-            owned.wanted.notify(usize::MAX);
-        }
-    }
-
-    /// Returns the number of owned engines.
-    pub fn count(&self) -> usize {
-        self.owned.borrow().len()
-    }
-
-    fn get(&self, endpoint: &str) -> Option<Rc<Owned>> {
-        self.owned.borrow().get(endpoint).cloned()
-    }
-
-    /// Notes that the answer to a granted request has begun.
-    pub fn began(&self, endpoint: &str, grant: Grant) {
-        if let Some(owned) = self.get(endpoint) {
-            owned.engine.borrow_mut().began(clock::now(), grant);
-            owned.changed.notify(usize::MAX);
-        }
-    }
-
-    /// Notes that a granted request has ended, and whether the engine lacked the adapter.
-    pub fn release(&self, endpoint: &str, weights: &Weights, grant: Grant, is_missing: bool) {
-        if let Some(owned) = self.get(endpoint) {
-            let mut engine = owned.engine.borrow_mut();
-            engine.release(weights, grant);
-            if is_missing {
-                engine.missing(clock::now(), weights);
-            }
-            owned.wanted.notify(usize::MAX);
-        }
-    }
-
-    /// Asks for a grant, and waits at most `wait` for the adapter.
-    pub async fn ask(&self, endpoint: &str, ask: &Ask, wait: Duration) -> Reply {
-        let Some(owned) = self.get(endpoint) else {
-            return Reply::NotOwner;
-        };
-        let deadline = clock::now() + wait;
-        let mut waiting: Option<Waiting> = None;
-        loop {
-            let listener = owned.changed.listen();
-            let now = clock::now();
-            match owned.engine.borrow_mut().ask(now, ask) {
-                Verdict::Granted(grant) => return Reply::Granted(grant),
-                // Once it waits, a request is not sent elsewhere, where it would wait anew.
-                Verdict::Busy(delay) if waiting.is_none() || now + delay > deadline => {
-                    return Reply::Busy(delay);
-                }
-                Verdict::Busy(_) | Verdict::Wait => {}
-            }
-            if now >= deadline {
-                return Reply::Late;
-            }
-            waiting.get_or_insert_with(|| Waiting::new(&owned, ask));
-            if timer::within(deadline.saturating_sub(now), listener)
-                .await
-                .is_none()
-            {
-                return Reply::Late;
-            }
-            if self
-                .get(endpoint)
-                .is_none_or(|now| !Rc::ptr_eq(&now, &owned))
-            {
-                return Reply::NotOwner;
-            }
-        }
-    }
-}
-
-/// A request that waits for an adapter until it is dropped.
-struct Waiting {
-    owned: Rc<Owned>,
-    weights: Weights,
-}
-
-impl Waiting {
-    fn new(owned: &Rc<Owned>, ask: &Ask) -> Self {
-        owned.engine.borrow_mut().join(clock::now(), ask);
-        owned.wanted.notify(usize::MAX);
-        Self {
-            owned: owned.clone(),
-            weights: ask.weights.clone(),
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.owned.engine.borrow_mut().leave(&self.weights);
-    }
-}
-
 /// Starts and ends the tasks of engines as claims come and go.
 pub fn start(state: &Rc<State>) {
     state.spawn(supervise(state.clone()));
@@ -214,11 +80,7 @@
     });
     info!(event = "adopt", endpoint = instance.id.as_str(), fence, born = instance.born; "owner");
     let endpoint = instance.id.clone();
-    state
-        .owners
-        .owned
-        .borrow_mut()
-        .insert(endpoint.clone(), owned.clone());
+    state.owners.insert(&endpoint, owned.clone());
     state.spawn(run(state.clone(), endpoint, owned));
 }
 
@@ -256,15 +118,7 @@
         }
     }
     info!(event = "disown", endpoint = endpoint.as_str(), fence = owned.fence; "no longer owner");
-    let mut all = state.owners.owned.borrow_mut();
-    if all
-        .get(&endpoint)
-        .is_some_and(|current| Rc::ptr_eq(current, &owned))
-    {
-        all.remove(&endpoint);
-    }
-    drop(all);
-    owned.changed.notify(usize::MAX);
+    state.owners.remove(&endpoint, &owned);
 }
 
 fn target(instance: &Instance) -> Target {
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -1,26 +1,22 @@
-//! Calls to other gateways, over one kept connection each.
+//! Calls to other gateways.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use endivespur_clock as clock;
-use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::id::Grant;
 use endivespur_core::suspect::Fingerprint;
 use endivespur_wire::gateway_capnp::owner;
 use futures_util::AsyncReadExt;
-use log::{info, warn};
+use log::info;
 use smol::net::TcpStream;
 
-use crate::owner::Reply;
-use crate::rpc;
+use crate::message;
+use crate::owned::Reply;
 use crate::state::State;
 use crate::timer;
 
@@ -28,48 +24,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long an answer may take beyond the wait that it was asked for.
 const ANSWER_SLACK: Duration = Duration::from_millis(80);
-/// How long a VM that did not answer is not asked again.
-const SILENCE: Duration = Duration::from_millis(400);
-
-/// The kept connections.
-#[derive(Default)]
-pub struct Peers {
-    clients: RefCell<BTreeMap<SocketAddr, owner::Client>>,
-    silent: RefCell<BTreeMap<SocketAddr, Time>>,
-}
 
 /// A VM that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Silent;
 
-impl Peers {
-    /// Makes a list without connections.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    fn is_silent(&self, address: SocketAddr) -> bool {
-        let now = clock::now();
-        let silent = self.silent.borrow();
-        silent.get(&address).is_some_and(|until| now < *until)
-    }
-
-    fn failed(&self, address: SocketAddr, message: &str) {
-        self.clients.borrow_mut().remove(&address);
-        let until = clock::now() + SILENCE;
-        let known = self.silent.borrow_mut().insert(address, until);
-        if known.is_none() {
-            warn!(event = "peer-lost", address:% = address; "{message}");
-        }
-    }
-
-    fn answered(&self, address: SocketAddr) {
-        if self.silent.borrow_mut().remove(&address).is_some() {
-            info!(event = "peer-regained", address:% = address; "answers again");
-        }
-    }
-}
-
 async fn client(state: &Rc<State>, address: SocketAddr) -> Result<owner::Client, String> {
     if let Some(client) = state.peers.clients.borrow().get(&address) {
         return Ok(client.clone());
@@ -121,7 +80,7 @@
     let call = async {
         let client = client(state, address).await?;
         let mut request = client.ask_request();
-        rpc::write_ask(request.get().init_ask(), endpoint, ask, wait);
+        message::write_ask(request.get().init_ask(), endpoint, ask, wait);
         let response = request
             .send()
             .promise
@@ -130,7 +89,7 @@
         let reply = response
             .get()
             .and_then(owner::ask_results::Reader::get_reply)
-            .and_then(rpc::read_reply);
+            .and_then(message::read_reply);
         reply.map_err(|error| error.to_string())
     };
     let result = timer::within(wait + ANSWER_SLACK, call)
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -1,4 +1,4 @@
-//! Serves the calls of other gateways, and writes and reads their messages.
+//! Serves the calls of other gateways.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,16 +7,15 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
-use endivespur_core::gateway::placement::Ask;
-use endivespur_core::gateway::prefix::Part;
-use endivespur_wire::gateway_capnp::{ask, owner, reply};
+use endivespur_wire::gateway_capnp::owner;
 use futures_util::AsyncReadExt;
 use log::debug;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::gossip;
-use crate::owner::Reply;
+use crate::message;
+use crate::owned::Reply;
 use crate::state::State;
 
 /// The pause after an accept that failed, as when descriptors run out.
@@ -63,7 +62,7 @@
         params: owner::AskParams,
         mut results: owner::AskResults,
     ) -> Result<(), capnp::Error> {
-        let (endpoint, ask, wait) = read_ask(params.get()?.get_ask()?)?;
+        let (endpoint, ask, wait) = message::read_ask(params.get()?.get_ask()?)?;
         let reply = self.state.owners.ask(&endpoint, &ask, wait).await;
         let mut to = results.get().init_reply();
         match reply {
@@ -125,61 +124,3 @@
         Ok(())
     }
 }
-
-/// Writes an ask that may wait for `wait`.
-pub fn write_ask(mut to: ask::Builder<'_>, endpoint: &str, ask: &Ask, wait: Duration) {
-    to.set_endpoint(endpoint);
-    to.set_base(&ask.weights.base);
-    to.set_adapter(&ask.weights.adapter);
-    to.set_tokens(ask.tokens);
-    to.set_bounded(ask.max_delay.is_some());
-    let most = ask.max_delay.unwrap_or_default();
-    to.set_max_backlog_ms(most.as_millis() as u32);
-    to.set_wait_ms(wait.as_millis() as u32);
-    to.set_only_resident(ask.only_resident);
-    to.set_due_ms(ask.due.as_millis() as u32);
-    let mut parts = to.init_parts(ask.parts.len() as u32);
-    for (index, part) in ask.parts.iter().enumerate() {
-        let mut to = parts.reborrow().get(index as u32);
-        to.set_id(&part.id);
-        to.set_tokens(part.tokens);
-    }
-}
-
-fn read_ask(from: ask::Reader<'_>) -> Result<(String, Ask, Duration), capnp::Error> {
-    let parts: Result<Vec<Part>, capnp::Error> = from
-        .get_parts()?
-        .iter()
-        .map(|part| {
-            Ok(Part {
-                id: part.get_id()?.to_string()?,
-                tokens: part.get_tokens(),
-            })
-        })
-        .collect();
-    let most = Duration::from_millis(u64::from(from.get_max_backlog_ms()));
-    let ask = Ask {
-        weights: Weights::new(from.get_base()?.to_str()?, from.get_adapter()?.to_str()?),
-        tokens: from.get_tokens(),
-        parts: parts?,
-        max_delay: from.get_bounded().then_some(most),
-        only_resident: from.get_only_resident(),
-        due: Duration::from_millis(u64::from(from.get_due_ms())),
-    };
-    let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
-    Ok((from.get_endpoint()?.to_string()?, ask, wait))
-}
-
-/// Reads the answer to an ask.
-///
-/// # Errors
-///
-/// Returns an error if the message has an unknown form.
-pub fn read_reply(from: reply::Reader<'_>) -> Result<Reply, capnp::Error> {
-    Ok(match from.which()? {
-        reply::Which::Granted(grant) => Reply::Granted(grant),
-        reply::Which::BusyMs(backlog) => Reply::Busy(Duration::from_millis(u64::from(backlog))),
-        reply::Which::NotOwner(()) => Reply::NotOwner,
-        reply::Which::Late(()) => Reply::Late,
-    })
-}
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{follow, gossip, member, owner, readiness, rpc, serve, telemetry};
+use crate::{exposition, follow, gossip, member, owner, readiness, rpc, serve, telemetry};
 
 /// For how long requests are taken after readiness was given up: the platform asks once a
 /// second and believes two misses.
@@ -67,7 +67,7 @@
     let state = Rc::new(State::new(settings, process, executor));
     if let Some((port, handle)) = metrics_port.zip(telemetry::install()) {
         let address = SocketAddr::new(state.settings.callers.ip(), port);
-        state.spawn(telemetry::serve(state.clone(), address, handle));
+        state.spawn(exposition::serve(state.clone(), address, handle));
     }
     follow::start(&state);
     member::start(&state);
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -18,9 +18,9 @@
 use smol::LocalExecutor;
 
 use crate::catalog::Catalog;
-use crate::member::Lease;
-use crate::owner::Owners;
-use crate::peer::Peers;
+use crate::lease::Lease;
+use crate::owned::Owners;
+use crate::peers::Peers;
 use crate::telemetry;
 
 /// The share of the permitted retries that this VM counts on: callers reach VMs unevenly.
