--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -6,9 +6,11 @@
 
 /// The engines that are tried for one adapter: its home, and those it spreads to under load.
 pub const HOMES: usize = 4;
+/// The engines that are tried besides before a request is refused.
+pub const SPARES: usize = 4;
 
 /// Returns the engines to be asked for an adapter: those that hold it by their own word, in
-/// this zone first, then its homes.
+/// this zone first, then its homes, then the spares.
 pub fn engines<'a>(
     weights: &Weights,
     version: Version,
@@ -25,7 +27,7 @@
     let (mut first, others): (Vec<_>, Vec<_>) =
         ranked.into_iter().partition(|engine| holds(engine));
     first.sort_by_key(|engine| engine.zone != zone);
-    let missing = HOMES.saturating_sub(first.len());
+    let missing = (HOMES + SPARES).saturating_sub(first.len());
     first.extend(others.into_iter().take(missing));
     first
 }
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use endivespur_core::gateway::choice::{self, HOMES, Load};
+use endivespur_core::gateway::choice::{self, HOMES, Load, SPARES};
 use endivespur_core::gateway::endpoint::{Base, Instance};
 
 use crate::{BASE, ms, weights};
@@ -45,7 +45,7 @@
         .collect();
     let found = engines("z", 0, &all);
     assert_eq!(found[..2], ["e8", "e7"]);
-    assert_eq!(found.len(), HOMES);
+    assert_eq!(found.len(), HOMES + SPARES);
 }
 
 #[test]
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -426,7 +426,12 @@
             call,
             weights: &weights,
         };
-        match search.run(&homes).await {
+        let (homes, spares) = homes.split_at(homes.len().min(choice::HOMES));
+        let mut found = search.run(homes).await;
+        if matches!(found, Found::Busy) && !spares.is_empty() {
+            found = search.run(spares).await;
+        }
+        match found {
             // The engine may have begun to leave while the request waited.
             Found::Permit(permit) if is_serving(state, &permit.instance) => return Ok(*permit),
             Found::Permit(_) => continue,
