Pay no retry for a send that reached no engine

A crashed engine stays registered for three heartbeats; each request that was sent there spent one of the few retries that 86 gateways share, and was then refused.

Change: only sends that reached an endpoint are paid from the budget, and one without a listener rests at once.

--- a/crates/endivespur_core/src/gateway/health.rs
+++ b/crates/endivespur_core/src/gateway/health.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// Notes that nothing listens at an endpoint's address: it rests at once.
+    pub fn down(&mut self, now: Time, endpoint: &str) {
+        let record = self.records.entry(endpoint.to_string()).or_default();
+        record.failed.add(now, HALF_LIFE, 1.0);
+        record.rest_until = now + REST;
+    }
+
     /// Tells whether an endpoint should be avoided while others will do.
     pub fn is_avoided(&self, now: Time, endpoint: &str) -> bool {
         self.records
--- a/crates/endivespur_core/tests/gateway/health.rs
+++ b/crates/endivespur_core/tests/gateway/health.rs
@@ -45,3 +45,11 @@
     }
     assert!(board.is_avoided(ms(2001), "e"));
 }
+
+#[test]
+fn down_once() {
+    let mut board = Board::new();
+    board.answered(ms(0), "e", ms(5));
+    board.down(ms(10), "e");
+    assert!(board.is_avoided(ms(11), "e"));
+}
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -40,7 +40,7 @@
 /// When a caller should come back that found no engine: a takeover of an owner.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The most engines that are offered a request that none of them ran.
-const MAX_OFFERS: usize = 4;
+const MAX_OFFERS: usize = 6;
 /// The largest share of a service's engines that is avoided: the others would have to fetch
 /// the adapters of more.
 const MAX_AVOIDED_SHARE: f64 = 0.34;
@@ -125,6 +125,8 @@
 enum Offer {
     /// The request has ended.
     Ended(Ending),
+    /// The engine was not reached.
+    NotSent(String),
     /// The engine did not run it.
     NotRun(String),
     /// The engine ran it, or may have, and another may go on.
@@ -134,6 +136,8 @@
 /// What is known of a request so far.
 struct Course {
     tried: BTreeSet<Endpoint>,
+    /// The sends that reached an engine; each beyond the first is paid from the retry budget.
+    arrivals: u32,
     /// The engines that ran it, or may have.
     runs: u32,
     progress: Progress,
@@ -143,6 +147,7 @@
 pub async fn answer(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Ending {
     let mut course = Course {
         tried: BTreeSet::new(),
+        arrivals: 0,
         runs: 0,
         progress: Progress {
             last_event: call.fields.last_event,
@@ -163,16 +168,20 @@
                 break;
             }
         };
-        if offer > 0 && !state.withdraw_retry(&call.service) {
+        if course.arrivals > 0 && !state.withdraw_retry(&call.service) {
             break;
         }
         log_permit(call, &permit, offer);
-        match offer_to(state, call, caller, permit, &mut course).await {
+        let offered = offer_to(state, call, caller, permit, &mut course).await;
+        if !matches!(offered, Offer::NotSent(_)) {
+            course.arrivals += 1;
+        }
+        match offered {
             Offer::Ended(ending) => return ending,
-            Offer::NotRun(reason) if course.runs == 0 => {
+            Offer::NotSent(reason) | Offer::NotRun(reason) if course.runs == 0 => {
                 last = Ending::refused(&reason, RETRY_AFTER);
             }
-            Offer::NotRun(_) => {}
+            Offer::NotSent(_) | Offer::NotRun(_) => {}
             Offer::Failed(ending) => {
                 last = ending;
                 let may_resume = call.route.repeat == Repeat::ResumableStream;
@@ -234,11 +243,17 @@
             }
         }
         Ok(reply) => format!("unsigned-status-{}", reply.head.status),
+        Err(Failure::Down(reason)) => {
+            log_attempt(call, &instance, "not-sent", &reason);
+            state.health.borrow_mut().down(clock::now(), &instance.id);
+            course.tried.insert(instance.id.clone());
+            return Offer::NotSent(reason);
+        }
         Err(Failure::NotSent(reason)) => {
             log_attempt(call, &instance, "not-sent", &reason);
             state.health.borrow_mut().failed(clock::now(), &instance.id);
             course.tried.insert(instance.id.clone());
-            return Offer::NotRun(reason);
+            return Offer::NotSent(reason);
         }
         Err(Failure::Late) => {
             log_attempt(call, &instance, "late", "no answer in time");
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -30,6 +30,8 @@
 enum Attempt {
     /// The endpoint's whole answer.
     Answered(Response, Vec<u8>),
+    /// The endpoint was not reached.
+    NotSent(String),
     /// It did not run.
     NotRun(String),
     /// It may have run.
@@ -42,10 +44,11 @@
 pub async fn answer(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Ending {
     let mut tried = BTreeSet::new();
     let mut runs = 0;
+    let mut arrivals = 0;
     let mut failed: Option<(Response, Vec<u8>)> = None;
     let mut last = Ending::refused("no-endpoint", RETRY_AFTER);
-    for offer in 0..MAX_OFFERS {
-        if call.left().is_zero() || (offer > 0 && !state.withdraw_retry(&call.service)) {
+    for _ in 0..MAX_OFFERS {
+        if call.left().is_zero() || (arrivals > 0 && !state.withdraw_retry(&call.service)) {
             break;
         }
         let Some(instance) = choose(state, call, &tried) else {
@@ -53,7 +56,11 @@
         };
         tried.insert(instance.id.clone());
         let now = clock::now();
-        match attempt(state, call, &instance).await {
+        let attempt = attempt(state, call, &instance).await;
+        if !matches!(attempt, Attempt::NotSent(_)) {
+            arrivals += 1;
+        }
+        match attempt {
             Attempt::Answered(head, body) if head.status < 500 => {
                 let took = clock::now().saturating_sub(now);
                 state
@@ -67,7 +74,7 @@
                 runs += 1;
                 failed = Some((head, body));
             }
-            Attempt::NotRun(reason) => {
+            Attempt::NotSent(reason) | Attempt::NotRun(reason) => {
                 log_attempt(call, &instance, "not-run", &reason);
                 last = Ending::refused(&reason, RETRY_AFTER);
                 continue;
@@ -152,9 +159,13 @@
     );
     let mut reply = match sent.await {
         Ok(reply) => reply,
+        Err(Failure::Down(reason)) => {
+            state.health.borrow_mut().down(clock::now(), &instance.id);
+            return Attempt::NotSent(reason);
+        }
         Err(Failure::NotSent(reason)) => {
             state.health.borrow_mut().failed(clock::now(), &instance.id);
-            return Attempt::NotRun(reason);
+            return Attempt::NotSent(reason);
         }
         Err(Failure::Lost(reason)) => return Attempt::Unknown(reason),
         Err(Failure::Late) => return Attempt::Late,
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -31,6 +31,8 @@
 /// Why a request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// Nothing was sent: nothing listens at the address.
+    Down(String),
     /// Nothing was sent.
     NotSent(String),
     /// It was sent, and may have run.
@@ -111,7 +113,13 @@
         Some(connection) => connection,
         None => pool::connect(instance.address, CONNECT_TIMEOUT.min(limit))
             .await
-            .map_err(|error| Failure::NotSent(error.to_string()))?,
+            .map_err(|error| {
+                if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                    Failure::Down(error.to_string())
+                } else {
+                    Failure::NotSent(error.to_string())
+                }
+            })?,
     };
     let mut message = request.encode();
     message.extend_from_slice(body);
