--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! VM's lease and claims, [`owner`] the engines that this VM gives orders, [`peer`] and
 //! [`rpc`] the calls between VMs, and [`serve`] answers callers.
 
+mod acquire;
 mod catalog;
 mod crash;
 mod exchange;
