Look again for a caller's leaving once its body has been read

Cause of the red answer_caller_leaves: the server watches a caller with a peek of its socket, and took one unread byte as a reason never to look again. A body that arrives as a segment of its own, between the poll of the handler and that of the watch, is such a byte: the handler then reads it, and nobody notices that the caller leaves. Change: one watch for both paths (endivespur_http), which looks again every 100 ms while bytes are unread. Left: a caller that has sent a second request ahead and leaves is not noticed before the first has ended, since its bytes stay unread.

--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -2,7 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use smol::Timer;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use snafu::Snafu;
@@ -12,6 +14,9 @@
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
+/// The pause between looks at a stream whose bytes hide its end; a fifth of the half second
+/// within which a caller's leaving has to stop its request.
+const UNREAD_CHECK: Duration = Duration::from_millis(100);
 /// The longest head of a response.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
@@ -207,11 +212,11 @@
 
 /// Returns once the peer has closed the stream.
 ///
-/// A peer that sends more bytes is taken as still there.
+/// Bytes that nobody has read yet hide the end of the stream, so that it is looked for again
+/// every [`UNREAD_CHECK`] until they are read.
 pub async fn closed(stream: TcpStream) {
     let mut byte = [0];
-    match stream.peek(&mut byte).await {
-        Ok(0) | Err(_) => {}
-        Ok(_) => smol::future::pending().await,
+    while let Ok(1..) = stream.peek(&mut byte).await {
+        Timer::after(UNREAD_CHECK).await;
     }
 }
--- a/crates/endivespur_net/src/stream.rs
+++ b/crates/endivespur_net/src/stream.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use endivespur_http::connection;
 use futures_util::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
@@ -35,13 +36,9 @@
         self.left.load(Ordering::Relaxed) == 0
     }
 
-    /// Waits until the peer has closed its side; never returns while it sends.
+    /// Waits until the peer has closed its side; never returns while bytes are unread.
     pub async fn closed(&self) {
-        let mut byte = [0];
-        match self.tcp.peek(&mut byte).await {
-            Ok(0) | Err(_) => {}
-            Ok(_) => std::future::pending().await,
-        }
+        connection::closed(self.tcp.clone()).await;
     }
 }
 
