--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -0,0 +1,179 @@
+//! Pattern: gateways that follow other gateways, which may be ahead, behind or restarted.
+
+use assert_matches::assert_matches;
+use endivespur_core::gateway::feed::{Change, Feed, Item, Limits, Page};
+
+/// All that these tests tell at once.
+const ALL: Limits = Limits {
+    bytes: 1 << 20,
+    value_bytes: 1 << 10,
+};
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_string(),
+        value: Some(format!("{key} at {revision}").into_bytes()),
+        revision,
+    }
+}
+
+fn removed(key: &str, revision: u64) -> Item {
+    Item {
+        value: None,
+        ..item(key, revision)
+    }
+}
+
+fn page(items: Vec<Item>, revision: u64) -> Page {
+    Page {
+        items,
+        revision,
+        ..Page::default()
+    }
+}
+
+/// Takes over all that `from` tells.
+fn follow(feed: &mut Feed, from: &Feed) {
+    let Change::Changes(page) = from.since(feed.revision(), ALL) else {
+        panic!("compacted");
+    };
+    feed.apply(page);
+}
+
+fn told(feed: &Feed, after: u64) -> Vec<String> {
+    match feed.since(after, ALL) {
+        Change::Changes(page) => page.items.into_iter().map(|item| item.key).collect(),
+        Change::Compacted => panic!("compacted"),
+    }
+}
+
+#[test]
+fn apply_older_change() {
+    let mut feed = Feed::new();
+    feed.replace(page(vec![item("a", 5)], 7));
+    let news = feed.apply(page(vec![item("a", 5), item("a", 4), item("b", 8)], 8));
+    assert_eq!(news, vec![item("b", 8)]);
+    assert_eq!(feed.revision(), 8);
+}
+
+#[test]
+fn apply_source_behind() {
+    let mut feed = Feed::new();
+    feed.replace(page(vec![item("a", 5)], 9));
+    feed.apply(page(Vec::new(), 6));
+    assert_eq!(feed.revision(), 9);
+}
+
+#[test]
+fn replace_removed_key() {
+    let mut feed = Feed::new();
+    feed.replace(page(vec![item("a", 1), item("b", 2)], 2));
+    let news = feed.replace(page(vec![item("a", 1)], 6));
+    assert_eq!(news, vec![removed("b", 6)]);
+}
+
+#[test]
+fn since_changes_are_gathered() {
+    let mut feed = Feed::new();
+    feed.replace(page(vec![item("a", 1), item("b", 2)], 2));
+    for revision in 3..20 {
+        feed.apply(page(vec![item("a", revision)], revision));
+    }
+    feed.apply(page(vec![removed("b", 20)], 20));
+    assert_eq!(told(&feed, 2), ["a", "b"]);
+    assert_eq!(told(&feed, 19), ["b"]);
+    assert!(told(&feed, 20).is_empty());
+}
+
+#[test]
+fn since_more_than_one_answer() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1), item("b", 2)], 2));
+    let mut feed = source.clone();
+    let items = (1..=40).map(|number| item(&format!("k{number}"), number / 4 + 3));
+    source.apply(page(items.collect(), 13));
+    let few = Limits { bytes: 80, ..ALL };
+    for _ in 0..12 {
+        let Change::Changes(page) = source.since(feed.revision(), few) else {
+            panic!("compacted");
+        };
+        assert!(page.items.len() <= 9);
+        feed.apply(page);
+    }
+    assert_eq!(feed.revision(), 13);
+    assert_eq!(told(&feed, 0), told(&source, 0));
+}
+
+/// A configuration of half a megabyte, sent by one VM of 10 Mbit/s to a dozen others, took
+/// longer than the time in which it had to be in force.
+#[test]
+fn since_large_value() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 1));
+    let large = Item {
+        value: Some(vec![0; 500_000]),
+        ..item("config", 2)
+    };
+    source.apply(page(vec![large.clone(), item("b", 3)], 3));
+    assert_eq!(
+        source.since(1, ALL),
+        Change::Changes(Page {
+            items: vec![item("b", 3)],
+            large: vec!["config".to_string()],
+            revision: 3,
+        })
+    );
+    let whole = Limits {
+        bytes: usize::MAX,
+        value_bytes: usize::MAX,
+    };
+    assert_eq!(
+        source.since(1, whole),
+        Change::Changes(page(vec![large, item("b", 3)], 3))
+    );
+}
+
+/// A key that was written and removed while the source was away leaves no trace there.
+#[test]
+fn since_inside_a_gap() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 5));
+    source.replace(page(vec![item("a", 1)], 20));
+    assert_matches!(source.since(12, ALL), Change::Compacted);
+    assert_matches!(source.since(5, ALL), Change::Changes(_));
+    assert_matches!(source.since(20, ALL), Change::Changes(_));
+}
+
+#[test]
+fn since_restarted_source() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 20));
+    assert_matches!(source.since(12, ALL), Change::Compacted);
+    assert_matches!(source.since(0, ALL), Change::Changes(_));
+}
+
+#[test]
+fn since_removals_are_forgotten() {
+    let mut feed = Feed::new();
+    feed.replace(page(Vec::new(), 1));
+    for number in 0..10_000_u64 {
+        let key = format!("k{number}");
+        feed.apply(page(vec![item(&key, 2 * number + 2)], 2 * number + 2));
+        feed.apply(page(vec![removed(&key, 2 * number + 3)], 2 * number + 3));
+    }
+    assert_matches!(feed.since(2, ALL), Change::Compacted);
+    assert!(told(&feed, feed.revision() - 20).len() <= 11);
+}
+
+#[test]
+fn urgent_change_of_a_follower() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 1));
+    source.apply(page(vec![item("b", 4), item("a", 5)], 5));
+    source.set_urgent(4);
+    let mut feed = Feed::new();
+    feed.apply(page(Vec::new(), 1));
+    assert!(source.urgent() > feed.revision());
+    follow(&mut feed, &source);
+    assert!(source.urgent() <= feed.revision());
+}
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -2,9 +2,11 @@
 
 mod choice;
 mod crash;
+mod feed;
 mod health;
 mod ownership;
 mod placement;
+mod source;
 mod table;
 mod version;
 
--- /dev/null
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -0,0 +1,140 @@
+//! Takes the store's changes into the catalog and the claims.
+
+use endivespur_clock as clock;
+use endivespur_core::gateway::feed::{Item, Page};
+use endivespur_core::gateway::ownership::Claim;
+use endivespur_platform::{document, registration};
+use log::{info, warn};
+
+use crate::member;
+use crate::state::State;
+
+/// Takes changes; returns whether some should reach followers at once.
+///
+/// What an endpoint holds changes all the time and may wait; whether it serves may not, nor
+/// documents and claims.
+pub fn apply(state: &State, page: Page) -> bool {
+    let news = state.feed.borrow_mut().apply(page);
+    take(state, &news)
+}
+
+/// Takes a listing of all keys.
+pub fn replace(state: &State, page: Page) {
+    let news = state.feed.borrow_mut().replace(page);
+    take(state, &news);
+}
+
+fn take(state: &State, news: &[Item]) -> bool {
+    let mut is_urgent = false;
+    for item in news {
+        if item.key.starts_with(document::PREFIX) {
+            apply_document(state, item);
+        } else if item.key.starts_with(registration::PREFIX) {
+            if !apply_registration(state, item) {
+                continue;
+            }
+        } else if item.key.starts_with(member::PREFIX) {
+            apply_member(state, item);
+        }
+        is_urgent = true;
+        state.feed.borrow_mut().set_urgent(item.revision);
+    }
+    if !news.is_empty() {
+        state.notify();
+    }
+    is_urgent
+}
+
+fn apply_document(state: &State, item: &Item) {
+    let Some(value) = &item.value else {
+        info!(event = "document-removed", key = item.key.as_str(); "kept as it was");
+        return;
+    };
+    if item.key == document::CONFIG {
+        match document::decode(value) {
+            Ok(table) => {
+                let version = table.version;
+                let is_taken = state.catalog.borrow_mut().set_table(table);
+                info!(
+                    event = "configuration", version, revision = item.revision, outcome = is_taken;
+                    "configuration read"
+                );
+            }
+            Err(error) => {
+                warn!(event = "configuration", revision = item.revision; "unreadable: {error}");
+            }
+        }
+    } else if item.key.starts_with(document::VERSIONS) {
+        match document::decode_version(value) {
+            Ok((weights, version)) => {
+                info!(
+                    event = "version", adapter = weights.to_string(), version,
+                    revision = item.revision; "new version"
+                );
+                state.owners.announce(&weights, version);
+                state.catalog.borrow_mut().set_version(weights, version);
+            }
+            Err(error) => warn!(event = "version", key = item.key.as_str(); "unreadable: {error}"),
+        }
+    }
+}
+
+/// Takes a registration; returns whether it changes which endpoints serve.
+fn apply_registration(state: &State, item: &Item) -> bool {
+    let now = clock::now();
+    let id = item
+        .key
+        .strip_prefix(registration::PREFIX)
+        .unwrap_or(&item.key);
+    let Some(value) = &item.value else {
+        info!(event = "endpoint-gone", endpoint = id, revision = item.revision; "registration ended");
+        state.catalog.borrow_mut().remove_endpoint(now, id);
+        return true;
+    };
+    match registration::decode(&item.key, value) {
+        Ok(instance) => {
+            let known = state.catalog.borrow().endpoint(id);
+            let is_news = known.is_none_or(|known| {
+                known.born != instance.born || known.is_leaving != instance.is_leaving
+            });
+            if is_news {
+                info!(
+                    event = "endpoint", endpoint = id, service = instance.service.as_str(),
+                    leaving = instance.is_leaving, revision = item.revision; "registration"
+                );
+            }
+            state.catalog.borrow_mut().set_endpoint(instance);
+            is_news
+        }
+        Err(error) => {
+            warn!(event = "endpoint", endpoint = id, revision = item.revision; "skipped: {error}");
+            state.catalog.borrow_mut().remove_endpoint(now, id);
+            true
+        }
+    }
+}
+
+fn apply_member(state: &State, item: &Item) {
+    let now = clock::now();
+    if let Some(vm) = item.key.strip_prefix(member::VM_PREFIX) {
+        let peer = item.value.as_deref().and_then(member::decode_vm);
+        info!(event = "vm", vm, present = peer.is_some(), revision = item.revision; "gateway");
+        state.catalog.borrow_mut().set_peer(vm, peer);
+    } else if let Some(endpoint) = item.key.strip_prefix(member::CLAIM_PREFIX) {
+        let claim = item
+            .value
+            .as_deref()
+            .and_then(member::decode_claim)
+            .map(|(vm, process)| Claim {
+                vm,
+                process,
+                fence: item.revision,
+            });
+        let owner = claim.as_ref().map_or("none", |claim| claim.vm.as_str());
+        info!(event = "claim", endpoint, owner, fence = item.revision; "owner");
+        state
+            .claims
+            .borrow_mut()
+            .set(now, endpoint, item.revision, claim);
+    }
+}
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -62,7 +62,17 @@
 
     /// Notes that the store was away until now: registrations may come back.
     pub fn store_returned(&mut self, now: Time) {
-        self.settled_at = now + RETURN_TIME;
+        self.settle(now + RETURN_TIME);
+    }
+
+    /// Notes until when registrations that have ended may come back.
+    pub fn settle(&mut self, until: Time) {
+        self.settled_at = self.settled_at.max(until);
+    }
+
+    /// Returns for how long registrations that have ended may still come back.
+    pub fn settling(&self, now: Time) -> Duration {
+        self.settled_at.saturating_sub(now)
     }
 
     /// Takes an endpoint's registration.
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -1,241 +1,240 @@
-//! Follows the platform's store.
+//! Follows the store: a few gateways of a zone watch it, the others follow those.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::ownership::Claim;
-use endivespur_platform::store::{self, Change, Item};
-use endivespur_platform::{document, registration};
-use log::{info, warn};
+use endivespur_core::gateway::feed::{Change, Limits, Page};
+use endivespur_core::gateway::source::{Source, Sources};
+use endivespur_platform::store;
+use log::{debug, info, warn};
 use smol::Timer;
 
-use crate::member;
+use crate::message::News;
 use crate::state::State;
-use crate::telemetry;
-
-/// The part of the time after which a VM counts as undisturbed again that is left to notice a
-/// silent connection and to list anew; a watch waits for the rest.
-const RECOVERY_TIME: Duration = Duration::from_millis(1200);
-/// The shortest wait of a watch.
-const MIN_WATCH_WAIT: Duration = Duration::from_secs(1);
-/// The pause after a failed call.
+use crate::{apply, peer, telemetry, timer};
+
+/// The longest wait of a watch: a store that is cut off is noticed soon after it.
+const WATCH_WAIT: Duration = Duration::from_millis(500);
+/// How long a watcher may not have heard the store before it says so to its followers: a
+/// pause, a watch and a slow answer.
+const MAX_AGE: Duration = Duration::from_millis(1300);
+/// The pause after a failed call of the store, and what each VM adds to it.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE_PER_VM: Duration = Duration::from_millis(10);
 /// The prefix of all keys.
 const EVERYTHING: &str = "";
-/// The shortest pause after changes of registrations only.
-const MIN_PAUSE: Duration = Duration::from_millis(400);
+/// The shortest time in which changes that may wait are gathered.
+const GATHER: Duration = Duration::from_millis(400);
 /// The pause after other changes: where a lease has ended, claims follow.
 const SHORT_PAUSE: Duration = Duration::from_millis(50);
-/// What each VM adds to that pause: the calls of all together stay about the same.
-const PAUSE_PER_VM: Duration = Duration::from_millis(50);
+/// What each VM adds to that time: the messages of all together stay about the same.
+const GATHER_PER_VM: Duration = Duration::from_millis(15);
 /// The longest share of the time in which a leaving endpoint must stop getting work that the
-/// pause may take.
-const MAX_PAUSE_SHARE: f64 = 0.4;
+/// gathering may take.
+const MAX_GATHER_SHARE: f64 = 0.4;
+/// The same for a watcher's own pause, since urgent changes wait for it too.
+const MAX_PAUSE_SHARE: f64 = 0.2;
+/// What one answer to a follower may hold: a VM of 10 Mbit/s sends it in 26 ms, and to all
+/// that follow it in 0.3 s.
+const LIMITS: Limits = Limits {
+    bytes: 32 << 10,
+    value_bytes: 16 << 10,
+};
+/// The same for a follower that the store refuses.
+const WHOLE: Limits = Limits {
+    bytes: 1 << 20,
+    value_bytes: usize::MAX,
+};
 
 /// Starts to follow the store.
 pub fn start(state: &Rc<State>) {
     state.spawn(follow(state.clone()));
 }
 
-/// Lists all keys and follows their changes, over and over.
-///
-/// One watch covers documents, registrations and this project's own keys: each VM's calls
-/// are paid for, a waiting one too.
 async fn follow(state: Rc<State>) {
-    let mut keys = BTreeSet::new();
+    let mut sources = Sources::new(&state.settings.vm, &state.settings.zone);
+    let mut present = None;
     loop {
-        let page = match state.store.list(EVERYTHING).await {
-            Ok(page) => page,
-            Err(error) => {
-                lost(&state, &error);
-                Timer::after(RETRY_PAUSE).await;
-                continue;
-            }
+        let source = {
+            let catalog = state.catalog.borrow();
+            let zones = catalog.peers();
+            let zones = zones.map(|(vm, peer)| (vm.clone(), peer.zone.clone()));
+            sources.choose(clock::now(), &zones.collect())
         };
-        regained(&state);
-        let listed: BTreeSet<String> = page.items.iter().map(|item| item.key.clone()).collect();
-        for key in keys.difference(&listed) {
-            let gone = Item {
-                key: String::clone(key),
-                value: None,
-                revision: page.revision,
-                lease: 0,
-            };
-            apply(&state, &gone);
+        if present.as_ref() != Some(&source) {
+            info!(event = "source", source:? = source; "follows");
+            present = Some(source.clone());
         }
-        for item in &page.items {
-            apply(&state, item);
+        let is_heard = match &source {
+            Source::Store => {
+                // A store that has failed is asked for an answer at once, so that it is soon
+                // known whether it has returned.
+                let is_probe = sources.has_failed(&source);
+                watch(&state, if is_probe { Duration::ZERO } else { WATCH_WAIT }).await
+            }
+            Source::Vm(vm) => follow_vm(&state, vm).await,
+        };
+        if is_heard {
+            sources.answered(&source);
+        } else {
+            sources.failed(clock::now(), &source);
         }
-        keys = listed;
-        state.notify();
-        watch(&state, page.revision, &mut keys).await;
     }
 }
 
-/// Notes that the store did not answer.
+/// Notes that neither the store nor another gateway tells its changes.
 fn lost(state: &State, error: &store::Error) {
     telemetry::store_failed("watch");
+    if state.heard.take().is_some() {
+        state.notify();
+    }
     if state.store_lost.get().is_none() {
         warn!(event = "store-lost"; "{error}");
         state.store_lost.set(Some(clock::now()));
     }
 }
 
-/// Notes that the store has answered.
-fn regained(state: &State) {
-    if let Some(since) = state.store_lost.take() {
-        let now = clock::now();
-        let age_ms = now.saturating_sub(since).as_millis() as u64;
-        info!(event = "store-regained", age_ms; "store answers again");
-        state.catalog.borrow_mut().store_returned(now);
-    }
+/// Notes that the store's changes are told again; returns whether they were not before.
+fn regained(state: &State) -> bool {
+    let Some(since) = state.store_lost.take() else {
+        return false;
+    };
+    let age_ms = clock::now().saturating_sub(since).as_millis() as u64;
+    info!(event = "store-regained", age_ms; "changes of the store are told again");
+    true
 }
 
-/// Applies changes until the history is no longer kept.
-async fn watch(state: &State, from: u64, keys: &mut BTreeSet<String>) {
-    let mut revision = from;
-    let wait = state.settings.stable_time.saturating_sub(RECOVERY_TIME);
-    let wait = wait.max(MIN_WATCH_WAIT);
-    loop {
-        match state.store.watch(EVERYTHING, revision, wait).await {
-            Ok(Change::Changes(page)) => {
-                regained(state);
-                for item in &page.items {
-                    if item.value.is_some() {
-                        keys.insert(item.key.clone());
-                    } else {
-                        keys.remove(&item.key);
-                    }
-                    apply(state, item);
-                }
-                revision = revision.max(page.revision);
-                if !page.items.is_empty() {
-                    state.notify();
-                    Timer::after(pause(state, &page.items)).await;
-                }
-            }
-            Ok(Change::Compacted) => {
-                info!(event = "store-compacted", revision; "listing again");
-                return;
-            }
-            Err(error) => {
-                lost(state, &error);
-                Timer::after(RETRY_PAUSE).await;
+/// Waits at most `wait` for the store's next changes; tells whether it answered.
+async fn watch(state: &State, wait: Duration) -> bool {
+    let revision = state.feed.borrow().revision();
+    let change = if revision == 0 {
+        Ok(Change::Compacted)
+    } else {
+        state.store.watch(EVERYTHING, revision, wait).await
+    };
+    match change {
+        Ok(Change::Compacted) => list(state).await,
+        Ok(Change::Changes(page)) => {
+            heard(state);
+            let is_idle = page.items.is_empty();
+            let is_urgent = apply::apply(state, page);
+            if !is_idle {
+                Timer::after(if is_urgent {
+                    SHORT_PAUSE
+                } else {
+                    gather_time(state, MAX_PAUSE_SHARE)
+                })
+                .await;
             }
+            true
         }
+        Err(error) => failed(state, &error).await,
     }
 }
 
-/// Returns the pause between two watches, in which changes are gathered.
-fn pause(state: &State, items: &[Item]) -> Duration {
-    let is_routine = |item: &Item| item.key.starts_with(registration::PREFIX);
-    if !items.iter().all(is_routine) {
-        return SHORT_PAUSE;
+/// Lists all keys; tells whether the store answered.
+async fn list(state: &State) -> bool {
+    match state.store.list(EVERYTHING).await {
+        Ok(page) => {
+            info!(event = "listed", revision = page.revision, keys = page.items.len(); "read anew");
+            heard(state);
+            apply::replace(state, page);
+            true
+        }
+        Err(error) => failed(state, &error).await,
     }
-    let vms = state.catalog.borrow().peers().count() as u32;
-    let longest = state.settings.leave_bound.mul_f64(MAX_PAUSE_SHARE);
-    (PAUSE_PER_VM * vms).max(MIN_PAUSE).min(longest)
 }
 
-fn apply(state: &State, item: &Item) {
-    if item.key.starts_with(document::PREFIX) {
-        apply_document(state, item);
-    } else if item.key.starts_with(registration::PREFIX) {
-        apply_registration(state, item);
-    } else if item.key.starts_with(member::PREFIX) {
-        apply_member(state, item);
+fn heard(state: &State) {
+    let now = clock::now();
+    if regained(state) {
+        state.catalog.borrow_mut().store_returned(now);
     }
+    state.heard.set(Some(now));
 }
 
-fn apply_document(state: &State, item: &Item) {
-    let Some(value) = &item.value else {
-        info!(event = "document-removed", key = item.key.as_str(); "kept as it was");
-        return;
+async fn failed(state: &State, error: &store::Error) -> bool {
+    lost(state, error);
+    let vms = state.catalog.borrow().peers().count() as u32;
+    Timer::after((RETRY_PAUSE_PER_VM * vms).max(RETRY_PAUSE)).await;
+    false
+}
+
+/// Waits for the next changes from another gateway; tells whether it had any to tell.
+async fn follow_vm(state: &Rc<State>, vm: &str) -> bool {
+    state.heard.set(None);
+    let address = state.catalog.borrow().peer(vm).map(|peer| peer.address);
+    let Some(address) = address else {
+        return false;
     };
-    if item.key == document::CONFIG {
-        match document::decode(value) {
-            Ok(table) => {
-                let version = table.version;
-                let is_taken = state.catalog.borrow_mut().set_table(table);
-                info!(
-                    event = "configuration", version, revision = item.revision, outcome = is_taken;
-                    "configuration read"
-                );
-            }
-            Err(error) => {
-                warn!(event = "configuration", revision = item.revision; "unreadable: {error}");
-            }
-        }
-    } else if item.key.starts_with(document::VERSIONS) {
-        match document::decode_version(value) {
-            Ok((weights, version)) => {
-                info!(
-                    event = "version", adapter = weights.to_string(), version,
-                    revision = item.revision; "new version"
-                );
-                state.owners.announce(&weights, version);
-                state.catalog.borrow_mut().set_version(weights, version);
-            }
-            Err(error) => warn!(event = "version", key = item.key.as_str(); "unreadable: {error}"),
+    let after = state.feed.borrow().revision();
+    let wait = gather_time(state, MAX_GATHER_SHARE);
+    let (mut page, settling) = match peer::follow(state, address, after, wait, false).await {
+        Ok(News::Told(Change::Changes(page), settling)) => (page, settling),
+        Ok(News::Told(Change::Compacted, _)) => return list(state).await,
+        Ok(News::Away) => {
+            debug!(event = "source-away", vm; "does not hear the store");
+            return false;
         }
+        Err(peer::Silent) => return false,
+    };
+    if !read_large(state, &mut page).await {
+        // The store refuses this gateway.
+        let whole = peer::follow(state, address, after, Duration::ZERO, true).await;
+        let Ok(News::Told(Change::Changes(told), _)) = whole else {
+            return false;
+        };
+        page = told;
     }
+    regained(state);
+    let until = clock::now() + settling;
+    state.catalog.borrow_mut().settle(until);
+    apply::apply(state, page);
+    true
 }
 
-fn apply_registration(state: &State, item: &Item) {
-    let now = clock::now();
-    let id = item
-        .key
-        .strip_prefix(registration::PREFIX)
-        .unwrap_or(&item.key);
-    let Some(value) = &item.value else {
-        info!(event = "endpoint-gone", endpoint = id, revision = item.revision; "registration ended");
-        state.catalog.borrow_mut().remove_endpoint(now, id);
-        return;
-    };
-    match registration::decode(&item.key, value) {
-        Ok(instance) => {
-            let known = state.catalog.borrow().endpoint(id);
-            let is_news = known.is_none_or(|known| {
-                known.born != instance.born || known.is_leaving != instance.is_leaving
-            });
-            if is_news {
-                info!(
-                    event = "endpoint", endpoint = id, service = instance.service.as_str(),
-                    leaving = instance.is_leaving, revision = item.revision; "registration"
-                );
+/// Reads the values that were too large to be told; tells whether the store answered.
+async fn read_large(state: &State, page: &mut Page) -> bool {
+    for key in std::mem::take(&mut page.large) {
+        match state.store.list(&key).await {
+            Ok(listed) => page.items.extend(listed.items),
+            Err(error) => {
+                telemetry::store_failed("read");
+                info!(event = "large-value", key = key.as_str(); "not read: {error}");
+                return false;
             }
-            state.catalog.borrow_mut().set_endpoint(instance);
-        }
-        Err(error) => {
-            warn!(event = "endpoint", endpoint = id, revision = item.revision; "skipped: {error}");
-            state.catalog.borrow_mut().remove_endpoint(now, id);
         }
     }
+    true
 }
 
-fn apply_member(state: &State, item: &Item) {
-    let now = clock::now();
-    if let Some(vm) = item.key.strip_prefix(member::VM_PREFIX) {
-        let peer = item.value.as_deref().and_then(member::decode_vm);
-        info!(event = "vm", vm, present = peer.is_some(), revision = item.revision; "gateway");
-        state.catalog.borrow_mut().set_peer(vm, peer);
-    } else if let Some(endpoint) = item.key.strip_prefix(member::CLAIM_PREFIX) {
-        let claim = item
-            .value
-            .as_deref()
-            .and_then(member::decode_claim)
-            .map(|(vm, process)| Claim {
-                vm,
-                process,
-                fence: item.revision,
-            });
-        let owner = claim.as_ref().map_or("none", |claim| claim.vm.as_str());
-        info!(event = "claim", endpoint, owner, fence = item.revision; "owner");
-        state
-            .claims
-            .borrow_mut()
-            .set(now, endpoint, item.revision, claim);
+/// Returns for how long changes are gathered that may wait.
+fn gather_time(state: &State, share: f64) -> Duration {
+    let vms = state.catalog.borrow().peers().count() as u32;
+    let longest = state.settings.leave_bound.mul_f64(share);
+    (GATHER_PER_VM * vms).max(GATHER).min(longest)
+}
+
+/// Returns what a follower that knows the changes up to `after` has to learn.
+///
+/// Waits at most `wait` while there is nothing that should reach it at once. Large values are
+/// told only if `is_whole`.
+pub async fn news(state: &State, after: u64, wait: Duration, is_whole: bool) -> News {
+    let limits = if is_whole { WHOLE } else { LIMITS };
+    let until = clock::now() + wait;
+    loop {
+        let listener = state.changed.listen();
+        let now = clock::now();
+        let heard = state.heard.get().filter(|heard| now < *heard + MAX_AGE);
+        let Some(heard) = heard.filter(|_| !state.is_stopping.get()) else {
+            return News::Away;
+        };
+        if state.feed.borrow().urgent() > after || now >= until {
+            let change = state.feed.borrow().since(after, limits);
+            return News::Told(change, state.catalog.borrow().settling(now));
+        }
+        let left = until.min(heard + MAX_AGE).saturating_sub(now);
+        timer::within(left, listener).await;
     }
 }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -1,17 +1,17 @@
 //! The gateway: serves callers from engines that the platform registers.
 //!
-//! [`follow`] keeps the [`catalog`] and the claims as the store tells them, [`member`] the
+//! [`follow`] keeps the [`catalog`] and the claims as the store or other gateways tell them, [`member`] the
 //! VM's lease and claims, [`owner`] the engines that this VM gives orders, [`peer`] and
 //! [`rpc`] the calls between VMs, and [`serve`] answers callers.
 
 mod acquire;
+mod apply;
 mod catalog;
 mod crash;
 mod exchange;
 mod exposition;
 mod follow;
 mod generate;
-mod gossip;
 mod lease;
 mod member;
 mod message;
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -3,12 +3,22 @@
 use std::time::Duration;
 
 use endivespur_core::gateway::endpoint::Weights;
+use endivespur_core::gateway::feed::{Change, Item, Page};
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::gateway::prefix::Part;
-use endivespur_wire::gateway_capnp::{ask, reply};
+use endivespur_wire::gateway_capnp::{ask, changes, news, reply};
 
 use crate::owned::Reply;
 
+/// What a gateway that watches the store tells one that follows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// The store's changes, and for how long registrations that have ended may come back.
+    Told(Change, Duration),
+    /// It does not hear the store itself.
+    Away,
+}
+
 /// Writes an ask that may wait for `wait`.
 pub fn write_ask(mut to: ask::Builder<'_>, endpoint: &str, ask: &Ask, wait: Duration) {
     to.set_endpoint(endpoint);
@@ -71,3 +81,70 @@
         reply::Which::Late(()) => Reply::Late,
     })
 }
+
+/// Writes what a follower is told.
+pub fn write_news(mut to: news::Builder<'_>, news: &News) {
+    match news {
+        News::Away => to.set_away(()),
+        News::Told(Change::Compacted, _) => to.set_compacted(()),
+        News::Told(Change::Changes(page), settling) => {
+            let mut to = to.init_changes();
+            to.set_revision(page.revision);
+            to.set_settling_ms(settling.as_millis() as u32);
+            let mut large = to.reborrow().init_large(page.large.len() as u32);
+            for (index, key) in page.large.iter().enumerate() {
+                large.set(index as u32, key);
+            }
+            let mut items = to.init_items(page.items.len() as u32);
+            for (index, item) in page.items.iter().enumerate() {
+                let mut to = items.reborrow().get(index as u32);
+                to.set_key(&item.key);
+                to.set_present(item.value.is_some());
+                to.set_value(item.value.as_deref().unwrap_or_default());
+                to.set_revision(item.revision);
+            }
+        }
+    }
+}
+
+/// Reads what a watcher tells.
+///
+/// # Errors
+///
+/// Returns an error if the message has an unknown form.
+pub fn read_news(from: news::Reader<'_>) -> Result<News, capnp::Error> {
+    Ok(match from.which()? {
+        news::Which::Away(()) => News::Away,
+        news::Which::Compacted(()) => News::Told(Change::Compacted, Duration::ZERO),
+        news::Which::Changes(from) => {
+            let from = from?;
+            let settling = Duration::from_millis(u64::from(from.get_settling_ms()));
+            News::Told(Change::Changes(read_page(from)?), settling)
+        }
+    })
+}
+
+fn read_page(from: changes::Reader<'_>) -> Result<Page, capnp::Error> {
+    let items: Result<Vec<Item>, capnp::Error> = from
+        .get_items()?
+        .iter()
+        .map(|item| {
+            let value = item.get_present().then(|| item.get_value()).transpose()?;
+            Ok(Item {
+                key: item.get_key()?.to_string()?,
+                value: value.map(<[u8]>::to_vec),
+                revision: item.get_revision(),
+            })
+        })
+        .collect();
+    let large: Result<Vec<String>, capnp::Error> = from
+        .get_large()?
+        .iter()
+        .map(|key| Ok(key?.to_string()?))
+        .collect();
+    Ok(Page {
+        items: items?,
+        large: large?,
+        revision: from.get_revision(),
+    })
+}
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -10,12 +10,12 @@
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::id::Grant;
 use endivespur_core::suspect::Fingerprint;
-use endivespur_wire::gateway_capnp::owner;
+use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
 use log::info;
 use smol::net::TcpStream;
 
-use crate::message;
+use crate::message::{self, News};
 use crate::owned::Reply;
 use crate::state::State;
 use crate::timer;
@@ -24,12 +24,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long an answer may take beyond the wait that it was asked for.
 const ANSWER_SLACK: Duration = Duration::from_millis(80);
+/// The same for the changes of the store: twice the time in which a VM of 10 Mbit/s sends the
+/// largest answer to all that follow it.
+const FOLLOW_SLACK: Duration = Duration::from_millis(600);
+/// The same for large values.
+const WHOLE_SLACK: Duration = Duration::from_secs(2);
 
 /// A VM that did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Silent;
 
-async fn client(state: &Rc<State>, address: SocketAddr) -> Result<owner::Client, String> {
+async fn client(state: &Rc<State>, address: SocketAddr) -> Result<gateway::Client, String> {
     if let Some(client) = state.peers.clients.borrow().get(&address) {
         return Ok(client.clone());
     }
@@ -46,7 +51,7 @@
         capnp::message::ReaderOptions::new(),
     );
     let mut system = RpcSystem::new(Box::new(network), None);
-    let client: owner::Client = system.bootstrap(Side::Server);
+    let client: gateway::Client = system.bootstrap(Side::Server);
     let task_state = state.clone();
     state.spawn(async move {
         if let Err(error) = system.await {
@@ -62,40 +67,31 @@
     Ok(client)
 }
 
-/// Asks the owner at an address for a grant.
-///
-/// # Errors
+/// Calls the gateway at an address within `limit`.
 ///
-/// Returns [`Silent`] if it does not answer.
-pub async fn ask(
+/// Returns nothing if the time is over.
+async fn call<T>(
     state: &Rc<State>,
     address: SocketAddr,
-    endpoint: &str,
-    ask: &Ask,
-    wait: Duration,
-) -> Result<Reply, Silent> {
-    if state.peers.is_silent(address) {
-        return Err(Silent);
-    }
+    limit: Duration,
+    send: impl AsyncFnOnce(gateway::Client) -> Result<T, capnp::Error>,
+) -> Option<Result<T, String>> {
     let call = async {
         let client = client(state, address).await?;
-        let mut request = client.ask_request();
-        message::write_ask(request.get().init_ask(), endpoint, ask, wait);
-        let response = request
-            .send()
-            .promise
-            .await
-            .map_err(|error| error.to_string())?;
-        let reply = response
-            .get()
-            .and_then(owner::ask_results::Reader::get_reply)
-            .and_then(message::read_reply);
-        reply.map_err(|error| error.to_string())
+        send(client).await.map_err(|error| error.to_string())
     };
-    let result = timer::within(wait + ANSWER_SLACK, call)
-        .await
-        .unwrap_or_else(|| Err("timeout".to_string()));
-    match result {
+    timer::within(limit, call).await
+}
+
+/// Asks the gateway at an address and notes whether it answered.
+async fn question<T>(
+    state: &Rc<State>,
+    address: SocketAddr,
+    limit: Duration,
+    send: impl AsyncFnOnce(gateway::Client) -> Result<T, capnp::Error>,
+) -> Result<T, Silent> {
+    let result = call(state, address, limit, send).await;
+    match result.unwrap_or_else(|| Err("timeout".to_string())) {
         Ok(reply) => {
             state.peers.answered(address);
             Ok(reply)
@@ -107,77 +103,94 @@
     }
 }
 
-/// Asks the gateway at an address what it knows from the store.
+/// Tells the gateway at an address something that it learns in another way if this is lost.
+async fn notice(
+    state: &Rc<State>,
+    address: SocketAddr,
+    send: impl AsyncFnOnce(gateway::Client) -> Result<(), capnp::Error>,
+) {
+    if let Some(Err(message)) = call(state, address, ANSWER_SLACK, send).await {
+        state.peers.failed(address, &message);
+    }
+}
+
+/// Asks the owner at an address for a grant.
 ///
 /// # Errors
 ///
 /// Returns [`Silent`] if it does not answer.
-pub async fn known(state: &Rc<State>, address: SocketAddr) -> Result<String, Silent> {
+pub async fn ask(
+    state: &Rc<State>,
+    address: SocketAddr,
+    endpoint: &str,
+    ask: &Ask,
+    wait: Duration,
+) -> Result<Reply, Silent> {
     if state.peers.is_silent(address) {
         return Err(Silent);
     }
-    let call = async {
-        let client = client(state, address).await?;
-        let response = client
-            .known_request()
-            .send()
-            .promise
-            .await
-            .map_err(|error| error.to_string())?;
-        let text = response
-            .get()
-            .and_then(owner::known_results::Reader::get_text);
-        let text = text.map_err(|error| error.to_string())?;
-        text.to_string().map_err(|error| error.to_string())
+    let send = async |client: gateway::Client| {
+        let mut request = client.ask_request();
+        message::write_ask(request.get().init_ask(), endpoint, ask, wait);
+        let response = request.send().promise.await?;
+        message::read_reply(response.get()?.get_reply()?)
     };
-    let result = timer::within(ANSWER_SLACK, call).await;
-    match result.unwrap_or_else(|| Err("timeout".to_string())) {
-        Ok(text) => Ok(text),
-        Err(message) => {
-            state.peers.failed(address, &message);
-            Err(Silent)
-        }
-    }
+    question(state, address, wait + ANSWER_SLACK, send).await
+}
+
+/// Asks the gateway at an address for the store's changes after a revision, with large values
+/// if `is_whole`.
+///
+/// # Errors
+///
+/// Returns [`Silent`] if it does not answer.
+pub async fn follow(
+    state: &Rc<State>,
+    address: SocketAddr,
+    after: u64,
+    wait: Duration,
+    is_whole: bool,
+) -> Result<News, Silent> {
+    let send = async |client: gateway::Client| {
+        let mut request = client.follow_request();
+        request.get().set_after(after);
+        request.get().set_wait_ms(wait.as_millis() as u32);
+        request.get().set_whole(is_whole);
+        let response = request.send().promise.await?;
+        message::read_news(response.get()?.get_news()?)
+    };
+    let slack = if is_whole { WHOLE_SLACK } else { FOLLOW_SLACK };
+    question(state, address, wait + slack, send).await
 }
 
 /// Tells the owner at an address that the answer to a granted request has begun.
+///
+/// The end of the request tells the same if this is lost.
 pub async fn began(state: &Rc<State>, address: SocketAddr, endpoint: &str, grant: Grant) {
-    let call = async {
-        let client = client(state, address).await?;
+    let send = async |client: gateway::Client| {
         let mut request = client.began_request();
         request.get().set_endpoint(endpoint);
         request.get().set_grant(grant);
-        request
-            .send()
-            .promise
-            .await
-            .map_err(|error| error.to_string())
+        request.send().promise.await.map(drop)
     };
-    // The end of the request tells the same if this is lost.
-    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
-        state.peers.failed(address, &message);
-    }
+    notice(state, address, send).await;
 }
 
 /// Tells the gateway at an address that an endpoint crashed while it ran a request.
+///
+/// A gateway that misses it counts the next crash.
 pub async fn crashed(state: &Rc<State>, address: SocketAddr, print: Fingerprint) {
-    let call = async {
-        let client = client(state, address).await?;
+    let send = async |client: gateway::Client| {
         let mut request = client.crashed_request();
         request.get().set_print(print);
-        request
-            .send()
-            .promise
-            .await
-            .map_err(|error| error.to_string())
+        request.send().promise.await.map(drop)
     };
-    // A gateway that misses it counts the next crash.
-    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
-        state.peers.failed(address, &message);
-    }
+    notice(state, address, send).await;
 }
 
 /// Tells the owner at an address that a granted request has ended.
+///
+/// The owner forgets the grant by itself if this is lost.
 pub async fn release(
     state: &Rc<State>,
     address: SocketAddr,
@@ -186,8 +199,7 @@
     grant: Grant,
     is_missing: bool,
 ) {
-    let call = async {
-        let client = client(state, address).await?;
+    let send = async |client: gateway::Client| {
         let mut request = client.release_request();
         let mut to = request.get();
         to.set_endpoint(endpoint);
@@ -195,14 +207,7 @@
         to.set_adapter(&weights.adapter);
         to.set_grant(grant);
         to.set_missing(is_missing);
-        request
-            .send()
-            .promise
-            .await
-            .map_err(|error| error.to_string())
+        request.send().promise.await.map(drop)
     };
-    // The owner forgets the grant by itself if this is lost.
-    if let Some(Err(message)) = timer::within(ANSWER_SLACK, call).await {
-        state.peers.failed(address, &message);
-    }
+    notice(state, address, send).await;
 }
--- a/crates/endivespur_gateway/src/peers.rs
+++ b/crates/endivespur_gateway/src/peers.rs
@@ -7,7 +7,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_wire::gateway_capnp::owner;
+use endivespur_wire::gateway_capnp::gateway;
 use log::{info, warn};
 
 /// How long a VM that did not answer is not asked again.
@@ -17,7 +17,7 @@
 #[derive(Default)]
 pub struct Peers {
     /// The clients by address.
-    pub clients: RefCell<BTreeMap<SocketAddr, owner::Client>>,
+    pub clients: RefCell<BTreeMap<SocketAddr, gateway::Client>>,
     silent: RefCell<BTreeMap<SocketAddr, Time>>,
 }
 
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -7,13 +7,13 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
-use endivespur_wire::gateway_capnp::owner;
+use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
 use log::debug;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::gossip;
+use crate::follow;
 use crate::message;
 use crate::owned::Reply;
 use crate::state::State;
@@ -45,7 +45,7 @@
         Side::Server,
         capnp::message::ReaderOptions::new(),
     );
-    let server: owner::Client = capnp_rpc::new_client(Server { state });
+    let server: gateway::Client = capnp_rpc::new_client(Server { state });
     let system = RpcSystem::new(Box::new(network), Some(server.client));
     if let Err(error) = system.await {
         debug!(event = "peer-connection"; "{error}");
@@ -56,11 +56,11 @@
     state: Rc<State>,
 }
 
-impl owner::Server for Server {
+impl gateway::Server for Server {
     async fn ask(
         self: Rc<Self>,
-        params: owner::AskParams,
-        mut results: owner::AskResults,
+        params: gateway::AskParams,
+        mut results: gateway::AskResults,
     ) -> Result<(), capnp::Error> {
         let (endpoint, ask, wait) = message::read_ask(params.get()?.get_ask()?)?;
         let reply = self.state.owners.ask(&endpoint, &ask, wait).await;
@@ -76,8 +76,8 @@
 
     async fn began(
         self: Rc<Self>,
-        params: owner::BeganParams,
-        _: owner::BeganResults,
+        params: gateway::BeganParams,
+        _: gateway::BeganResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = params.get_endpoint()?.to_str()?;
@@ -87,8 +87,8 @@
 
     async fn crashed(
         self: Rc<Self>,
-        params: owner::CrashedParams,
-        _: owner::CrashedResults,
+        params: gateway::CrashedParams,
+        _: gateway::CrashedResults,
     ) -> Result<(), capnp::Error> {
         let print = params.get()?.get_print();
         let mut crashes = self.state.crashes.borrow_mut();
@@ -96,19 +96,23 @@
         Ok(())
     }
 
-    async fn known(
+    async fn follow(
         self: Rc<Self>,
-        _: owner::KnownParams,
-        mut results: owner::KnownResults,
+        params: gateway::FollowParams,
+        mut results: gateway::FollowResults,
     ) -> Result<(), capnp::Error> {
-        results.get().set_text(gossip::known(&self.state));
+        let params = params.get()?;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let (after, is_whole) = (params.get_after(), params.get_whole());
+        let news = follow::news(&self.state, after, wait, is_whole).await;
+        message::write_news(results.get().init_news(), &news);
         Ok(())
     }
 
     async fn release(
         self: Rc<Self>,
-        params: owner::ReleaseParams,
-        _: owner::ReleaseResults,
+        params: gateway::ReleaseParams,
+        _: gateway::ReleaseResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let weights = Weights::new(
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{exposition, follow, gossip, member, owner, readiness, rpc, serve, telemetry};
+use crate::{exposition, follow, member, owner, readiness, rpc, serve, telemetry};
 
 /// For how long requests are taken after readiness was given up: the platform asks once a
 /// second and believes two misses.
@@ -72,7 +72,6 @@
     follow::start(&state);
     member::start(&state);
     owner::start(&state);
-    gossip::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
     state.spawn(readiness::serve(state.clone(), questions));
     state.spawn(serve::listen(state.clone(), callers));
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -6,6 +6,7 @@
 
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash::Record;
+use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health::Board;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::id::{Endpoint, Process};
@@ -42,13 +43,17 @@
     pub engines: Client,
     /// What the store last told.
     pub catalog: RefCell<Catalog>,
+    /// The store's keys, for the gateways that follow this one.
+    pub feed: RefCell<Feed>,
+    /// When the store last answered a watch, if this gateway watches it.
+    pub heard: Cell<Option<Time>>,
     /// Who owns which engine.
     pub claims: RefCell<Claims>,
     /// Signals a change of catalog or claims.
     pub changed: Event,
     /// This VM's lease.
     pub lease: RefCell<Lease>,
-    /// Since when the store has not answered this VM.
+    /// Since when this VM has not heard of the store, nor from others that have.
     pub store_lost: Cell<Option<Time>>,
     /// The engines that this VM owns.
     pub owners: Owners,
@@ -84,6 +89,8 @@
             store,
             engines: Client::new(),
             catalog: RefCell::new(Catalog::new()),
+            feed: RefCell::new(Feed::new()),
+            heard: Cell::new(None),
             claims: RefCell::new(Claims::new()),
             changed: Event::new(),
             lease: RefCell::new(Lease::new()),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -1,5 +1,6 @@
 @0xb7e4c2a19d3f5086;
-# Calls between gateways: the owner of an engine grants requests.
+# Calls between gateways: the owner of an engine grants requests, and those that watch the
+# store tell the others its changes.
 
 struct Part {
   id @0 :Text;
@@ -28,12 +29,35 @@
   }
 }
 
-interface Owner {
+struct Item {
+  key @0 :Text;
+  present @1 :Bool;       # whether value applies; otherwise the key was removed
+  value @2 :Data;
+  revision @3 :UInt64;
+}
+
+struct Changes {
+  items @0 :List(Item);
+  revision @1 :UInt64;
+  settlingMs @2 :UInt32;  # for how long registrations that have ended may come back
+  large @3 :List(Text);   # the keys whose values are to be read from the store
+}
+
+struct News {
+  union {
+    changes @0 :Changes;
+    compacted @1 :Void;
+    away @2 :Void;        # the gateway does not hear the store itself
+  }
+}
+
+interface Gateway {
   ask @0 (ask :Ask) -> (reply :Reply);
   release @1 (endpoint :Text, base :Text, adapter :Text, grant :UInt64, missing :Bool) -> ();
   began @2 (endpoint :Text, grant :UInt64) -> ();
-  # What this gateway knows from the store, as JSON; empty while the store is away for it too.
-  known @3 () -> (text :Text);
+  # The changes of the store after a revision, at the latest after waitMs; with whole, large
+  # values too.
+  follow @3 (after :UInt64, waitMs :UInt32, whole :Bool) -> (news :News);
   # An endpoint crashed while it ran the request with this fingerprint.
   crashed @4 (print :UInt64) -> ();
 }
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -1054,19 +1054,931 @@
     pub type WhichBuilder = Which;
 }
 
+pub mod item {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_present(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_present(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_present(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(80, 17, 103, 182, 48, 13, 235, 244),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(134, 80, 63, 157, 161, 194, 228, 183),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 73, 116),
+            ::capnp::word(101, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 115, 101, 110, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xf4eb_0d30_b667_1150;
+    }
+}
+
+pub mod changes {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_items(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::item::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_items(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_settling_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_large(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_large(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_items(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::item::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_items(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::item::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_items(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::item::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_items(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_settling_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_settling_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_large(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_large(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_large(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_large(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(53, 72, 156, 119, 153, 53, 126, 193),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(134, 80, 63, 157, 161, 194, 228, 183),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 67, 104),
+            ::capnp::word(97, 110, 103, 101, 115, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 17, 103, 182, 48, 13, 235, 244),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 116, 116, 108, 105, 110, 103),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 114, 103, 101, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::gateway_capnp::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xc17e_3599_779c_4835;
+    }
+}
+
+pub mod news {
+    pub use self::Which::{Changes,Compacted,Away};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Changes(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Compacted(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Away(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn set_changes(&mut self, value: crate::gateway_capnp::changes::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_changes(self, ) -> crate::gateway_capnp::changes::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 0);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_changes(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_compacted(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 1);
+        }
+        #[inline]
+        pub fn set_away(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 2);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Changes(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Compacted(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Away(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(71, 87, 149, 108, 10, 9, 17, 158),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(134, 80, 63, 157, 161, 194, 228, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 78, 101),
+            ::capnp::word(119, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 72, 156, 119, 153, 53, 126, 193),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 109, 112, 97, 99, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 119, 97, 121, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::gateway_capnp::changes::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0x9e11_090a_6c95_5747;
+    }
+    pub enum Which<A0> {
+        Changes(A0),
+        Compacted(()),
+        Away(()),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::gateway_capnp::changes::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::gateway_capnp::changes::Builder<'a>>>;
+}
 
-pub mod owner {
+
+pub mod gateway {
     #![allow(unused_variables)]
-    pub type AskParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::ask_params::Owned>;
-    pub type AskResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::ask_results::Owned>;
-    pub type ReleaseParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::release_params::Owned>;
-    pub type ReleaseResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::release_results::Owned>;
-    pub type BeganParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::began_params::Owned>;
-    pub type BeganResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::began_results::Owned>;
-    pub type KnownParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::known_params::Owned>;
-    pub type KnownResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::known_results::Owned>;
-    pub type CrashedParams<> = ::capnp::capability::Params<crate::gateway_capnp::owner::crashed_params::Owned>;
-    pub type CrashedResults<> = ::capnp::capability::Results<crate::gateway_capnp::owner::crashed_results::Owned>;
+    pub type AskParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::ask_params::Owned>;
+    pub type AskResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::ask_results::Owned>;
+    pub type ReleaseParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::release_params::Owned>;
+    pub type ReleaseResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::release_results::Owned>;
+    pub type BeganParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::began_params::Owned>;
+    pub type BeganResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::began_results::Owned>;
+    pub type FollowParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::follow_params::Owned>;
+    pub type FollowResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::follow_results::Owned>;
+    pub type CrashedParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::crashed_params::Owned>;
+    pub type CrashedResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::crashed_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1116,28 +2028,28 @@
         }
     }
     impl  Client {
-        pub fn ask_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::ask_params::Owned,crate::gateway_capnp::owner::ask_results::Owned> {
+        pub fn ask_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::ask_params::Owned,crate::gateway_capnp::gateway::ask_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
-        pub fn release_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::release_params::Owned,crate::gateway_capnp::owner::release_results::Owned> {
+        pub fn release_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::release_params::Owned,crate::gateway_capnp::gateway::release_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
-        pub fn began_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::began_params::Owned,crate::gateway_capnp::owner::began_results::Owned> {
+        pub fn began_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::began_params::Owned,crate::gateway_capnp::gateway::began_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
-        pub fn known_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::known_params::Owned,crate::gateway_capnp::owner::known_results::Owned> {
+        pub fn follow_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::follow_params::Owned,crate::gateway_capnp::gateway::follow_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn crashed_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::owner::crashed_params::Owned,crate::gateway_capnp::owner::crashed_results::Owned> {
+        pub fn crashed_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::crashed_params::Owned,crate::gateway_capnp::gateway::crashed_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
-        fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::ask not implemented".to_string()))) }
-        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::release not implemented".to_string()))) }
-        fn began(self: ::capnp::capability::Rc<Self>, _: BeganParams<>, _: BeganResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::began not implemented".to_string()))) }
-        fn known(self: ::capnp::capability::Rc<Self>, _: KnownParams<>, _: KnownResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::known not implemented".to_string()))) }
-        fn crashed(self: ::capnp::capability::Rc<Self>, _: CrashedParams<>, _: CrashedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method owner::Server::crashed not implemented".to_string()))) }
+        fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::ask not implemented".to_string()))) }
+        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::release not implemented".to_string()))) }
+        fn began(self: ::capnp::capability::Rc<Self>, _: BeganParams<>, _: BeganResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::began not implemented".to_string()))) }
+        fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::follow not implemented".to_string()))) }
+        fn crashed(self: ::capnp::capability::Rc<Self>, _: CrashedParams<>, _: CrashedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::crashed not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1170,14 +2082,14 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ask(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::began(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::known(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::follow(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::crashed(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
     }
     pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xa02b_9b1d_c428_f491;
+        pub(crate) const TYPE_ID: u64 = 0xb924_ba20_127f_1cfa;
     }
 
     pub mod ask_params {
@@ -1333,23 +2245,24 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(19, 247, 115, 161, 126, 127, 96, 226),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(29, 231, 199, 238, 187, 93, 206, 155),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 97, 115, 107, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 97, 115),
+                ::capnp::word(107, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -1386,7 +2299,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xe260_7f7e_a173_f713;
+            pub(crate) const TYPE_ID: u64 = 0x9bce_5dbb_eec7_e71d;
         }
     }
 
@@ -1543,23 +2456,24 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(16, 39, 93, 178, 239, 189, 43, 255),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(58, 242, 248, 26, 6, 87, 63, 206),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 97, 115, 107, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 97, 115),
+                ::capnp::word(107, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -1596,7 +2510,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xff2b_bdef_b25d_2710;
+            pub(crate) const TYPE_ID: u64 = 0xce3f_5706_1af8_f23a;
         }
     }
 
@@ -1824,22 +2738,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(226, 3, 255, 6, 150, 5, 86, 133),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(219, 135, 157, 28, 90, 234, 73, 152),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 114, 101, 108, 101),
-                ::capnp::word(97, 115, 101, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 114, 101),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
                 ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -1941,7 +2855,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3,4];
-            pub(crate) const TYPE_ID: u64 = 0x8556_0596_06ff_03e2;
+            pub(crate) const TYPE_ID: u64 = 0x9849_ea5a_1c9d_87db;
         }
     }
 
@@ -2073,22 +2987,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(40, 183, 173, 67, 116, 21, 185, 222),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(18, 128, 83, 148, 80, 73, 163, 204),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 114, 101, 108, 101),
-                ::capnp::word(97, 115, 101, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 114, 101),
+                ::capnp::word(108, 101, 97, 115, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -2106,7 +3020,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xdeb9_1574_43ad_b728;
+            pub(crate) const TYPE_ID: u64 = 0xcca3_4950_9453_8012;
         }
     }
 
@@ -2274,22 +3188,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(16, 11, 35, 179, 219, 150, 119, 179),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(26, 210, 177, 38, 116, 70, 174, 138),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 98, 101, 103, 97),
-                ::capnp::word(110, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 98, 101),
+                ::capnp::word(103, 97, 110, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -2343,7 +3257,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xb377_96db_b323_0b10;
+            pub(crate) const TYPE_ID: u64 = 0x8aae_4674_26b1_d21a;
         }
     }
 
@@ -2475,22 +3389,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(45, 51, 1, 31, 35, 112, 139, 177),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(43, 211, 202, 24, 249, 110, 249, 203),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 98, 101, 103, 97),
-                ::capnp::word(110, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 98, 101),
+                ::capnp::word(103, 97, 110, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -2508,11 +3422,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xb18b_7023_1f01_332d;
+            pub(crate) const TYPE_ID: u64 = 0xcbf9_6ef9_18ca_d32b;
         }
     }
 
-    pub mod known_params {
+    pub mod follow_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2573,11 +3487,23 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn get_whole(self) -> bool {
+                self.reader.get_bool_field(96)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2627,6 +3553,30 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_after(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_after(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+            #[inline]
+            pub fn get_whole(self) -> bool {
+                self.builder.get_bool_field(96)
+            }
+            #[inline]
+            pub fn set_whole(&mut self, value: bool)  {
+                self.builder.set_bool_field(96, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2638,27 +3588,78 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(40, 201, 17, 113, 118, 99, 233, 247),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(81, 152, 184, 167, 51, 182, 49, 243),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 107, 110, 111, 119),
-                ::capnp::word(110, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 102, 111),
+                ::capnp::word(108, 108, 111, 119, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 96, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 104, 111, 108, 101, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -2670,14 +3671,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xf7e9_6376_7111_c928;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xf331_b633_a7b8_9851;
         }
     }
 
-    pub mod known_results {
+    pub mod follow_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2739,11 +3740,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_text(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_news(self) -> ::capnp::Result<crate::gateway_capnp::news::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_text(&self) -> bool {
+            pub fn has_news(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -2801,19 +3802,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_text(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_news(self) -> ::capnp::Result<crate::gateway_capnp::news::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_text(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_news(&mut self, value: crate::gateway_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_text(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_news(self, ) -> crate::gateway_capnp::news::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_text(&self) -> bool {
+            pub fn has_news(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -2825,26 +3826,29 @@
             }
         }
         impl Pipeline  {
+            pub fn get_news(&self) -> crate::gateway_capnp::news::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(45, 66, 158, 230, 222, 195, 206, 195),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(241, 118, 114, 172, 11, 220, 213, 223),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 107, 110, 111, 119),
-                ::capnp::word(110, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 102, 111),
+                ::capnp::word(108, 108, 111, 119, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -2853,18 +3857,18 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(71, 87, 149, 108, 10, 9, 17, 158),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::gateway_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2881,7 +3885,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xc3ce_c3de_e69e_422d;
+            pub(crate) const TYPE_ID: u64 = 0xdfd5_dc0b_ac72_76f1;
         }
     }
 
@@ -3025,22 +4029,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(150, 64, 70, 25, 16, 181, 200, 173),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(169, 38, 37, 17, 5, 243, 215, 163),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 99, 114, 97, 115),
-                ::capnp::word(104, 101, 100, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 99, 114),
+                ::capnp::word(97, 115, 104, 101, 100, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -3077,7 +4081,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xadc8_b510_1946_4096;
+            pub(crate) const TYPE_ID: u64 = 0xa3d7_f305_1125_26a9;
         }
     }
 
@@ -3209,22 +4213,22 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(90, 52, 252, 49, 58, 108, 249, 183),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(137, 216, 200, 80, 176, 94, 207, 238),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 79, 119),
-                ::capnp::word(110, 101, 114, 46, 99, 114, 97, 115),
-                ::capnp::word(104, 101, 100, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 99, 114),
+                ::capnp::word(97, 115, 104, 101, 100, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -3242,7 +4246,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xb7f9_6c3a_31fc_345a;
+            pub(crate) const TYPE_ID: u64 = 0xeecf_5eb0_50c8_d889;
         }
     }
 }
