Note the version of an adapter that an engine already holds

Cause: an adapter that was loaded without a version, just after a new one was written and before the owner knew it, is of that version already. Ruled out: an engine that answers wrongly (its answer says which version it holds). Change: that answer sets the version. announce_already_in_place failed before.

--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -258,6 +258,8 @@
                             + took.mul_f64(NEWEST_SHARE);
                     }
                     copy.state = State::Resident;
+                    // An adapter that was loaded without a version may be newer than known.
+                    copy.version = copy.version.max(order.version.unwrap_or_default());
                 }
                 self.kept.remove(&order.weights);
             }
--- a/crates/endivespur_core/tests/gateway/version.rs
+++ b/crates/endivespur_core/tests/gateway/version.rs
@@ -1,6 +1,6 @@
 //! New versions of adapters that are in use.
 
-use endivespur_core::gateway::placement::{Answer, Verdict};
+use endivespur_core::gateway::placement::{Answer, Step, Verdict};
 
 use crate::{answer, ask, engine, grant, ms, order, weights};
 
@@ -24,6 +24,21 @@
     grant(&mut engine, ms(261), "a");
 }
 
+/// An adapter that was loaded as the newest, just before the new version became known: the
+/// engine says that it holds that version, and must not be asked again and again.
+#[test]
+fn announce_already_in_place() {
+    let mut engine = engine(2, &[]);
+    engine.join(ms(0), &ask("a"));
+    assert_eq!(answer(&mut engine, ms(0), Answer::Accepted).version, None);
+    answer(&mut engine, ms(260), Answer::Holds);
+    engine.announce(&weights("a"), 2);
+    let second = answer(&mut engine, ms(300), Answer::Holds);
+    assert_eq!(second.version, Some(2));
+    assert_eq!(engine.step(ms(301)), Step::Sleep(None));
+    grant(&mut engine, ms(301), "a");
+}
+
 #[test]
 fn announce_most_used_first() {
     let mut engine = engine(2, &["a", "b"]);
