Let an engine load while an unload waits for its requests

Cause: after a takeover an owner does not know which requests run. Ruled out: that the engine takes no other order meanwhile (loads and unloads of adapters do not make it busy). Change: an unload that waits occupies its slot only; at most two wait; the report is read for them beside other orders and changes nothing else, since it is older than those. Also: a gateway that ends waits up to 200 ms for its last log lines to be taken; the line that says that it stopped was always lost. Tests: three of unloads failed before; wait_last_lines_are_written.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -133,6 +133,15 @@
     Unloading,
 }
 
+/// What a report is read for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// All that the engine holds.
+    State,
+    /// Which unloads are done: the rest is known better than an older report tells it.
+    Unloads,
+}
+
 #[derive(Clone, Debug)]
 struct Copy {
     version: Version,
@@ -186,6 +195,10 @@
     doubtful: BTreeSet<Weights>,
     orders: u64,
     report_at: Option<Time>,
+    /// When the report is read for unloads that wait for running requests.
+    unload_check: Option<Time>,
+    /// What the report that is being read is for.
+    reading: Reading,
     base_check: Option<Time>,
     repeated: Option<Order>,
     /// The prompts that are not read yet.
@@ -218,6 +231,8 @@
             doubtful: BTreeSet::new(),
             orders: 0,
             report_at: Some(now),
+            unload_check: None,
+            reading: Reading::State,
             base_check: None,
             repeated: None,
             unread: BTreeMap::new(),
@@ -345,10 +360,14 @@
         self.report_at.get_or_insert(now + REPORT_LAG);
     }
 
-    /// Takes a report as the engine's state.
+    /// Takes the report that [`Step::Report`] asked for, in general as the engine's state.
     ///
     /// An adapter with users stays in use if the report still lists it.
     pub fn reconcile(&mut self, now: Time, report: &Report) {
+        if self.reading == Reading::Unloads {
+            self.unloaded(now, report);
+            return;
+        }
         let mut copies = BTreeMap::new();
         for (name, base) in &report.bases {
             for (adapter, version) in &base.adapters {
@@ -379,7 +398,27 @@
         self.orders = report.orders;
         self.doubtful.clear();
         self.base_check = None;
+        self.unload_check = None;
         self.repeated = None;
         self.report_at = report.is_busy.then_some(now + REPORT_LAG);
     }
+
+    /// Drops the adapters whose unload is done.
+    fn unloaded(&mut self, now: Time, report: &Report) {
+        let holds = |weights: &Weights| {
+            let base = report.bases.get(&weights.base);
+            base.is_some_and(|base| base.adapters.contains_key(&weights.adapter))
+        };
+        let unloading = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| copy.state == State::Unloading);
+        let (waiting, done): (Vec<Weights>, Vec<Weights>) = unloading
+            .map(|(weights, _)| weights.clone())
+            .partition(holds);
+        for weights in done {
+            self.dropped(now, &weights);
+        }
+        self.unload_check = (!waiting.is_empty()).then_some(now + REPORT_LAG);
+    }
 }
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Action, Answer, Copy, Engine, GRANT_BOUND, Order, POPULARITY_HALF_LIFE, REPORT_LAG, State, Step,
+    Action, Answer, Copy, Engine, GRANT_BOUND, Order, POPULARITY_HALF_LIFE, REPORT_LAG, Reading,
+    State, Step,
 };
 use crate::clock::Time;
 use crate::gateway::endpoint::Weights;
@@ -14,6 +15,9 @@
 /// The adapters that an owner fetches from the weight store at the same time. The store's
 /// bandwidth is shared by all engines, so that more at once only take longer each.
 const MAX_FETCHING: usize = 1;
+/// The unloads that may wait for running requests at the same time. An owner does not know
+/// the requests that began under the one before it; another adapter may be free.
+const MAX_UNLOADING: usize = 2;
 /// The adapters that an engine is counted on to keep beside its slots, from where they load
 /// in a tenth of the time; engines keep 48 or more.
 const KEPT_BESIDE: usize = 40;
@@ -32,6 +36,7 @@
     /// Returns what the owner does next.
     pub fn step(&mut self, now: Time) -> Step {
         self.expire(now);
+        self.reading = Reading::State;
         if let Some(at) = self.report_at {
             return if now >= at {
                 Step::Report
@@ -55,7 +60,16 @@
         if let Some(order) = self.load_wanted(now) {
             return Step::Order(order);
         }
-        self.check(now)
+        match (self.check(now), self.unload_check) {
+            (Step::Sleep(_), Some(at)) if now >= at => {
+                self.reading = Reading::Unloads;
+                Step::Report
+            }
+            (Step::Sleep(next), Some(at)) => {
+                Step::Sleep(Some(next.map_or(at, |next| next.min(at))))
+            }
+            (step, _) => step,
+        }
     }
 
     pub(super) fn expire(&mut self, now: Time) {
@@ -133,6 +147,11 @@
             let newest = self.newest.get(&wanted).copied();
             return Some(self.order(Action::Load, &wanted, newest));
         }
+        let unloading = self.copies.values();
+        let unloading = unloading.filter(|copy| copy.state == State::Unloading);
+        if unloading.count() >= MAX_UNLOADING {
+            return None;
+        }
         let victim = self.victim(now)?;
         Some(self.order(Action::Unload, &victim, None))
     }
@@ -229,7 +248,7 @@
                 if let Some(copy) = self.copies.get_mut(&order.weights) {
                     copy.state = State::Unloading;
                 }
-                self.report_at = Some(now + REPORT_LAG);
+                self.unload_check.get_or_insert(now + REPORT_LAG);
             }
         }
     }
@@ -265,13 +284,18 @@
             }
             Action::Unload => {
                 self.orders = order.expected + 1;
-                self.copies.remove(&order.weights);
-                self.cache.forget(&order.weights);
-                self.keep_beside(now, &order.weights);
+                self.dropped(now, &order.weights);
             }
         }
     }
 
+    /// Notes that an adapter is unloaded.
+    pub(super) fn dropped(&mut self, now: Time, weights: &Weights) {
+        self.copies.remove(weights);
+        self.cache.forget(weights);
+        self.keep_beside(now, weights);
+    }
+
     pub(super) fn keep_beside(&mut self, now: Time, weights: &Weights) {
         self.kept.insert(weights.clone(), now);
         if self.kept.len() > KEPT_BESIDE {
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -151,6 +151,51 @@
     assert_eq!((order.action, order.expected), (Action::Unload, 7));
 }
 
+/// After a takeover the owner does not know which adapters run: an unload that waits for its
+/// requests must not keep the engine from loading, for seconds in the worst case.
+#[test]
+fn accepted_unload_waits_for_its_requests() {
+    let mut engine = engine(2, &["a", "b"]);
+    engine.join(ms(0), &ask("c"));
+    let first = answer(&mut engine, ms(0), Answer::Accepted);
+    assert_eq!(first.action, Action::Unload);
+    let second = answer(&mut engine, ms(5), Answer::Holds);
+    assert_eq!((second.action, second.expected), (Action::Unload, 1));
+    assert_ne!(first.weights, second.weights);
+    let load = answer(&mut engine, ms(10), Answer::Accepted);
+    assert_eq!((load.action, load.weights), (Action::Load, weights("c")));
+}
+
+#[test]
+fn reconcile_unload_is_done() {
+    let mut engine = engine(1, &["a"]);
+    engine.join(ms(0), &ask("c"));
+    answer(&mut engine, ms(0), Answer::Accepted);
+    assert_matches!(engine.step(ms(10)), Step::Sleep(Some(_)));
+    assert_eq!(engine.step(ms(310)), Step::Report);
+    engine.reconcile(ms(310), &report(&[("a", 1)], 1));
+    assert_matches!(engine.step(ms(320)), Step::Sleep(Some(_)));
+    assert_eq!(engine.step(ms(620)), Step::Report);
+    engine.reconcile(ms(620), &report(&[], 1));
+    let load = order(&mut engine, ms(620));
+    assert_eq!((load.action, load.expected), (Action::Load, 1));
+}
+
+/// The report is older than what was ordered since; it only tells which unloads are done.
+#[test]
+fn reconcile_unload_beside_a_load() {
+    let mut engine = engine(2, &["a", "b"]);
+    engine.join(ms(0), &ask("c"));
+    answer(&mut engine, ms(0), Answer::Accepted);
+    answer(&mut engine, ms(5), Answer::Holds);
+    answer(&mut engine, ms(10), Answer::Accepted);
+    answer(&mut engine, ms(270), Answer::Holds);
+    engine.leave(&weights("c"));
+    assert_eq!(engine.step(ms(310)), Step::Report);
+    engine.reconcile(ms(310), &report(&[("a", 1), ("b", 1)], 1));
+    grant(&mut engine, ms(311), "c");
+}
+
 #[test]
 fn step_one_fetch_at_a_time() {
     let mut engine = engine(8, &[]);
--- a/crates/endivespur_log/src/lib.rs
+++ b/crates/endivespur_log/src/lib.rs
@@ -7,13 +7,15 @@
 
 use env_logger::{Builder, Env, Target};
 
-pub use queue::Queue;
+pub use queue::{Backlog, Queue};
 
 /// Sets the process's logger up; it writes to standard output.
 ///
 /// `RUST_LOG` filters by part and level as `env_logger` describes; `info` is the default.
-pub fn start() {
+/// The last lines are written only if the process waits for the backlog before it ends.
+pub fn start() -> Backlog {
     let queue = Queue::new(std::io::stdout());
+    let backlog = queue.backlog();
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(queue)))
         .format(|out, record| {
@@ -22,4 +24,5 @@
             out.write_all(&line)
         })
         .init();
+    backlog
 }
--- a/crates/endivespur_log/src/queue.rs
+++ b/crates/endivespur_log/src/queue.rs
@@ -5,12 +5,16 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// The lines that wait at most; at 200 to 300 bytes each this is below one megabyte.
 const MAX_LINES: usize = 2048;
 /// The waiting lines above which only warnings and errors are taken.
 const MAX_ORDINARY_LINES: usize = 1536;
 
+/// The time between two looks at the backlog.
+const CHECK_EVERY: Duration = Duration::from_millis(2);
+
 /// A writer that hands whole lines to a thread and drops what does not fit.
 #[derive(Debug)]
 pub struct Queue {
@@ -43,12 +47,35 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
+    /// Returns what counts the lines that are not written yet.
+    pub fn backlog(&self) -> Backlog {
+        Backlog(self.waiting.clone())
+    }
+
     fn drop_line(&self) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
         metrics::counter!("endivespur_log_dropped_total").increment(1);
     }
 }
 
+/// The lines that are not written yet.
+#[derive(Clone, Debug)]
+pub struct Backlog(Arc<AtomicUsize>);
+
+impl Backlog {
+    /// Waits until all lines are written, or `limit` is over; tells whether they are.
+    pub fn wait(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        loop {
+            let is_empty = self.0.load(Ordering::Relaxed) == 0;
+            if is_empty || Instant::now() >= deadline {
+                return is_empty;
+            }
+            thread::sleep(CHECK_EVERY);
+        }
+    }
+}
+
 fn is_urgent(line: &[u8]) -> bool {
     let has = |text: &[u8]| line.windows(text.len()).any(|part| part == text);
     has(br#""level":"warn""#) || has(br#""level":"error""#)
@@ -84,7 +111,6 @@
 impl Drain {
     fn run(self, mut to: impl Write) {
         while let Ok(line) = self.received.recv() {
-            self.waiting.fetch_sub(1, Ordering::Relaxed);
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
             let mut written = Ok(());
             if dropped > 0 {
@@ -99,6 +125,7 @@
                 return;
             }
             to.flush().ok();
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
         }
     }
 }
--- a/crates/endivespur_log/tests/queue.rs
+++ b/crates/endivespur_log/tests/queue.rs
@@ -85,3 +85,22 @@
     }
     assert!(queue.dropped() > 0);
 }
+
+#[test]
+fn wait_last_lines_are_written() {
+    let (open, gate) = channel();
+    let (lines, received) = channel();
+    let mut queue = Queue::new(Stuck {
+        open: gate,
+        is_open: false,
+        lines,
+    });
+    let backlog = queue.backlog();
+    for _ in 0..100 {
+        queue.write_all(LINE).unwrap();
+    }
+    assert!(!backlog.wait(Duration::from_millis(20)), "nobody reads");
+    open.send(()).unwrap();
+    assert!(backlog.wait(Duration::from_secs(5)));
+    assert_eq!(received.try_iter().count(), 100);
+}
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
@@ -12,6 +13,8 @@
 use smol::LocalExecutor;
 use smol::stream::StreamExt;
 
+/// How long a process that ends waits for its last log lines to be taken.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// The exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -52,9 +55,11 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     if matches.get_flag("platform") {
-        endivespur_log::start();
+        let backlog = endivespur_log::start();
         let port = matches.get_one::<u16>("metrics-port").copied();
-        return run_gateway(matches.get_flag("check"), port);
+        let code = run_gateway(matches.get_flag("check"), port);
+        backlog.wait(LAST_LINES);
+        return code;
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
