Soak gateways as processes with random faults, and ask sources that are away sooner

A source that says that it does not hear the store was avoided for up to 6 s, doubling like a silent one, and a gateway that heard the store told followers that it does not while it asked another source. Change: such a source is asked again after 0.7 s; what was heard counts by its age alone. choose_source_that_was_away fails without it.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -16,6 +16,8 @@
 pub const VMS_PER_WATCHER: usize = 12;
 /// How long a source that failed is not used: a VM that died has lost its lease soon after.
 pub const FAILED_FOR: Duration = Duration::from_millis(1500);
+/// How long a source that does not hear the store itself is not used: it says so at once.
+const AWAY_FOR: Duration = Duration::from_millis(700);
 /// The longest time, after several failures: an attempt can take as long as a first failure.
 const MAX_FAILED_FOR: Duration = Duration::from_secs(6);
 /// The gateways besides the watchers that are asked when neither those nor the store answer.
@@ -58,7 +60,17 @@
         }
     }
 
-    /// Notes that a source did not answer, or has itself lost the store.
+    /// Notes that a source does not hear the store itself.
+    pub fn away(&mut self, now: Time, source: &Source) {
+        let known = self.failed.get(source);
+        let failure = Failure {
+            until: now + AWAY_FOR,
+            pause: known.map_or(FAILED_FOR, |known| known.pause),
+        };
+        self.failed.insert(source.clone(), failure);
+    }
+
+    /// Notes that a source did not answer.
     pub fn failed(&mut self, now: Time, source: &Source) {
         let known = self.failed.get(source);
         let pause = known.map_or(FAILED_FOR, |known| (known.pause * 2).min(MAX_FAILED_FOR));
--- a/crates/endivespur_core/tests/gateway/source.rs
+++ b/crates/endivespur_core/tests/gateway/source.rs
@@ -92,6 +92,22 @@
     assert_eq!(choice.choose(FAILED_FOR, &zones), Source::Store);
 }
 
+/// A source that has lost the store says so at once, and may hear it again at any time.
+#[test]
+fn choose_source_that_was_away() {
+    let zones = site(9, 3);
+    let (watchers, _) = followers(&zones);
+    let vm = zones.keys().find(|vm| !watchers.contains(*vm)).unwrap();
+    let mut choice = sources(vm, &zones);
+    let first = choice.choose(ms(0), &zones);
+    for second in 0..20 {
+        let now = ms(1000 * second);
+        assert_eq!(choice.choose(now, &zones), first);
+        choice.away(now, &first);
+        assert_ne!(choice.choose(now, &zones), first);
+    }
+}
+
 /// A source that is cut off costs a second with each attempt: attempts become rarer.
 #[test]
 fn choose_source_that_keeps_failing() {
--- a/crates/endivespur_dev/src/main.rs
+++ b/crates/endivespur_dev/src/main.rs
@@ -1,11 +1,13 @@
 //! Runs a maintenance task.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use endivespur_dev::stand::{self, engine};
-use endivespur_dev::{bench, demo, measure, scale};
+use endivespur_dev::{bench, demo, measure, process, scale};
+use endivespur_stand::soak;
 use smol::LocalExecutor;
 
 fn text(name: &'static str) -> Arg {
@@ -54,6 +56,7 @@
         .subcommand_required(true)
         .subcommand(stand_command())
         .subcommand(bench_command())
+        .subcommand(soak_command())
         .subcommand(Command::new("measure").about("Measures daemons as separate processes"))
         .subcommand(
             Command::new("scale").about("Measures the core's decisions at the target's size"),
@@ -70,6 +73,47 @@
         )
 }
 
+fn soak_command() -> Command {
+    Command::new("soak")
+        .about("Injects random faults into gateways and checks what callers and engines see")
+        .arg(number("seed", "1").help("The first seed; each run is told with its own"))
+        .arg(number("runs", "1").help("The seeds that are run, one after the other"))
+        .arg(number("rounds", "4").help("The rounds of overlapping faults of a run"))
+        .arg(number("gateways", "4").help("The gateways, each a process"))
+        .arg(text("folder").help("The folder of logs, a new one of its own by default"))
+}
+
+fn soak(matches: &ArgMatches) -> Result<(), String> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let program = process::build()?.join("endivespurd");
+    let base = matches.get_one::<String>("folder").map_or_else(
+        || std::env::temp_dir().join(format!("endivespur-soak-{}", std::process::id())),
+        PathBuf::from,
+    );
+    let mut failed = Vec::new();
+    for seed in number("seed")..number("seed") + number("runs") {
+        let options = soak::Options {
+            program: program.clone(),
+            folder: base.join(seed.to_string()),
+            seed,
+            rounds: number("rounds") as usize,
+            gateways: number("gateways") as usize,
+            is_verbose: true,
+        };
+        match soak::run(&options) {
+            Ok(requests) => println!("seed {seed}: {requests} requests, no promise broken"),
+            Err(message) => {
+                println!("{message}");
+                failed.push(seed);
+            }
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(format!("seeds with a broken promise: {failed:?}"))
+}
+
 fn bench_command() -> Command {
     Command::new("bench")
         .about("Measures the policy in virtual time, against two others")
@@ -105,6 +149,7 @@
     let result = match matches.subcommand() {
         Some(("stand", matches)) => stand_in(matches).map_err(|error| error.to_string()),
         Some(("bench", matches)) => bench::run(&plan(matches)),
+        Some(("soak", matches)) => soak(matches),
         Some(("measure", _)) => measure::run(),
         Some(("scale", _)) => {
             scale::run();
--- /dev/null
+++ b/crates/endivespur_dev/tests/soak.rs
@@ -0,0 +1,27 @@
+//! A short soak; `endivespur_dev soak` runs longer ones.
+
+use endivespur_dev::process;
+use endivespur_stand::soak;
+
+/// Runs two rounds with the faults of a seed.
+fn run(seed: u64) {
+    let folder =
+        std::env::temp_dir().join(format!("endivespur-soak-{}-{seed}", std::process::id()));
+    let options = soak::Options {
+        program: process::build().unwrap().join("endivespurd"),
+        folder: folder.clone(),
+        seed,
+        rounds: 2,
+        gateways: 3,
+        is_verbose: true,
+    };
+    let requests = soak::run(&options).unwrap();
+    assert!(requests > 500, "{requests} requests");
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+/// All gateways are killed while the store answers none of them.
+#[test]
+fn run_short() {
+    run(3);
+}
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -47,6 +47,16 @@
     value_bytes: usize::MAX,
 };
 
+/// What a source had to tell.
+enum Heard {
+    /// The store's changes, maybe none.
+    Changes,
+    /// That it does not hear the store itself.
+    Away,
+    /// Nothing.
+    Nothing,
+}
+
 /// Starts to follow the store.
 pub fn start(state: &Rc<State>) {
     state.spawn(follow(state.clone()));
@@ -66,7 +76,7 @@
             info!(event = "source", source:? = source; "follows");
             present = Some(source.clone());
         }
-        let is_heard = match &source {
+        let heard = match &source {
             Source::Store => {
                 // A store that has failed is asked for an answer at once, so that it is soon
                 // known whether it has returned.
@@ -75,10 +85,10 @@
             }
             Source::Vm(vm) => follow_vm(&state, vm).await,
         };
-        if is_heard {
-            sources.answered(&source);
-        } else {
-            sources.failed(clock::now(), &source);
+        match heard {
+            Heard::Changes => sources.answered(&source),
+            Heard::Away => sources.away(clock::now(), &source),
+            Heard::Nothing => sources.failed(clock::now(), &source),
         }
     }
 }
@@ -105,8 +115,8 @@
     true
 }
 
-/// Waits at most `wait` for the store's next changes; tells whether it answered.
-async fn watch(state: &State, wait: Duration) -> bool {
+/// Waits at most `wait` for the store's next changes.
+async fn watch(state: &State, wait: Duration) -> Heard {
     let revision = state.feed.borrow().revision();
     let change = if revision == 0 {
         Ok(Change::Compacted)
@@ -127,20 +137,20 @@
                 })
                 .await;
             }
-            true
+            Heard::Changes
         }
         Err(error) => failed(state, &error).await,
     }
 }
 
-/// Lists all keys; tells whether the store answered.
-async fn list(state: &State) -> bool {
+/// Lists all keys.
+async fn list(state: &State) -> Heard {
     match state.store.list(EVERYTHING).await {
         Ok(page) => {
             info!(event = "listed", revision = page.revision, keys = page.items.len(); "read anew");
             heard(state);
             apply::replace(state, page);
-            true
+            Heard::Changes
         }
         Err(error) => failed(state, &error).await,
     }
@@ -154,19 +164,18 @@
     state.heard.set(Some(now));
 }
 
-async fn failed(state: &State, error: &store::Error) -> bool {
+async fn failed(state: &State, error: &store::Error) -> Heard {
     lost(state, error);
     let vms = state.catalog.borrow().peers().count() as u32;
     Timer::after((RETRY_PAUSE_PER_VM * vms).max(RETRY_PAUSE)).await;
-    false
+    Heard::Nothing
 }
 
-/// Waits for the next changes from another gateway; tells whether it had any to tell.
-async fn follow_vm(state: &Rc<State>, vm: &str) -> bool {
-    state.heard.set(None);
+/// Waits for the next changes from another gateway.
+async fn follow_vm(state: &Rc<State>, vm: &str) -> Heard {
     let address = state.catalog.borrow().peer(vm).map(|peer| peer.address);
     let Some(address) = address else {
-        return false;
+        return Heard::Nothing;
     };
     let after = state.feed.borrow().revision();
     let wait = gather_time(state, MAX_GATHER_SHARE);
@@ -175,15 +184,15 @@
         Ok(News::Told(Change::Compacted, _)) => return list(state).await,
         Ok(News::Away) => {
             debug!(event = "source-away", vm; "does not hear the store");
-            return false;
+            return Heard::Away;
         }
-        Err(peer::Silent) => return false,
+        Err(peer::Silent) => return Heard::Nothing,
     };
     if !read_large(state, &mut page).await {
         // The store refuses this gateway.
         let whole = peer::follow(state, address, after, Duration::ZERO, true).await;
         let Ok(News::Told(Change::Changes(told), _)) = whole else {
-            return false;
+            return Heard::Nothing;
         };
         page = told;
     }
@@ -191,7 +200,7 @@
     let until = clock::now() + settling;
     state.catalog.borrow_mut().settle(until);
     apply::apply(state, page);
-    true
+    Heard::Changes
 }
 
 /// Reads the values that were too large to be told; tells whether the store answered.
