Trace a request through the logs of several gateways, and log why none was found

`endivespurctl trace REQUEST [LOG ...]` prints, in the order of time, the lines of a request, the orders of its adapter, and what changed about its endpoints and about the gateways that handled it or owned them, with the last change of each before it began; as text or objects. Lines that are no log lines are counted.

Added: `not-acquired` with the last answer for each engine.

--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -1,6 +1,7 @@
 //! Finds the engine for a request: asks the owners of those that may run it.
 
-use std::collections::BTreeSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use endivespur_core::gateway::endpoint::{Instance, Weights};
 use endivespur_core::gateway::placement::Ask;
 use endivespur_core::id::{Endpoint, Grant, Version};
+use log::info;
 use smol::Timer;
 
 use crate::exchange::Call;
@@ -129,6 +131,7 @@
             state,
             call,
             weights: &weights,
+            answers: RefCell::new(BTreeMap::new()),
         };
         let (homes, spares) = homes.split_at(homes.len().min(choice::HOMES));
         let mut found = search.run(homes).await;
@@ -139,8 +142,10 @@
             // The engine may have begun to leave while the request waited.
             Found::Permit(permit) if is_serving(state, &permit.instance) => return Ok(*permit),
             Found::Permit(_) => continue,
-            Found::Busy => return Err("busy"),
-            Found::NoOwner if call.objective_left().is_zero() => return Err("no-owner"),
+            Found::Busy => return Err(search.give_up("busy")),
+            Found::NoOwner if call.objective_left().is_zero() => {
+                return Err(search.give_up("no-owner"));
+            }
             Found::NoOwner => Timer::after(OWNER_PAUSE).await,
         };
     }
@@ -156,6 +161,8 @@
     state: &'a Rc<State>,
     call: &'a Call,
     weights: &'a Weights,
+    /// The last answer for each engine, for the log.
+    answers: RefCell<BTreeMap<Endpoint, String>>,
 }
 
 /// What a search found.
@@ -210,6 +217,21 @@
         Found::Busy
     }
 
+    /// Logs why no engine was found, and returns the reason.
+    fn give_up(&self, reason: &'static str) -> &'static str {
+        let answers = self.answers.borrow();
+        let answers = answers
+            .iter()
+            .map(|(endpoint, answer)| format!("{endpoint} {answer}"));
+        let answers: Vec<String> = answers.collect();
+        info!(
+            event = "not-acquired", request = self.call.fields.attempt.as_str(),
+            adapter = self.weights.to_string(), reason, answers = answers.join(", ");
+            "no engine can run it in time"
+        );
+        reason
+    }
+
     /// Returns how long the request may wait and still be answered.
     fn wait(&self) -> Duration {
         self.call.patience_left().saturating_sub(ANSWER_MARGIN)
@@ -233,13 +255,25 @@
         };
         let state = self.state;
         let wait = self.wait();
+        let note = |answer: String| {
+            let mut answers = self.answers.borrow_mut();
+            answers.insert(instance.id.clone(), answer);
+        };
+        note("unowned".to_string());
         let seat = seat(state, &instance.id)?;
+        note("silent".to_string());
         let reply = match seat {
             Seat::Here => state.owners.ask(&instance.id, &ask, wait).await,
             Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait)
                 .await
                 .ok()?,
         };
+        note(match reply {
+            Reply::Granted(_) => "granted".to_string(),
+            Reply::Busy(delay) => format!("busy for {} ms", delay.as_millis()),
+            Reply::NotOwner => "no longer owned".to_string(),
+            Reply::Late => "adapter late".to_string(),
+        });
         Some(match reply {
             Reply::Granted(grant) => Ok(permit(state, instance, self.weights, Some((seat, grant)))),
             other => Err(other),
--- a/crates/endivespurctl/src/arguments.rs
+++ b/crates/endivespurctl/src/arguments.rs
@@ -30,6 +30,9 @@
   drain|undrain ENDPOINT
   Each command may end with: if revision N, because \"REASON\"
 
+Logs of gateways on the platform:
+  trace REQUEST [LOG ...]
+
 Exit codes:
   0  done
   1  no daemon answered, or the call failed
@@ -74,6 +77,7 @@
                 .help("Prints the completions for a shell"),
         )
         .arg(flag("manual").help("Prints the manual page"))
+        .subcommand(trace_command())
         .arg(
             Arg::new("statement")
                 .num_args(0..)
@@ -82,6 +86,17 @@
         )
 }
 
+fn trace_command() -> Command {
+    Command::new("trace")
+        .about("Tells from the logs of gateways what happened to a request, and around it")
+        .arg(Arg::new("request").required(true).help("The request's id"))
+        .arg(
+            Arg::new("logs")
+                .num_args(0..)
+                .help("The gateways' logs; without any, standard input"),
+        )
+}
+
 /// Returns how results are printed.
 pub fn output(matches: &ArgMatches) -> Output {
     match matches.get_one::<String>("output").map(String::as_str) {
--- a/crates/endivespurctl/src/main.rs
+++ b/crates/endivespurctl/src/main.rs
@@ -3,8 +3,10 @@
 mod arguments;
 mod call;
 mod show;
+mod trace;
 
 use std::io::{IsTerminal, Read};
+use std::path::Path;
 use std::process::ExitCode;
 
 use arguments::Output;
@@ -36,6 +38,9 @@
 
 fn run(matches: &ArgMatches) -> Result<(), (u8, String)> {
     let failed = |message: String| (EXIT_FAILED, message);
+    if let Some(("trace", arguments)) = matches.subcommand() {
+        return trace_request(arguments, arguments::output(matches)).map_err(failed);
+    }
     let text = statements(matches).map_err(failed)?;
     let client = Client::new(matches).map_err(failed)?;
     let answer = client.send(&text).map_err(|failure| match failure {
@@ -60,6 +65,38 @@
     Ok(())
 }
 
+/// Prints what the logs tell of a request.
+fn trace_request(arguments: &ArgMatches, output: Output) -> Result<(), String> {
+    let request = arguments
+        .get_one::<String>("request")
+        .map_or("", String::as_str);
+    let paths: Vec<&String> = arguments.get_many("logs").unwrap_or_default().collect();
+    let mut log = trace::Log::new();
+    for path in &paths {
+        let bytes = std::fs::read(path).map_err(|error| format!("{path}: {error}"))?;
+        let name = Path::new(path).file_stem().unwrap_or_default();
+        log.read(&name.to_string_lossy(), &String::from_utf8_lossy(&bytes));
+    }
+    if paths.is_empty() {
+        let mut bytes = Vec::new();
+        let read = std::io::stdin().read_to_end(&mut bytes);
+        read.map_err(|error| error.to_string())?;
+        log.read("input", &String::from_utf8_lossy(&bytes));
+    }
+    if log.unreadable > 0 {
+        eprintln!("{} line(s) are no log lines", log.unreadable);
+    }
+    let lines = log.trace(request);
+    if lines.is_empty() {
+        return Err(format!("no line names the request {request}"));
+    }
+    match output {
+        Output::Json => trace::print_json(&lines),
+        Output::Table => trace::print(&lines, request),
+    }
+    Ok(())
+}
+
 /// Returns the statements from the arguments, a file, or standard input.
 fn statements(matches: &ArgMatches) -> Result<String, String> {
     if let Some(path) = matches.get_one::<String>("file") {
