--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -70,6 +70,8 @@
                 return relayed(caller, &head, &body).await;
             }
             Attempt::Answered(head, body) => {
+                let reason = format!("status {}", head.status);
+                log_attempt(call, &instance, "failed", &reason);
                 state.health.borrow_mut().failed(clock::now(), &instance.id);
                 runs += 1;
                 failed = Some((head, body));
@@ -107,7 +109,7 @@
     telemetry::attempt_failed(outcome);
     info!(
         event = "attempt", request = call.fields.attempt.as_str(),
-        endpoint = instance.id.as_str(), outcome, reason; "endpoint gave no answer"
+        endpoint = instance.id.as_str(), outcome, reason; "endpoint gave no good answer"
     );
 }
 
