--- a/crates/endivespur_core/tests/gateway/source.rs
+++ b/crates/endivespur_core/tests/gateway/source.rs
@@ -17,6 +17,13 @@
     Sources::new(vm, &zones[vm])
 }
 
+/// Returns a VM that follows another, with its choice.
+fn follower(zones: &BTreeMap<Vm, Zone>) -> (Vm, Sources) {
+    let choices = zones.keys().map(|vm| (vm.clone(), sources(vm, zones)));
+    let mut followers = choices.filter(|(_, choice)| choice.choose(ms(0), zones) != Source::Store);
+    followers.next().unwrap()
+}
+
 /// Returns which VMs watch the store, and how many follow each.
 fn followers(zones: &BTreeMap<Vm, Zone>) -> (BTreeSet<Vm>, BTreeMap<Vm, usize>) {
     let mut watchers = BTreeSet::new();
@@ -49,12 +56,7 @@
 #[test]
 fn choose_watcher_fails() {
     let zones = site(84, 3);
-    let vm = zones.keys().find(|vm| {
-        let source = sources(vm, &zones).choose(ms(0), &zones);
-        source != Source::Store
-    });
-    let vm = vm.unwrap();
-    let mut choice = sources(vm, &zones);
+    let (vm, mut choice) = follower(&zones);
     let mut now = ms(0);
     let mut tried = Vec::new();
     loop {
@@ -72,7 +74,7 @@
     let (watchers, _) = followers(&zones);
     assert_eq!(tried.len(), watchers.len() + 1);
     let is_near = |source: &Source| match source {
-        Source::Vm(watcher) => zones[watcher] == zones[vm],
+        Source::Vm(watcher) => zones[watcher] == zones[&vm],
         Source::Store => false,
     };
     let near = tried.iter().take_while(|source| is_near(source)).count();
@@ -96,9 +98,7 @@
 #[test]
 fn choose_source_that_was_away() {
     let zones = site(9, 3);
-    let (watchers, _) = followers(&zones);
-    let vm = zones.keys().find(|vm| !watchers.contains(*vm)).unwrap();
-    let mut choice = sources(vm, &zones);
+    let (_, mut choice) = follower(&zones);
     let first = choice.choose(ms(0), &zones);
     for second in 0..20 {
         let now = ms(1000 * second);
@@ -112,11 +112,7 @@
 #[test]
 fn choose_source_that_keeps_failing() {
     let zones = site(84, 3);
-    let vm = zones.keys().find(|vm| {
-        let source = sources(vm, &zones).choose(ms(0), &zones);
-        source != Source::Store
-    });
-    let mut choice = sources(vm.unwrap(), &zones);
+    let (_, mut choice) = follower(&zones);
     let first = choice.choose(ms(0), &zones);
     let mut attempts = 0;
     for second in 0..60 {
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -19,15 +19,16 @@
 /// How long a watcher may not have heard the store before it says so to its followers: a
 /// pause, a watch and a slow answer.
 const MAX_AGE: Duration = Duration::from_millis(1300);
-/// The pause after a failed call of the store, and what each VM adds to it.
+/// The shortest pause after a failed call of the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// What each VM adds to that pause: all ask a store that is away, and pay for it.
 const RETRY_PAUSE_PER_VM: Duration = Duration::from_millis(10);
 /// The prefix of all keys.
 const EVERYTHING: &str = "";
+/// The pause after urgent changes: where a lease has ended, claims follow.
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
 /// The shortest time in which changes that may wait are gathered.
 const GATHER: Duration = Duration::from_millis(400);
-/// The pause after other changes: where a lease has ended, claims follow.
-const SHORT_PAUSE: Duration = Duration::from_millis(50);
 /// What each VM adds to that time: the messages of all together stay about the same.
 const GATHER_PER_VM: Duration = Duration::from_millis(15);
 /// The longest share of the time in which a leaving endpoint must stop getting work that the
@@ -130,12 +131,12 @@
             let is_idle = page.items.is_empty();
             let is_urgent = apply::apply(state, page);
             if !is_idle {
-                Timer::after(if is_urgent {
+                let pause = if is_urgent {
                     SHORT_PAUSE
                 } else {
                     gather_time(state, MAX_PAUSE_SHARE)
-                })
-                .await;
+                };
+                Timer::after(pause).await;
             }
             Heard::Changes
         }
@@ -156,6 +157,7 @@
     }
 }
 
+/// Notes that the store has answered this gateway.
 fn heard(state: &State) {
     let now = clock::now();
     if regained(state) {
@@ -164,6 +166,7 @@
     state.heard.set(Some(now));
 }
 
+/// Notes that the store has failed this gateway, and pauses.
 async fn failed(state: &State, error: &store::Error) -> Heard {
     lost(state, error);
     let vms = state.catalog.borrow().peers().count() as u32;
--- a/crates/endivespur_log/tests/queue.rs
+++ b/crates/endivespur_log/tests/queue.rs
@@ -30,6 +30,18 @@
     }
 }
 
+/// Returns a queue before a stuck pipe, what opens the pipe, and the lines that come through.
+fn stuck() -> (Queue, Sender<()>, Receiver<String>) {
+    let (open, gate) = channel();
+    let (lines, received) = channel();
+    let queue = Queue::new(Stuck {
+        open: gate,
+        is_open: false,
+        lines,
+    });
+    (queue, open, received)
+}
+
 const LINE: &[u8] = b"{\"level\":\"info\",\"event\":\"granted\"}\n";
 const URGENT: &[u8] = b"{\"level\":\"warn\",\"event\":\"store-lost\"}\n";
 const LINES: u64 = 100_000;
@@ -42,13 +54,7 @@
 
 #[test]
 fn write_nobody_reads() {
-    let (open, gate) = channel();
-    let (lines, received) = channel();
-    let mut queue = Queue::new(Stuck {
-        open: gate,
-        is_open: false,
-        lines,
-    });
+    let (mut queue, open, received) = stuck();
     let since = Instant::now();
     for _ in 0..LINES {
         queue.write_all(LINE).unwrap();
@@ -88,13 +94,7 @@
 
 #[test]
 fn wait_last_lines_are_written() {
-    let (open, gate) = channel();
-    let (lines, received) = channel();
-    let mut queue = Queue::new(Stuck {
-        open: gate,
-        is_open: false,
-        lines,
-    });
+    let (mut queue, open, received) = stuck();
     let backlog = queue.backlog();
     for _ in 0..100 {
         queue.write_all(LINE).unwrap();
