Log the product's own path as JSON lines on standard output too

One logger for both paths: endivespur_log. Its queue holds the lines back until the process releases them, so that the addresses stay the first line that a daemon prints. The events have the names of the gateway's where they are the same; docs/LOGS.md lists them all and is held against the code of both. The test programs copy what a daemon prints to its log.

--- a/crates/endivespur_dev/src/process.rs
+++ b/crates/endivespur_dev/src/process.rs
@@ -1,6 +1,7 @@
 //! Starting and ending the project's own processes.
 
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
@@ -22,24 +23,24 @@
         arguments: &[&str],
         log: Option<&PathBuf>,
     ) -> Result<Self, String> {
-        let errors = match log {
-            Some(path) => std::fs::File::create(path)
-                .map(Stdio::from)
-                .map_err(|error| error.to_string())?,
-            None => Stdio::null(),
-        };
+        let log = log.map(File::create).transpose();
+        let log = log.map_err(|error| error.to_string())?;
+        let copied = log.as_ref().map(File::try_clone).transpose();
+        let copied = copied.map_err(|error| error.to_string())?;
         let mut child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(errors)
+            .stderr(log.map_or_else(Stdio::null, Stdio::from))
             .spawn()
             .map_err(|error| format!("{}: {error}", program.display()))?;
         let mut first_line = String::new();
         if let Some(output) = child.stdout.take() {
-            BufReader::new(output)
+            let mut lines = BufReader::new(output);
+            lines
                 .read_line(&mut first_line)
                 .map_err(|error| error.to_string())?;
+            std::thread::spawn(move || drain(lines, copied));
         }
         let process = Self {
             child,
@@ -84,6 +85,17 @@
     }
 }
 
+/// Copies what a process prints to its log, or drops it, so that its pipe never fills.
+fn drain(mut lines: impl Read, log: Option<File>) {
+    let copied = match log {
+        Some(mut log) => std::io::copy(&mut lines, &mut log),
+        None => std::io::copy(&mut lines, &mut std::io::sink()),
+    };
+    if let Err(error) = copied {
+        eprintln!("a process's log: {error}");
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/crates/endivespur_gateway/tests/pages.rs
+++ b/crates/endivespur_gateway/tests/pages.rs
@@ -16,9 +16,14 @@
 fn logs_page_lists_each_event() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut code = BTreeSet::new();
-    for entry in std::fs::read_dir(root.join("src")).unwrap() {
-        let text = std::fs::read_to_string(entry.unwrap().path()).unwrap();
-        code.extend(names(&text, "event = \"", '"'));
+    for folder in ["src", "../endivespur_node/src", "../endivespurd/src"] {
+        for entry in std::fs::read_dir(root.join(folder)).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_file() {
+                let text = std::fs::read_to_string(path).unwrap();
+                code.extend(names(&text, "event = \"", '"'));
+            }
+        }
     }
     assert!(code.len() > 20);
     // The queue of lines tells what it dropped by itself.
--- a/crates/endivespur_log/src/lib.rs
+++ b/crates/endivespur_log/src/lib.rs
@@ -12,7 +12,8 @@
 /// Sets the process's logger up; it writes to standard output.
 ///
 /// `RUST_LOG` filters by part and level as `env_logger` describes; `info` is the default.
-/// The last lines are written only if the process waits for the backlog before it ends.
+/// Lines are written once the backlog is released, so that the process may print something
+/// before them; the last ones only if it waits for the backlog before it ends.
 pub fn start() -> Backlog {
     let queue = Queue::new(std::io::stdout());
     let backlog = queue.backlog();
--- a/crates/endivespur_log/src/queue.rs
+++ b/crates/endivespur_log/src/queue.rs
@@ -19,17 +19,22 @@
 #[derive(Debug)]
 pub struct Queue {
     lines: SyncSender<Vec<u8>>,
+    gate: SyncSender<()>,
     waiting: Arc<AtomicUsize>,
     dropped: Arc<AtomicU64>,
 }
 
 impl Queue {
     /// Makes a queue before a writer, with a thread of its own.
+    ///
+    /// The lines are held back until [`Backlog::release`] is called.
     pub fn new(to: impl Write + Send + 'static) -> Self {
         let (lines, received) = sync_channel(MAX_LINES);
         let waiting = Arc::new(AtomicUsize::new(0));
         let dropped = Arc::new(AtomicU64::new(0));
+        let (gate, released) = sync_channel(1);
         let drain = Drain {
+            released,
             received,
             waiting: waiting.clone(),
             dropped: dropped.clone(),
@@ -37,6 +42,7 @@
         thread::spawn(move || drain.run(to));
         Self {
             lines,
+            gate,
             waiting,
             dropped,
         }
@@ -47,9 +53,12 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
-    /// Returns what counts the lines that are not written yet.
+    /// Returns the lines that are not written yet.
     pub fn backlog(&self) -> Backlog {
-        Backlog(self.waiting.clone())
+        Backlog {
+            gate: self.gate.clone(),
+            waiting: self.waiting.clone(),
+        }
     }
 
     fn drop_line(&self) {
@@ -60,14 +69,23 @@
 
 /// The lines that are not written yet.
 #[derive(Clone, Debug)]
-pub struct Backlog(Arc<AtomicUsize>);
+pub struct Backlog {
+    gate: SyncSender<()>,
+    waiting: Arc<AtomicUsize>,
+}
 
 impl Backlog {
+    /// Lets the lines be written from now on.
+    pub fn release(&self) {
+        // A second call finds the first one's signal taken or still there.
+        self.gate.try_send(()).ok();
+    }
+
     /// Waits until all lines are written, or `limit` is over; tells whether they are.
     pub fn wait(&self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
         loop {
-            let is_empty = self.0.load(Ordering::Relaxed) == 0;
+            let is_empty = self.waiting.load(Ordering::Relaxed) == 0;
             if is_empty || Instant::now() >= deadline {
                 return is_empty;
             }
@@ -103,6 +121,7 @@
 }
 
 struct Drain {
+    released: Receiver<()>,
     received: Receiver<Vec<u8>>,
     waiting: Arc<AtomicUsize>,
     dropped: Arc<AtomicU64>,
@@ -110,6 +129,10 @@
 
 impl Drain {
     fn run(self, mut to: impl Write) {
+        // An error says that nobody can release or log any more.
+        if self.released.recv().is_err() {
+            return;
+        }
         while let Ok(line) = self.received.recv() {
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
             let mut written = Ok(());
--- a/crates/endivespur_log/tests/queue.rs
+++ b/crates/endivespur_log/tests/queue.rs
@@ -39,6 +39,7 @@
         is_open: false,
         lines,
     });
+    queue.backlog().release();
     (queue, open, received)
 }
 
@@ -104,3 +105,21 @@
     assert!(backlog.wait(Duration::from_secs(5)));
     assert_eq!(received.try_iter().count(), 100);
 }
+
+#[test]
+fn release_lines_are_held_until_then() {
+    let (lines, received) = channel();
+    let (open, gate) = channel();
+    open.send(()).unwrap();
+    let mut queue = Queue::new(Stuck {
+        open: gate,
+        is_open: false,
+        lines,
+    });
+    queue.write_all(LINE).unwrap();
+    let backlog = queue.backlog();
+    assert!(!backlog.wait(Duration::from_millis(50)));
+    backlog.release();
+    assert!(backlog.wait(Duration::from_secs(5)));
+    assert_eq!(received.try_iter().count(), 1);
+}
--- a/crates/endivespur_node/src/adopt.rs
+++ b/crates/endivespur_node/src/adopt.rs
@@ -59,7 +59,7 @@
         .with_pins(host::pins(&config, endpoint))
         .with_adopt(fenced || clean);
     drop(config);
-    info!("owner: {endpoint} is owned here with fence {fence}");
+    info!(event = "adopt", endpoint, fence; "owner");
     node.hosts
         .borrow_mut()
         .insert(endpoint.to_string(), Host::new(owner));
--- a/crates/endivespur_node/src/claim.rs
+++ b/crates/endivespur_node/src/claim.rs
@@ -138,7 +138,7 @@
         Ok(outcomes) => outcomes,
         Err(error) => {
             // A write that took effect comes over the watch.
-            warn!("members: {error}");
+            warn!(event = "claim"; "{error}");
             return Vec::new();
         }
     };
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -222,7 +222,10 @@
             Err(miss) => miss,
         };
         let id = &completion.job.id;
-        warn!("entry: {id}: {endpoint} gave no answer: {miss:?}");
+        warn!(
+            event = "attempt", request = id.as_str(), endpoint = endpoint.as_str(),
+            outcome = miss.outcome(); "{miss:?}"
+        );
         may_have_run |= matches!(miss, Miss::Lost(_));
         last = match miss {
             Miss::NotRun(message) => Failure::not_run(StatusCode::ServiceUnavailable, &message)
@@ -367,7 +370,7 @@
         }
         note_run(&node, (print, alone), &permit, attempt, failed.is_none()).await;
         let Some(message) = failed else { return };
-        warn!("entry: {id}: the stream broke: {message}");
+        warn!(event = "broken", request = id.as_str(), endpoint = permit.endpoint.as_str(); "{message}");
         let error = serde_json::json!({ "error": {
             "message": message, "type": "server_error", "outcome": Outcome::Unknown.name(),
         }});
--- a/crates/endivespur_node/src/dispatch.rs
+++ b/crates/endivespur_node/src/dispatch.rs
@@ -228,6 +228,16 @@
     Lost(String),
 }
 
+impl Miss {
+    /// Returns what the logs call it.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Self::NotRun(_) => "not-run",
+            Self::Lost(_) => "unknown",
+        }
+    }
+}
+
 /// Sends a request to the granted endpoint and returns the head of the answer.
 ///
 /// # Errors
--- a/crates/endivespur_node/src/engine.rs
+++ b/crates/endivespur_node/src/engine.rs
@@ -75,7 +75,10 @@
     )
     .await;
     if let Err(message) = &result {
-        warn!("owner: {endpoint} did not load {name}: {message}");
+        warn!(
+            event = "order", endpoint, action = "load", adapter = name.to_string(),
+            outcome = "failed"; "{message}"
+        );
     }
     metrics::counter!("endivespur_loads_total", "ok" => result.is_ok().to_string()).increment(1);
     host::change(&node, &endpoint, |owner, now, authority| {
@@ -100,7 +103,10 @@
         Err(message) => message == "404",
     };
     if let Err(message) = &result {
-        warn!("owner: {endpoint} did not unload {name}: {message}");
+        warn!(
+            event = "order", endpoint, action = "unload", adapter = name.to_string(),
+            outcome = "failed"; "{message}"
+        );
     }
     host::change(&node, &endpoint, |owner, now, authority| {
         owner.unloaded(now, authority, &name, gone)
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -75,9 +75,9 @@
     let outcome = header_of(&response, "endivespur-outcome");
     let took = clock::now().saturating_sub(since);
     info!(
-        "entry: {id}: {path} {} {outcome} in {} ms",
-        response.status() as u16,
-        took.as_millis()
+        event = "answered", request = id.as_str(), path = path.as_str(),
+        status = response.status() as u16, outcome = outcome.as_str(),
+        took_ms = took.as_millis() as u64; "answered"
     );
     metrics::counter!("endivespur_requests_total", "outcome" => outcome).increment(1);
     metrics::histogram!("endivespur_answer_seconds").record(took.as_secs_f64());
--- a/crates/endivespur_node/src/host.rs
+++ b/crates/endivespur_node/src/host.rs
@@ -153,7 +153,7 @@
 
 /// Notes that a granted request has ended.
 pub fn end(node: &Rc<Node>, endpoint: &str, fence: Fence, grant: GrantId) {
-    debug!("owner: {endpoint} ends grant {grant}");
+    debug!(event = "released", endpoint, grant; "grant ended");
     change(node, endpoint, |owner, now, authority| {
         owner.end(now, authority, fence, grant)
     });
@@ -209,19 +209,16 @@
     for action in actions {
         match action {
             Action::Grant(ticket, grant) => {
-                debug!(
-                    "owner: {endpoint} gives grant {} for ask {ticket}",
-                    grant.id
-                );
+                debug!(event = "granted", endpoint, grant = grant.id, ask = ticket; "granted");
                 reply(node, endpoint, ticket, Ok(grant));
             }
             Action::Refuse(ticket, refusal) => reply(node, endpoint, ticket, Err(refusal)),
             Action::Load(name) => {
-                info!("owner: {endpoint} loads {name}");
+                info!(event = "order", endpoint, action = "load", adapter = name.to_string(); "order");
                 node.spawn(engine::load(node.clone(), endpoint.to_string(), name));
             }
             Action::Unload(name) => {
-                info!("owner: {endpoint} unloads {name}");
+                info!(event = "order", endpoint, action = "unload", adapter = name.to_string(); "order");
                 node.spawn(engine::unload(node.clone(), endpoint.to_string(), name));
             }
         }
@@ -245,7 +242,7 @@
 pub fn close(node: &Rc<Node>, endpoint: &str) {
     change(node, endpoint, |owner, _, _| owner.close());
     if node.hosts.borrow_mut().remove(endpoint).is_some() {
-        warn!("owner: {endpoint} is no longer owned here");
+        warn!(event = "disown", endpoint; "no longer owner");
     }
 }
 
--- a/crates/endivespur_node/src/once.rs
+++ b/crates/endivespur_node/src/once.rs
@@ -215,10 +215,7 @@
         Ok(Outcome::Written(revision)) => Event::Claimed(revision),
         Ok(Outcome::Conflict(found)) => Event::Conflict(parse(found)),
         Err(message) => {
-            warn!(
-                "ledger: {}: the claim's answer is lost: {message}",
-                mine.attempt
-            );
+            warn!(event = "claim-lost", attempt = mine.attempt.as_str(); "{message}");
             Event::ClaimLost
         }
     }
--- a/crates/endivespur_node/src/operator.rs
+++ b/crates/endivespur_node/src/operator.rs
@@ -314,7 +314,7 @@
     sync::apply(node, pair);
     crate::adopt::reconcile(node);
     if value == text {
-        info!("config: {} is accepted at revision {revision}", plan.key);
+        info!(event = "command", key = plan.key.as_str(), revision; "accepted");
         return Effect::Accepted {
             key: plan.key,
             revision,
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -96,9 +96,8 @@
     let node = Rc::new(make(executor, settings, &addresses, guard, metrics));
     spawn(&node, listeners);
     info!(
-        "daemon: {} serves callers on {}",
-        node.process(),
-        addresses.callers
+        event = "start", process = node.process(), address:% = addresses.callers;
+        "serves callers"
     );
     Ok(Running { node, addresses })
 }
@@ -232,10 +231,10 @@
     pub async fn stop(self) -> usize {
         let node = self.node;
         node.stopping.set(true);
-        info!("daemon: stopping");
+        info!(event = "stop"; "asked to stop");
         let lease = node.lease_id.get();
         if let Err(error) = sync::write_record(&node, lease).await {
-            warn!("daemon: the record is not written: {error}");
+            warn!(event = "stop"; "the record is not written: {error}");
         }
         let owned: Vec<Endpoint> = node.hosts.borrow().keys().cloned().collect();
         claim::release(&node, owned).await;
@@ -246,7 +245,7 @@
             let busy = node.inflight.borrow().values().sum::<usize>() + node.held.borrow().len();
             if waited >= stop.grace && busy == 0 || waited >= stop.bound {
                 if busy > 0 {
-                    warn!("daemon: {busy} requests are cut off");
+                    warn!(event = "stop", open = busy; "requests are cut off");
                 }
                 node.store.revoke(lease).await.ok();
                 return busy;
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -39,7 +39,7 @@
         match result {
             Ok(()) => sleep(node.settings.lease.renew).await,
             Err(error) => {
-                warn!("lease: {error}");
+                warn!(event = "lease"; "{error}");
                 sleep(RETRY).await;
             }
         }
@@ -52,7 +52,7 @@
     write_record(node, id).await?;
     node.lease_id.set(id);
     node.lease.borrow_mut().renewed(sent, clock::now());
-    info!("lease: registered as {}", node.process());
+    info!(event = "lease", process = node.process(); "registered");
     adopt::reconcile(node);
     Ok(())
 }
@@ -81,7 +81,7 @@
         return Ok(());
     }
     // Others may have taken over meanwhile, so this process starts anew.
-    warn!("lease: lapsed");
+    warn!(event = "lease-lapsed"; "claims have ended");
     node.lease_id.set(0);
     node.lease.borrow_mut().lapsed();
     node.incarnation.set(node.incarnation.get() + 1);
@@ -93,7 +93,7 @@
 pub async fn follow(node: Rc<Node>) {
     loop {
         if let Err(error) = follow_once(&node).await {
-            warn!("config: {error}");
+            warn!(event = "store-lost"; "{error}");
         }
         sleep(RETRY).await;
     }
@@ -109,7 +109,7 @@
             None
         });
         let Some(progress) = checked.await else {
-            warn!("config: the watch missed a write");
+            warn!(event = "configuration"; "the watch missed a write");
             return Ok(());
         };
         advance(node, progress?)?;
@@ -169,7 +169,7 @@
 fn replace(node: &Rc<Node>, revision: u64, pairs: Vec<Pair>) {
     node.heard_store();
     if revision < node.config.borrow().revision {
-        warn!("config: ignores an old listing");
+        warn!(event = "configuration"; "ignores an old listing");
         return;
     }
     let listed: Vec<String> = pairs.iter().map(|pair| pair.key.clone()).collect();
--- a/crates/endivespur_node/src/vms.rs
+++ b/crates/endivespur_node/src/vms.rs
@@ -44,7 +44,7 @@
     if *node.leaving.borrow() == leaving && *node.gone.borrow() == gone {
         return;
     }
-    info!("members: leaving are {leaving:?}");
+    info!(event = "endpoint", leaving:? = leaving; "those that leave");
     *node.leaving.borrow_mut() = leaving;
     *node.gone.borrow_mut() = gone;
     adopt::reconcile(node);
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
-use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, crate_version, value_parser};
+use endivespur_log::Backlog;
 use endivespur_node::settings::{self, Finding, Settings};
 use endivespur_node::{Error, start};
 use log::{error, info};
@@ -54,16 +55,21 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    if matches.get_flag("platform") {
-        let backlog = endivespur_log::start();
+    let backlog = endivespur_log::start();
+    let code = if matches.get_flag("platform") {
+        backlog.release();
         let port = matches.get_one::<u16>("metrics-port").copied();
-        let code = run_gateway(matches.get_flag("check"), port);
-        backlog.wait(LAST_LINES);
-        return code;
-    }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+        run_gateway(matches.get_flag("check"), port)
+    } else {
+        run_daemon(&matches, &backlog)
+    };
+    backlog.release();
+    backlog.wait(LAST_LINES);
+    code
+}
+
+/// Runs on the settings of a file.
+fn run_daemon(matches: &ArgMatches, backlog: &Backlog) -> ExitCode {
     let path = matches
         .get_one::<String>("settings")
         .map_or("", String::as_str);
@@ -77,7 +83,7 @@
     }
     end_on_panic();
     let executor = Rc::new(LocalExecutor::new());
-    smol::block_on(executor.clone().run(run(executor, settings, path)))
+    smol::block_on(executor.clone().run(run(executor, settings, path, backlog)))
 }
 
 /// Ends the process when a task panics, since the others would go on without it.
@@ -132,28 +138,34 @@
     ExitCode::from(EXIT_SETTINGS)
 }
 
-async fn run(executor: Rc<LocalExecutor<'static>>, settings: Settings, path: &str) -> ExitCode {
+async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    settings: Settings,
+    path: &str,
+    backlog: &Backlog,
+) -> ExitCode {
     let running = match start(executor, settings).await {
         Ok(running) => running,
         Err(Error::Settings { findings }) => return report(path, &findings),
         Err(failure) => {
-            error!("daemon: {failure}");
+            error!(event = "start"; "{failure}");
             return ExitCode::FAILURE;
         }
     };
     let addresses = serde_json::to_string(&running.addresses).unwrap_or_default();
     println!("{addresses}");
     std::io::stdout().flush().ok();
+    backlog.release();
     let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
         Ok(signals) => signals,
         Err(failure) => {
-            error!("daemon: no signals: {failure}");
+            error!(event = "start"; "no signals: {failure}");
             return ExitCode::FAILURE;
         }
     };
     signals.next().await;
     let cut = running.stop().await;
-    info!("daemon: stopped, {cut} requests cut off");
+    info!(event = "stopped", open = cut; "stopped");
     if cut == 0 {
         ExitCode::SUCCESS
     } else {
