Note unreachable endpoints in one place, and keep the hot path free of log texts

Found when the whole change was read again: - generate.rs and plain.rs each logged failed attempts with a function of its own, and each noted in two arms that an endpoint was not reached. relay::send notes it now, and relay::log_attempt logs for both; Failure::Down is gone. - each ask for a grant put up to three texts into a map that only a refusal prints. No decision changes. Two texts do: an attempt's message, the same for both kinds now; and an engine that granted but began to leave meanwhile is not listed in `not-acquired`.

--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -162,7 +162,30 @@
     call: &'a Call,
     weights: &'a Weights,
     /// The last answer for each engine, for the log.
-    answers: RefCell<BTreeMap<Endpoint, String>>,
+    answers: RefCell<BTreeMap<Endpoint, Answer>>,
+}
+
+/// Why an engine was not granted.
+#[derive(Clone, Copy, Debug)]
+enum Answer {
+    Unowned,
+    /// Its owner did not answer.
+    Silent,
+    Refused(Reply),
+}
+
+impl Answer {
+    /// Returns what the log calls it.
+    fn text(self) -> String {
+        match self {
+            Self::Unowned => "unowned".to_string(),
+            Self::Silent => "silent".to_string(),
+            Self::Refused(Reply::Granted(_)) => "granted".to_string(),
+            Self::Refused(Reply::Busy(delay)) => format!("busy for {} ms", delay.as_millis()),
+            Self::Refused(Reply::NotOwner) => "no longer owned".to_string(),
+            Self::Refused(Reply::Late) => "adapter late".to_string(),
+        }
+    }
 }
 
 /// What a search found.
@@ -222,7 +245,7 @@
         let answers = self.answers.borrow();
         let answers = answers
             .iter()
-            .map(|(endpoint, answer)| format!("{endpoint} {answer}"));
+            .map(|(endpoint, answer)| format!("{endpoint} {}", answer.text()));
         let answers: Vec<String> = answers.collect();
         info!(
             event = "not-acquired", request = self.call.fields.attempt.as_str(),
@@ -255,29 +278,32 @@
         };
         let state = self.state;
         let wait = self.wait();
-        let note = |answer: String| {
+        let note = |answer: Answer| {
             let mut answers = self.answers.borrow_mut();
             answers.insert(instance.id.clone(), answer);
         };
-        note("unowned".to_string());
-        let seat = seat(state, &instance.id)?;
-        note("silent".to_string());
+        let Some(seat) = seat(state, &instance.id) else {
+            note(Answer::Unowned);
+            return None;
+        };
         let reply = match seat {
-            Seat::Here => state.owners.ask(&instance.id, &ask, wait).await,
-            Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait)
-                .await
-                .ok()?,
+            Seat::Here => Ok(state.owners.ask(&instance.id, &ask, wait).await),
+            Seat::Peer(address) => peer::ask(state, address, &instance.id, &ask, wait).await,
         };
-        note(match reply {
-            Reply::Granted(_) => "granted".to_string(),
-            Reply::Busy(delay) => format!("busy for {} ms", delay.as_millis()),
-            Reply::NotOwner => "no longer owned".to_string(),
-            Reply::Late => "adapter late".to_string(),
-        });
-        Some(match reply {
-            Reply::Granted(grant) => Ok(permit(state, instance, self.weights, Some((seat, grant)))),
-            other => Err(other),
-        })
+        match reply {
+            Ok(Reply::Granted(grant)) => {
+                let grant = Some((seat, grant));
+                Some(Ok(permit(state, instance, self.weights, grant)))
+            }
+            Ok(refused) => {
+                note(Answer::Refused(refused));
+                Some(Err(refused))
+            }
+            Err(peer::Silent) => {
+                note(Answer::Silent);
+                None
+            }
+        }
     }
 }
 
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::gateway::table::Repeat;
 use endivespur_core::id::Endpoint;
 use endivespur_http::head::Framing;
@@ -14,7 +13,7 @@
 
 use crate::acquire::{Permit, acquire};
 use crate::exchange::{Call, Caller, Ending};
-use crate::relay::{self, Failure};
+use crate::relay::{self, Failure, log_attempt};
 use crate::state::State;
 use crate::{crash, telemetry, timer};
 
@@ -165,15 +164,8 @@
             }
         }
         Ok(reply) => format!("unsigned-status-{}", reply.head.status),
-        Err(Failure::Down(reason)) => {
-            log_attempt(call, &instance, "not-sent", &reason);
-            state.health.borrow_mut().down(clock::now(), &instance.id);
-            course.tried.insert(instance.id.clone());
-            return Offer::NotSent(reason);
-        }
         Err(Failure::NotSent(reason)) => {
             log_attempt(call, &instance, "not-sent", &reason);
-            state.health.borrow_mut().failed(clock::now(), &instance.id);
             course.tried.insert(instance.id.clone());
             return Offer::NotSent(reason);
         }
@@ -225,14 +217,6 @@
     );
 }
 
-fn log_attempt(call: &Call, instance: &Instance, outcome: &'static str, reason: &str) {
-    telemetry::attempt_failed(outcome);
-    info!(
-        event = "attempt", request = call.fields.attempt.as_str(),
-        endpoint = instance.id.as_str(), outcome, reason; "engine gave no answer"
-    );
-}
-
 async fn send(
     state: &Rc<State>,
     call: &Call,
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -12,12 +12,11 @@
 use endivespur_core::id::Endpoint;
 use endivespur_http::head::Response;
 use endivespur_platform::header::Dispatch;
-use log::info;
 
 use crate::exchange::{Call, Caller, Ending};
-use crate::relay::{self, Failure};
+use crate::relay::{self, Failure, log_attempt};
 use crate::state::{Running, State};
-use crate::{crash, telemetry, timer};
+use crate::{crash, timer};
 
 /// The longest answer that is read whole before it is passed on.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -105,14 +104,6 @@
     }
 }
 
-fn log_attempt(call: &Call, instance: &Instance, outcome: &'static str, reason: &str) {
-    telemetry::attempt_failed(outcome);
-    info!(
-        event = "attempt", request = call.fields.attempt.as_str(),
-        endpoint = instance.id.as_str(), outcome, reason; "endpoint gave no good answer"
-    );
-}
-
 async fn relayed(caller: &mut Caller<'_>, head: &Response, body: &[u8]) -> Ending {
     match caller.whole(head, body).await {
         Ok(()) => Ending::Relayed(head.status),
@@ -161,14 +152,7 @@
     );
     let mut reply = match sent.await {
         Ok(reply) => reply,
-        Err(Failure::Down(reason)) => {
-            state.health.borrow_mut().down(clock::now(), &instance.id);
-            return Attempt::NotSent(reason);
-        }
-        Err(Failure::NotSent(reason)) => {
-            state.health.borrow_mut().failed(clock::now(), &instance.id);
-            return Attempt::NotSent(reason);
-        }
+        Err(Failure::NotSent(reason)) => return Attempt::NotSent(reason),
         Err(Failure::Lost(reason)) => return Attempt::Unknown(reason),
         Err(Failure::Late) => return Attempt::Late,
     };
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_http::body::Decoder;
 use endivespur_http::connection::{self, Connection};
@@ -11,8 +12,9 @@
 use endivespur_platform::header;
 use log::info;
 
+use crate::exchange::Call;
 use crate::state::State;
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// The longest time for a connection to an endpoint; a full queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -31,8 +33,6 @@
 /// Why a request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// Nothing was sent: nothing listens at the address.
-    Down(String),
     /// Nothing was sent.
     NotSent(String),
     /// It was sent, and may have run.
@@ -95,8 +95,19 @@
     }
 }
 
+/// Logs that an endpoint gave a request no good answer.
+pub fn log_attempt(call: &Call, instance: &Instance, outcome: &'static str, reason: &str) {
+    telemetry::attempt_failed(outcome);
+    info!(
+        event = "attempt", request = call.fields.attempt.as_str(),
+        endpoint = instance.id.as_str(), outcome, reason; "endpoint gave no good answer"
+    );
+}
+
 /// Sends a request with its body, and reads the head of the answer until `limit` is over.
 ///
+/// An endpoint that is not reached is noted among the failing ones.
+///
 /// # Errors
 ///
 /// Returns a [`Failure`] if there is no answer.
@@ -114,11 +125,13 @@
         None => pool::connect(instance.address, CONNECT_TIMEOUT.min(limit))
             .await
             .map_err(|error| {
+                let mut health = state.health.borrow_mut();
                 if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                    Failure::Down(error.to_string())
+                    health.down(clock::now(), &instance.id);
                 } else {
-                    Failure::NotSent(error.to_string())
+                    health.failed(clock::now(), &instance.id);
                 }
+                Failure::NotSent(error.to_string())
             })?,
     };
     let mut message = request.encode();
