Log each check for a crash, its count and each refusal of a quarantined request

The three hypotheses on the crashing requests cannot be told apart by the logs: a crash line names neither the endpoint's start nor the count, counts received from other gateways leave no line, and a lost response that is not taken for a crash leaves none either. Now each check is logged with its outcome and counted (endivespur_gateway_crash_checks_total), each crash with its count and source, and each refusal with the fingerprint. No decision changes; the tests of the gateway pass as before.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -31,8 +31,9 @@
         Self::default()
     }
 
-    /// Records that an endpoint crashed while it ran a request.
-    pub fn record_crash(&mut self, now: Time, fingerprint: Fingerprint) {
+    /// Records that an endpoint crashed while it ran a request; returns the number of crashes
+    /// recorded for the request.
+    pub fn record_crash(&mut self, now: Time, fingerprint: Fingerprint) -> u32 {
         self.records
             .retain(|_, record| now < record.last_seen + RETENTION);
         let record = self.records.entry(fingerprint).or_insert(Record {
@@ -41,6 +42,7 @@
         });
         record.crashes += 1;
         record.last_seen = now;
+        record.crashes
     }
 
     /// Returns whether a request must be refused; a refusal extends the quarantine.
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::hash;
 use endivespur_core::suspect::Fingerprint;
 use endivespur_http::pool;
-use log::warn;
+use log::{info, warn};
 use smol::Timer;
 
 use crate::exchange::Call;
 use crate::peer;
 use crate::state::State;
+use crate::telemetry;
 
 /// The delay between a lost response and the check of the endpoint, which may only have reset the
 /// connection.
@@ -37,24 +39,40 @@
         return false;
     };
     let mut crashes = state.crashes.borrow_mut();
-    crashes.is_quarantined(clock::now(), fingerprint)
+    let is_quarantined = crashes.is_quarantined(clock::now(), fingerprint);
+    if is_quarantined {
+        let request = call.fields.attempt_id.as_str();
+        info!(event = "quarantined", request, print = fingerprint; "has crashed endpoints");
+    }
+    is_quarantined
 }
 
-/// Checks whether the endpoint at an address crashed when it gave no response to a request.
-pub fn check_for_crash(state: &Rc<State>, call: &Call, address: SocketAddr) {
+/// Checks whether an endpoint crashed when it gave no response to a request.
+pub fn check_for_crash(state: &Rc<State>, call: &Call, instance: &Instance) {
     let Some(fingerprint) = fingerprint(call) else {
         return;
     };
     let request = call.fields.attempt_id.clone();
+    let (address, endpoint, born) = (instance.address, instance.id.clone(), instance.started_ms);
     let task_state = state.clone();
     state.spawn(async move {
         Timer::after(CHECK_DELAY).await;
-        if pool::connect(address, CONNECT_TIMEOUT).await.is_ok() {
+        let connected = pool::connect(address, CONNECT_TIMEOUT).await;
+        let outcome = if connected.is_ok() { "up" } else { "down" };
+        telemetry::crash_checked(outcome);
+        info!(
+            event = "crash-check", request = request.as_str(), print = fingerprint,
+            endpoint = endpoint.as_str(), born, outcome; "checked after a lost response"
+        );
+        if connected.is_ok() {
             return;
         }
-        warn!(event = "crash", request = request.as_str(), print = fingerprint, address:% = address; "endpoint is down");
         let state = task_state;
-        state.crashes.borrow_mut().record_crash(clock::now(), fingerprint);
+        let count = record_crash(&state, fingerprint);
+        warn!(
+            event = "crash", request = request.as_str(), print = fingerprint,
+            endpoint = endpoint.as_str(), born, count, source = "own"; "endpoint is down"
+        );
         let peers: Vec<SocketAddr> = {
             let catalog = state.catalog.borrow();
             let peers = catalog
@@ -70,3 +88,14 @@
         }
     });
 }
+
+/// Records a crash that another gateway reported.
+pub fn record_reported(state: &State, fingerprint: Fingerprint) {
+    let count = record_crash(state, fingerprint);
+    info!(event = "crash", print = fingerprint, count, source = "peer"; "reported");
+}
+
+fn record_crash(state: &State, fingerprint: Fingerprint) -> u32 {
+    let mut crashes = state.crashes.borrow_mut();
+    crashes.record_crash(clock::now(), fingerprint)
+}
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -181,7 +181,7 @@
         Err(Failure::Lost(reason)) => reason,
     };
     progress.runs += 1;
-    crash::check_for_crash(state, call, instance.address);
+    crash::check_for_crash(state, call, &instance);
     log_failed_attempt(call, &instance, "unknown", &failure);
     state
         .health
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -85,7 +85,7 @@
             }
             Attempt::Unknown(reason) => {
                 log_failed_attempt(call, &instance, "unknown", &reason);
-                crash::check_for_crash(state, call, instance.address);
+                crash::check_for_crash(state, call, &instance);
                 state
                     .health
                     .borrow_mut()
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -5,7 +5,6 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
@@ -13,6 +12,7 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::crash;
 use crate::follow;
 use crate::message;
 use crate::owned::Reply;
@@ -96,9 +96,7 @@
         params: gateway::CrashedParams,
         _: gateway::CrashedResults,
     ) -> Result<(), capnp::Error> {
-        let fingerprint = params.get()?.get_print();
-        let mut crashes = self.state.crashes.borrow_mut();
-        crashes.record_crash(clock::now(), fingerprint);
+        crash::record_reported(&self.state, params.get()?.get_print());
         Ok(())
     }
 
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -61,6 +61,11 @@
     counter!("endivespur_gateway_failed_attempts_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a check of an endpoint that gave no response.
+pub fn crash_checked(outcome: &'static str) {
+    counter!("endivespur_gateway_crash_checks_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an order sent to an engine.
 pub fn order_sent(action: &'static str, outcome: &'static str) {
     counter!("endivespur_gateway_orders_total", "action" => action, "outcome" => outcome)
