Share the crashes of requests through the store

What callers saw: a request that had crashed three endpoints ran again on each gateway that had not counted them, and crashed up to three more endpoints there.

Cause: the count lived in the memory of each process and was sent to the others once, without confirmation. A gateway that started later, restarted, was frozen or cut off, or missed the message, counted from zero. Class of fault: state that must be agreed on, kept as unconfirmed soft state.

The records reach each gateway with the store's other changes, also one that starts or reconnects. They are a set: neither their order nor receiving one twice matters, and two gateways that saw one crash count it once. While the store cannot be written they are sent to the other gateways directly, and written later. A request that completes voids its crashes, and a quarantined one has one trial, claimed in the store, so that harmless requests that were in flight during several crashes are served again: serve_polls_beside_crashes and serve_polls_after_all_endpoints_crashed.

--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -6,13 +6,13 @@
 use endivespur_platform::{document, registration};
 use log::{info, warn};
 
-use crate::member;
 use crate::state::State;
+use crate::{member, record};
 
 /// Applies changes; returns whether one of them is urgent and should reach followers at once.
 ///
 /// Changes of the adapters that an endpoint holds are frequent and may be delayed. Changes of
-/// whether it serves, of documents and of claims are urgent.
+/// whether it serves, of documents, of claims and of records of crashes are urgent.
 pub fn apply(state: &State, page: Page) -> bool {
     let items = state.feed.borrow_mut().apply(page);
     apply_items(state, &items)
@@ -33,7 +33,7 @@
             if !apply_registration(state, item) {
                 continue;
             }
-        } else if item.key.starts_with(member::KEY_PREFIX) {
+        } else if !record::apply(state, item) && item.key.starts_with(member::KEY_PREFIX) {
             apply_member(state, item);
         }
         is_urgent = true;
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -157,6 +157,9 @@
                     Transfer::Complete => {
                         let status = response.head.status;
                         response.recycle(state);
+                        if status < 300 {
+                            crash::completed(state, call);
+                        }
                         return Attempt::Ended(Outcome::Relayed(status));
                     }
                     Transfer::Aborted(reason) => return Attempt::Ended(Outcome::Aborted(reason)),
--- /dev/null
+++ b/crates/endivespur_gateway/src/outbox.rs
@@ -0,0 +1,29 @@
+//! The records of crashes that are not in the store yet.
+
+use std::cell::{Cell, RefCell};
+
+use endivespur_core::clock::Time;
+use endivespur_core::gateway::crash::Record;
+use event_listener::Event;
+
+/// The records to be shared, and the lease of those in the store.
+#[derive(Default)]
+pub struct Outbox {
+    /// The records that are not in the store yet, oldest first.
+    pub pending: RefCell<Vec<Record>>,
+    /// How many of the pending records were sent to the other gateways directly.
+    pub sent_count: Cell<usize>,
+    /// Signals that records were added.
+    pub added: Event,
+    /// The lease, and the time after which it is too old for further keys.
+    pub lease: Cell<Option<(u64, Time)>>,
+    /// The number of the last key written by this process.
+    pub last_key: Cell<u64>,
+}
+
+impl Outbox {
+    /// Creates an empty outbox.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -9,7 +9,6 @@
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::id::Grant;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
 use log::info;
@@ -183,13 +182,13 @@
     notify(state, address, send).await;
 }
 
-/// Notifies the gateway at an address that an endpoint crashed while it ran a request.
+/// Sends encoded records of crashes to the gateway at an address.
 ///
-/// If this is lost, that gateway still counts the next crash.
-pub async fn crashed(state: &Rc<State>, address: SocketAddr, fingerprint: Fingerprint) {
+/// If this is lost, that gateway receives them from the store.
+pub async fn crashed(state: &Rc<State>, address: SocketAddr, records: &[u8]) {
     let send = async |client: gateway::Client| {
         let mut request = client.crashed_request();
-        request.get().set_print(fingerprint);
+        request.get().set_records(records);
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -66,6 +66,9 @@
                     .health
                     .borrow_mut()
                     .record_success(clock::now(), &instance.id, took);
+                if head.status < 300 {
+                    crash::completed(state, call);
+                }
                 return relay_response(caller, &head, &body).await;
             }
             Attempt::Complete(head, body) => {
--- /dev/null
+++ b/crates/endivespur_gateway/src/record.rs
@@ -0,0 +1,240 @@
+//! Shares the records of crashes between gateways, through the store.
+//!
+//! A record in the store reaches each gateway with the store's other changes, also one that starts
+//! or reconnects later. While the store cannot be written, records are sent to the other gateways
+//! directly, and written once it is available again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::gateway::crash::{RETENTION, Record, Trial};
+use endivespur_core::gateway::feed::Item;
+use endivespur_core::suspect::Fingerprint;
+use endivespur_platform::store::{Outcome, Write};
+use log::{info, warn};
+use smol::Timer;
+
+use crate::outbox::Outbox;
+use crate::state::State;
+use crate::{peer, telemetry};
+
+/// The prefix of the keys of records.
+pub const KEY_PREFIX: &str = "endivespur/crash/";
+/// The prefix of the keys of trials.
+pub const TRIAL_KEY_PREFIX: &str = "endivespur/crash-trial/";
+
+/// The pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The time in which records are collected for one write: the requests in flight on a crashed
+/// endpoint fail at about the same time.
+const BATCH_TIME: Duration = Duration::from_millis(20);
+/// The maximum number of records that wait for the store; the oldest are dropped first.
+const MAX_PENDING: usize = 4096;
+
+/// Starts the task that writes records to the store.
+pub fn start(state: &Rc<State>) {
+    state.spawn(write_pending(state.clone()));
+}
+
+/// Adds records that this gateway made to its tracker, and shares them.
+pub fn share(state: &State, records: Vec<Record>) {
+    if records.is_empty() {
+        return;
+    }
+    for record in &records {
+        add(state, record, "own");
+    }
+    let outbox = &state.records;
+    outbox.pending.borrow_mut().extend(records);
+    outbox.added.notify(usize::MAX);
+}
+
+/// Adds a record to the tracker, and logs it if it is new.
+fn add(state: &State, record: &Record, source: &'static str) {
+    let now = clock::now();
+    let mut crashes = state.crashes.borrow_mut();
+    if !crashes.add(now, record) {
+        return;
+    }
+    info!(
+        event = "crash", print = record.fingerprint, endpoint = record.crash.endpoint.as_str(),
+        born = record.crash.started_ms, void = record.is_void,
+        count = crashes.count(record.fingerprint), source; "recorded"
+    );
+}
+
+/// Encodes records for the store and for other gateways.
+fn encode(records: &[Record]) -> Result<Vec<u8>, String> {
+    serde_json::to_vec(records).map_err(|error| error.to_string())
+}
+
+/// Adds the records of another gateway.
+pub fn receive(state: &State, value: &[u8], source: &'static str) {
+    match serde_json::from_slice::<Vec<Record>>(value) {
+        Ok(records) => {
+            for record in records {
+                add(state, &record, source);
+            }
+        }
+        Err(error) => warn!(event = "crash", source; "unreadable records: {error}"),
+    }
+}
+
+/// Applies a change of a record or a trial in the store; returns whether the key is one of them.
+///
+/// The end of a key is ignored: records are kept for as long as the request is sent.
+pub fn apply(state: &State, item: &Item) -> bool {
+    if let Some(key) = item.key.strip_prefix(TRIAL_KEY_PREFIX) {
+        if let Some((fingerprint, trial)) = decode_trial_key(key) {
+            let mut crashes = state.crashes.borrow_mut();
+            crashes.take_trial(clock::now(), fingerprint, trial);
+        }
+        return true;
+    }
+    if !item.key.starts_with(KEY_PREFIX) {
+        return false;
+    }
+    if let Some(value) = &item.value {
+        receive(state, value, "store");
+    }
+    true
+}
+
+fn trial_key(fingerprint: Fingerprint, trial: Trial) -> String {
+    format!("{TRIAL_KEY_PREFIX}{fingerprint:016x}.{trial}")
+}
+
+fn decode_trial_key(key: &str) -> Option<(Fingerprint, Trial)> {
+    let (fingerprint, trial) = key.split_once('.')?;
+    let fingerprint = Fingerprint::from_str_radix(fingerprint, 16).ok()?;
+    Some((fingerprint, trial.parse().ok()?))
+}
+
+/// Claims a trial in the store; returns whether this gateway may run it.
+pub async fn claim_trial(state: &State, fingerprint: Fingerprint, trial: Trial) -> bool {
+    state
+        .crashes
+        .borrow_mut()
+        .take_trial(clock::now(), fingerprint, trial);
+    let key = trial_key(fingerprint, trial);
+    let claimed = write(state, vec![(key.clone(), Vec::new())], vec![(key, 0)]).await;
+    let outcome = match &claimed {
+        Ok(Outcome::Written(_)) => "claimed",
+        Ok(_) => "taken",
+        Err(_) => "failed",
+    };
+    info!(event = "trial", print = fingerprint, trial, outcome; "trial of a quarantined request");
+    outcome == "claimed"
+}
+
+async fn write_pending(state: Rc<State>) {
+    let outbox = &state.records;
+    loop {
+        let listener = outbox.added.listen();
+        if outbox.pending.borrow().is_empty() {
+            listener.await;
+            Timer::after(BATCH_TIME).await;
+        }
+        let records = outbox.pending.borrow().clone();
+        match write_records(&state, &records).await {
+            Ok(()) => {
+                outbox.pending.borrow_mut().drain(..records.len());
+                outbox.sent_count.set(0);
+            }
+            Err(message) => {
+                telemetry::store_failed("crash");
+                if outbox.sent_count.get() == 0 {
+                    warn!(event = "crash-unshared", count = records.len(); "not written: {message}");
+                }
+                send_unsent(&state, &records);
+                drop_oldest(outbox);
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn drop_oldest(outbox: &Outbox) {
+    let mut pending = outbox.pending.borrow_mut();
+    let excess = pending.len().saturating_sub(MAX_PENDING);
+    if excess > 0 {
+        warn!(event = "crash-unshared", count = excess; "too many records; oldest dropped");
+        pending.drain(..excess);
+        let sent_count = outbox.sent_count.get().saturating_sub(excess);
+        outbox.sent_count.set(sent_count);
+    }
+}
+
+/// Sends the records that were not sent yet to the other gateways.
+fn send_unsent(state: &Rc<State>, records: &[Record]) {
+    let sent_count = state.records.sent_count.replace(records.len());
+    let unsent = &records[sent_count.min(records.len())..];
+    if unsent.is_empty() {
+        return;
+    }
+    let Ok(value) = encode(unsent).inspect_err(|error| warn!(event = "crash-unshared"; "{error}"))
+    else {
+        return;
+    };
+    let peers: Vec<_> = {
+        let catalog = state.catalog.borrow();
+        let peers = catalog
+            .peers()
+            .filter(|(_, peer)| peer.process != state.process);
+        peers.map(|(_, peer)| peer.address).collect()
+    };
+    for address in peers {
+        let (state, value) = (state.clone(), value.clone());
+        state.clone().spawn(async move {
+            peer::crashed(&state, address, &value).await;
+        });
+    }
+}
+
+/// Writes records under a new key: a delayed write to an earlier key must not replace later ones.
+async fn write_records(state: &State, records: &[Record]) -> Result<(), String> {
+    let number = state.records.last_key.get() + 1;
+    state.records.last_key.set(number);
+    // A `#` would end the path of a call that names the key.
+    let process = state.process.replace('#', ".");
+    let key = format!("{KEY_PREFIX}{process}/{number}");
+    match write(state, vec![(key, encode(records)?)], Vec::new()).await? {
+        Outcome::Written(_) => Ok(()),
+        outcome => Err(format!("{outcome:?}")),
+    }
+}
+
+/// Writes keys under a lease of its own, which outlasts this process.
+async fn write(
+    state: &State,
+    puts: Vec<(String, Vec<u8>)>,
+    expected: Vec<(String, u64)>,
+) -> Result<Outcome, String> {
+    let lease = lease(state).await?;
+    let write = Write {
+        expected,
+        puts,
+        lease,
+    };
+    let outcome = state.store.write(&write).await;
+    let outcome = outcome.map_err(|error| error.to_string())?;
+    if matches!(outcome, Outcome::NoLease) {
+        state.records.lease.set(None);
+    }
+    Ok(outcome)
+}
+
+/// Returns a lease that lasts for at least half of the retention.
+async fn lease(state: &State) -> Result<u64, String> {
+    let now = clock::now();
+    if let Some((id, usable_until)) = state.records.lease.get()
+        && now < usable_until
+    {
+        return Ok(id);
+    }
+    let granted = state.store.grant(RETENTION).await;
+    let (id, ttl) = granted.map_err(|error| error.to_string())?;
+    state.records.lease.set(Some((id, now + ttl / 2)));
+    Ok(id)
+}
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -12,10 +12,10 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::crash;
 use crate::follow;
 use crate::message;
 use crate::owned::Reply;
+use crate::record;
 use crate::state::State;
 
 /// The pause after a failed accept, as when file descriptors run out.
@@ -96,7 +96,7 @@
         params: gateway::CrashedParams,
         _: gateway::CrashedResults,
     ) -> Result<(), capnp::Error> {
-        crash::record_reported(&self.state, params.get()?.get_print());
+        record::receive(&self.state, params.get()?.get_records()?, "peer");
         Ok(())
     }
 
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -27,8 +27,6 @@
 /// The delay after which a caller retries when the VM has no configuration, or no service for the
 /// route.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The delay after which a caller may retry a request that crashes endpoints.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(2);
 /// The maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -186,8 +184,8 @@
                 .and_then(|table| table.services.get(&call.service))
                 .is_some_and(|group| group.engine.is_some());
             let response = async {
-                if crash::is_quarantined(state, &call) {
-                    return Outcome::refused("crashes-endpoints", QUARANTINE_RETRY_AFTER);
+                if let Err(refusal) = crash::admit(state, &call).await {
+                    return refusal;
                 }
                 if is_engine {
                     generate::handle(state, &call, &mut caller).await
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{exposition, follow, member, owner, readiness, rpc, serve, telemetry};
+use crate::{exposition, follow, member, owner, readiness, record, rpc, serve, telemetry};
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
 /// second and reacts after two failures.
@@ -72,6 +72,7 @@
     follow::start(&state);
     member::start(&state);
     owner::start(&state);
+    record::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
     state.spawn(readiness::serve(state.clone(), probes));
     state.spawn(serve::listen(state.clone(), callers));
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -20,6 +20,7 @@
 
 use crate::catalog::Catalog;
 use crate::lease::Lease;
+use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
 use crate::telemetry;
@@ -66,6 +67,8 @@
     pub health: RefCell<health::Tracker>,
     /// The requests that crashed endpoints.
     pub crashes: RefCell<crash::Tracker>,
+    /// The records of crashes to be shared.
+    pub records: Outbox,
     /// The number of requests in flight, by endpoint.
     pub in_flight: RefCell<BTreeMap<Endpoint, usize>>,
     /// The retry budgets, by service.
@@ -101,6 +104,7 @@
             pool: RefCell::new(Pool::new()),
             health: RefCell::new(health::Tracker::new()),
             crashes: RefCell::new(crash::Tracker::new()),
+            records: Outbox::new(),
             in_flight: RefCell::new(BTreeMap::new()),
             retries: RefCell::new(BTreeMap::new()),
             is_stopping: Cell::new(false),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -65,6 +65,6 @@
   # Returns the changes of the store after a revision, after waitMs at the latest; with whole,
   # large values are included.
   follow @3 (after :UInt64, waitMs :UInt32, whole :Bool) -> (news :News);
-  # Reports that an endpoint crashed while it ran the request with this fingerprint (print).
-  crashed @4 (print :UInt64) -> ();
+  # Reports crashes of endpoints and the requests that were in flight: a list of records as JSON.
+  crashed @4 (records :Data) -> ();
 }
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -3942,7 +3942,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3951,14 +3951,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_print(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_records(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_records(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4009,12 +4013,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_print(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_records(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_print(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_records(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_records(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_records(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -4030,9 +4042,9 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(169, 38, 37, 17, 5, 243, 215, 163),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4049,22 +4061,22 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 114, 105, 110, 116, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
