Recognise a crashing request by its caller, path and body

What callers saw: a request without a body (each lookup) or with another query each time crashed one endpoint after the other, without end.

Cause: requests without a body had no fingerprint, since many callers may poll one path, and the query was part of the others'. The users name path, caller and body as what stays the same when such a request comes again.

Change: the fingerprint is made of method, path and body, and without a body of the caller's IP address too. Polls of one caller now share a fingerprint; that they are still served beside crashes is held by serve_polls_beside_crashes and serve_polls_after_all_endpoints_crashed, which passed for want of a fingerprint before.

--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -6,8 +6,6 @@
 use endivespur_clock as clock;
 use endivespur_core::gateway::crash::{Crash, Record};
 use endivespur_core::gateway::endpoint::Instance;
-use endivespur_core::hash;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_http::pool;
 use log::info;
 use smol::Timer;
@@ -24,25 +22,13 @@
 /// The delay after which a caller may retry a request that crashes endpoints.
 const RETRY_AFTER: Duration = Duration::from_mins(2);
 
-/// Returns the fingerprint of a request; requests without a body are too similar to have one.
-fn fingerprint(call: &Call) -> Option<Fingerprint> {
-    let parts = [
-        call.head.method.as_bytes(),
-        call.head.target.as_bytes(),
-        call.body.as_slice(),
-    ];
-    (!call.body.is_empty()).then(|| hash::digest(&parts))
-}
-
 /// Decides whether a request may run; a quarantined one may take its trial.
 ///
 /// # Errors
 ///
 /// Returns the refusal of a quarantined request.
 pub async fn admit(state: &State, call: &Call) -> Result<(), Outcome> {
-    let Some(fingerprint) = fingerprint(call) else {
-        return Ok(());
-    };
+    let fingerprint = call.fingerprint;
     if !state.crashes.borrow().is_quarantined(fingerprint) {
         return Ok(());
     }
@@ -62,17 +48,13 @@
 
 /// Records that an endpoint has run a request completely, which voids earlier crashes.
 pub fn completed(state: &State, call: &Call) {
-    if let Some(fingerprint) = fingerprint(call) {
-        let records = state.crashes.borrow().completed(fingerprint);
-        record::share(state, records);
-    }
+    let records = state.crashes.borrow().completed(call.fingerprint);
+    record::share(state, records);
 }
 
 /// Checks whether an endpoint crashed when it gave no response to a request.
 pub fn check_for_crash(state: &Rc<State>, call: &Call, instance: &Rc<Instance>) {
-    let Some(fingerprint) = fingerprint(call) else {
-        return;
-    };
+    let fingerprint = call.fingerprint;
     let request = call.fields.attempt_id.clone();
     let (state, instance) = (state.clone(), instance.clone());
     state.clone().spawn(async move {
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -1,12 +1,15 @@
 //! A caller's request, its outcome, and the connection on which the response is sent.
 
 use std::io;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::table::Route;
+use endivespur_core::hash;
 use endivespur_core::id::Service;
+use endivespur_core::suspect::Fingerprint;
 use endivespur_http::body::{LAST_CHUNK, encode_chunk};
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
@@ -18,6 +21,8 @@
     pub head: Request,
     /// The complete body, without its framing.
     pub body: Vec<u8>,
+    /// Identifies the request when its caller sends it again.
+    pub fingerprint: Fingerprint,
     /// The decoded headers.
     pub fields: header::Request,
     /// The route that its host and path select.
@@ -65,6 +70,23 @@
     }
 }
 
+/// Returns the fingerprint of a request.
+///
+/// Its caller sends it again with the same path and body, but possibly with another query. The
+/// address of the caller distinguishes requests without a body, such as those of callers that poll
+/// the same path.
+pub fn fingerprint(caller: Option<IpAddr>, head: &Request, body: &[u8]) -> Fingerprint {
+    let path = head.target.split('?').next().unwrap_or_default();
+    let caller = caller.filter(|_| body.is_empty());
+    let caller = caller.map_or_else(String::new, |caller| caller.to_string());
+    hash::digest(&[
+        caller.as_bytes(),
+        head.method.as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
 /// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -7,6 +7,7 @@
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::table::{Limits, Table};
 use endivespur_core::hash;
+use endivespur_core::suspect::Fingerprint;
 use endivespur_http::connection::{self, Connection};
 use endivespur_http::head::{Framing, Request};
 use endivespur_platform::header;
@@ -15,7 +16,7 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::exchange::{Call, Caller, Outcome};
+use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
 use crate::{crash, generate, plain, telemetry, timer};
 
@@ -174,7 +175,16 @@
         .min(CONFIGURATION_TIMEOUT);
     let table = timer::within(limit, wait_for_configuration(state)).await;
     let mut service = String::new();
-    let outcome = match route_request(table.as_deref(), head, body, fields, started) {
+    let caller_address = stream.peer_addr().ok().map(|address| address.ip());
+    let fingerprint = exchange::fingerprint(caller_address, &head, &body);
+    let received = Received {
+        head,
+        body,
+        fingerprint,
+        fields,
+        started,
+    };
+    let outcome = match route_request(table.as_deref(), received) {
         Err(outcome) => outcome,
         Ok(call) => {
             service.clone_from(&call.service);
@@ -226,14 +236,25 @@
     }
 }
 
-/// Selects the route and the service of a request.
-fn route_request(
-    table: Option<&Table>,
+/// A request that was read completely.
+struct Received {
     head: Request,
     body: Vec<u8>,
+    fingerprint: Fingerprint,
     fields: header::Request,
+    /// The time at which the head was read.
     started: Time,
-) -> Result<Call, Outcome> {
+}
+
+/// Selects the route and the service of a request.
+fn route_request(table: Option<&Table>, received: Received) -> Result<Call, Outcome> {
+    let Received {
+        head,
+        body,
+        fingerprint,
+        fields,
+        started,
+    } = received;
     let Some(table) = table else {
         return Err(Outcome::refused(
             "no-configuration",
@@ -254,6 +275,7 @@
     Ok(Call {
         head,
         body,
+        fingerprint,
         fields,
         service,
         started,
