Check for a crash also when the caller left or its deadline passed

What callers saw: a request ran again although it had crashed three endpoints.

Cause: only a lost response led to a check. An endpoint that loses power leaves its connections open; the run then ends with the caller's disconnect or the deadline, and nothing was recorded.

Change: a run is a guard. Dropped before it has ended, it checks the endpoint, unless the endpoint has sent anything to this gateway since, so that callers that leave a busy endpoint cost no connections. All requests that wait for the check of one endpoint share it.

--- a/crates/endivespur_core/src/gateway/health.rs
+++ b/crates/endivespur_core/src/gateway/health.rs
@@ -27,6 +27,7 @@
     avoided_until: Time,
     latency: Option<f64>,
     last_answer: Time,
+    last_activity: Time,
 }
 
 /// The outcomes of this VM's requests, by endpoint.
@@ -53,6 +54,23 @@
         record.latency = Some(latency + EWMA_WEIGHT * (elapsed - latency));
     }
 
+    /// Records that an endpoint has sent a part of a response.
+    pub fn record_activity(&mut self, now: Time, endpoint: &str) {
+        // Called for each event of a stream: the name is copied for a new endpoint only.
+        if let Some(record) = self.records.get_mut(endpoint) {
+            record.last_activity = now;
+        } else {
+            let record = self.records.entry(endpoint.to_string()).or_default();
+            record.last_activity = now;
+        }
+    }
+
+    /// Returns when an endpoint last sent a part of a response; zero if never.
+    pub fn last_activity(&self, endpoint: &str) -> Time {
+        let record = self.records.get(endpoint);
+        record.map_or(Time::ZERO, |record| record.last_activity)
+    }
+
     /// Records that a request timed out.
     ///
     /// Counts as a failure only if the endpoint has not answered any other request recently,
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -1,20 +1,24 @@
 //! Detects requests that crash endpoints, and refuses them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash::{Crash, Record};
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::suspect::Fingerprint;
 use endivespur_http::pool;
 use log::info;
 use smol::Timer;
 
+use crate::checks::Suspect;
 use crate::exchange::{Call, Outcome};
 use crate::state::State;
 use crate::{record, telemetry};
 
-/// The delay between a lost response and the check of the endpoint, which may only have reset the
+/// The delay between the end of a run and the check of the endpoint, which may only have reset the
 /// connection.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 /// The maximum time to connect to a live endpoint.
@@ -46,38 +50,108 @@
     Err(Outcome::refused("crashes-endpoints", RETRY_AFTER))
 }
 
-/// Records that an endpoint has run a request completely, which voids earlier crashes.
-pub fn completed(state: &State, call: &Call) {
-    let records = state.crashes.borrow().completed(call.fingerprint);
-    record::share(state, records);
+/// A request on its way to an endpoint. If it is dropped before it has ended, its caller has left
+/// or its deadline has passed, and the endpoint may have crashed unnoticed.
+pub struct Run {
+    state: Rc<State>,
+    instance: Rc<Instance>,
+    fingerprint: Fingerprint,
+    request: String,
+    has_ended: bool,
 }
 
-/// Checks whether an endpoint crashed when it gave no response to a request.
-pub fn check_for_crash(state: &Rc<State>, call: &Call, instance: &Rc<Instance>) {
-    let fingerprint = call.fingerprint;
-    let request = call.fields.attempt_id.clone();
-    let (state, instance) = (state.clone(), instance.clone());
-    state.clone().spawn(async move {
-        Timer::after(CHECK_DELAY).await;
-        let connected = pool::connect(instance.address, CONNECT_TIMEOUT).await;
-        let outcome = if connected.is_ok() { "up" } else { "down" };
-        telemetry::crash_checked(outcome);
+impl Run {
+    /// Records that a request is about to be sent to an endpoint.
+    pub fn new(state: &Rc<State>, call: &Call, instance: &Rc<Instance>) -> Self {
+        Self {
+            state: state.clone(),
+            instance: instance.clone(),
+            fingerprint: call.fingerprint,
+            request: call.fields.attempt_id.clone(),
+            has_ended: false,
+        }
+    }
+
+    /// Records that the request was not run, or has a response that is no success.
+    pub fn ended(mut self) {
+        self.has_ended = true;
+    }
+
+    /// Records that the request has a complete successful response, which voids earlier crashes.
+    pub fn completed(mut self) {
+        self.has_ended = true;
+        let records = self.state.crashes.borrow().completed(self.fingerprint);
+        record::share(&self.state, records);
+    }
+
+    /// Records that the response was lost, and checks whether the endpoint crashed.
+    pub fn lost(mut self) {
+        self.has_ended = true;
+        self.check(None);
+    }
+
+    fn check(&self, silent_since: Option<Time>) {
+        let suspect = Suspect {
+            fingerprint: self.fingerprint,
+            request: self.request.clone(),
+            silent_since,
+        };
+        let crash = crash_of(&self.instance);
+        let is_first = self.state.checks.add(crash.clone(), suspect);
+        if is_first {
+            let (state, address) = (self.state.clone(), self.instance.address);
+            self.state.spawn(check(state, crash, address));
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.check(Some(clock::now()));
+        }
+    }
+}
+
+fn crash_of(instance: &Instance) -> Crash {
+    Crash {
+        endpoint: instance.id.clone(),
+        started_ms: instance.started_ms,
+    }
+}
+
+/// Checks whether an endpoint crashed, for all requests that wait for the check.
+async fn check(state: Rc<State>, crash: Crash, address: SocketAddr) {
+    Timer::after(CHECK_DELAY).await;
+    let mut suspects = state.checks.take(&crash);
+    let last_activity = state.health.borrow().last_activity(&crash.endpoint);
+    suspects.retain(|suspect| {
+        let silent_since = suspect.silent_since;
+        silent_since.is_none_or(|silent_since| last_activity <= silent_since)
+    });
+    if suspects.is_empty() {
+        return;
+    }
+    let connected = pool::connect(address, CONNECT_TIMEOUT).await;
+    let outcome = if connected.is_ok() { "up" } else { "down" };
+    telemetry::crash_checked(outcome);
+    for suspect in &suspects {
         info!(
-            event = "crash-check", request = request.as_str(), print = fingerprint,
-            endpoint = instance.id.as_str(), born = instance.started_ms, outcome;
-            "checked after a lost response"
+            event = "crash-check", request = suspect.request.as_str(), print = suspect.fingerprint,
+            endpoint = crash.endpoint.as_str(), born = crash.started_ms, outcome;
+            "checked for a crash"
         );
-        if connected.is_err() {
-            let crash = Crash {
-                endpoint: instance.id.clone(),
-                started_ms: instance.started_ms,
-            };
-            let record = Record {
-                fingerprint,
-                crash,
-                is_void: false,
-            };
-            record::share(&state, vec![record]);
-        }
+    }
+    if connected.is_err() {
+        share_crash(&state, &crash, &suspects);
+    }
+}
+
+fn share_crash(state: &State, crash: &Crash, suspects: &[Suspect]) {
+    let records = suspects.iter().map(|suspect| Record {
+        fingerprint: suspect.fingerprint,
+        crash: crash.clone(),
+        is_void: false,
     });
+    record::share(state, records.collect());
 }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -12,10 +12,11 @@
 use log::info;
 
 use crate::acquire::{Permit, acquire};
+use crate::crash::Run;
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::State;
-use crate::{crash, telemetry, timer};
+use crate::{telemetry, timer};
 
 /// The delay after which a caller retries when no engine was found: the time in which a new owner
 /// takes over.
@@ -128,10 +129,12 @@
     progress: &mut Progress,
 ) -> Attempt {
     let instance = permit.instance.clone();
+    let run = Run::new(state, call, &instance);
     let now = clock::now();
     let sent = send(state, call, &permit, progress.stream.last_event_id, caller).await;
     let failure = match sent {
         Ok(response) if response.fields.is_not_executed => {
+            run.ended();
             return record_not_run(state, call, &mut permit, progress, response).await;
         }
         Ok(mut response) if response.fields.is_signed => {
@@ -153,12 +156,15 @@
                     let mut health = state.health.borrow_mut();
                     health.record_success(clock::now(), &instance.id, took);
                 }
-                match relay_response(call, caller, &mut response, &mut progress.stream).await {
+                let stream = &mut progress.stream;
+                match relay_response(state, call, caller, &mut response, stream).await {
                     Transfer::Complete => {
                         let status = response.head.status;
                         response.recycle(state);
                         if status < 300 {
-                            crash::completed(state, call);
+                            run.completed();
+                        } else {
+                            run.ended();
                         }
                         return Attempt::Ended(Outcome::Relayed(status));
                     }
@@ -169,6 +175,7 @@
         }
         Ok(response) => format!("unsigned-status-{}", response.head.status),
         Err(Failure::NotSent(reason)) => {
+            run.ended();
             log_failed_attempt(call, &instance, "not-sent", &reason);
             progress.tried.insert(instance.id.clone());
             return Attempt::NotSent(reason);
@@ -184,7 +191,7 @@
         Err(Failure::Lost(reason)) => reason,
     };
     progress.runs += 1;
-    crash::check_for_crash(state, call, &instance);
+    run.lost();
     log_failed_attempt(call, &instance, "unknown", &failure);
     state
         .health
@@ -211,7 +218,7 @@
     }
     let reason = format!("engine-status-{status}");
     log_failed_attempt(call, &permit.instance, "not-run", &reason);
-    if let Ok(Some(_)) = response.read_all(MAX_REFUSAL_BYTES).await {
+    if let Ok(Some(_)) = response.read_all(state, MAX_REFUSAL_BYTES).await {
         response.recycle(state);
     }
     Attempt::NotRun(reason)
@@ -257,6 +264,7 @@
 
 /// Relays an engine's response; a stream is relayed in complete events.
 async fn relay_response(
+    state: &State,
     call: &Call,
     caller: &mut Caller<'_>,
     response: &mut relay::EndpointResponse,
@@ -277,7 +285,7 @@
         }
         stream.partial.clear();
         loop {
-            let bytes = match response.next_chunk().await {
+            let bytes = match response.next_chunk(state).await {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(error) => return Transfer::Interrupted(error.to_string()),
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod acquire;
 mod apply;
 mod catalog;
+mod checks;
 mod crash;
 mod exchange;
 mod exposition;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -13,10 +13,11 @@
 use endivespur_http::head::Response;
 use endivespur_platform::header::Dispatch;
 
+use crate::crash::Run;
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::{InFlight, State};
-use crate::{crash, timer};
+use crate::timer;
 
 /// The maximum size of a response, which is read completely before it is relayed.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -66,9 +67,6 @@
                     .health
                     .borrow_mut()
                     .record_success(clock::now(), &instance.id, took);
-                if head.status < 300 {
-                    crash::completed(state, call);
-                }
                 return relay_response(caller, &head, &body).await;
             }
             Attempt::Complete(head, body) => {
@@ -88,7 +86,6 @@
             }
             Attempt::Unknown(reason) => {
                 log_failed_attempt(call, &instance, "unknown", &reason);
-                crash::check_for_crash(state, call, &instance);
                 state
                     .health
                     .borrow_mut()
@@ -148,7 +145,21 @@
     catalog.endpoint(&best)
 }
 
-async fn attempt(state: &Rc<State>, call: &Call, instance: &Instance) -> Attempt {
+async fn attempt(state: &Rc<State>, call: &Call, instance: &Rc<Instance>) -> Attempt {
+    let run = Run::new(state, call, instance);
+    let attempt = send(state, call, instance).await;
+    match &attempt {
+        Attempt::Complete(head, _) if head.status < 300 => run.completed(),
+        Attempt::Complete(..) | Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
+        Attempt::Unknown(_) => run.lost(),
+        // The endpoint may have crashed without a reset of its connections.
+        Attempt::Timeout => drop(run),
+    }
+    attempt
+}
+
+/// Sends the request to one endpoint and reads its response.
+async fn send(state: &Rc<State>, call: &Call, instance: &Instance) -> Attempt {
     let _in_flight = InFlight::new(state, &instance.id);
     let left = call.time_left();
     let request = call.endpoint_request(&Dispatch {
@@ -177,7 +188,7 @@
     if !response.fields.is_signed {
         return Attempt::Unknown(format!("unsigned-status-{}", response.head.status));
     }
-    match timer::within(call.time_left(), response.read_all(MAX_BODY_BYTES)).await {
+    match timer::within(call.time_left(), response.read_all(state, MAX_BODY_BYTES)).await {
         None => Attempt::Timeout,
         Some(Ok(Some(body))) => {
             let head = response.head.clone();
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -5,6 +5,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::id::Endpoint;
 use endivespur_http::body::Decoder;
 use endivespur_http::connection::{self, Connection};
 use endivespur_http::head::{Framing, Request, Response};
@@ -46,6 +47,7 @@
     connection: Connection,
     decoder: Decoder,
     keep_alive: Option<Duration>,
+    endpoint: Endpoint,
     address: std::net::SocketAddr,
     /// The status line and the header fields.
     pub head: Response,
@@ -61,8 +63,14 @@
     /// # Errors
     ///
     /// Returns an error if the response is interrupted.
-    pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, connection::Error> {
-        self.connection.read_body_chunk(&mut self.decoder).await
+    pub async fn next_chunk(
+        &mut self,
+        state: &State,
+    ) -> Result<Option<Vec<u8>>, connection::Error> {
+        let chunk = self.connection.read_body_chunk(&mut self.decoder).await?;
+        let mut health = state.health.borrow_mut();
+        health.record_activity(clock::now(), &self.endpoint);
+        Ok(chunk)
     }
 
     /// Returns the whole body, or `None` if it is longer than `limit`.
@@ -70,9 +78,13 @@
     /// # Errors
     ///
     /// Returns an error if the response is interrupted.
-    pub async fn read_all(&mut self, limit: usize) -> Result<Option<Vec<u8>>, connection::Error> {
+    pub async fn read_all(
+        &mut self,
+        state: &State,
+        limit: usize,
+    ) -> Result<Option<Vec<u8>>, connection::Error> {
         let mut body = Vec::new();
-        while let Some(bytes) = self.next_chunk().await? {
+        while let Some(bytes) = self.next_chunk(state).await? {
             body.extend_from_slice(&bytes);
             if body.len() > limit {
                 return Ok(None);
@@ -147,10 +159,13 @@
         .await
         .ok_or(Failure::Timeout)?
         .map_err(Failure::Lost)?;
+    let mut health = state.health.borrow_mut();
+    health.record_activity(clock::now(), &instance.id);
     let fields = header::Response::decode(&head);
     Ok(EndpointResponse {
         keep_alive: keep_alive(&head, framing),
         decoder: Decoder::new(framing),
+        endpoint: instance.id.clone(),
         address: instance.address,
         connection,
         head,
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -19,6 +19,7 @@
 use smol::LocalExecutor;
 
 use crate::catalog::Catalog;
+use crate::checks::Checks;
 use crate::lease::Lease;
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
@@ -67,6 +68,8 @@
     pub health: RefCell<health::Tracker>,
     /// The requests that crashed endpoints.
     pub crashes: RefCell<crash::Tracker>,
+    /// The requests that wait for the check whether an endpoint crashed.
+    pub checks: Checks,
     /// The records of crashes to be shared.
     pub records: Outbox,
     /// The number of requests in flight, by endpoint.
@@ -104,6 +107,7 @@
             pool: RefCell::new(Pool::new()),
             health: RefCell::new(health::Tracker::new()),
             crashes: RefCell::new(crash::Tracker::new()),
+            checks: Checks::new(),
             records: Outbox::new(),
             in_flight: RefCell::new(BTreeMap::new()),
             retries: RefCell::new(BTreeMap::new()),
