Take a restart soon after a lost response for a crash

What callers saw: a request ran again although it had crashed three endpoints.

Cause: 50 ms after a lost response an endpoint that accepts connections was taken for sound. It may have started again meanwhile, or a proxy before it accepts connections while it is down.

Evidence: count_crash_of_restarted_endpoint ran a fourth time before; it passes now.

Change: the lost responses of such an endpoint are kept for five seconds. If its registration shows a later start within that time, or did so when it was checked, they count as a crash.

--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 
 use crate::state::State;
-use crate::{member, record};
+use crate::{crash, member, record};
 
 /// Applies changes; returns whether one of them is urgent and should reach followers at once.
 ///
@@ -104,6 +104,9 @@
                     leaving = instance.is_draining, revision = item.revision; "registration"
                 );
             }
+            if is_changed {
+                crash::record_restart(state, id, instance.started_ms);
+            }
             state.catalog.borrow_mut().set_endpoint(instance);
             is_changed
         }
--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash::Crash;
@@ -19,10 +20,21 @@
     pub silent_since: Option<Time>,
 }
 
+/// How long after a lost response the endpoint's registration may show a restart.
+const RESTART_TIME: Duration = Duration::from_secs(5);
+
+/// A lost response of an endpoint that accepted connections when it was checked.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    fingerprint: Fingerprint,
+    at: Time,
+}
+
 /// The requests to be checked, by the crash that they may have caused.
 #[derive(Debug, Default)]
 pub struct Checks {
     waiting: RefCell<BTreeMap<Crash, Vec<Suspect>>>,
+    lost: RefCell<BTreeMap<Crash, Vec<Lost>>>,
 }
 
 impl Checks {
@@ -44,4 +56,51 @@
         let suspects = self.waiting.borrow_mut().remove(crash);
         suspects.unwrap_or_default()
     }
+
+    /// Keeps the requests whose responses were lost by an endpoint that accepts connections.
+    pub fn add_lost(&self, now: Time, crash: &Crash, suspects: &[Suspect]) {
+        let mut all = self.lost.borrow_mut();
+        all.retain(|_, lost| {
+            lost.retain(|lost| now < lost.at + RESTART_TIME);
+            !lost.is_empty()
+        });
+        let lost = suspects
+            .iter()
+            .filter(|suspect| suspect.silent_since.is_none())
+            .map(|suspect| Lost {
+                fingerprint: suspect.fingerprint,
+                at: now,
+            });
+        all.entry(crash.clone()).or_default().extend(lost);
+    }
+
+    /// Returns the recent lost responses of an endpoint that started again at `started_ms`, by the
+    /// crash that caused them.
+    pub fn take_lost(
+        &self,
+        now: Time,
+        endpoint: &str,
+        started_ms: u64,
+    ) -> Vec<(Crash, Vec<Fingerprint>)> {
+        let from = Crash {
+            endpoint: endpoint.to_string(),
+            started_ms: 0,
+        };
+        let to = Crash {
+            endpoint: endpoint.to_string(),
+            started_ms,
+        };
+        let mut all = self.lost.borrow_mut();
+        let crashes: Vec<Crash> = all
+            .range(from..to)
+            .map(|(crash, _)| crash.clone())
+            .collect();
+        let mut found = Vec::new();
+        for crash in crashes {
+            let lost = all.remove(&crash).unwrap_or_default();
+            let recent = lost.iter().filter(|lost| now < lost.at + RESTART_TIME);
+            found.push((crash, recent.map(|lost| lost.fingerprint).collect()));
+        }
+        found
+    }
 }
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -132,8 +132,18 @@
     if suspects.is_empty() {
         return;
     }
-    let connected = pool::connect(address, CONNECT_TIMEOUT).await;
-    let outcome = if connected.is_ok() { "up" } else { "down" };
+    let has_restarted = {
+        let catalog = state.catalog.borrow();
+        let current = catalog.endpoint(&crash.endpoint);
+        current.is_some_and(|current| current.started_ms > crash.started_ms)
+    };
+    let outcome = if has_restarted {
+        "restarted"
+    } else if pool::connect(address, CONNECT_TIMEOUT).await.is_ok() {
+        "up"
+    } else {
+        "down"
+    };
     telemetry::crash_checked(outcome);
     for suspect in &suspects {
         info!(
@@ -142,14 +152,26 @@
             "checked for a crash"
         );
     }
-    if connected.is_err() {
-        share_crash(&state, &crash, &suspects);
+    if outcome == "up" {
+        state.checks.add_lost(clock::now(), &crash, &suspects);
+        return;
+    }
+    let fingerprints = suspects.iter().map(|suspect| suspect.fingerprint).collect();
+    share_crash(&state, &crash, fingerprints);
+}
+
+/// Records that an endpoint's registration shows a start at `started_ms`: the responses that it
+/// lost shortly before were lost by a crash, after which it was back before it was checked.
+pub fn record_restart(state: &State, endpoint: &str, started_ms: u64) {
+    let lost = state.checks.take_lost(clock::now(), endpoint, started_ms);
+    for (crash, fingerprints) in lost {
+        share_crash(state, &crash, fingerprints);
     }
 }
 
-fn share_crash(state: &State, crash: &Crash, suspects: &[Suspect]) {
-    let records = suspects.iter().map(|suspect| Record {
-        fingerprint: suspect.fingerprint,
+fn share_crash(state: &State, crash: &Crash, fingerprints: Vec<Fingerprint>) {
+    let records = fingerprints.into_iter().map(|fingerprint| Record {
+        fingerprint,
         crash: crash.clone(),
         is_void: false,
     });
