Check a request for quarantine again before each send

What callers saw: a request that had crashed three endpoints was sent once more, seconds later.

Cause: it was checked when it arrived. While it waited for an engine, its repeats could crash three.

Change: both paths check right before each send, so retries and resumed streams are covered too. A trial passes this check until its first run that may have crashed the endpoint.

--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -41,13 +41,33 @@
     if let Some(trial) = trial
         && record::claim_trial(state, fingerprint, trial).await
     {
+        call.is_trial.set(true);
         return Ok(());
     }
+    Err(refuse(state, call))
+}
+
+/// Checks again, right before a request is sent, that it may run: it may have been quarantined
+/// since it was admitted.
+///
+/// # Errors
+///
+/// Returns the refusal of a quarantined request.
+pub fn check_before_send(state: &State, call: &Call) -> Result<(), Outcome> {
+    if call.is_trial.get() || !state.crashes.borrow().is_quarantined(call.fingerprint) {
+        return Ok(());
+    }
+    Err(refuse(state, call))
+}
+
+fn refuse(state: &State, call: &Call) -> Outcome {
     let request = call.fields.attempt_id.as_str();
-    info!(event = "quarantined", request, print = fingerprint; "has crashed endpoints");
-    let records = state.crashes.borrow_mut().refused(now, fingerprint);
+    info!(event = "quarantined", request, print = call.fingerprint; "has crashed endpoints");
+    let mut crashes = state.crashes.borrow_mut();
+    let records = crashes.refused(clock::now(), call.fingerprint);
+    drop(crashes);
     record::share(state, records);
-    Err(Outcome::refused("crashes-endpoints", RETRY_AFTER))
+    Outcome::refused("crashes-endpoints", RETRY_AFTER)
 }
 
 /// A request on its way to an endpoint. If it is dropped before it has ended, its caller has left
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A caller's request, its outcome, and the connection on which the response is sent.
 
+use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     pub body: Vec<u8>,
     /// Identifies the request when its caller sends it again.
     pub fingerprint: Fingerprint,
+    /// Whether the request is the trial of a quarantined one, which may run once.
+    pub is_trial: Cell<bool>,
     /// The decoded headers.
     pub fields: header::Request,
     /// The route that its host and path select.
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -12,7 +12,7 @@
 use log::info;
 
 use crate::acquire::{Permit, acquire};
-use crate::crash::Run;
+use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::State;
@@ -91,6 +91,12 @@
                 break;
             }
         };
+        if let Err(refusal) = crash::check_before_send(state, call) {
+            if progress.runs == 0 {
+                last = refusal;
+            }
+            break;
+        }
         if progress.deliveries > 0 && !state.withdraw_retry(&call.service) {
             break;
         }
@@ -106,6 +112,7 @@
             }
             Attempt::NotSent(_) | Attempt::NotRun(_) => {}
             Attempt::Failed(outcome) => {
+                call.is_trial.set(false);
                 last = outcome;
                 let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream;
                 if !may_resume || progress.runs >= call.route.max_endpoints {
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -13,7 +13,7 @@
 use endivespur_http::head::Response;
 use endivespur_platform::header::Dispatch;
 
-use crate::crash::Run;
+use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::{InFlight, State};
@@ -54,12 +54,21 @@
         let Some(instance) = choose_endpoint(state, call, &tried) else {
             break;
         };
+        if let Err(refusal) = crash::check_before_send(state, call) {
+            if runs == 0 {
+                last = refusal;
+            }
+            break;
+        }
         tried.insert(instance.id.clone());
         let now = clock::now();
         let attempt = attempt(state, call, &instance).await;
         if !matches!(attempt, Attempt::NotSent(_)) {
             deliveries += 1;
         }
+        if matches!(attempt, Attempt::Unknown(_) | Attempt::Timeout) {
+            call.is_trial.set(false);
+        }
         match attempt {
             Attempt::Complete(head, body) if head.status < 500 => {
                 let took = clock::now().saturating_sub(now);
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves the connections of callers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -276,6 +277,7 @@
         head,
         body,
         fingerprint,
+        is_trial: Cell::new(false),
         fields,
         service,
         started,
