Count no crash against a request that has just completed

Cause: a crash counted against each request in flight. A request that crashes every endpoint that runs it never completes, so one that completed within three seconds before this run is harmless.

Core test: has_completed_recently.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -24,6 +24,10 @@
 /// and was in flight on several endpoints that crashed at the same time.
 const TRIAL_DELAY: Duration = Duration::from_secs(8);
 
+/// How recently a request must have completed for a crash not to count against it: a request that
+/// crashes endpoints never completes.
+const COMPLETION_TIME: Duration = Duration::from_secs(3);
+
 /// A crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
@@ -80,6 +84,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// When requests last completed through this gateway.
+    completions: BTreeMap<Fingerprint, Time>,
+    /// When outdated completions were last removed.
+    pruned_at: Time,
 }
 
 impl Tracker {
@@ -129,8 +137,21 @@
         suspect.records(fingerprint)
     }
 
-    /// Returns the records to be added and shared when a request has completed on an endpoint.
-    pub fn completed(&self, fingerprint: Fingerprint) -> Vec<Record> {
+    /// Returns whether a request has completed recently through this gateway.
+    pub fn has_completed(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let completed_at = self.completions.get(&fingerprint);
+        completed_at.is_some_and(|completed_at| now < *completed_at + COMPLETION_TIME)
+    }
+
+    /// Records that a request has completed on an endpoint; returns the records to be added and
+    /// shared.
+    pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Record> {
+        if now >= self.pruned_at + COMPLETION_TIME {
+            self.pruned_at = now;
+            self.completions
+                .retain(|_, completed_at| now < *completed_at + COMPLETION_TIME);
+        }
+        self.completions.insert(fingerprint, now);
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return Vec::new();
         };
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -77,7 +77,7 @@
         tracker.add(ms(now), &record(7, now));
         other.add(ms(now), &record(7, now));
     }
-    for record in tracker.completed(7) {
+    for record in tracker.completed(ms(3), 7) {
         tracker.add(ms(3), &record);
         other.add(ms(3), &record);
     }
@@ -96,7 +96,7 @@
     tracker.take_trial(ms(20_000), 7, trial);
     tracker.add(ms(20_100), &record(7, 3));
     assert_eq!(tracker.available_trial(ms(90_000), 7), None);
-    for record in tracker.completed(7) {
+    for record in tracker.completed(ms(90_000), 7) {
         tracker.add(ms(90_000), &record);
     }
     for crash in 4..7 {
@@ -113,3 +113,13 @@
     assert_eq!(tracker.refused(ms(6 * 60_000), 7).len(), 3);
     assert_eq!(tracker.refused(ms(7 * 60_000), 7), []);
 }
+
+/// A caller that polls a path has a request on every endpoint that crashes.
+#[test]
+fn has_completed_recently() {
+    let mut tracker = Tracker::new();
+    assert!(!tracker.has_completed(ms(0), 7));
+    tracker.completed(ms(10), 7);
+    assert!(tracker.has_completed(ms(2_000), 7));
+    assert!(!tracker.has_completed(ms(5_000), 7));
+}
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -77,6 +77,8 @@
     instance: Rc<Instance>,
     fingerprint: Fingerprint,
     request: String,
+    /// Whether the request has completed shortly before, so that it crashes no endpoints.
+    has_completed: bool,
     has_ended: bool,
 }
 
@@ -88,6 +90,10 @@
             instance: instance.clone(),
             fingerprint: call.fingerprint,
             request: call.fields.attempt_id.clone(),
+            has_completed: {
+                let crashes = state.crashes.borrow();
+                crashes.has_completed(clock::now(), call.fingerprint)
+            },
             has_ended: false,
         }
     }
@@ -100,7 +106,10 @@
     /// Records that the request has a complete successful response, which voids earlier crashes.
     pub fn completed(mut self) {
         self.has_ended = true;
-        let records = self.state.crashes.borrow().completed(self.fingerprint);
+        let records = {
+            let mut crashes = self.state.crashes.borrow_mut();
+            crashes.completed(clock::now(), self.fingerprint)
+        };
         record::share(&self.state, records);
     }
 
@@ -111,6 +120,9 @@
     }
 
     fn check(&self, silent_since: Option<Time>) {
+        if self.has_completed {
+            return;
+        }
         let suspect = Suspect {
             fingerprint: self.fingerprint,
             request: self.request.clone(),
