Send records of crashes to the other gateways while the store is slow

Cause: the other gateways were told only once a write had failed, which takes a silent store's whole timeout, twice with the lease. A write that takes more than 100 ms now sends them at once.

No test of its own: nobody is in touch then by the users' rules.

Records of a single crash that other gateways made are logged at debug level: on a large site each gateway would log those of all others.

--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -12,12 +12,12 @@
 use endivespur_core::gateway::feed::Item;
 use endivespur_core::suspect::Fingerprint;
 use endivespur_platform::store::{Outcome, Write};
-use log::{info, warn};
+use log::{Level, info, log, warn};
 use smol::Timer;
 
 use crate::outbox::Outbox;
 use crate::state::State;
-use crate::{peer, telemetry};
+use crate::{peer, telemetry, timer};
 
 /// The prefix of the keys of records.
 pub const KEY_PREFIX: &str = "endivespur/crash/";
@@ -29,6 +29,8 @@
 /// The time in which records are collected for one write: the requests in flight on a crashed
 /// endpoint fail at about the same time.
 const BATCH_TIME: Duration = Duration::from_millis(20);
+/// The time after which records are sent to the other gateways while the store does not respond.
+const USUAL_WRITE_TIME: Duration = Duration::from_millis(100);
 /// The maximum number of records that wait for the store; the oldest are dropped first.
 const MAX_PENDING: usize = 4096;
 
@@ -57,7 +59,12 @@
     if !crashes.add(now, record) {
         return;
     }
-    info!(
+    // Each gateway receives the records of all others: those of a single crash are logged by the
+    // gateway that made them.
+    let is_single = crashes.count(record.fingerprint) < 2 && source != "own";
+    let level = if is_single { Level::Debug } else { Level::Info };
+    log!(
+        level,
         event = "crash", print = record.fingerprint, endpoint = record.crash.endpoint.as_str(),
         born = record.crash.started_ms, void = record.is_void,
         count = crashes.count(record.fingerprint), source; "recorded"
@@ -137,7 +144,15 @@
             Timer::after(BATCH_TIME).await;
         }
         let records = outbox.pending.borrow().clone();
-        match write_records(&state, &records).await {
+        let mut write = Box::pin(write_records(&state, &records));
+        let usual = timer::within(USUAL_WRITE_TIME, &mut write).await;
+        let written = if let Some(written) = usual {
+            written
+        } else {
+            send_unsent(&state, &records);
+            write.await
+        };
+        match written {
             Ok(()) => {
                 outbox.pending.borrow_mut().drain(..records.len());
                 outbox.sent_count.set(0);
