--- a/crates/endivespur_dev/tests/soak.rs
+++ b/crates/endivespur_dev/tests/soak.rs
@@ -3,15 +3,15 @@
 use endivespur_dev::process;
 use endivespur_stand::soak;
 
-/// Runs two rounds with the faults that the seed generates.
-fn run(seed: u64) {
+/// Runs rounds with the faults that the seed generates.
+fn run(seed: u64, rounds: usize) {
     let folder =
         std::env::temp_dir().join(format!("endivespur-soak-{}-{seed}", std::process::id()));
     let options = soak::Options {
         program: process::build().unwrap().join("endivespurd"),
         folder: folder.clone(),
         seed,
-        rounds: 2,
+        rounds,
         gateways: 3,
         is_verbose: true,
     };
@@ -23,5 +23,12 @@
 /// With seed 3 all gateways are killed while the store answers none of them.
 #[test]
 fn run_short() {
-    run(3);
+    run(3, 2);
+}
+
+/// The probes of one caller shared each endpoint with two requests that crash endpoints, and were
+/// quarantined with them.
+#[test]
+fn run_polls_beside_crashes() {
+    run(101, 3);
 }
