Let other tasks run while a peer sends without a pause

What callers saw, in tests: an endpoint that sends interim responses, trailer fields or a body without an end kept the gateway from answering anyone for 8 s and more, since the single thread read on and on: a read that finds bytes does not yield, so no timer could end it either.

Change: a connection yields after every eighth read.

--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -14,6 +14,8 @@
 
 /// The size of one read.
 const READ_BYTES: usize = 16 * 1024;
+/// The number of reads after which other tasks may run.
+const READS_PER_YIELD: u8 = 8;
 /// The interval at which a stream with unread bytes is polled for its end; a fifth of the 500 ms
 /// within which the disconnect of a caller must cancel its request.
 const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -51,6 +53,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// The number of reads, which wraps around.
+    reads: u8,
 }
 
 impl Connection {
@@ -60,6 +64,7 @@
         Self {
             stream,
             buffer: Vec::new(),
+            reads: 0,
         }
     }
 
@@ -88,6 +93,11 @@
     ///
     /// Returns the cause if the connection fails.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        // A peer that sends without a pause would keep other tasks and timers from running.
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(READS_PER_YIELD) {
+            smol::future::yield_now().await;
+        }
         let start = self.buffer.len();
         self.buffer.resize(start + READ_BYTES, 0);
         let result = self.stream.read(&mut self.buffer[start..]).await;
