Bound the time to read the body of a refusal

What callers saw, in a test: an engine that refused a request with a body that arrives slowly and never ends held the request for 8.2 s, beyond its route's timeout.

Cause: the body is read only to keep the connection, without a time limit.

Evidence: serve_beside_endless_refusal failed in each run before and passes now. After 20 ms the connection is closed instead, and the request goes on to another engine.

--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -25,6 +25,8 @@
 const ATTEMPT_LIMIT: usize = 6;
 /// The maximum size of a refusal's body that is read to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
+/// The maximum time to read that body: another engine may still serve the request.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 /// The extra time after the deadline in which a stream may still end by itself.
 const STREAM_SLACK: Duration = Duration::from_millis(300);
 
@@ -225,7 +227,8 @@
     }
     let reason = format!("engine-status-{status}");
     log_failed_attempt(call, &permit.instance, "not-run", &reason);
-    if let Ok(Some(_)) = response.read_all(state, MAX_REFUSAL_BYTES).await {
+    let body = response.read_all(state, MAX_REFUSAL_BYTES);
+    if let Some(Ok(Some(_))) = timer::within(REFUSAL_BODY_TIMEOUT, body).await {
         response.recycle(state);
     }
     Attempt::NotRun(reason)
