Interrupt a stream whose event has no end

What callers saw, in a test: while an engine sent a body without an end and without a complete event, another request waited 505 ms; memory grows with all that arrives until the deadline.

Cause: the bytes of an incomplete event were kept without a limit and searched anew each time.

An event longer than 256 KB now interrupts the stream, as an engine's disconnect does.

--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -23,6 +23,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The maximum number of attempts for one request.
 const ATTEMPT_LIMIT: usize = 6;
+/// The maximum size of one event of a stream, which is held until it is complete.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// The maximum size of a refusal's body that is read to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
 /// The maximum time to read that body: another engine may still serve the request.
@@ -302,6 +304,9 @@
             };
             let sent = if is_stream {
                 let events = complete_events(stream, &bytes);
+                if stream.partial.len() > MAX_EVENT_BYTES {
+                    return Transfer::Interrupted("event too long".to_string());
+                }
                 caller.send_chunk(&events).await
             } else {
                 caller.send_chunk(&bytes).await
