Fit a gateway's share of the retry budget to the VMs that are known

What callers and endpoints could see: after a restart of all gateways, more retries than the budget permits.

Cause: a service's budget was sized at its first request, by the number of VMs known then, and kept for the life of the process. Right after a restart that is one or two, and each gateway took most of the budget. Class of fault: a share of something common, computed once from a partial view.

The number of VMs is at least six and never falls: their records end with their leases while the store is unavailable, though the VMs go on.

--- a/crates/endivespur_core/src/retry.rs
+++ b/crates/endivespur_core/src/retry.rs
@@ -18,6 +18,12 @@
         }
     }
 
+    /// Changes how many retries are permitted in a row; a budget with more left loses the excess.
+    pub fn set_limit(&mut self, limit: f64) {
+        self.limit = limit;
+        self.tokens = self.tokens.min(limit);
+    }
+
     /// Adds the share of a new request.
     pub fn deposit(&mut self) {
         self.tokens = (self.tokens + self.share).min(self.limit);
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -29,8 +29,9 @@
 /// The share of the permitted retries that this VM uses, because callers are spread unevenly over
 /// the VMs.
 const RETRY_SHARE: f64 = 0.6;
-/// The number of VMs assumed to share the retry budget while none is known.
-const ASSUMED_VMS: f64 = 6.0;
+/// The number of VMs assumed to share the retry budget until more are known: after a start, the
+/// records of the others may be missing.
+const MIN_VMS: usize = 6;
 
 /// The state shared by the gateway's tasks, which all run on one thread.
 pub struct State {
@@ -74,6 +75,9 @@
     pub records: Outbox,
     /// The number of requests in flight, by endpoint.
     pub in_flight: RefCell<BTreeMap<Endpoint, usize>>,
+    /// The largest number of VMs that were known at a time. Their records end with their leases,
+    /// also while the store is unavailable and the VMs go on.
+    most_vms: Cell<usize>,
     /// The retry budgets, by service.
     retries: RefCell<BTreeMap<String, Budget>>,
     /// Set once the process has been asked to stop.
@@ -110,6 +114,7 @@
             checks: Checks::new(),
             records: Outbox::new(),
             in_flight: RefCell::new(BTreeMap::new()),
+            most_vms: Cell::new(MIN_VMS),
             retries: RefCell::new(BTreeMap::new()),
             is_stopping: Cell::new(false),
             closing: Event::new(),
@@ -143,14 +148,15 @@
 
     fn with_budget<T>(&self, service: &str, use_budget: impl FnOnce(&mut Budget) -> T) -> T {
         let vms = self.catalog.borrow().peers().count();
-        let vms = if vms == 0 { ASSUMED_VMS } else { vms as f64 };
+        let vms = vms.max(self.most_vms.get());
+        self.most_vms.set(vms);
+        let limit = (self.settings.retry_reserve * RETRY_SHARE / vms as f64).max(1.0);
+        let share = self.settings.retry_ratio * RETRY_SHARE;
         let mut retries = self.retries.borrow_mut();
-        let budget = retries.entry(service.to_string()).or_insert_with(|| {
-            Budget::new(
-                self.settings.retry_ratio * RETRY_SHARE,
-                (self.settings.retry_reserve * RETRY_SHARE / vms).max(1.0),
-            )
-        });
+        let budget = retries
+            .entry(service.to_string())
+            .or_insert_with(|| Budget::new(share, limit));
+        budget.set_limit(limit);
         use_budget(budget)
     }
 }
