Let no request wait for an adapter at an engine that is down

What callers saw, in a test: a request whose adapter was to be loaded by a crashed engine waited for 2 s and was refused, while other engines could load it.

Cause: the owner of a crashed engine keeps it until its registration ends, seconds later, and let requests wait for orders that the engine refuses.

If the engine's report cannot be read, its owner answers that it is busy, and the request goes to another engine.

--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -1,6 +1,6 @@
 //! The engines owned by this VM, and the grants for requests to them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,12 +13,18 @@
 
 use crate::timer;
 
+/// The estimated delay at an engine that does not respond to its owner: until its registration
+/// ends.
+const UNREACHABLE_DELAY: Duration = Duration::from_secs(4);
+
 /// One owned engine.
 pub struct OwnedEngine {
     /// The fencing number of the claim.
     pub fence: Fence,
     /// The start time by which the registration identifies the engine's incarnation.
     pub started_ms: u64,
+    /// Whether the last attempt to read its report failed.
+    pub is_unreachable: Cell<bool>,
     /// The adapters that it holds and should hold.
     pub engine: RefCell<Engine>,
     /// Signals a change of what the engine should hold; wakes the task that sends orders.
@@ -137,6 +143,10 @@
                 Decision::Busy(delay) if waiter.is_none() || now + delay > deadline => {
                     return Reply::Busy(delay);
                 }
+                // No adapter can be loaded there.
+                Decision::Wait if owned.is_unreachable.get() => {
+                    return Reply::Busy(UNREACHABLE_DELAY);
+                }
                 Decision::Busy(_) | Decision::Wait => {}
             }
             if now >= deadline {
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -1,6 +1,6 @@
 //! Sends orders to the engines owned by this VM, with one task for each engine.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,6 +75,7 @@
     let owned = Rc::new(OwnedEngine {
         fence,
         started_ms: instance.started_ms,
+        is_unreachable: Cell::new(false),
         engine: RefCell::new(engine),
         target_changed: Event::new(),
         state_changed: Event::new(),
@@ -139,6 +140,7 @@
                 adapters = report.bases.values().map(|base| base.adapters.len()).sum::<usize>(),
                 loading = report.loading.len(); "reconciled"
             );
+            owned.is_unreachable.set(false);
             owned.engine.borrow_mut().reconcile(clock::now(), &report);
             owned.state_changed.notify(usize::MAX);
         }
@@ -148,6 +150,8 @@
         }
         Err(error) => {
             warn!(event = "report", endpoint = instance.id.as_str(); "{error}");
+            owned.is_unreachable.set(true);
+            owned.state_changed.notify(usize::MAX);
             Timer::after(RETRY_PAUSE).await;
         }
     }
