Keep suspected requests of the product's own path in the store

What callers saw, in a scenario: after all daemons were replaced, a request that had crashed two engines crashed two more.

Cause: as in the gateway, suspects lived in the daemons' memory and were sent to the others once.

Change: each run of a suspected request is written to the store, under a lease of the retention, and read at the start and whenever the store is reached again. A daemon that stays connected still depends on the broadcast: that a lost one is made up for is not proved.

--- a/crates/endivespur_node/src/suspicion.rs
+++ b/crates/endivespur_node/src/suspicion.rs
@@ -6,6 +6,9 @@
 use endivespur_core::clock::Time;
 use endivespur_core::hash;
 use endivespur_core::suspect::{Admission, Fingerprint};
+use endivespur_net::store::{Error, Write};
+use log::warn;
+use serde::{Deserialize, Serialize};
 
 use crate::clock;
 use crate::node::{Node, sleep};
@@ -13,6 +16,10 @@
 
 /// The time for which a suspected request is remembered.
 pub const RETENTION: Duration = Duration::from_hours(24);
+/// The prefix of the stored records; it is not watched, since crashes are also broadcast.
+const PREFIX: &str = "endivespur-suspects/";
+/// The delay before a record is written again.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The delay before a suspected request asks again for its admission.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -122,6 +129,80 @@
     }
 }
 
+/// A run of a suspected request, as stored for the daemons that start later.
+#[derive(Serialize, Deserialize)]
+struct Record {
+    fingerprint: Fingerprint,
+    endpoint: String,
+    attempt: u64,
+    crashed: bool,
+}
+
+impl Record {
+    /// Returns the key in the store; a run without a crash replaces the one before it.
+    fn key(&self) -> String {
+        if self.crashed {
+            // Attempts are numbered for each endpoint.
+            let Self {
+                fingerprint,
+                endpoint,
+                attempt,
+                ..
+            } = self;
+            format!("{PREFIX}{fingerprint:016x}/{endpoint}/{attempt}")
+        } else {
+            format!("{PREFIX}{:016x}/completed", self.fingerprint)
+        }
+    }
+}
+
+/// Writes a record to the store, and retries while the store is unavailable.
+async fn store_record(node: Rc<Node>, record: Record) {
+    let value = serde_json::json!(record).to_string();
+    let mut is_first = true;
+    loop {
+        match write(&node, &record.key(), &value).await {
+            Ok(()) => return,
+            Err(error) if is_first => warn!(event = "suspect"; "record not stored: {error}"),
+            Err(_) => {}
+        }
+        is_first = false;
+        sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
+async fn write(node: &Node, key: &str, value: &str) -> Result<(), Error> {
+    let lease = node.store.grant(RETENTION).await?;
+    let write = Write::new(key, value).with_lease(lease);
+    node.store.write_one(write).await?;
+    Ok(())
+}
+
+/// Loads the stored records of suspected requests, in the order in which they were written.
+///
+/// # Errors
+///
+/// Returns the cause if the store does not respond.
+pub async fn load(node: &Node) -> Result<(), Error> {
+    let (_, mut pairs) = node.store.list(PREFIX).await?;
+    pairs.sort_by_key(|pair| pair.revision);
+    for text in pairs.into_iter().filter_map(|pair| pair.value) {
+        match serde_json::from_str::<Record>(&text) {
+            Ok(run) => {
+                record_run(
+                    node,
+                    run.fingerprint,
+                    &run.endpoint,
+                    run.attempt,
+                    run.crashed,
+                );
+            }
+            Err(error) => warn!(event = "suspect"; "unreadable record: {error}"),
+        }
+    }
+    Ok(())
+}
+
 /// Notifies each node of the region whether a run crashed its endpoint.
 ///
 /// Crashes are rare, so that notifying every node is cheap.
@@ -133,6 +214,13 @@
     crashed: bool,
 ) {
     record_run(node, fingerprint, endpoint, attempt, crashed);
+    let record = Record {
+        fingerprint,
+        endpoint: endpoint.to_string(),
+        attempt,
+        crashed,
+    };
+    node.spawn(store_record(node.clone(), record));
     let region = &node.settings.region;
     let addresses: Vec<String> = node
         .table
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::node::{Node, sleep};
 use crate::peer::{self, Failure};
+use crate::suspicion;
 
 /// The prefix of the watched keys.
 const PREFIX: &str = "endivespur/";
@@ -105,6 +106,7 @@
 /// Lists all records and follows the watch until it fails or misses a write.
 async fn follow_once(node: &Rc<Node>) -> Result<(), Error> {
     let (revision, pairs) = node.store.list(PREFIX).await?;
+    suspicion::load(node).await?;
     replace(node, revision, pairs);
     let mut watch = node.store.watch(PREFIX, revision + 1).await?;
     loop {
