Count the crash of an incarnation that is not registered yet

Cause: a crash is identified by the endpoint and its start time as registered. The registration of an endpoint that has started again arrives some time later, the more so on a busy machine; a crash until then was taken for the first one.

Change: a request that was sent after this gateway had learned of a crash was in flight for a later one, which gets a number of its own. Requests in flight during one crash still share it.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -33,8 +33,11 @@
 pub struct Crash {
     /// The endpoint.
     pub endpoint: Endpoint,
-    /// The start time of the incarnation, in Unix milliseconds.
+    /// The start time of the incarnation, in Unix milliseconds, as known when the request was sent.
     pub started_ms: u64,
+    /// Distinguishes crashes of later incarnations whose registration was not known yet.
+    #[serde(default)]
+    pub ordinal: u32,
 }
 
 /// A crash during which a request was in flight.
@@ -84,6 +87,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// When this gateway learned of each crash.
+    crashes: BTreeMap<Crash, Time>,
     /// When requests last completed through this gateway.
     completions: BTreeMap<Fingerprint, Time>,
     /// When outdated completions were last removed.
@@ -96,10 +101,27 @@
         Self::default()
     }
 
+    /// Returns the crash that a request sent at `sent` was in flight for: a later one than those
+    /// that were known by then.
+    pub fn identify(&self, crash: &Crash, sent: Time) -> Crash {
+        let mut crash = crash.clone();
+        while self
+            .crashes
+            .get(&crash)
+            .is_some_and(|learned_at| *learned_at < sent)
+        {
+            crash.ordinal += 1;
+        }
+        crash
+    }
+
     /// Adds a record; returns whether it was new.
     pub fn add(&mut self, now: Time, record: &Record) -> bool {
         self.suspects
             .retain(|_, suspect| now < suspect.last_seen + RETENTION);
+        self.crashes
+            .retain(|_, learned_at| now < *learned_at + RETENTION);
+        self.crashes.entry(record.crash.clone()).or_insert(now);
         let suspect = self.suspects.entry(record.fingerprint).or_default();
         suspect.last_seen = now;
         suspect.shared_at = now;
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -11,6 +11,7 @@
         crash: Crash {
             endpoint: "e".to_string(),
             started_ms,
+            ordinal: 0,
         },
         is_void: false,
     }
@@ -123,3 +124,15 @@
     assert!(tracker.has_completed(ms(2_000), 7));
     assert!(!tracker.has_completed(ms(5_000), 7));
 }
+
+/// An endpoint that has started again is registered some time later. A request sent to it meanwhile
+/// must count a crash of its own, but not one that was in flight during the first crash.
+#[test]
+fn identify_crash_before_registration() {
+    let mut tracker = Tracker::new();
+    let crash = record(7, 17).crash;
+    assert_eq!(tracker.identify(&crash, ms(10)), crash);
+    tracker.add(ms(50), &record(7, 17));
+    assert_eq!(tracker.identify(&crash, ms(20)), crash);
+    assert_eq!(tracker.identify(&crash, ms(100)).ordinal, 1);
+}
--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -15,6 +15,8 @@
     pub fingerprint: Fingerprint,
     /// The id of the attempt, for the log.
     pub request: String,
+    /// When it was sent.
+    pub sent: Time,
     /// When the caller left or its deadline passed without a response; `None` if the response was
     /// lost. The request is cleared if the endpoint has sent anything since.
     pub silent_since: Option<Time>,
@@ -27,6 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Lost {
     fingerprint: Fingerprint,
+    sent: Time,
     at: Time,
 }
 
@@ -69,26 +72,29 @@
             .filter(|suspect| suspect.silent_since.is_none())
             .map(|suspect| Lost {
                 fingerprint: suspect.fingerprint,
+                sent: suspect.sent,
                 at: now,
             });
         all.entry(crash.clone()).or_default().extend(lost);
     }
 
     /// Returns the recent lost responses of an endpoint that started again at `started_ms`, by the
-    /// crash that caused them.
+    /// crash that caused them: the requests, and when they were sent.
     pub fn take_lost(
         &self,
         now: Time,
         endpoint: &str,
         started_ms: u64,
-    ) -> Vec<(Crash, Vec<Fingerprint>)> {
+    ) -> Vec<(Crash, Vec<(Fingerprint, Time)>)> {
         let from = Crash {
             endpoint: endpoint.to_string(),
             started_ms: 0,
+            ordinal: 0,
         };
         let to = Crash {
             endpoint: endpoint.to_string(),
             started_ms,
+            ordinal: 0,
         };
         let mut all = self.lost.borrow_mut();
         let crashes: Vec<Crash> = all
@@ -99,7 +105,10 @@
         for crash in crashes {
             let lost = all.remove(&crash).unwrap_or_default();
             let recent = lost.iter().filter(|lost| now < lost.at + RESTART_TIME);
-            found.push((crash, recent.map(|lost| lost.fingerprint).collect()));
+            found.push((
+                crash,
+                recent.map(|lost| (lost.fingerprint, lost.sent)).collect(),
+            ));
         }
         found
     }
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -77,6 +77,7 @@
     instance: Rc<Instance>,
     fingerprint: Fingerprint,
     request: String,
+    sent: Time,
     /// Whether the request has completed shortly before, so that it crashes no endpoints.
     has_completed: bool,
     has_ended: bool,
@@ -90,6 +91,7 @@
             instance: instance.clone(),
             fingerprint: call.fingerprint,
             request: call.fields.attempt_id.clone(),
+            sent: clock::now(),
             has_completed: {
                 let crashes = state.crashes.borrow();
                 crashes.has_completed(clock::now(), call.fingerprint)
@@ -126,6 +128,7 @@
         let suspect = Suspect {
             fingerprint: self.fingerprint,
             request: self.request.clone(),
+            sent: self.sent,
             silent_since,
         };
         let crash = crash_of(&self.instance);
@@ -149,6 +152,7 @@
     Crash {
         endpoint: instance.id.clone(),
         started_ms: instance.started_ms,
+        ordinal: 0,
     }
 }
 
@@ -188,24 +192,31 @@
         state.checks.add_lost(clock::now(), &crash, &suspects);
         return;
     }
-    let fingerprints = suspects.iter().map(|suspect| suspect.fingerprint).collect();
-    share_crash(&state, &crash, fingerprints);
+    let runs = suspects
+        .iter()
+        .map(|suspect| (suspect.fingerprint, suspect.sent));
+    share_crash(&state, &crash, runs.collect());
 }
 
 /// Records that an endpoint's registration shows a start at `started_ms`: the responses that it
 /// lost shortly before were lost by a crash, after which it was back before it was checked.
 pub fn record_restart(state: &State, endpoint: &str, started_ms: u64) {
     let lost = state.checks.take_lost(clock::now(), endpoint, started_ms);
-    for (crash, fingerprints) in lost {
-        share_crash(state, &crash, fingerprints);
+    for (crash, runs) in lost {
+        share_crash(state, &crash, runs);
     }
 }
 
-fn share_crash(state: &State, crash: &Crash, fingerprints: Vec<Fingerprint>) {
-    let records = fingerprints.into_iter().map(|fingerprint| Record {
-        fingerprint,
-        crash: crash.clone(),
-        is_void: false,
-    });
-    record::share(state, records.collect());
+/// Shares a crash for each request that was in flight, with the time at which it was sent.
+fn share_crash(state: &State, crash: &Crash, runs: Vec<(Fingerprint, Time)>) {
+    let records = {
+        let crashes = state.crashes.borrow();
+        let records = runs.into_iter().map(|(fingerprint, sent)| Record {
+            fingerprint,
+            crash: crashes.identify(crash, sent),
+            is_void: false,
+        });
+        records.collect()
+    };
+    record::share(state, records);
 }
