Log the parts of prompts, and how far a response had come at a crash

The logs could not tell the hypotheses of the incident apart: no line named the parts that requests share, how the end of a response is recognised, or whether a response had started when its endpoint went down.

--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -17,6 +17,8 @@
     pub request: String,
     /// When it was sent.
     pub sent: Time,
+    /// How long the response had been arriving; `None` if it had not started.
+    pub response_time: Option<Duration>,
     /// When the caller left or its deadline passed without a response; `None` if the response was
     /// lost. The request is cleared if the endpoint has sent anything since.
     pub silent_since: Option<Time>,
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -78,6 +78,8 @@
     fingerprint: Fingerprint,
     request: String,
     sent: Time,
+    /// When the response started.
+    started: Option<Time>,
     /// Whether the request has completed shortly before, so that it crashes no endpoints.
     has_completed: bool,
     has_ended: bool,
@@ -92,6 +94,7 @@
             fingerprint: call.fingerprint,
             request: call.fields.attempt_id.clone(),
             sent: clock::now(),
+            started: None,
             has_completed: {
                 let crashes = state.crashes.borrow();
                 crashes.has_completed(clock::now(), call.fingerprint)
@@ -100,6 +103,11 @@
         }
     }
 
+    /// Records that the head of the response has arrived.
+    pub fn response_started(&mut self) {
+        self.started = Some(clock::now());
+    }
+
     /// Records that the request was not run, or has a response that is no success.
     pub fn ended(mut self) {
         self.has_ended = true;
@@ -129,6 +137,9 @@
             fingerprint: self.fingerprint,
             request: self.request.clone(),
             sent: self.sent,
+            response_time: self
+                .started
+                .map(|started| clock::now().saturating_sub(started)),
             silent_since,
         };
         let crash = crash_of(&self.instance);
@@ -184,7 +195,8 @@
     for suspect in &suspects {
         info!(
             event = "crash-check", request = suspect.request.as_str(), print = suspect.fingerprint,
-            endpoint = crash.endpoint.as_str(), born = crash.started_ms, outcome;
+            endpoint = crash.endpoint.as_str(), born = crash.started_ms, outcome,
+            response_ms:? = suspect.response_time.map(|time| time.as_millis());
             "checked for a crash"
         );
     }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -140,7 +140,7 @@
     progress: &mut Progress,
 ) -> Attempt {
     let instance = permit.instance.clone();
-    let run = Run::new(state, call, &instance);
+    let mut run = Run::new(state, call, &instance);
     let now = clock::now();
     let sent = send(state, call, &permit, progress.stream.last_event_id, caller).await;
     let failure = match sent {
@@ -153,9 +153,11 @@
             info!(
                 event = "head", request = call.fields.attempt_id.as_str(),
                 endpoint = instance.id.as_str(), status = response.head.status,
+                framing:? = response.framing,
                 took_ms = clock::now().saturating_sub(now).as_millis() as u64; "response started"
             );
             permit.response_started();
+            run.response_started();
             let is_failure = response.head.status >= 500;
             let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream
                 && progress.runs + 1 < call.route.max_endpoints;
@@ -243,11 +245,17 @@
         event = "granted", request = call.fields.attempt_id.as_str(),
         endpoint = permit.instance.id.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(location, _)| location), version = permit.version,
-        offer = attempt_number, tokens = call.fields.prompt_tokens,
+        offer = attempt_number, tokens = call.fields.prompt_tokens, parts = part_ids(call),
         waited_ms = waited.as_millis() as u64; "granted"
     );
 }
 
+/// Returns the ids of a prompt's parts, for the log.
+fn part_ids(call: &Call) -> String {
+    let ids = call.fields.parts.iter().map(|part| part.id.as_str());
+    ids.collect::<Vec<_>>().join(",")
+}
+
 async fn send(
     state: &Rc<State>,
     call: &Call,
