Quarantine the part of prompts that crashes endpoints

The gateways saw and recorded each crash, but under a fingerprint of the whole request, and no two of these requests are alike.

A request now has features: its whole, and each part of its prompt but the last. Crashes are recorded against all of them, through the same records in the store. Sound requests share the other parts, and are in flight beside those that crash engines: the feature with the most crashes explains them, ties go to the one that fewer requests share, and a completed run at any gateway refutes the crashes of its features.

In is_quarantined_while_it_is_sent the crashes of the second request were partly those of the first; they now explain them, so that the test uses other ones. Its bounds are the same.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -1,4 +1,4 @@
-//! Quarantines requests that crash the endpoints that run them.
+//! Quarantines what crashes the endpoints that run it: a request, or a part of prompts.
 //!
 //! Gateways exchange [`Record`]s. They are only ever added: neither their order nor receiving one
 //! twice makes a difference.
@@ -12,22 +12,42 @@
 use crate::id::Endpoint;
 use crate::suspect::Fingerprint;
 
-/// The number of crashes after which a request is refused. A harmless request may share an endpoint
-/// with the request that crashes it, usually during one crash and rarely during two.
+/// The number of crashes after which a feature is quarantined. A harmless request may share an
+/// endpoint with the request that crashes it, usually during one crash and rarely during two.
 const CRASH_LIMIT: usize = 3;
-/// The number of crashes from which a completed run is recorded: below it, the next crash does not
-/// quarantine the request.
+/// The number of crashes from which a completion is shared: below it, the next crash does not
+/// quarantine the feature.
 const DOUBT_LIMIT: usize = 2;
-/// How long records are kept after the last crash or the last refusal of a request.
+/// How long records are kept after the last crash or the last refusal.
 pub const RETENTION: Duration = Duration::from_mins(10);
-/// How long after the last crash a quarantined request may run once more, in case it is harmless
-/// and was in flight on several endpoints that crashed at the same time.
+/// How long after the last crash a request with a quarantined feature may run once more, in case the
+/// feature is harmless and was in flight on several endpoints that crashed at the same time.
 const TRIAL_DELAY: Duration = Duration::from_secs(8);
 
-/// How recently a request must have completed for a crash not to count against it: a request that
-/// crashes endpoints never completes.
+/// How recently a request must have completed for a crash not to count against its features: a
+/// feature that crashes endpoints never completes.
 const COMPLETION_TIME: Duration = Duration::from_secs(3);
 
+/// What a fingerprint identifies. A greater scope is shared by fewer requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Scope {
+    /// A part of the prompt, at this position.
+    Part(usize),
+    /// The whole request.
+    #[default]
+    Request,
+}
+
+/// A property of a request that may crash the endpoints that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Feature {
+    /// Identifies the feature in other requests.
+    pub fingerprint: Fingerprint,
+    /// What the fingerprint identifies.
+    #[serde(default)]
+    pub scope: Scope,
+}
+
 /// A crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
@@ -40,56 +60,85 @@
     pub ordinal: u32,
 }
 
-/// A crash during which a request was in flight.
+/// A crash during which a request with a feature was in flight.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// The request.
-    pub fingerprint: Fingerprint,
+    /// The feature.
+    #[serde(flatten)]
+    pub feature: Feature,
     /// The crash.
     pub crash: Crash,
-    /// Whether the request has completed since, so that the crash no longer counts.
+    /// Whether a request with the feature has completed since, so that the crash no longer counts.
     pub is_void: bool,
 }
 
-/// The number of a trial of one request. A request has one trial until it completes.
+/// The number of a trial of one feature. A feature has one trial until it completes.
 pub type Trial = usize;
 
+/// Whether a crash counts against a feature.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Status {
+    Valid,
+    /// This gateway has seen a completion that the others may not know of.
+    Refuted,
+    Void,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Whether each crash is void.
-    crashes: BTreeMap<Crash, bool>,
+    /// `None` if only a trial is known.
+    scope: Option<Scope>,
+    crashes: BTreeMap<Crash, Status>,
     /// The trials that have been taken.
     trials: BTreeSet<Trial>,
     last_crash: Time,
-    /// When the request last crashed an endpoint or was last refused.
+    /// When the feature last crashed an endpoint or was last refused.
     last_seen: Time,
     /// When its records were last shared with other gateways.
     shared_at: Time,
 }
 
 impl Suspect {
+    fn with_status(&self, status: Status) -> impl Iterator<Item = &Crash> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(move |(_, other)| **other == status);
+        crashes.map(|(crash, _)| crash)
+    }
+
     fn count(&self) -> usize {
-        self.crashes.values().filter(|is_void| !**is_void).count()
+        self.with_status(Status::Valid).count()
+    }
+
+    /// Returns whether the other gateways may count enough crashes to need the refutations.
+    fn has_unshared_refutations(&self) -> bool {
+        let refuted = self.with_status(Status::Refuted).count();
+        refuted > 0 && refuted + self.count() >= DOUBT_LIMIT
     }
 
-    fn records(&self, fingerprint: Fingerprint) -> Vec<Record> {
-        let valid = self.crashes.iter().filter(|(_, is_void)| !**is_void);
-        let records = valid.map(|(crash, _)| Record {
-            fingerprint,
+    fn records(&self, fingerprint: Fingerprint, status: Status) -> Vec<Record> {
+        let records = self.with_status(status).map(|crash| Record {
+            feature: Feature {
+                fingerprint,
+                scope: self.scope.unwrap_or_default(),
+            },
             crash: crash.clone(),
-            is_void: false,
+            is_void: status != Status::Valid,
         });
         records.collect()
     }
 }
 
-/// The requests that were in flight when endpoints crashed, by fingerprint.
+/// The features of requests that were in flight when endpoints crashed, by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// The features that must not run.
+    quarantined: BTreeSet<Fingerprint>,
+    /// The features with refuted crashes.
+    refuted: BTreeSet<Fingerprint>,
     /// When this gateway learned of each crash.
     crashes: BTreeMap<Crash, Time>,
-    /// When requests last completed through this gateway.
+    /// When requests with each feature last completed through this gateway.
     completions: BTreeMap<Fingerprint, Time>,
     /// When outdated completions were last removed.
     pruned_at: Time,
@@ -117,36 +166,101 @@
 
     /// Adds a record; returns whether it was new.
     pub fn add(&mut self, now: Time, record: &Record) -> bool {
+        let suspect_count = self.suspects.len();
         self.suspects
             .retain(|_, suspect| now < suspect.last_seen + RETENTION);
+        let has_expired = self.suspects.len() < suspect_count;
+        self.refuted
+            .retain(|fingerprint| self.suspects.contains_key(fingerprint));
         self.crashes
             .retain(|_, learned_at| now < *learned_at + RETENTION);
         self.crashes.entry(record.crash.clone()).or_insert(now);
-        let suspect = self.suspects.entry(record.fingerprint).or_default();
+        let Feature { fingerprint, scope } = record.feature;
+        let status = if record.is_void {
+            Status::Void
+        } else if self.has_completed(now, fingerprint) {
+            Status::Refuted
+        } else {
+            Status::Valid
+        };
+        if status == Status::Refuted {
+            self.refuted.insert(fingerprint);
+        }
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.scope = suspect.scope.max(Some(scope));
         suspect.last_seen = now;
         suspect.shared_at = now;
-        let Some(is_void) = suspect.crashes.get_mut(&record.crash) else {
-            suspect.crashes.insert(record.crash.clone(), record.is_void);
-            suspect.last_crash = now;
-            return true;
+        let is_new = match suspect.crashes.get_mut(&record.crash) {
+            None => {
+                suspect.crashes.insert(record.crash.clone(), status);
+                suspect.last_crash = now;
+                true
+            }
+            Some(known) if record.is_void && *known != Status::Void => {
+                *known = Status::Void;
+                true
+            }
+            Some(_) => false,
         };
-        let is_new = record.is_void && !*is_void;
-        *is_void |= record.is_void;
+        let may_quarantine = is_new && (record.is_void || suspect.count() >= CRASH_LIMIT);
+        if has_expired || may_quarantine {
+            self.quarantined = self.find_causes();
+        }
         is_new
     }
 
-    /// Returns the number of crashes that count against a request.
+    /// Returns the features that explain the crashes.
+    ///
+    /// A request that crashes an endpoint has other features too, and others are in flight beside
+    /// it. The feature with the most crashes explains all of them, so that they do not count
+    /// against its companions. Of features with the same crashes, the one that fewer requests share
+    /// is quarantined.
+    fn find_causes(&self) -> BTreeSet<Fingerprint> {
+        let suspects = self.suspects.iter();
+        let mut candidates: Vec<(Option<Scope>, Fingerprint, BTreeSet<&Crash>)> = suspects
+            .filter(|(_, suspect)| suspect.count() >= CRASH_LIMIT)
+            .map(|(fingerprint, suspect)| {
+                let crashes = suspect.with_status(Status::Valid).collect();
+                (suspect.scope, *fingerprint, crashes)
+            })
+            .collect();
+        let mut causes = BTreeSet::new();
+        loop {
+            candidates.retain(|(_, _, crashes)| crashes.len() >= CRASH_LIMIT);
+            let cause = candidates
+                .iter()
+                .max_by_key(|(scope, fingerprint, crashes)| (crashes.len(), *scope, *fingerprint))
+                .cloned();
+            let Some((_, fingerprint, explained)) = cause else {
+                return causes;
+            };
+            causes.insert(fingerprint);
+            for (_, _, crashes) in &mut candidates {
+                crashes.retain(|crash| !explained.contains(crash));
+            }
+        }
+    }
+
+    /// Returns the number of crashes that count against a feature.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, Suspect::count)
     }
 
-    /// Returns whether a request must be refused.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.count(fingerprint) >= CRASH_LIMIT
+    /// Returns the fingerprints of the quarantined features.
+    pub fn quarantined(&self) -> &BTreeSet<Fingerprint> {
+        &self.quarantined
+    }
+
+    /// Returns the first of a request's features for which it must be refused.
+    pub fn find_quarantined(&self, features: &[Feature]) -> Option<Feature> {
+        let mut features = features.iter();
+        features
+            .find(|feature| self.quarantined.contains(&feature.fingerprint))
+            .copied()
     }
 
-    /// Records that a request was refused, which extends its quarantine; returns the records that
-    /// must be shared again before the other gateways forget them.
+    /// Records that a request was refused for a feature, which extends the quarantine; returns the
+    /// records that must be shared again before the other gateways forget them.
     pub fn refused(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Record> {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return Vec::new();
@@ -156,44 +270,78 @@
             return Vec::new();
         }
         suspect.shared_at = now;
-        suspect.records(fingerprint)
+        suspect.records(fingerprint, Status::Valid)
     }
 
-    /// Returns whether a request has completed recently through this gateway.
+    /// Returns whether a request with a feature has completed recently through this gateway.
     pub fn has_completed(&self, now: Time, fingerprint: Fingerprint) -> bool {
         let completed_at = self.completions.get(&fingerprint);
         completed_at.is_some_and(|completed_at| now < *completed_at + COMPLETION_TIME)
     }
 
-    /// Records that a request has completed on an endpoint; returns the records to be added and
-    /// shared.
-    pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Record> {
+    /// Records that a request with these features has completed on an endpoint.
+    pub fn completed(&mut self, now: Time, features: &[Feature]) {
         if now >= self.pruned_at + COMPLETION_TIME {
             self.pruned_at = now;
             self.completions
                 .retain(|_, completed_at| now < *completed_at + COMPLETION_TIME);
         }
-        self.completions.insert(fingerprint, now);
-        let Some(suspect) = self.suspects.get(&fingerprint) else {
-            return Vec::new();
-        };
-        if suspect.count() < DOUBT_LIMIT {
-            return Vec::new();
+        let mut is_changed = false;
+        for feature in features {
+            self.completions.insert(feature.fingerprint, now);
+            let Some(suspect) = self.suspects.get_mut(&feature.fingerprint) else {
+                continue;
+            };
+            for status in suspect.crashes.values_mut() {
+                if *status == Status::Valid {
+                    *status = Status::Refuted;
+                    self.refuted.insert(feature.fingerprint);
+                    is_changed = true;
+                }
+            }
         }
-        let mut records = suspect.records(fingerprint);
-        for record in &mut records {
-            record.is_void = true;
+        if is_changed {
+            self.quarantined = self.find_causes();
         }
-        records
     }
 
-    /// Returns the trial that a quarantined request may take now. It must be claimed first, so that
-    /// only one gateway runs it.
-    pub fn available_trial(&self, now: Time, fingerprint: Fingerprint) -> Option<Trial> {
-        let suspect = self.suspects.get(&fingerprint)?;
-        let trial = suspect.crashes.len() - suspect.count();
+    /// Returns whether there are refutations to be shared.
+    pub fn has_refutations(&self) -> bool {
+        self.unshared_refutations().next().is_some()
+    }
+
+    /// Returns the records by which the other gateways learn of completions seen by this one.
+    pub fn refutations(&self) -> Vec<Record> {
+        let records = self
+            .unshared_refutations()
+            .flat_map(|(fingerprint, suspect)| suspect.records(fingerprint, Status::Refuted));
+        records.collect()
+    }
+
+    fn unshared_refutations(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        let refuted = self.refuted.iter();
+        let suspects =
+            refuted.filter_map(|fingerprint| Some((*fingerprint, self.suspects.get(fingerprint)?)));
+        suspects.filter(|(_, suspect)| suspect.has_unshared_refutations())
+    }
+
+    /// Returns the trial that a request may take now for its only quarantined feature. It must be
+    /// claimed first, so that only one gateway runs it.
+    ///
+    /// If a feature that fewer requests share is suspected too, a crash would not show which of
+    /// them caused it.
+    pub fn available_trial(&self, now: Time, features: &[Feature]) -> Option<(Fingerprint, Trial)> {
+        let feature = self.find_quarantined(features)?;
+        let mut others = features.iter().filter(|other| **other != feature);
+        let is_ambiguous = others.any(|other| {
+            self.quarantined.contains(&other.fingerprint)
+                || (other.scope > feature.scope && self.count(other.fingerprint) > 0)
+        });
+        let suspect = self.suspects.get(&feature.fingerprint)?;
+        let trial = suspect.with_status(Status::Void).count();
         let is_due = now >= suspect.last_crash + TRIAL_DELAY;
-        (is_due && !suspect.trials.contains(&trial)).then_some(trial)
+        (!is_ambiguous && is_due && !suspect.trials.contains(&trial))
+            .then_some((feature.fingerprint, trial))
     }
 
     /// Records that a trial was taken, by this gateway or another one.
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -1,13 +1,32 @@
 //! Callers keep sending the requests that crash endpoints. A harmless request that was in flight
 //! during a crash is sent again once and must not be refused.
 
-use endivespur_core::gateway::crash::{Crash, Record, Tracker};
+use endivespur_core::gateway::crash::{Crash, Feature, Record, Scope, Tracker};
 
 use crate::ms;
 
+/// Returns the feature of a whole request.
+fn request(fingerprint: u64) -> Feature {
+    Feature {
+        fingerprint,
+        scope: Scope::Request,
+    }
+}
+
+fn part(fingerprint: u64, position: usize) -> Feature {
+    Feature {
+        fingerprint,
+        scope: Scope::Part(position),
+    }
+}
+
 fn record(fingerprint: u64, started_ms: u64) -> Record {
+    feature_record(request(fingerprint), started_ms)
+}
+
+fn feature_record(feature: Feature, started_ms: u64) -> Record {
     Record {
-        fingerprint,
+        feature,
         crash: Crash {
             endpoint: "e".to_string(),
             started_ms,
@@ -17,6 +36,19 @@
     }
 }
 
+fn is_quarantined(tracker: &Tracker, fingerprint: u64) -> bool {
+    tracker.find_quarantined(&[request(fingerprint)]).is_some()
+}
+
+/// Records that a request has completed, and shares what refutes its crashes with both trackers.
+fn complete(now: u64, fingerprint: u64, tracker: &mut Tracker, other: &mut Tracker) {
+    tracker.completed(ms(now), &[request(fingerprint)]);
+    for record in tracker.refutations() {
+        tracker.add(ms(now), &record);
+        other.add(ms(now), &record);
+    }
+}
+
 /// Returns a tracker of a request 7 that crashed three endpoints at 0, 1 and 2 ms.
 fn quarantined() -> Tracker {
     let mut tracker = Tracker::new();
@@ -32,10 +64,10 @@
     for now in 0..2 {
         tracker.add(ms(now), &record(7, now));
     }
-    assert!(!tracker.is_quarantined(7));
+    assert!(!is_quarantined(&tracker, 7));
     tracker.add(ms(11), &record(7, 2));
-    assert!(tracker.is_quarantined(7));
-    assert!(!tracker.is_quarantined(8));
+    assert!(is_quarantined(&tracker, 7));
+    assert!(!is_quarantined(&tracker, 8));
 }
 
 #[test]
@@ -43,11 +75,11 @@
     let mut tracker = quarantined();
     for minute in 1..30 {
         tracker.refused(ms(minute * 60_000), 7);
-        tracker.add(ms(minute * 60_000), &record(8, minute));
-        assert!(tracker.is_quarantined(7));
+        tracker.add(ms(minute * 60_000), &record(8, 100 + minute));
+        assert!(is_quarantined(&tracker, 7));
     }
-    tracker.add(ms(50 * 60_000), &record(8, 99));
-    assert!(!tracker.is_quarantined(7));
+    tracker.add(ms(50 * 60_000), &record(8, 199));
+    assert!(!is_quarantined(&tracker, 7));
 }
 
 /// Several gateways may observe one crash, and the store and another gateway may report it.
@@ -78,12 +110,9 @@
         tracker.add(ms(now), &record(7, now));
         other.add(ms(now), &record(7, now));
     }
-    for record in tracker.completed(ms(3), 7) {
-        tracker.add(ms(3), &record);
-        other.add(ms(3), &record);
-    }
+    complete(3, 7, &mut tracker, &mut other);
     for tracker in [&mut tracker, &mut other] {
-        tracker.add(ms(4), &record(7, 4));
+        tracker.add(ms(4_000), &record(7, 4));
         assert_eq!(tracker.count(7), 1);
     }
 }
@@ -92,18 +121,18 @@
 #[test]
 fn available_trial_once_until_completed() {
     let mut tracker = quarantined();
-    assert_eq!(tracker.available_trial(ms(5_000), 7), None);
-    let trial = tracker.available_trial(ms(20_000), 7).unwrap();
+    let features = [request(7)];
+    assert_eq!(tracker.available_trial(ms(5_000), &features), None);
+    let (_, trial) = tracker.available_trial(ms(20_000), &features).unwrap();
     tracker.take_trial(ms(20_000), 7, trial);
     tracker.add(ms(20_100), &record(7, 3));
-    assert_eq!(tracker.available_trial(ms(90_000), 7), None);
-    for record in tracker.completed(ms(90_000), 7) {
-        tracker.add(ms(90_000), &record);
-    }
+    assert_eq!(tracker.available_trial(ms(90_000), &features), None);
+    complete(90_000, 7, &mut tracker, &mut Tracker::new());
     for crash in 4..7 {
         tracker.add(ms(100_000), &record(7, crash));
     }
-    assert!(tracker.available_trial(ms(120_000), 7).is_some());
+    let trial = tracker.available_trial(ms(120_000), &features);
+    assert!(trial.is_some());
 }
 
 /// The records in the store expire, but a caller may send the request for hours.
@@ -120,7 +149,7 @@
 fn has_completed_recently() {
     let mut tracker = Tracker::new();
     assert!(!tracker.has_completed(ms(0), 7));
-    tracker.completed(ms(10), 7);
+    tracker.completed(ms(10), &[request(7)]);
     assert!(tracker.has_completed(ms(2_000), 7));
     assert!(!tracker.has_completed(ms(5_000), 7));
 }
@@ -136,3 +165,102 @@
     assert_eq!(tracker.identify(&crash, ms(20)), crash);
     assert_eq!(tracker.identify(&crash, ms(100)).ordinal, 1);
 }
+
+/// The number of crashes that a part causes before it is quarantined.
+const CRASHES: u64 = 3;
+
+/// Adds crashes of requests with these parts, each with a fingerprint of its own.
+fn crash_requests(tracker: &mut Tracker, from: u64, count: u64, parts: &[Feature]) {
+    for number in from..from + count {
+        let request = request(1_000 + number);
+        for feature in parts.iter().chain([&request]) {
+            tracker.add(ms(number), &feature_record(*feature, number));
+        }
+    }
+}
+
+/// No two requests are alike, so that only the part that they share recurs. Their first part is that
+/// of sound requests too, and none of these has completed yet.
+#[test]
+fn find_quarantined_part_of_unlike_requests() {
+    let mut tracker = Tracker::new();
+    crash_requests(&mut tracker, 0, CRASHES, &[part(1, 0), part(2, 1)]);
+    let crashing = [part(1, 0), part(2, 1), request(9)];
+    assert_eq!(tracker.find_quarantined(&crashing), Some(part(2, 1)));
+    assert_eq!(tracker.find_quarantined(&[part(1, 0), request(9)]), None);
+}
+
+/// The part that crashes endpoints comes before one that sound requests share too: it has more
+/// crashes once requests without that other part have crashed endpoints.
+#[test]
+fn find_quarantined_part_before_a_shared_one() {
+    let mut tracker = Tracker::new();
+    crash_requests(&mut tracker, 0, CRASHES, &[part(2, 0), part(3, 1)]);
+    crash_requests(&mut tracker, 10, 1, &[part(2, 0), part(4, 1)]);
+    assert_eq!(tracker.find_quarantined(&[part(2, 0)]), Some(part(2, 0)));
+    assert_eq!(tracker.find_quarantined(&[part(1, 0), part(3, 1)]), None);
+}
+
+#[test]
+fn find_quarantined_two_parts_at_once() {
+    let mut tracker = Tracker::new();
+    for round in 0..CRASHES {
+        crash_requests(&mut tracker, round * 10, 1, &[part(1, 0), part(2, 1)]);
+        crash_requests(&mut tracker, round * 10 + 5, 1, &[part(1, 0), part(3, 1)]);
+    }
+    // The shared first part has all crashes until one of its requests completes.
+    tracker.completed(ms(40), &[part(1, 0), request(9)]);
+    let quarantined = tracker.quarantined().iter().copied();
+    assert_eq!(quarantined.collect::<Vec<_>>(), [2, 3]);
+}
+
+/// A whole zone is lost: the first part of most requests was in flight on each of its endpoints, but
+/// has just completed.
+#[test]
+fn find_quarantined_lost_zone() {
+    let mut tracker = Tracker::new();
+    tracker.completed(ms(0), &[part(1, 0), request(9)]);
+    for number in 0..20 {
+        let features = [part(1, 0), part(100 + number, 1)];
+        crash_requests(&mut tracker, number, 1, &features);
+    }
+    assert!(tracker.quarantined().is_empty());
+}
+
+/// Another gateway has seen the part complete.
+#[test]
+fn refutations_of_another_gateway() {
+    let mut tracker = Tracker::new();
+    let mut other = Tracker::new();
+    other.completed(ms(0), &[part(1, 0), request(9)]);
+    for tracker in [&mut tracker, &mut other] {
+        crash_requests(tracker, 1, CRASHES, &[part(1, 0)]);
+    }
+    assert!(!tracker.quarantined().is_empty());
+    assert!(other.quarantined().is_empty() && other.has_refutations());
+    for record in other.refutations() {
+        tracker.add(ms(9), &record);
+        other.add(ms(9), &record);
+    }
+    assert!(tracker.quarantined().is_empty());
+    assert!(!other.has_refutations());
+}
+
+/// A crash in the trial of a request with two suspected features would not show which of them is
+/// harmless.
+#[test]
+fn available_trial_of_an_ambiguous_request() {
+    let mut tracker = Tracker::new();
+    crash_requests(&mut tracker, 0, CRASHES, &[part(1, 0), part(2, 1)]);
+    crash_requests(&mut tracker, 10, 1, &[part(1, 0)]);
+    // The first part has one crash more, and is taken for the cause.
+    assert_eq!(tracker.find_quarantined(&[part(1, 0)]), Some(part(1, 0)));
+    let now = ms(20_000);
+    let crashing = [part(1, 0), part(2, 1), request(9)];
+    assert_eq!(tracker.available_trial(now, &crashing), None);
+    let sound = [part(1, 0), part(3, 1), request(9)];
+    assert_eq!(tracker.available_trial(now, &sound), Some((1, 0)));
+    tracker.completed(now, &sound);
+    assert_eq!(tracker.find_quarantined(&crashing), Some(part(2, 1)));
+    assert_eq!(tracker.find_quarantined(&sound), None);
+}
--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -2,17 +2,20 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::Crash;
-use endivespur_core::suspect::Fingerprint;
+use endivespur_core::gateway::crash::{Crash, Feature};
+
+/// The features of a request that was in flight during a crash, and when it was sent.
+pub type Run = (Rc<[Feature]>, Time);
 
 /// A request that may have crashed an endpoint.
 #[derive(Clone, Debug)]
 pub struct Suspect {
-    /// The request.
-    pub fingerprint: Fingerprint,
+    /// What may have crashed it.
+    pub features: Rc<[Feature]>,
     /// The id of the attempt, for the log.
     pub request: String,
     /// When it was sent.
@@ -28,10 +31,9 @@
 const RESTART_TIME: Duration = Duration::from_secs(5);
 
 /// A lost response of an endpoint that accepted connections when it was checked.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Lost {
-    fingerprint: Fingerprint,
-    sent: Time,
+    run: Run,
     at: Time,
 }
 
@@ -73,8 +75,7 @@
             .iter()
             .filter(|suspect| suspect.silent_since.is_none())
             .map(|suspect| Lost {
-                fingerprint: suspect.fingerprint,
-                sent: suspect.sent,
+                run: (suspect.features.clone(), suspect.sent),
                 at: now,
             });
         all.entry(crash.clone()).or_default().extend(lost);
@@ -82,12 +83,7 @@
 
     /// Returns the recent lost responses of an endpoint that started again at `started_ms`, by the
     /// crash that caused them: the requests, and when they were sent.
-    pub fn take_lost(
-        &self,
-        now: Time,
-        endpoint: &str,
-        started_ms: u64,
-    ) -> Vec<(Crash, Vec<(Fingerprint, Time)>)> {
+    pub fn take_lost(&self, now: Time, endpoint: &str, started_ms: u64) -> Vec<(Crash, Vec<Run>)> {
         let from = Crash {
             endpoint: endpoint.to_string(),
             started_ms: 0,
@@ -107,10 +103,7 @@
         for crash in crashes {
             let lost = all.remove(&crash).unwrap_or_default();
             let recent = lost.iter().filter(|lost| now < lost.at + RESTART_TIME);
-            found.push((
-                crash,
-                recent.map(|lost| (lost.fingerprint, lost.sent)).collect(),
-            ));
+            found.push((crash, recent.map(|lost| lost.run.clone()).collect()));
         }
         found
     }
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -1,19 +1,19 @@
 //! Detects requests that crash endpoints, and refuses them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::{Crash, Record};
+use endivespur_core::gateway::crash::{Crash, Feature, Record, Scope};
 use endivespur_core::gateway::endpoint::Instance;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_http::pool;
 use log::info;
 use smol::Timer;
 
-use crate::checks::Suspect;
+use crate::checks::{self, Suspect};
 use crate::exchange::{Call, Outcome};
 use crate::state::State;
 use crate::{record, telemetry};
@@ -26,45 +26,56 @@
 /// The delay after which a caller may retry a request that crashes endpoints.
 const RETRY_AFTER: Duration = Duration::from_mins(2);
 
-/// Decides whether a request may run; a quarantined one may take its trial.
+/// Decides whether a request may run; one with a quarantined feature may take its trial.
 ///
 /// # Errors
 ///
-/// Returns the refusal of a quarantined request.
+/// Returns the refusal of a request with a quarantined feature.
 pub async fn admit(state: &State, call: &Call) -> Result<(), Outcome> {
-    let fingerprint = call.fingerprint;
-    if !state.crashes.borrow().is_quarantined(fingerprint) {
+    let Some(feature) = find_quarantined(state, call) else {
         return Ok(());
-    }
+    };
     let now = clock::now();
-    let trial = state.crashes.borrow().available_trial(now, fingerprint);
-    if let Some(trial) = trial
+    let trial = state.crashes.borrow().available_trial(now, &call.features);
+    if let Some((fingerprint, trial)) = trial
         && record::claim_trial(state, fingerprint, trial).await
     {
         call.is_trial.set(true);
         return Ok(());
     }
-    Err(refuse(state, call))
+    Err(refuse(state, call, feature))
 }
 
-/// Checks again, right before a request is sent, that it may run: it may have been quarantined
-/// since it was admitted.
+/// Checks again, right before a request is sent, that it may run: one of its features may have been
+/// quarantined since it was admitted.
 ///
 /// # Errors
 ///
-/// Returns the refusal of a quarantined request.
+/// Returns the refusal of a request with a quarantined feature.
 pub fn check_before_send(state: &State, call: &Call) -> Result<(), Outcome> {
-    if call.is_trial.get() || !state.crashes.borrow().is_quarantined(call.fingerprint) {
-        return Ok(());
+    match find_quarantined(state, call) {
+        Some(feature) if !call.is_trial.get() => Err(refuse(state, call, feature)),
+        _ => Ok(()),
     }
-    Err(refuse(state, call))
 }
 
-fn refuse(state: &State, call: &Call) -> Outcome {
+fn find_quarantined(state: &State, call: &Call) -> Option<Feature> {
+    state.crashes.borrow().find_quarantined(&call.features)
+}
+
+fn refuse(state: &State, call: &Call, feature: Feature) -> Outcome {
     let request = call.fields.attempt_id.as_str();
-    info!(event = "quarantined", request, print = call.fingerprint; "has crashed endpoints");
+    let part = match feature.scope {
+        Scope::Part(position) => call.fields.parts.get(position),
+        Scope::Request => None,
+    };
+    let part = part.map_or("none", |part| part.id.as_str());
+    info!(
+        event = "quarantined", request, print = feature.fingerprint, part;
+        "has crashed endpoints"
+    );
     let mut crashes = state.crashes.borrow_mut();
-    let records = crashes.refused(clock::now(), call.fingerprint);
+    let records = crashes.refused(clock::now(), feature.fingerprint);
     drop(crashes);
     record::share(state, records);
     Outcome::refused("crashes-endpoints", RETRY_AFTER)
@@ -75,13 +86,11 @@
 pub struct Run {
     state: Rc<State>,
     instance: Rc<Instance>,
-    fingerprint: Fingerprint,
+    features: Rc<[Feature]>,
     request: String,
     sent: Time,
     /// When the response started.
     started: Option<Time>,
-    /// Whether the request has completed shortly before, so that it crashes no endpoints.
-    has_completed: bool,
     has_ended: bool,
 }
 
@@ -91,14 +100,10 @@
         Self {
             state: state.clone(),
             instance: instance.clone(),
-            fingerprint: call.fingerprint,
+            features: call.features.clone(),
             request: call.fields.attempt_id.clone(),
             sent: clock::now(),
             started: None,
-            has_completed: {
-                let crashes = state.crashes.borrow();
-                crashes.has_completed(clock::now(), call.fingerprint)
-            },
             has_ended: false,
         }
     }
@@ -116,11 +121,7 @@
     /// Records that the request has a complete successful response, which voids earlier crashes.
     pub fn completed(mut self) {
         self.has_ended = true;
-        let records = {
-            let mut crashes = self.state.crashes.borrow_mut();
-            crashes.completed(clock::now(), self.fingerprint)
-        };
-        record::share(&self.state, records);
+        record::complete(&self.state, &self.features);
     }
 
     /// Records that the response was lost, and checks whether the endpoint crashed.
@@ -130,11 +131,8 @@
     }
 
     fn check(&self, silent_since: Option<Time>) {
-        if self.has_completed {
-            return;
-        }
         let suspect = Suspect {
-            fingerprint: self.fingerprint,
+            features: self.features.clone(),
             request: self.request.clone(),
             sent: self.sent,
             response_time: self
@@ -194,7 +192,8 @@
     telemetry::crash_checked(outcome);
     for suspect in &suspects {
         info!(
-            event = "crash-check", request = suspect.request.as_str(), print = suspect.fingerprint,
+            event = "crash-check", request = suspect.request.as_str(),
+            prints = prints(&suspect.features),
             endpoint = crash.endpoint.as_str(), born = crash.started_ms, outcome,
             response_ms:? = suspect.response_time.map(|time| time.as_millis());
             "checked for a crash"
@@ -206,8 +205,16 @@
     }
     let runs = suspects
         .iter()
-        .map(|suspect| (suspect.fingerprint, suspect.sent));
-    share_crash(&state, &crash, runs.collect());
+        .map(|suspect| (suspect.features.clone(), suspect.sent));
+    share_crash(&state, &crash, &runs.collect::<Vec<_>>());
+}
+
+/// Returns the fingerprints of features, for the log.
+fn prints(features: &[Feature]) -> String {
+    let prints = features
+        .iter()
+        .map(|feature| feature.fingerprint.to_string());
+    prints.collect::<Vec<_>>().join(",")
 }
 
 /// Records that an endpoint's registration shows a start at `started_ms`: the responses that it
@@ -215,20 +222,29 @@
 pub fn record_restart(state: &State, endpoint: &str, started_ms: u64) {
     let lost = state.checks.take_lost(clock::now(), endpoint, started_ms);
     for (crash, runs) in lost {
-        share_crash(state, &crash, runs);
+        share_crash(state, &crash, &runs);
     }
 }
 
-/// Shares a crash for each request that was in flight, with the time at which it was sent.
-fn share_crash(state: &State, crash: &Crash, runs: Vec<(Fingerprint, Time)>) {
-    let records = {
+/// Shares a crash for each feature of the requests that were in flight, unless it has completed
+/// recently.
+fn share_crash(state: &State, crash: &Crash, runs: &[checks::Run]) {
+    let now = clock::now();
+    let records: BTreeMap<(Crash, Feature), Record> = {
         let crashes = state.crashes.borrow();
-        let records = runs.into_iter().map(|(fingerprint, sent)| Record {
-            fingerprint,
-            crash: crashes.identify(crash, sent),
-            is_void: false,
+        let records = runs.iter().flat_map(|(features, sent)| {
+            let crash = crashes.identify(crash, *sent);
+            let suspected = features
+                .iter()
+                .filter(|feature| !crashes.has_completed(now, feature.fingerprint));
+            suspected.map(move |feature| Record {
+                feature: *feature,
+                crash: crash.clone(),
+                is_void: false,
+            })
         });
+        let records = records.map(|record| ((record.crash.clone(), record.feature), record));
         records.collect()
     };
-    record::share(state, records);
+    record::share(state, records.into_values().collect());
 }
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -3,10 +3,13 @@
 use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
+use endivespur_core::gateway::crash::{Feature, Scope};
+use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
 use endivespur_core::hash;
 use endivespur_core::id::Service;
@@ -16,15 +19,19 @@
 use endivespur_http::head::{Framing, Request, Response};
 use endivespur_platform::header;
 
+/// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
+/// with each crash.
+const MAX_PARTS: usize = 32;
+
 /// A request that was read completely and has a route.
 pub struct Call {
     /// The request line and the header fields.
     pub head: Request,
     /// The complete body, without its framing.
     pub body: Vec<u8>,
-    /// Identifies the request when its caller sends it again.
-    pub fingerprint: Fingerprint,
-    /// Whether the request is the trial of a quarantined one, which may run once.
+    /// What may crash the endpoints that run the request.
+    pub features: Rc<[Feature]>,
+    /// Whether the request is the trial of a quarantined feature, which may run once.
     pub is_trial: Cell<bool>,
     /// The decoded headers.
     pub fields: header::Request,
@@ -60,6 +67,12 @@
         (self.started + self.route.objective).saturating_sub(clock::now())
     }
 
+    /// Returns the ids of the prompt's parts, for the log.
+    pub fn part_ids(&self) -> String {
+        let ids = self.fields.parts.iter().map(|part| part.id.as_str());
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the request to be sent to an endpoint.
     pub fn endpoint_request(&self, dispatch: &header::Dispatch) -> Request {
         let mut request = Request::new(&self.head.method, &self.head.target);
@@ -73,12 +86,35 @@
     }
 }
 
-/// Returns the fingerprint of a request.
+/// Returns the features of a request: each part of its prompt but the last, which no other request
+/// shares, and the whole request.
+pub fn features(
+    caller: Option<IpAddr>,
+    head: &Request,
+    body: &[u8],
+    parts: &[Part],
+) -> Rc<[Feature]> {
+    let shared = parts.iter().take(parts.len().saturating_sub(1));
+    let shared = shared.take(MAX_PARTS).enumerate();
+    let mut features: Vec<Feature> = shared
+        .map(|(position, part)| Feature {
+            fingerprint: hash::digest(&[b"part", part.id.as_bytes()]),
+            scope: Scope::Part(position),
+        })
+        .collect();
+    features.push(Feature {
+        fingerprint: fingerprint(caller, head, body),
+        scope: Scope::Request,
+    });
+    features.into()
+}
+
+/// Returns the fingerprint of a whole request.
 ///
 /// Its caller sends it again with the same path and body, but possibly with another query. The
 /// address of the caller distinguishes requests without a body, such as those of callers that poll
 /// the same path.
-pub fn fingerprint(caller: Option<IpAddr>, head: &Request, body: &[u8]) -> Fingerprint {
+fn fingerprint(caller: Option<IpAddr>, head: &Request, body: &[u8]) -> Fingerprint {
     let path = head.target.split('?').next().unwrap_or_default();
     let caller = caller.filter(|_| body.is_empty());
     let caller = caller.map_or_else(String::new, |caller| caller.to_string());
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -245,17 +245,11 @@
         event = "granted", request = call.fields.attempt_id.as_str(),
         endpoint = permit.instance.id.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(location, _)| location), version = permit.version,
-        offer = attempt_number, tokens = call.fields.prompt_tokens, parts = part_ids(call),
+        offer = attempt_number, tokens = call.fields.prompt_tokens, parts = call.part_ids(),
         waited_ms = waited.as_millis() as u64; "granted"
     );
 }
 
-/// Returns the ids of a prompt's parts, for the log.
-fn part_ids(call: &Call) -> String {
-    let ids = call.fields.parts.iter().map(|part| part.id.as_str());
-    ids.collect::<Vec<_>>().join(",")
-}
-
 async fn send(
     state: &Rc<State>,
     call: &Call,
--- a/crates/endivespur_gateway/src/outbox.rs
+++ b/crates/endivespur_gateway/src/outbox.rs
@@ -15,6 +15,8 @@
     pub sent_count: Cell<usize>,
     /// Signals that records were added.
     pub added: Event,
+    /// Signals that completions refute crashes.
+    pub refuted: Event,
     /// The lease, and the time after which it is too old for further keys.
     pub lease: Cell<Option<(u64, Time)>>,
     /// The number of the last key written by this process.
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::crash::{RETENTION, Record, Trial};
+use endivespur_core::gateway::crash::{Feature, RETENTION, Record, Tracker, Trial};
 use endivespur_core::gateway::feed::Item;
+use endivespur_core::hash;
 use endivespur_core::suspect::Fingerprint;
 use endivespur_platform::store::{Outcome, Write};
 use log::{Level, info, log, warn};
@@ -31,12 +32,15 @@
 const BATCH_TIME: Duration = Duration::from_millis(20);
 /// The time after which records are sent to the other gateways while the store does not respond.
 const USUAL_WRITE_TIME: Duration = Duration::from_millis(100);
+/// The maximum delay before completions are shared.
+const MAX_REFUTATION_DELAY: Duration = Duration::from_millis(500);
 /// The maximum number of records that wait for the store; the oldest are dropped first.
 const MAX_PENDING: usize = 4096;
 
-/// Starts the task that writes records to the store.
+/// Starts the tasks that write records to the store.
 pub fn start(state: &Rc<State>) {
     state.spawn(write_pending(state.clone()));
+    state.spawn(share_refutations(state.clone()));
 }
 
 /// Adds records that this gateway made to its tracker, and shares them.
@@ -52,22 +56,61 @@
     outbox.added.notify(usize::MAX);
 }
 
+/// Records that a request with these features has completed, which voids earlier crashes.
+pub fn complete(state: &State, features: &[Feature]) {
+    update(state, |crashes| crashes.completed(clock::now(), features));
+}
+
+/// Changes the tracker; logs what becomes or is no longer quarantined, and wakes the task that shares
+/// refutations.
+fn update<T>(state: &State, change: impl FnOnce(&mut Tracker) -> T) -> T {
+    let mut crashes = state.crashes.borrow_mut();
+    let before = crashes.quarantined().clone();
+    let result = change(&mut crashes);
+    for fingerprint in crashes.quarantined().symmetric_difference(&before) {
+        let active = crashes.quarantined().contains(fingerprint);
+        let count = crashes.count(*fingerprint);
+        info!(event = "quarantine", print = *fingerprint, active, count; "changed");
+    }
+    if crashes.has_refutations() {
+        state.records.refuted.notify(usize::MAX);
+    }
+    result
+}
+
+/// Shares the completions that refute crashes which other gateways count.
+///
+/// Many gateways may see completions of a popular feature at once. Each waits for a time of its own,
+/// in which the refutations of another one may arrive.
+async fn share_refutations(state: Rc<State>) {
+    let delay_ms = hash::mix(&state.process, 0) % MAX_REFUTATION_DELAY.as_millis() as u64;
+    loop {
+        let listener = state.records.refuted.listen();
+        if !state.crashes.borrow().has_refutations() {
+            listener.await;
+        }
+        Timer::after(Duration::from_millis(delay_ms)).await;
+        let records = state.crashes.borrow().refutations();
+        share(&state, records);
+    }
+}
+
 /// Adds a record to the tracker, and logs it if it is new.
 fn add(state: &State, record: &Record, source: &'static str) {
-    let now = clock::now();
-    let mut crashes = state.crashes.borrow_mut();
-    if !crashes.add(now, record) {
+    if !update(state, |crashes| crashes.add(clock::now(), record)) {
         return;
     }
+    let crashes = state.crashes.borrow();
+    let Feature { fingerprint, scope } = record.feature;
     // Each gateway receives the records of all others: those of a single crash are logged by the
     // gateway that made them.
-    let is_single = crashes.count(record.fingerprint) < 2 && source != "own";
+    let is_single = crashes.count(fingerprint) < 2 && source != "own";
     let level = if is_single { Level::Debug } else { Level::Info };
     log!(
         level,
-        event = "crash", print = record.fingerprint, endpoint = record.crash.endpoint.as_str(),
-        born = record.crash.started_ms, void = record.is_void,
-        count = crashes.count(record.fingerprint), source; "recorded"
+        event = "crash", print = fingerprint, scope:? = scope,
+        endpoint = record.crash.endpoint.as_str(), born = record.crash.started_ms,
+        void = record.is_void, count = crashes.count(fingerprint), source; "recorded"
     );
 }
 
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -6,9 +6,9 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
+use endivespur_core::gateway::crash::Feature;
 use endivespur_core::gateway::table::{Limits, Table};
 use endivespur_core::hash;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_http::connection::{self, Connection};
 use endivespur_http::head::{Framing, Request};
 use endivespur_platform::header;
@@ -177,11 +177,11 @@
     let table = timer::within(limit, wait_for_configuration(state)).await;
     let mut service = String::new();
     let caller_address = stream.peer_addr().ok().map(|address| address.ip());
-    let fingerprint = exchange::fingerprint(caller_address, &head, &body);
+    let features = exchange::features(caller_address, &head, &body, &fields.parts);
     let received = Received {
         head,
         body,
-        fingerprint,
+        features,
         fields,
         started,
     };
@@ -241,7 +241,7 @@
 struct Received {
     head: Request,
     body: Vec<u8>,
-    fingerprint: Fingerprint,
+    features: Rc<[Feature]>,
     fields: header::Request,
     /// The time at which the head was read.
     started: Time,
@@ -252,7 +252,7 @@
     let Received {
         head,
         body,
-        fingerprint,
+        features,
         fields,
         started,
     } = received;
@@ -276,7 +276,7 @@
     Ok(Call {
         head,
         body,
-        fingerprint,
+        features,
         is_trial: Cell::new(false),
         fields,
         service,
