Take the end of a connection for a completed run only if the endpoint stays up

A response with neither a length nor chunks ends with its connection. If its engine crashed between two events, callers got a stream that looked complete, and the gateway cleared the request of its earlier crashes, so that it was never refused.

Such a run now leads to the same check as a lost response. It counts as completed once the endpoint has accepted a connection and shows no restart for as long as a registration may take.

count_crash_at_the_end_of_the_connection failed before (200 in place of 503), and passes.

--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -25,10 +25,12 @@
     /// When the caller left or its deadline passed without a response; `None` if the response was
     /// lost. The request is cleared if the endpoint has sent anything since.
     pub silent_since: Option<Time>,
+    /// Whether the response is complete, unless the end of its connection was that of its endpoint.
+    pub is_complete: bool,
 }
 
 /// How long after a lost response the endpoint's registration may show a restart.
-const RESTART_TIME: Duration = Duration::from_secs(5);
+pub const RESTART_TIME: Duration = Duration::from_secs(5);
 
 /// A lost response of an endpoint that accepted connections when it was checked.
 #[derive(Clone, Debug)]
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -9,6 +9,7 @@
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash::{Crash, Feature, Record, Scope};
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_http::head::Framing;
 use endivespur_http::pool;
 use log::info;
 use smol::Timer;
@@ -113,24 +114,32 @@
         self.started = Some(clock::now());
     }
 
-    /// Records that the request was not run, or has a response that is no success.
+    /// Records that the request was not run.
     pub fn ended(mut self) {
         self.has_ended = true;
     }
 
-    /// Records that the request has a complete successful response, which voids earlier crashes.
-    pub fn completed(mut self) {
+    /// Records that the request has a complete response. A successful one voids earlier crashes.
+    pub fn responded(mut self, status: u16, framing: Framing) {
         self.has_ended = true;
-        record::complete(&self.state, &self.features);
+        if status >= 300 {
+            return;
+        }
+        if framing == Framing::Close {
+            // A crash of the endpoint ends the connection too.
+            self.check(None, true);
+        } else {
+            record::complete(&self.state, &self.features);
+        }
     }
 
     /// Records that the response was lost, and checks whether the endpoint crashed.
     pub fn lost(mut self) {
         self.has_ended = true;
-        self.check(None);
+        self.check(None, false);
     }
 
-    fn check(&self, silent_since: Option<Time>) {
+    fn check(&self, silent_since: Option<Time>, is_complete: bool) {
         let suspect = Suspect {
             features: self.features.clone(),
             request: self.request.clone(),
@@ -139,6 +148,7 @@
                 .started
                 .map(|started| clock::now().saturating_sub(started)),
             silent_since,
+            is_complete,
         };
         let crash = crash_of(&self.instance);
         let is_first = self.state.checks.add(crash.clone(), suspect);
@@ -152,7 +162,7 @@
 impl Drop for Run {
     fn drop(&mut self) {
         if !self.has_ended {
-            self.check(Some(clock::now()));
+            self.check(Some(clock::now()), false);
         }
     }
 }
@@ -177,12 +187,8 @@
     if suspects.is_empty() {
         return;
     }
-    let has_restarted = {
-        let catalog = state.catalog.borrow();
-        let current = catalog.endpoint(&crash.endpoint);
-        current.is_some_and(|current| current.started_ms > crash.started_ms)
-    };
-    let outcome = if has_restarted {
+    let started_ms = registered_start(&state, &crash.endpoint);
+    let outcome = if started_ms.is_some_and(|started_ms| started_ms > crash.started_ms) {
         "restarted"
     } else if pool::connect(address, CONNECT_TIMEOUT).await.is_ok() {
         "up"
@@ -201,6 +207,8 @@
     }
     if outcome == "up" {
         state.checks.add_lost(clock::now(), &crash, &suspects);
+        suspects.retain(|suspect| suspect.is_complete);
+        complete_unless_restarted(&state, &crash, &suspects).await;
         return;
     }
     let runs = suspects
@@ -209,6 +217,27 @@
     share_crash(&state, &crash, &runs.collect::<Vec<_>>());
 }
 
+/// Records the completion of requests whose responses ended with their connections, unless the
+/// endpoint turns out to have restarted.
+async fn complete_unless_restarted(state: &State, crash: &Crash, suspects: &[Suspect]) {
+    if suspects.is_empty() {
+        return;
+    }
+    Timer::after(checks::RESTART_TIME).await;
+    if registered_start(state, &crash.endpoint) == Some(crash.started_ms) {
+        for suspect in suspects {
+            record::complete(state, &suspect.features);
+        }
+    }
+}
+
+/// Returns the start time in an endpoint's registration.
+fn registered_start(state: &State, endpoint: &str) -> Option<u64> {
+    let catalog = state.catalog.borrow();
+    let current = catalog.endpoint(endpoint);
+    current.map(|current| current.started_ms)
+}
+
 /// Returns the fingerprints of features, for the log.
 fn prints(features: &[Feature]) -> String {
     let prints = features
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -173,12 +173,9 @@
                 match relay_response(state, call, caller, &mut response, stream).await {
                     Transfer::Complete => {
                         let status = response.head.status;
+                        let framing = response.framing;
                         response.recycle(state);
-                        if status < 300 {
-                            run.completed();
-                        } else {
-                            run.ended();
-                        }
+                        run.responded(status, framing);
                         return Attempt::Ended(Outcome::Relayed(status));
                     }
                     Transfer::Aborted(reason) => return Attempt::Ended(Outcome::Aborted(reason)),
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -10,7 +10,7 @@
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
 use endivespur_core::id::Endpoint;
-use endivespur_http::head::Response;
+use endivespur_http::head::{Framing, Response};
 use endivespur_platform::header::Dispatch;
 
 use crate::crash::{self, Run};
@@ -28,8 +28,8 @@
 
 /// The outcome of one attempt at one endpoint.
 enum Attempt {
-    /// The endpoint's complete response.
-    Complete(Response, Vec<u8>),
+    /// The endpoint's complete response, and its framing.
+    Complete(Response, Vec<u8>, Framing),
     /// The endpoint was not reached.
     NotSent(String),
     /// The endpoint did not run the request.
@@ -70,7 +70,7 @@
             call.is_trial.set(false);
         }
         match attempt {
-            Attempt::Complete(head, body) if head.status < 500 => {
+            Attempt::Complete(head, body, _) if head.status < 500 => {
                 let took = clock::now().saturating_sub(now);
                 state
                     .health
@@ -78,7 +78,7 @@
                     .record_success(clock::now(), &instance.id, took);
                 return relay_response(caller, &head, &body).await;
             }
-            Attempt::Complete(head, body) => {
+            Attempt::Complete(head, body, _) => {
                 let reason = format!("status {}", head.status);
                 log_failed_attempt(call, &instance, "failed", &reason);
                 state
@@ -158,8 +158,8 @@
     let run = Run::new(state, call, instance);
     let attempt = send(state, call, instance).await;
     match &attempt {
-        Attempt::Complete(head, _) if head.status < 300 => run.completed(),
-        Attempt::Complete(..) | Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
+        Attempt::Complete(head, _, framing) => run.responded(head.status, *framing),
+        Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
         Attempt::Unknown(_) => run.lost(),
         // The endpoint may have crashed without a reset of its connections.
         Attempt::Timeout => drop(run),
@@ -200,9 +200,9 @@
     match timer::within(call.time_left(), response.read_all(state, MAX_BODY_BYTES)).await {
         None => Attempt::Timeout,
         Some(Ok(Some(body))) => {
-            let head = response.head.clone();
+            let (head, framing) = (response.head.clone(), response.framing);
             response.recycle(state);
-            Attempt::Complete(head, body)
+            Attempt::Complete(head, body, framing)
         }
         Some(Ok(None)) => Attempt::Unknown("answer-too-long".to_string()),
         Some(Err(error)) => Attempt::Unknown(error.to_string()),
