--- a/crates/endivespur_dev/tests/scenarios/switch.rs
+++ b/crates/endivespur_dev/tests/scenarios/switch.rs
@@ -42,11 +42,17 @@
     }
     let (path, value) = match &request.model {
         Some(model) => {
-            let call = json!({
-                "model": format!("hymnal/{model}"), "prompt": request.prompt,
-                "max_tokens": request.tokens,
+            let mut call = json!({
+                "model": format!("hymnal/{model}"), "max_tokens": request.tokens,
             });
-            ("/v1/completions", call)
+            if let Some(first) = &request.first_message {
+                let message = |text: &str| json!({ "role": "user", "content": text });
+                call["messages"] = json!([message(first), message(&request.prompt)]);
+                ("/v1/chat/completions", call)
+            } else {
+                call["prompt"] = json!(request.prompt);
+                ("/v1/completions", call)
+            }
         }
         None => (
             "/services/orders/confirm",
--- a/crates/endivespur_scenario/src/lib.rs
+++ b/crates/endivespur_scenario/src/lib.rs
@@ -61,8 +61,10 @@
     pub model: Option<String>,
     /// The number of tokens to generate.
     pub tokens: u64,
-    /// The prompt.
+    /// The prompt, or the last message of a chat.
     pub prompt: String,
+    /// The first message of a chat, which other requests may share.
+    pub first_message: Option<String>,
     /// The idempotency key.
     pub key: Option<String>,
     /// Whether the caller disconnects before the response is complete.
--- a/crates/endivespur_scenario/src/parse.rs
+++ b/crates/endivespur_scenario/src/parse.rs
@@ -142,6 +142,7 @@
         model: None,
         tokens: 8,
         prompt: "draft".to_string(),
+        first_message: None,
         key: None,
         disconnects: false,
     };
@@ -154,11 +155,12 @@
     }
     while !line.is_done() {
         match line
-            .keyword(&["tokens", "prompt", "key", "leaves"])?
+            .keyword(&["tokens", "prompt", "after", "key", "leaves"])?
             .as_str()
         {
             "tokens" => request.tokens = line.number_word()?,
             "prompt" => request.prompt = line.word("a prompt")?,
+            "after" => request.first_message = Some(line.word("a message")?),
             "key" => request.key = Some(line.word("an idempotency key")?),
             _ => request.disconnects = true,
         }
