Suspect shared messages of crashing endpoints on the product's own path

A request's features, and the search for those that explain crashes, move to core::feature, which both paths use. Requests with a message that was in flight in two crashes run alone. The message is refused after three crashes, one of them by a request that ran alone: a lost rack must not quarantine what many requests share.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::feature::{self, Candidate, Feature, Fingerprint, Scope};
 use crate::id::Endpoint;
-use crate::suspect::Fingerprint;
 
 /// The number of crashes after which a feature is quarantined. A harmless request may share an
 /// endpoint with the request that crashes it, usually during one crash and rarely during two.
@@ -28,26 +28,6 @@
 /// feature that crashes endpoints never completes.
 const COMPLETION_TIME: Duration = Duration::from_secs(3);
 
-/// What a fingerprint identifies. A greater scope is shared by fewer requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Scope {
-    /// A part of the prompt, at this position.
-    Part(usize),
-    /// The whole request.
-    #[default]
-    Request,
-}
-
-/// A property of a request that may crash the endpoints that run it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Feature {
-    /// Identifies the feature in other requests.
-    pub fingerprint: Fingerprint,
-    /// What the fingerprint identifies.
-    #[serde(default)]
-    pub scope: Scope,
-}
-
 /// A crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
@@ -115,12 +95,16 @@
         refuted > 0 && refuted + self.count() >= DOUBT_LIMIT
     }
 
+    fn feature(&self, fingerprint: Fingerprint) -> Feature {
+        Feature {
+            fingerprint,
+            scope: self.scope.unwrap_or_default(),
+        }
+    }
+
     fn records(&self, fingerprint: Fingerprint, status: Status) -> Vec<Record> {
         let records = self.with_status(status).map(|crash| Record {
-            feature: Feature {
-                fingerprint,
-                scope: self.scope.unwrap_or_default(),
-            },
+            feature: self.feature(fingerprint),
             crash: crash.clone(),
             is_void: status != Status::Valid,
         });
@@ -209,36 +193,16 @@
         is_new
     }
 
-    /// Returns the features that explain the crashes.
-    ///
-    /// A request that crashes an endpoint has other features too, and others are in flight beside
-    /// it. The feature with the most crashes explains all of them, so that they do not count
-    /// against its companions. Of features with the same crashes, the one that fewer requests share
-    /// is quarantined.
     fn find_causes(&self) -> BTreeSet<Fingerprint> {
         let suspects = self.suspects.iter();
-        let mut candidates: Vec<(Option<Scope>, Fingerprint, BTreeSet<&Crash>)> = suspects
+        let candidates = suspects
             .filter(|(_, suspect)| suspect.count() >= CRASH_LIMIT)
-            .map(|(fingerprint, suspect)| {
-                let crashes = suspect.with_status(Status::Valid).collect();
-                (suspect.scope, *fingerprint, crashes)
-            })
-            .collect();
-        let mut causes = BTreeSet::new();
-        loop {
-            candidates.retain(|(_, _, crashes)| crashes.len() >= CRASH_LIMIT);
-            let cause = candidates
-                .iter()
-                .max_by_key(|(scope, fingerprint, crashes)| (crashes.len(), *scope, *fingerprint))
-                .cloned();
-            let Some((_, fingerprint, explained)) = cause else {
-                return causes;
-            };
-            causes.insert(fingerprint);
-            for (_, _, crashes) in &mut candidates {
-                crashes.retain(|crash| !explained.contains(crash));
-            }
-        }
+            .map(|(fingerprint, suspect)| Candidate {
+                feature: suspect.feature(*fingerprint),
+                crashes: suspect.with_status(Status::Valid).collect(),
+                limit: CRASH_LIMIT,
+            });
+        feature::find_causes(candidates.collect())
     }
 
     /// Returns the number of crashes that count against a feature.
--- a/crates/endivespur_core/src/lib.rs
+++ b/crates/endivespur_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod command;
 pub mod config;
 pub mod decay;
+pub mod feature;
 pub mod gateway;
 pub mod hash;
 pub mod id;
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -1,7 +1,8 @@
 //! Callers keep sending the requests that crash endpoints. A harmless request that was in flight
 //! during a crash is sent again once and must not be refused.
 
-use endivespur_core::gateway::crash::{Crash, Feature, Record, Scope, Tracker};
+use endivespur_core::feature::{Feature, Scope};
+use endivespur_core::gateway::crash::{Crash, Record, Tracker};
 
 use crate::ms;
 
--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::{Crash, Feature};
+use endivespur_core::feature::Feature;
+use endivespur_core::gateway::crash::Crash;
 
 /// The features of a request that was in flight during a crash, and when it was sent.
 pub type Run = (Rc<[Feature]>, Time);
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -7,7 +7,8 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::{Crash, Feature, Record, Scope};
+use endivespur_core::feature::{Feature, Scope};
+use endivespur_core::gateway::crash::{Crash, Record};
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_http::head::Framing;
 use endivespur_http::pool;
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -8,12 +8,11 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::{Feature, Scope};
+use endivespur_core::feature::{Feature, Fingerprint, Scope};
 use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
 use endivespur_core::hash;
 use endivespur_core::id::Service;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_http::body::{LAST_CHUNK, encode_chunk};
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::crash::{Feature, RETENTION, Record, Tracker, Trial};
+use endivespur_core::feature::{Feature, Fingerprint};
+use endivespur_core::gateway::crash::{RETENTION, Record, Tracker, Trial};
 use endivespur_core::gateway::feed::Item;
 use endivespur_core::hash;
-use endivespur_core::suspect::Fingerprint;
 use endivespur_platform::store::{Outcome, Write};
 use log::{Level, info, log, warn};
 use smol::Timer;
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -6,7 +6,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::crash::Feature;
+use endivespur_core::feature::Feature;
 use endivespur_core::gateway::table::{Limits, Table};
 use endivespur_core::hash;
 use endivespur_http::connection::{self, Connection};
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -6,9 +6,10 @@
 
 use endivespur_core::burn::Objective;
 use endivespur_core::config::Class;
+use endivespur_core::feature::{Feature, Fingerprint};
 use endivespur_core::id::Model;
 use endivespur_core::route;
-use endivespur_core::suspect::Admission;
+use endivespur_core::suspect::{Admission, SHARED_RUN};
 use endivespur_net::body::Chunk;
 use endivespur_net::{body, client, sse};
 use http_types::{Method, Request, Response, StatusCode};
@@ -24,7 +25,7 @@
 use crate::entry::{self, Caller, InFlight};
 use crate::node::Node;
 use crate::once;
-use crate::suspicion::{self, fingerprint};
+use crate::suspicion;
 
 /// The expected number of generated tokens if the request has no `max_tokens`.
 const DEFAULT_MAX_TOKENS: u64 = 256;
@@ -42,7 +43,10 @@
     model: String,
     stream: bool,
     body: Value,
-    fingerprint: u64,
+    /// What may crash the engines that run it.
+    features: Rc<[Feature]>,
+    /// The features that are blocked for other requests while this one runs alone.
+    blocked: Vec<Fingerprint>,
     /// Counts the request as in flight until the response has ended.
     in_flight: Rc<InFlight>,
 }
@@ -123,7 +127,8 @@
         avoid: std::collections::BTreeSet::new(),
     };
     Ok(Completion {
-        fingerprint: fingerprint(&caller.organisation, name, bytes),
+        features: suspicion::features(&caller.organisation, name, bytes, &body).into(),
+        blocked: Vec::new(),
         job,
         path,
         model: name.to_string(),
@@ -163,7 +168,7 @@
         path,
         model,
         body,
-        fingerprint,
+        features,
         ..
     } = completion;
     let header = key.clone();
@@ -180,7 +185,7 @@
     let call = once::Call {
         job,
         key,
-        digest: fingerprint,
+        digest: features.last().map_or(0, |whole| whole.fingerprint),
         build_request,
         read_answer,
     };
@@ -201,7 +206,8 @@
     dispatch::candidates(node, &completion.job)?;
     for attempt in 0..ATTEMPT_LIMIT {
         let deadline = completion.job.deadline;
-        let admission = suspicion::admit(node, completion.fingerprint, deadline).await;
+        let (admission, blocked) = suspicion::admit(node, &completion.features, deadline).await;
+        completion.blocked = blocked;
         if admission == Admission::Quarantined {
             let message = "the request has crashed the endpoints that ran it";
             return Err(
@@ -218,9 +224,7 @@
         let permit = match dispatch::acquire(node, &completion.job).await {
             Ok(permit) => permit,
             Err(failure) => {
-                if completion.job.alone {
-                    suspicion::abandon(node, completion.fingerprint).await;
-                }
+                suspicion::abandon(node, &completion.blocked).await;
                 return Err(failure.after_lost_attempt(may_have_run));
             }
         };
@@ -269,20 +273,20 @@
     match result {
         Ok((response, None)) => {
             let mut response = response;
-            record_attempt(node, completion, &permit, attempt, true).await;
+            record_attempt(node, completion, &permit, true).await;
             entry::add_run_headers(&mut response, &permit, &completion.job);
             Ok(response)
         }
         Ok((mut response, Some(stream))) => {
             entry::add_run_headers(&mut response, &permit, &completion.job);
-            let forwarding = relay(node.clone(), stream, permit, completion, attempt);
+            let forwarding = relay(node.clone(), stream, permit, completion);
             node.spawn(forwarding);
             Ok(response)
         }
         Err(error) => {
             if matches!(error, AttemptError::Lost(_)) {
                 permit.needs_relist = true;
-                record_attempt(node, completion, &permit, attempt, false).await;
+                record_attempt(node, completion, &permit, false).await;
             }
             permit.close().await;
             Err(error)
@@ -345,11 +349,11 @@
     mut stream: Stream,
     permit: Permit,
     completion: &Completion,
-    attempt: u64,
 ) -> impl Future<Output = ()> + 'static {
     let model = completion.model.clone();
     let id = completion.job.id.clone();
-    let fingerprint = completion.fingerprint;
+    let features = completion.features.clone();
+    let blocked = completion.blocked.clone();
     let alone = completion.job.alone;
     let in_flight = completion.in_flight.clone();
     let service = completion.job.service.clone();
@@ -364,9 +368,7 @@
             if stream.sender.send(Ok(bytes)).await.is_err() {
                 // The caller has disconnected; dropping the connection to the engine cancels
                 // the run.
-                if alone {
-                    suspicion::abandon(&node, fingerprint).await;
-                }
+                suspicion::abandon(&node, &blocked).await;
                 return;
             }
             if event == "[DONE]" {
@@ -382,14 +384,7 @@
             let interval = clock::now().saturating_sub(streaming_since) / (events - 1);
             node.record_delay(&service, &organisation, Objective::BetweenTokens, interval);
         }
-        record_run(
-            &node,
-            (fingerprint, alone),
-            &permit,
-            attempt,
-            failure.is_none(),
-        )
-        .await;
+        record_run(&node, (&features, alone), &permit, failure.is_none()).await;
         let Some(message) = failure else { return };
         warn!(event = "broken", request = id.as_str(), endpoint = permit.endpoint.as_str(); "{message}");
         let error = serde_json::json!({ "error": {
@@ -406,29 +401,22 @@
 }
 
 /// Records whether an attempt ended without a fault.
-async fn record_attempt(
-    node: &Rc<Node>,
-    completion: &Completion,
-    permit: &Permit,
-    attempt: u64,
-    clean: bool,
-) {
-    let suspect = (completion.fingerprint, completion.job.alone);
-    record_run(node, suspect, permit, attempt, clean).await;
+async fn record_attempt(node: &Rc<Node>, completion: &Completion, permit: &Permit, clean: bool) {
+    let suspect = (&*completion.features, completion.job.alone);
+    record_run(node, suspect, permit, clean).await;
 }
 
 /// Shares the result of a run: a clean run clears a suspected request, a crash creates a
 /// suspicion.
 async fn record_run(
     node: &Rc<Node>,
-    (fingerprint, alone): (u64, bool),
+    (features, alone): (&[Feature], bool),
     permit: &Permit,
-    attempt: u64,
     clean: bool,
 ) {
     if clean {
         if alone {
-            suspicion::broadcast_run(node, fingerprint, &permit.endpoint, attempt, false).await;
+            suspicion::broadcast_completion(node, features, &permit.endpoint).await;
         }
         return;
     }
@@ -438,13 +426,11 @@
         names.is_some_and(|names| permit.grant.slot.iter().all(|slot| names.contains(slot)));
     if !is_listed {
         // Identifies the run by its grant, because attempt numbers start at 0 in each request.
-        let run_id = permit
-            .grant
-            .fence
-            .wrapping_mul(31)
-            .wrapping_add(permit.grant.id);
-        suspicion::broadcast_run(node, fingerprint, &permit.endpoint, run_id, true).await;
+        let grant = &permit.grant;
+        let run = grant.fence.wrapping_mul(31).wrapping_add(grant.id).max(1);
+        let run = if alone { run } else { SHARED_RUN };
+        suspicion::broadcast_crash(node, features, &permit.endpoint, run).await;
     } else if alone {
-        suspicion::broadcast_run(node, fingerprint, &permit.endpoint, attempt, false).await;
+        suspicion::broadcast_completion(node, features, &permit.endpoint).await;
     }
 }
--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -81,11 +81,9 @@
     pub load_wake: (Sender<()>, Receiver<()>),
     /// The ledger of calls that run at most once.
     pub ledger: Ledger,
-    /// Tracks suspected requests, and admits those whose home is this node.
+    /// Tracks the suspected features of the region, and admits requests with those whose home is this
+    /// node.
     pub suspect_tracker: RefCell<Tracker>,
-    /// The fingerprints that are suspected anywhere in the region, with the time of the last
-    /// crash.
-    pub suspects: RefCell<BTreeMap<u64, Time>>,
     /// VMs that the platform lists as leaving or gone.
     pub leaving: RefCell<BTreeSet<Vm>>,
     /// VMs that the platform lists as gone.
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -8,6 +8,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_core::config::Class;
+use endivespur_core::feature::Scope;
 use endivespur_core::id::{Fence, Grant as GrantId, Model, Process};
 use endivespur_core::owner::{Demand, Grant};
 use endivespur_core::queue;
@@ -23,6 +24,7 @@
 use crate::host::{self, Reply};
 use crate::node::Node;
 use crate::rpc;
+use crate::suspicion;
 
 /// The maximum wait for a connection or a short call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -428,22 +430,19 @@
     result.await.ok();
 }
 
-/// Notifies a node whether the run of a suspected request crashed its endpoint.
-pub async fn report_run(
-    node: &Rc<Node>,
-    address: &str,
-    fingerprint: u64,
-    endpoint: &str,
-    attempt: u64,
-    crashed: bool,
-) {
+/// Notifies a node how a run of a suspected request ended.
+pub async fn report_run(node: &Rc<Node>, address: &str, run: &suspicion::Record) {
     let result = call(node, address, CALL_TIMEOUT, |client| {
         let mut request = client.ran_request();
         let mut params = request.get();
-        params.set_print(fingerprint);
-        params.set_endpoint(endpoint);
-        params.set_attempt(attempt);
-        params.set_crashed(crashed);
+        params.set_print(run.feature.fingerprint);
+        params.set_message(match run.feature.scope {
+            Scope::Request => 0,
+            Scope::Part(position) => position as u32 + 1,
+        });
+        params.set_endpoint(run.endpoint.as_str());
+        params.set_attempt(run.attempt);
+        params.set_crashed(run.crashed);
         async move {
             request.send().promise.await?;
             Ok(())
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -6,6 +6,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_core::config::Class;
+use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::id::Model;
 use endivespur_core::owner::{Demand, Grant, Reason, Refusal};
 use endivespur_core::queue;
@@ -204,15 +205,20 @@
         _: wire::RanResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let endpoint = owned_text(params.get_endpoint()?)?;
-        let (fingerprint, attempt) = (params.get_print(), params.get_attempt());
-        suspicion::record_run(
-            &self.node,
-            fingerprint,
-            &endpoint,
-            attempt,
-            params.get_crashed(),
-        );
+        let scope = match params.get_message() {
+            0 => Scope::Request,
+            number => Scope::Part(number as usize - 1),
+        };
+        let run = suspicion::Record {
+            feature: Feature {
+                fingerprint: params.get_print(),
+                scope,
+            },
+            endpoint: owned_text(params.get_endpoint()?)?,
+            attempt: params.get_attempt(),
+            crashed: params.get_crashed(),
+        };
+        suspicion::record_run(&self.node, &run);
         Ok(())
     }
 
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -173,7 +173,6 @@
         load_wake: bounded(1),
         ledger: once::Ledger::new(),
         suspect_tracker: RefCell::new(Tracker::new(suspicion::RETENTION)),
-        suspects: RefCell::new(BTreeMap::new()),
         leaving: RefCell::new(BTreeSet::new()),
         gone: RefCell::new(BTreeSet::new()),
         retry_budgets: RefCell::new(BTreeMap::new()),
--- a/crates/endivespur_wire/src/node_capnp.rs
+++ b/crates/endivespur_wire/src/node_capnp.rs
@@ -5374,6 +5374,10 @@
             pub fn get_crashed(self) -> bool {
                 self.reader.get_bool_field(128)
             }
+            #[inline]
+            pub fn get_message(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5468,6 +5472,14 @@
             pub fn set_crashed(&mut self, value: bool)  {
                 self.builder.set_bool_field(128, value);
             }
+            #[inline]
+            pub fn get_message(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_message(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(5, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5479,7 +5491,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(249, 110, 31, 179, 16, 172, 37, 209),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
@@ -5489,42 +5501,49 @@
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(114, 97, 110, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(112, 114, 105, 110, 116, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5558,6 +5577,14 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5565,6 +5592,7 @@
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5578,9 +5606,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0];
             pub(crate) const TYPE_ID: u64 = 0xd125_ac10_b31f_6ef9;
         }
     }
