Explain crashes only by features of the same request

The feature with the most crashes explained all others, also those of other requests. Records now name the requests that were in flight, and a cause explains a crash for another feature only where all requests with that feature have the cause too. Bystanders are cleared by their completions, as before.

--- a/crates/endivespur_core/src/feature.rs
+++ b/crates/endivespur_core/src/feature.rs
@@ -1,6 +1,6 @@
 //! The features of requests that may crash endpoints.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -27,33 +27,50 @@
     pub scope: Scope,
 }
 
-/// A feature that was in flight during crashes.
+/// The crashes during which requests with a feature were in flight, with these requests.
+pub type Observations<Crash> = BTreeMap<Crash, BTreeSet<Fingerprint>>;
+
+/// A feature that may have caused crashes.
 #[derive(Clone, Debug)]
 pub struct Candidate<Crash> {
     /// The feature.
     pub feature: Feature,
     /// The crashes that no other cause explains.
-    pub crashes: BTreeSet<Crash>,
+    pub observations: Observations<Crash>,
     /// The number of crashes from which it is a cause.
     pub limit: usize,
 }
 
+impl<Crash: Ord> Candidate<Crash> {
+    /// Removes the requests that `cause` explains, and the crashes without any other request.
+    fn remove_explained(&mut self, cause: &Self) {
+        self.observations.retain(|crash, requests| {
+            let Some(explained) = cause.observations.get(crash) else {
+                return true;
+            };
+            requests.retain(|request| !explained.contains(request));
+            !requests.is_empty()
+        });
+    }
+}
+
 /// Returns the features that explain the crashes.
 ///
-/// A request that crashes an endpoint has other features too, and others are in flight beside it.
-/// The feature with the most crashes explains all of them, so that they do not count against its
-/// companions. Of features with the same crashes, the one that fewer requests share is the cause.
+/// A request that crashes an endpoint has other features too. The feature with the most crashes
+/// explains those of its requests, so that they do not count against its companions. Of features with
+/// the same number of crashes, the one that fewer requests share is the cause. Requests that were in
+/// flight beside each other do not explain each other: both may crash endpoints.
 pub fn find_causes<Crash: Clone + Ord>(
     mut candidates: Vec<Candidate<Crash>>,
 ) -> BTreeSet<Fingerprint> {
     let mut causes = BTreeSet::new();
     loop {
-        candidates.retain(|candidate| candidate.crashes.len() >= candidate.limit.max(1));
+        candidates.retain(|candidate| candidate.observations.len() >= candidate.limit.max(1));
         let cause = candidates
             .iter()
             .max_by_key(|candidate| {
                 let Feature { fingerprint, scope } = candidate.feature;
-                (candidate.crashes.len(), scope, fingerprint)
+                (candidate.observations.len(), scope, fingerprint)
             })
             .cloned();
         let Some(cause) = cause else {
@@ -61,9 +78,7 @@
         };
         causes.insert(cause.feature.fingerprint);
         for candidate in &mut candidates {
-            candidate
-                .crashes
-                .retain(|crash| !cause.crashes.contains(crash));
+            candidate.remove_explained(&cause);
         }
     }
 }
--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -48,6 +48,9 @@
     pub feature: Feature,
     /// The crash.
     pub crash: Crash,
+    /// The fingerprints of the requests with the feature that were in flight.
+    #[serde(default)]
+    pub requests: BTreeSet<Fingerprint>,
     /// Whether a request with the feature has completed since, so that the crash no longer counts.
     pub is_void: bool,
 }
@@ -56,19 +59,27 @@
 pub type Trial = usize;
 
 /// Whether a crash counts against a feature.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Status {
+    #[default]
     Valid,
     /// This gateway has seen a completion that the others may not know of.
     Refuted,
     Void,
 }
 
+/// A crash during which requests with a feature were in flight.
+#[derive(Clone, Debug, Default)]
+struct Observation {
+    status: Status,
+    requests: BTreeSet<Fingerprint>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     /// `None` if only a trial is known.
     scope: Option<Scope>,
-    crashes: BTreeMap<Crash, Status>,
+    crashes: BTreeMap<Crash, Observation>,
     /// The trials that have been taken.
     trials: BTreeSet<Trial>,
     last_crash: Time,
@@ -79,10 +90,9 @@
 }
 
 impl Suspect {
-    fn with_status(&self, status: Status) -> impl Iterator<Item = &Crash> {
+    fn with_status(&self, status: Status) -> impl Iterator<Item = (&Crash, &Observation)> {
         let crashes = self.crashes.iter();
-        let crashes = crashes.filter(move |(_, other)| **other == status);
-        crashes.map(|(crash, _)| crash)
+        crashes.filter(move |(_, observation)| observation.status == status)
     }
 
     fn count(&self) -> usize {
@@ -103,9 +113,11 @@
     }
 
     fn records(&self, fingerprint: Fingerprint, status: Status) -> Vec<Record> {
-        let records = self.with_status(status).map(|crash| Record {
+        let crashes = self.with_status(status);
+        let records = crashes.map(|(crash, observation)| Record {
             feature: self.feature(fingerprint),
             crash: crash.clone(),
+            requests: observation.requests.clone(),
             is_void: status != Status::Valid,
         });
         records.collect()
@@ -174,19 +186,24 @@
         suspect.scope = suspect.scope.max(Some(scope));
         suspect.last_seen = now;
         suspect.shared_at = now;
-        let is_new = match suspect.crashes.get_mut(&record.crash) {
-            None => {
-                suspect.crashes.insert(record.crash.clone(), status);
-                suspect.last_crash = now;
-                true
-            }
-            Some(known) if record.is_void && *known != Status::Void => {
-                *known = Status::Void;
-                true
-            }
-            Some(_) => false,
-        };
-        let may_quarantine = is_new && (record.is_void || suspect.count() >= CRASH_LIMIT);
+        let is_known = suspect.crashes.contains_key(&record.crash);
+        if !is_known {
+            suspect.last_crash = now;
+        }
+        let observation = suspect.crashes.entry(record.crash.clone()).or_default();
+        let was_void = observation.status == Status::Void;
+        if !is_known || record.is_void {
+            observation.status = status;
+        }
+        let request_count = observation.requests.len();
+        observation.requests.extend(&record.requests);
+        if observation.requests.is_empty() {
+            observation.requests.insert(fingerprint);
+        }
+        let has_new_requests = observation.requests.len() > request_count;
+        let is_new = !is_known || (record.is_void && !was_void);
+        let is_relevant = record.is_void || suspect.count() >= CRASH_LIMIT;
+        let may_quarantine = (is_new || has_new_requests) && is_relevant;
         if has_expired || may_quarantine {
             self.quarantined = self.find_causes();
         }
@@ -199,7 +216,10 @@
             .filter(|(_, suspect)| suspect.count() >= CRASH_LIMIT)
             .map(|(fingerprint, suspect)| Candidate {
                 feature: suspect.feature(*fingerprint),
-                crashes: suspect.with_status(Status::Valid).collect(),
+                observations: suspect
+                    .with_status(Status::Valid)
+                    .map(|(crash, observation)| (crash, observation.requests.clone()))
+                    .collect(),
                 limit: CRASH_LIMIT,
             });
         feature::find_causes(candidates.collect())
@@ -256,9 +276,9 @@
             let Some(suspect) = self.suspects.get_mut(&feature.fingerprint) else {
                 continue;
             };
-            for status in suspect.crashes.values_mut() {
-                if *status == Status::Valid {
-                    *status = Status::Refuted;
+            for observation in suspect.crashes.values_mut() {
+                if observation.status == Status::Valid {
+                    observation.status = Status::Refuted;
                     self.refuted.insert(feature.fingerprint);
                     is_changed = true;
                 }
--- a/crates/endivespur_core/src/suspect.rs
+++ b/crates/endivespur_core/src/suspect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::feature::{self, Candidate, Feature, Fingerprint, Scope};
+use crate::feature::{self, Candidate, Feature, Fingerprint, Observations, Scope};
 use crate::id::Endpoint;
 
 /// The number of endpoints that one request may crash before it is refused permanently.
@@ -40,7 +40,7 @@
 struct Record {
     scope: Scope,
     /// The endpoints, and the runs that crashed them: [`SHARED_RUN`] unless the request ran alone.
-    crashes: BTreeSet<(Endpoint, u64)>,
+    crashes: Observations<(Endpoint, u64)>,
     /// Until when a run alone blocks requests with the same feature.
     alone_until: Time,
     last_seen: Time,
@@ -57,7 +57,7 @@
         if self.scope == Scope::Request {
             return Some(CRASH_LIMIT);
         }
-        let mut runs = self.crashes.iter().map(|(_, run)| *run);
+        let mut runs = self.crashes.keys().map(|(_, run)| *run);
         let has_run_alone = runs.any(|run| run != SHARED_RUN);
         has_run_alone.then_some(MESSAGE_CRASH_LIMIT)
     }
@@ -112,21 +112,30 @@
         }
     }
 
-    /// Records that a request with a feature was in flight on an endpoint when the endpoint crashed.
+    /// Records that a request with a feature was in flight on an endpoint when the endpoint crashed;
+    /// `request` is the fingerprint of the whole request.
     ///
     /// `run` identifies the run if the request ran alone and certainly caused the crash; otherwise it
     /// is [`SHARED_RUN`].
-    pub fn crashed(&mut self, now: Time, feature: Feature, endpoint: &str, run: u64) {
+    pub fn crashed(
+        &mut self,
+        now: Time,
+        feature: Feature,
+        request: Fingerprint,
+        endpoint: &str,
+        run: u64,
+    ) {
         self.remove_expired(now);
         let new = || Record {
             scope: feature.scope,
-            crashes: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             alone_until: Time::ZERO,
             last_seen: now,
         };
         let record = self.records.entry(feature.fingerprint).or_insert_with(new);
         record.scope = record.scope.max(feature.scope);
-        record.crashes.insert((endpoint.to_string(), run));
+        let crash = (endpoint.to_string(), run);
+        record.crashes.entry(crash).or_default().insert(request);
         record.alone_until = Time::ZERO;
         record.last_seen = now;
         self.update_causes();
@@ -150,7 +159,7 @@
                     fingerprint: *fingerprint,
                     scope: record.scope,
                 },
-                crashes: record.crashes.clone(),
+                observations: record.crashes.clone(),
                 limit: record.limit()?,
             })
         });
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -25,9 +25,15 @@
     feature_record(request(fingerprint), started_ms)
 }
 
+/// Returns the record of a crash during which a request with only this feature was in flight.
 fn feature_record(feature: Feature, started_ms: u64) -> Record {
+    request_record(feature, feature.fingerprint, started_ms)
+}
+
+fn request_record(feature: Feature, request: u64, started_ms: u64) -> Record {
     Record {
         feature,
+        requests: [request].into(),
         crash: Crash {
             endpoint: "e".to_string(),
             started_ms,
@@ -76,10 +82,10 @@
     let mut tracker = quarantined();
     for minute in 1..30 {
         tracker.refused(ms(minute * 60_000), 7);
-        tracker.add(ms(minute * 60_000), &record(8, 100 + minute));
+        tracker.add(ms(minute * 60_000), &record(8, minute));
         assert!(is_quarantined(&tracker, 7));
     }
-    tracker.add(ms(50 * 60_000), &record(8, 199));
+    tracker.add(ms(50 * 60_000), &record(8, 99));
     assert!(!is_quarantined(&tracker, 7));
 }
 
@@ -175,7 +181,8 @@
     for number in from..from + count {
         let request = request(1_000 + number);
         for feature in parts.iter().chain([&request]) {
-            tracker.add(ms(number), &feature_record(*feature, number));
+            let record = request_record(*feature, request.fingerprint, number);
+            tracker.add(ms(number), &record);
         }
     }
 }
@@ -265,3 +272,17 @@
     assert_eq!(tracker.find_quarantined(&crashing), Some(part(2, 1)));
     assert_eq!(tracker.find_quarantined(&sound), None);
 }
+
+/// A request that is repeated and unlike requests with one part crash the same endpoints. Neither must
+/// be released because the other one explains its crashes.
+#[test]
+fn find_quarantined_in_flight_beside_another() {
+    let mut tracker = Tracker::new();
+    for number in 0..CRASHES {
+        crash_requests(&mut tracker, number, 1, &[part(1, 0), part(2, 1)]);
+        tracker.add(ms(number), &record(7, number));
+    }
+    tracker.add(ms(50), &record(7, 50));
+    assert!(is_quarantined(&tracker, 7));
+    assert_eq!(tracker.find_quarantined(&[part(2, 1)]), Some(part(2, 1)));
+}
--- a/crates/endivespur_core/tests/histories/suspect.rs
+++ b/crates/endivespur_core/tests/histories/suspect.rs
@@ -42,7 +42,7 @@
                 0 | 1 => {
                     crashes += 1;
                     let feature = Feature { fingerprint: 7, scope: Scope::Request };
-                    tracker.crashed(now, feature, &format!("e{crashes}"), crashes as u64);
+                    tracker.crashed(now, feature, 7, &format!("e{crashes}"), crashes as u64);
                     alone_until = Duration::ZERO;
                 }
                 2 if admission == Admission::Alone => {
@@ -73,7 +73,13 @@
     };
     for feature in [message(1, 0), message(2, 1), request] {
         let now = Duration::from_secs(number);
-        tracker.crashed(now, feature, &format!("e{number}"), run);
+        tracker.crashed(
+            now,
+            feature,
+            request.fingerprint,
+            &format!("e{number}"),
+            run,
+        );
     }
 }
 
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -1,6 +1,6 @@
 //! Detects requests that crash endpoints, and refuses them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -260,21 +260,25 @@
 /// recently.
 fn share_crash(state: &State, crash: &Crash, runs: &[checks::Run]) {
     let now = clock::now();
-    let records: BTreeMap<(Crash, Feature), Record> = {
+    let mut records: BTreeMap<(Crash, Feature), Record> = BTreeMap::new();
+    for (features, sent) in runs {
         let crashes = state.crashes.borrow();
-        let records = runs.iter().flat_map(|(features, sent)| {
-            let crash = crashes.identify(crash, *sent);
-            let suspected = features
-                .iter()
-                .filter(|feature| !crashes.has_completed(now, feature.fingerprint));
-            suspected.map(move |feature| Record {
-                feature: *feature,
-                crash: crash.clone(),
-                is_void: false,
-            })
-        });
-        let records = records.map(|record| ((record.crash.clone(), record.feature), record));
-        records.collect()
-    };
+        let crash = crashes.identify(crash, *sent);
+        let request = features.last().map(|whole| whole.fingerprint);
+        let suspected = features
+            .iter()
+            .filter(|feature| !crashes.has_completed(now, feature.fingerprint));
+        for feature in suspected {
+            let record = records
+                .entry((crash.clone(), *feature))
+                .or_insert_with(|| Record {
+                    feature: *feature,
+                    crash: crash.clone(),
+                    requests: BTreeSet::new(),
+                    is_void: false,
+                });
+            record.requests.extend(request);
+        }
+    }
     record::share(state, records.into_values().collect());
 }
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -440,6 +440,7 @@
             Scope::Request => 0,
             Scope::Part(position) => position as u32 + 1,
         });
+        params.set_request(run.request);
         params.set_endpoint(run.endpoint.as_str());
         params.set_attempt(run.attempt);
         params.set_crashed(run.crashed);
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -214,6 +214,7 @@
                 fingerprint: params.get_print(),
                 scope,
             },
+            request: params.get_request(),
             endpoint: owned_text(params.get_endpoint()?)?,
             attempt: params.get_attempt(),
             crashed: params.get_crashed(),
--- a/crates/endivespur_node/src/suspicion.rs
+++ b/crates/endivespur_node/src/suspicion.rs
@@ -174,6 +174,9 @@
     /// The feature.
     #[serde(flatten)]
     pub feature: Feature,
+    /// The fingerprint of the whole request.
+    #[serde(default)]
+    pub request: Fingerprint,
     /// The endpoint that ran the request.
     pub endpoint: String,
     /// The number of the run if the request ran alone, or [`SHARED_RUN`].
@@ -186,7 +189,8 @@
 pub fn record_run(node: &Node, run: &Record) {
     let mut tracker = node.suspect_tracker.borrow_mut();
     if run.crashed {
-        tracker.crashed(clock::now(), run.feature, &run.endpoint, run.attempt);
+        let now = clock::now();
+        tracker.crashed(now, run.feature, run.request, &run.endpoint, run.attempt);
     } else {
         tracker.completed(run.feature.fingerprint);
     }
@@ -252,7 +256,14 @@
 /// Crashes are rare, so that notifying every node is cheap.
 pub async fn broadcast_crash(node: &Rc<Node>, features: &[Feature], endpoint: &str, run: u64) {
     for feature in features {
-        broadcast(node, *feature, endpoint, run, true).await;
+        let record = Record {
+            feature: *feature,
+            request: features.last().map_or(0, |whole| whole.fingerprint),
+            endpoint: endpoint.to_string(),
+            attempt: run,
+            crashed: true,
+        };
+        broadcast(node, record).await;
     }
 }
 
@@ -264,18 +275,19 @@
             tracker.is_suspected(feature.fingerprint)
         };
         if is_suspected {
-            broadcast(node, *feature, endpoint, SHARED_RUN, false).await;
+            let record = Record {
+                feature: *feature,
+                request: 0,
+                endpoint: endpoint.to_string(),
+                attempt: SHARED_RUN,
+                crashed: false,
+            };
+            broadcast(node, record).await;
         }
     }
 }
 
-async fn broadcast(node: &Rc<Node>, feature: Feature, endpoint: &str, attempt: u64, crashed: bool) {
-    let record = Record {
-        feature,
-        endpoint: endpoint.to_string(),
-        attempt,
-        crashed,
-    };
+async fn broadcast(node: &Rc<Node>, record: Record) {
     record_run(node, &record);
     node.spawn(store_record(node.clone(), record.clone()));
     let region = &node.settings.region;
--- a/crates/endivespur_wire/schema/node.capnp
+++ b/crates/endivespur_wire/schema/node.capnp
@@ -71,8 +71,10 @@
   # Returns how a request with this fingerprint (print) must run.
   judge @6 (print :UInt64) -> (verdict :UInt8);
   # Reports whether a request crashed the endpoint that ran it; message is 0 for the fingerprint of
-  # the whole request, and otherwise the number of the message that the fingerprint identifies.
-  ran @7 (print :UInt64, endpoint :Text, attempt :UInt64, crashed :Bool, message :UInt32) -> ();
+  # the whole request, and otherwise the number of the message that the fingerprint identifies;
+  # request is the fingerprint of the whole request.
+  ran @7 (print :UInt64, endpoint :Text, attempt :UInt64, crashed :Bool, message :UInt32,
+      request :UInt64) -> ();
   # Returns the current revision, and the records after a revision as JSON.
   changes @8 (after :UInt64) -> (revision :UInt64, entries :Text);
   # Promises to take no endpoint over for ms, which is 0 while the store answers; also returns the
--- a/crates/endivespur_wire/src/node_capnp.rs
+++ b/crates/endivespur_wire/src/node_capnp.rs
@@ -5378,11 +5378,15 @@
             pub fn get_message(self) -> u32 {
                 self.reader.get_data_field::<u32>(5)
             }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5480,6 +5484,14 @@
             pub fn set_message(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(5, value);
             }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5491,59 +5503,66 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(249, 110, 31, 179, 16, 172, 37, 209),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(114, 97, 110, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(112, 114, 105, 110, 116, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5585,6 +5604,14 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5593,6 +5620,7 @@
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5606,9 +5634,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0,5];
             pub(crate) const TYPE_ID: u64 = 0xd125_ac10_b31f_6ef9;
         }
     }
