--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod endpoint;
 pub mod feed;
 pub mod health;
+pub mod limit;
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::limit::Rate;
 use endivespur_core::id::Endpoint;
 use endivespur_http::body::Decoder;
 use endivespur_http::connection::{self, Connection};
@@ -146,6 +148,7 @@
                 Failure::NotSent(error.to_string())
             })?,
     };
+    let sent = clock::now();
     let mut message = request.encode();
     message.extend_from_slice(body);
     let exchange = async {
@@ -162,6 +165,7 @@
     let mut health = state.health.borrow_mut();
     health.record_activity(clock::now(), &instance.id);
     let fields = header::Response::decode(&head);
+    record_limit(state, &instance.id, sent, fields.limit);
     Ok(EndpointResponse {
         keep_alive: keep_alive(&head, framing),
         decoder: Decoder::new(framing),
@@ -174,6 +178,14 @@
     })
 }
 
+/// Records the limit that the response to a request sent at `sent` names.
+fn record_limit(state: &State, endpoint: &str, sent: Time, rate: Option<Rate>) {
+    let mut limits = state.limits.borrow_mut();
+    if limits.record_response(clock::now(), endpoint, sent, rate) {
+        info!(event = "limit", endpoint, rate:? = rate; "limit changed");
+    }
+}
+
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
 async fn read_response(
     connection: &mut Connection,
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -8,6 +8,7 @@
 use endivespur_core::gateway::crash;
 use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health;
+use endivespur_core::gateway::limit;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::id::{Endpoint, Process};
 use endivespur_core::retry::Budget;
@@ -67,6 +68,8 @@
     pub pool: RefCell<Pool>,
     /// The recent failures and latencies of endpoints.
     pub health: RefCell<health::Tracker>,
+    /// The limits that endpoints have named.
+    pub limits: RefCell<limit::Tracker>,
     /// The requests that crashed endpoints.
     pub crashes: RefCell<crash::Tracker>,
     /// The requests that wait for the check whether an endpoint crashed.
@@ -110,6 +113,7 @@
             peers: Peers::new(),
             pool: RefCell::new(Pool::new()),
             health: RefCell::new(health::Tracker::new()),
+            limits: RefCell::new(limit::Tracker::new()),
             crashes: RefCell::new(crash::Tracker::new()),
             checks: Checks::new(),
             records: Outbox::new(),
