--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! - [`prefix`]: which prompt parts an engine caches.
 //! - [`choice`]: the order in which endpoints are tried.
 //! - [`health`]: which endpoints are avoided.
+//! - [`limit`]: the request rates that endpoints ask for.
 //! - [`crash`]: which requests are refused because they crash endpoints.
 //! - [`feed`]: the local copy of the store's keys.
 //! - [`source`]: from where the store's changes are read.
