Compare positions of the store, its era and revision together

When the store came back from a copy, its revisions went back: a gateway ignored the next configurations, engines refused the orders of owners whose claims had lower numbers than before, and a gateway could renew a lease whose number was another one's.

The store's client now returns positions, which hold the era that each answer names above the revision. Positions only rise, so that everything that compares, keeps or sends them goes on unchanged: the feed and its followers, claims and fencing numbers, expected revisions. A lease belongs to its era. A watch from an earlier era leads to a listing, and an answer of a lower era, or with none after one was named, is an error.

--- a/crates/endivespur_gateway/src/lease.rs
+++ b/crates/endivespur_gateway/src/lease.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
+use endivespur_platform::store;
 
 /// The share of a lease's duration that is relied on, because clocks run at different rates.
 const TRUSTED_SHARE: f64 = 0.9;
@@ -10,8 +11,8 @@
 /// This VM's local view of its lease.
 #[derive(Debug, Default)]
 pub struct Lease {
-    /// The lease's number; `None` before the first grant and after its end.
-    pub id: Option<u64>,
+    /// The store's lease; `None` before the first grant and after its end.
+    pub id: Option<store::Lease>,
     /// The time until which the store certainly keeps it.
     valid_until: Time,
     /// Whether the process may have been suspended since the last renewal.
@@ -25,7 +26,7 @@
     }
 
     /// Records that the lease was granted or renewed by a call sent at `sent`.
-    pub fn renewed(&mut self, id: u64, sent: Time, ttl: Duration) {
+    pub fn renewed(&mut self, id: store::Lease, sent: Time, ttl: Duration) {
         self.id = Some(id);
         self.valid_until = sent + ttl.mul_f64(TRUSTED_SHARE);
         self.is_unconfirmed = false;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -7,7 +7,7 @@
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::ownership::{Claim, Decision};
 use endivespur_core::id::{Endpoint, Fence, Process, Vm};
-use endivespur_platform::store::{Outcome, Write};
+use endivespur_platform::store::{Lease, Outcome, Write};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -142,7 +142,7 @@
     }
 }
 
-async fn renew(state: &State, id: u64, sent: Time) -> Result<(), String> {
+async fn renew(state: &State, id: Lease, sent: Time) -> Result<(), String> {
     let is_renewed = state
         .store
         .renew(id)
@@ -154,7 +154,7 @@
         }
         return Ok(());
     }
-    info!(event = "lease-lapsed", lease = id; "claims have ended");
+    info!(event = "lease-lapsed", lease = id.id; "claims have ended");
     state.lease.borrow_mut().end();
     let now = clock::now();
     let own_engines: Vec<Endpoint> = {
@@ -201,7 +201,7 @@
     if !matches!(outcome, Outcome::Written(_)) {
         return Err(format!("record not written: {outcome:?}"));
     }
-    info!(event = "lease", lease = id; "granted");
+    info!(event = "lease", lease = id.id; "granted");
     state.lease.borrow_mut().renewed(id, sent, ttl);
     state.notify();
     Ok(())
@@ -255,7 +255,7 @@
     next_check
 }
 
-async fn write_claims(state: &State, lease: u64, batch: &[(Endpoint, Fence)]) -> bool {
+async fn write_claims(state: &State, lease: Lease, batch: &[(Endpoint, Fence)]) -> bool {
     let record = ClaimRecord {
         vm: state.settings.vm.clone(),
         process: state.process.clone(),
--- a/crates/endivespur_gateway/src/outbox.rs
+++ b/crates/endivespur_gateway/src/outbox.rs
@@ -4,6 +4,7 @@
 
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash::Record;
+use endivespur_platform::store::Lease;
 use event_listener::Event;
 
 /// The records to be shared, and the lease of those in the store.
@@ -18,7 +19,7 @@
     /// Signals that completions refute crashes.
     pub refuted: Event,
     /// The lease, and the time after which it is too old for further keys.
-    pub lease: Cell<Option<(u64, Time)>>,
+    pub lease: Cell<Option<(Lease, Time)>>,
     /// The number of the last key written by this process.
     pub last_key: Cell<u64>,
 }
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -12,7 +12,7 @@
 use endivespur_core::gateway::crash::{RETENTION, Record, Tracker, Trial};
 use endivespur_core::gateway::feed::Item;
 use endivespur_core::hash;
-use endivespur_platform::store::{Outcome, Write};
+use endivespur_platform::store::{Lease, Outcome, Write};
 use log::{Level, info, log, warn};
 use smol::Timer;
 
@@ -284,7 +284,7 @@
 }
 
 /// Returns a lease that lasts for at least half of the retention.
-async fn lease(state: &State) -> Result<u64, String> {
+async fn lease(state: &State) -> Result<Lease, String> {
     let now = clock::now();
     if let Some((id, usable_until)) = state.records.lease.get()
         && now < usable_until
