Write again what the store has lost, and wait for owners that lost their claims

After the store came back from a copy, records of crashes and trials of its last seconds were gone: gateways that started later let a quarantined request crash three more endpoints. Each gateway that knows them now writes what the store lacks, after a delay of its own. Where engines ignore fencing numbers, a VM waits for the time of a lease before it claims what another one owned, since that one may still give orders.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -73,6 +73,8 @@
 struct Observation {
     status: Status,
     requests: BTreeSet<Fingerprint>,
+    /// Whether the store has a record of it.
+    is_stored: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -309,6 +311,47 @@
         suspects.filter(|(_, suspect)| suspect.has_unshared_refutations())
     }
 
+    /// Records that the store has lost what was written to it.
+    pub fn forget_stored(&mut self) {
+        for suspect in self.suspects.values_mut() {
+            for observation in suspect.crashes.values_mut() {
+                observation.is_stored = false;
+            }
+        }
+    }
+
+    /// Records that the store has a record.
+    pub fn stored(&mut self, record: &Record) {
+        let suspect = self.suspects.get_mut(&record.feature.fingerprint);
+        let observation = suspect.and_then(|suspect| suspect.crashes.get_mut(&record.crash));
+        if let Some(observation) = observation {
+            observation.is_stored = true;
+        }
+    }
+
+    /// Returns the records that the store does not have.
+    pub fn unstored(&self) -> Vec<Record> {
+        let records = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
+            let crashes = suspect.crashes.iter();
+            let unstored = crashes.filter(|(_, observation)| !observation.is_stored);
+            unstored.map(|(crash, observation)| Record {
+                feature: suspect.feature(*fingerprint),
+                crash: crash.clone(),
+                requests: observation.requests.clone(),
+                is_void: observation.status != Status::Valid,
+            })
+        });
+        records.collect()
+    }
+
+    /// Iterates over the trials that have been taken.
+    pub fn trials(&self) -> impl Iterator<Item = (Fingerprint, Trial)> {
+        self.suspects.iter().flat_map(|(fingerprint, suspect)| {
+            let trials = suspect.trials.iter();
+            trials.map(|trial| (*fingerprint, *trial))
+        })
+    }
+
     /// Returns the trial that a request may take now for its only quarantined feature. It must be
     /// claimed first, so that only one gateway runs it.
     ///
--- a/crates/endivespur_core/src/gateway/feed.rs
+++ b/crates/endivespur_core/src/gateway/feed.rs
@@ -72,6 +72,12 @@
         self.revision
     }
 
+    /// Returns whether a key exists.
+    pub fn contains(&self, key: &str) -> bool {
+        let item = self.items.get(key);
+        item.is_some_and(|item| item.value.is_some())
+    }
+
     /// Returns the revision of the last urgent change.
     pub fn urgent_revision(&self) -> u64 {
         self.urgent_revision
--- a/crates/endivespur_core/src/gateway/ownership.rs
+++ b/crates/endivespur_core/src/gateway/ownership.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Keeps this VM from claiming the unowned endpoints before a time, unless `is_exempt` returns
+    /// `true`.
+    pub fn hold(&mut self, until: Time, is_exempt: impl Fn(&str) -> bool) {
+        for (endpoint, since) in &mut self.unowned_since {
+            if !is_exempt(endpoint) {
+                *since = until.max(*since);
+            }
+        }
+    }
+
     /// Removes the unowned endpoints for which `keep` returns `false`.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.unowned_since.retain(|endpoint, _| keep(endpoint));
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -286,3 +286,21 @@
     assert!(is_quarantined(&tracker, 7));
     assert_eq!(tracker.find_quarantined(&[part(2, 1)]), Some(part(2, 1)));
 }
+
+/// The store has lost the records of its last seconds. Those that it still lacks are written again, with
+/// what was refuted.
+#[test]
+fn unstored_after_lost_records() {
+    let mut tracker = quarantined();
+    for number in 0..3 {
+        tracker.stored(&record(7, number));
+    }
+    assert_eq!(tracker.unstored(), []);
+    tracker.forget_stored();
+    assert_eq!(tracker.unstored().len(), 3);
+    tracker.stored(&record(7, 0));
+    tracker.completed(ms(9), &[request(7)]);
+    let unstored = tracker.unstored();
+    assert_eq!(unstored.len(), 2);
+    assert!(unstored.iter().all(|record| record.is_void));
+}
--- a/crates/endivespur_core/tests/gateway/ownership.rs
+++ b/crates/endivespur_core/tests/gateway/ownership.rs
@@ -69,3 +69,20 @@
     claims.set(ms(2), "e", 10, None);
     assert_eq!(claims.get("e"), None);
 }
+
+/// After the store has lost its claims, their owners may go on for as long as their leases would have
+/// lasted. Another VM must wait for that long, unless it was the owner itself.
+#[test]
+fn hold_after_lost_claims() {
+    let mut claims = Claims::new();
+    claims.set(ms(0), "other", 5, None);
+    claims.set(ms(0), "own", 5, None);
+    claims.hold(ms(2_000), |endpoint| endpoint == "own");
+    let mut decide = |now, endpoint| {
+        let vms = ["vm-1"].into_iter();
+        claims.decide(ms(now), endpoint, ("vm-1", "vm-1#1"), vms)
+    };
+    assert_eq!(decide(1, "own"), Decision::Claim(0));
+    assert_eq!(decide(1, "other"), Decision::Wait(ms(2_000)));
+    assert_eq!(decide(2_000, "other"), Decision::Claim(0));
+}
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -1,27 +1,83 @@
 //! Applies the store's changes to the catalog and the claims.
 
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
 use endivespur_clock as clock;
 use endivespur_core::gateway::feed::{Item, Page};
 use endivespur_core::gateway::ownership::Claim;
+use endivespur_core::id::Endpoint;
+use endivespur_platform::store::{self, Position};
 use endivespur_platform::{document, registration};
 use log::{info, warn};
 
 use crate::state::State;
-use crate::{crash, member, record};
+use crate::{crash, member, record, telemetry};
 
 /// Applies changes; returns whether one of them is urgent and should reach followers at once.
 ///
 /// Changes of the adapters that an endpoint holds are frequent and may be delayed. Changes of
 /// whether it serves, of documents, of claims and of records of crashes are urgent.
-pub fn apply(state: &State, page: Page) -> bool {
+pub fn apply(state: &Rc<State>, page: Page) -> bool {
+    let era = Era::enter(state, page.revision);
     let items = state.feed.borrow_mut().apply(page);
-    apply_items(state, &items)
+    let is_urgent = apply_items(state, &items);
+    if let Some(era) = era {
+        era.recover(state);
+    }
+    is_urgent
 }
 
 /// Replaces the state by a listing of all keys.
-pub fn replace(state: &State, page: Page) {
+pub fn replace(state: &Rc<State>, page: Page) {
+    let era = Era::enter(state, page.revision);
     let items = state.feed.borrow_mut().replace(page);
     apply_items(state, &items);
+    if let Some(era) = era {
+        era.recover(state);
+    }
+}
+
+/// An era of the store that begins with the changes that are about to be applied.
+struct Era {
+    /// The endpoints that this process owned before.
+    owned: BTreeSet<Endpoint>,
+}
+
+impl Era {
+    /// Returns the era that changes up to a position begin, if it is a new one.
+    fn enter(state: &State, position: Position) -> Option<Self> {
+        let last = state.feed.borrow().revision();
+        if last == 0 || store::era(position) <= store::era(last) {
+            return None;
+        }
+        info!(
+            event = "store-era", era = store::era(position), revision = store::revision(position),
+            last_era = store::era(last), last_revision = store::revision(last);
+            "store came back from a copy"
+        );
+        telemetry::era_entered();
+        // The endpoints whose registrations are missing register again.
+        state.catalog.borrow_mut().store_recovered(clock::now());
+        let claims = state.claims.borrow();
+        let owned = claims
+            .iter()
+            .filter(|(_, claim)| claim.process == state.process);
+        Some(Self {
+            owned: owned.map(|(endpoint, _)| endpoint.clone()).collect(),
+        })
+    }
+
+    /// Writes again what was lost, and waits for the owners that do not know yet that they have lost
+    /// their claims, where engines would take their orders.
+    fn recover(self, state: &Rc<State>) {
+        record::write_again(state);
+        if !state.settings.is_fencing_enforced {
+            let until = clock::now() + member::LEASE_TTL;
+            let mut claims = state.claims.borrow_mut();
+            claims.hold(until, |endpoint| self.owned.contains(endpoint));
+        }
+    }
 }
 
 fn apply_items(state: &State, items: &[Item]) -> bool {
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -120,7 +120,7 @@
 }
 
 /// Waits at most `wait` for the store's next changes.
-async fn watch(state: &State, wait: Duration) -> Outcome {
+async fn watch(state: &Rc<State>, wait: Duration) -> Outcome {
     let revision = state.feed.borrow().revision();
     let change = if revision == 0 {
         Ok(Change::Compacted)
@@ -148,7 +148,7 @@
 }
 
 /// Lists all keys.
-async fn list(state: &State) -> Outcome {
+async fn list(state: &Rc<State>) -> Outcome {
     match state.store.list(ALL_KEYS).await {
         Ok(page) => {
             info!(event = "listed", revision = page.revision, keys = page.items.len(); "all keys listed");
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -25,7 +25,7 @@
 
 /// The lease's time to live: for this long, the engines of a VM that stops responding have no
 /// working owner.
-const LEASE_TTL: Duration = Duration::from_secs(2);
+pub const LEASE_TTL: Duration = Duration::from_secs(2);
 /// The time between renewals; three may fail before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// The pause after a failed call.
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -34,6 +34,10 @@
 const USUAL_WRITE_TIME: Duration = Duration::from_millis(100);
 /// The maximum delay before completions are shared.
 const MAX_REFUTATION_DELAY: Duration = Duration::from_millis(500);
+/// The maximum delay before records that the store has lost are written again.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1200);
+/// The maximum number of trials written in one call, which holds at most 32 rows.
+const MAX_TRIALS_PER_CALL: usize = 32;
 /// The maximum number of records that wait for the store; the oldest are dropped first.
 const MAX_PENDING: usize = 4096;
 
@@ -119,12 +123,15 @@
     serde_json::to_vec(records).map_err(|error| error.to_string())
 }
 
-/// Adds the records of another gateway.
+/// Adds the records of another gateway, or those in the store.
 pub fn receive(state: &State, value: &[u8], source: &'static str) {
     match serde_json::from_slice::<Vec<Record>>(value) {
         Ok(records) => {
             for record in records {
                 add(state, &record, source);
+                if source == "store" {
+                    state.crashes.borrow_mut().stored(&record);
+                }
             }
         }
         Err(error) => warn!(event = "crash", source; "unreadable records: {error}"),
@@ -151,6 +158,42 @@
     true
 }
 
+/// Writes the records and trials again that the store has lost.
+///
+/// All gateways know them. Each waits for a time of its own, in which the writes of another one may
+/// arrive.
+pub fn write_again(state: &Rc<State>) {
+    state.crashes.borrow_mut().forget_stored();
+    state.records.lease.set(None);
+    let state = state.clone();
+    state.clone().spawn(async move {
+        let delay_ms = hash::mix(&state.process, 1) % MAX_REWRITE_DELAY.as_millis() as u64;
+        Timer::after(Duration::from_millis(delay_ms)).await;
+        let records = state.crashes.borrow().unstored();
+        let trials: Vec<String> = {
+            let (crashes, feed) = (state.crashes.borrow(), state.feed.borrow());
+            let trials = crashes.trials();
+            let keys = trials.map(|(fingerprint, trial)| trial_key(fingerprint, trial));
+            keys.filter(|key| !feed.contains(key)).collect()
+        };
+        if records.is_empty() && trials.is_empty() {
+            return;
+        }
+        info!(
+            event = "rewritten", records = records.len(), trials = trials.len();
+            "written again after the store lost them"
+        );
+        state.records.pending.borrow_mut().extend(records);
+        state.records.added.notify(usize::MAX);
+        for keys in trials.chunks(MAX_TRIALS_PER_CALL) {
+            let puts = keys.iter().map(|key| (key.clone(), Vec::new())).collect();
+            if let Err(message) = write(&state, puts, Vec::new()).await {
+                warn!(event = "crash-unshared", count = keys.len(); "trials not written: {message}");
+            }
+        }
+    });
+}
+
 fn trial_key(fingerprint: Fingerprint, trial: Trial) -> String {
     format!("{TRIAL_KEY_PREFIX}{fingerprint:016x}.{trial}")
 }
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -83,6 +83,11 @@
         .increment(1);
 }
 
+/// Counts an era of the store after the first one.
+pub fn era_entered() {
+    counter!("endivespur_gateway_store_eras_total").increment(1);
+}
+
 /// Counts a failed call to the store.
 pub fn store_failed(call: &'static str) {
     counter!("endivespur_gateway_store_failures_total", "call" => call).increment(1);
