--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -212,6 +212,7 @@
         is_new
     }
 
+    /// Returns the features to be quarantined.
     fn find_causes(&self) -> BTreeSet<Fingerprint> {
         let suspects = self.suspects.iter();
         let candidates = suspects
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -281,9 +281,9 @@
             Refusal::Limited(wait) => Some(*wait),
             _ => None,
         });
-        // Engines without a limit were too busy as well.
-        let all_limited: Option<Vec<Duration>> = waits.collect();
-        let retry_after = all_limited.and_then(|waits| waits.into_iter().min());
+        // The time to the next token helps only if no engine is busy for another reason.
+        let waits: Option<Vec<Duration>> = waits.collect();
+        let retry_after = waits.and_then(|waits| waits.into_iter().min());
         let reason = retry_after.map_or(reason, |_| "limited");
         let refusals = refusals
             .iter()
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -187,8 +187,9 @@
         state.records.added.notify(usize::MAX);
         for keys in trials.chunks(MAX_TRIALS_PER_CALL) {
             let puts = keys.iter().map(|key| (key.clone(), Vec::new())).collect();
-            if let Err(message) = write(&state, puts, Vec::new()).await {
-                warn!(event = "crash-unshared", count = keys.len(); "trials not written: {message}");
+            let written = write(&state, puts, Vec::new()).await;
+            if !matches!(written, Ok(Outcome::Written(_))) {
+                warn!(event = "crash-unshared", count = keys.len(); "trials not written: {written:?}");
             }
         }
     });
