--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::feed::{Item, Page};
@@ -14,6 +15,10 @@
 use crate::state::State;
 use crate::{crash, member, record, telemetry};
 
+/// How long the owners that have lost their claims may take to claim their engines again: a renewal of
+/// the lease, a few calls, and the delays of their ranks.
+const RECLAIM_TIME: Duration = Duration::from_millis(1200);
+
 /// Applies changes; returns whether one of them is urgent and should reach followers at once.
 ///
 /// Changes of the adapters that an endpoint holds are frequent and may be delayed. Changes of
@@ -68,15 +73,19 @@
         })
     }
 
-    /// Writes again what was lost, and waits for the owners that do not know yet that they have lost
-    /// their claims, where engines would take their orders.
+    /// Writes again what was lost, and leaves the engines to their former owners for some time: they
+    /// claim them again, and some of them may not know yet that they have lost their claims.
     fn recover(self, state: &Rc<State>) {
         record::write_again(state);
-        if !state.settings.is_fencing_enforced {
-            let until = clock::now() + member::LEASE_TTL;
-            let mut claims = state.claims.borrow_mut();
-            claims.hold(until, |endpoint| self.owned.contains(endpoint));
-        }
+        let delay = if state.settings.is_fencing_enforced {
+            RECLAIM_TIME
+        } else {
+            member::LEASE_TTL
+        };
+        let mut claims = state.claims.borrow_mut();
+        claims.hold(clock::now() + delay, |endpoint| {
+            self.owned.contains(endpoint)
+        });
     }
 }
 
