--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -10,7 +10,7 @@
 use endivespur_core::gateway::crash::Crash;
 
 /// The features of a request that was in flight during a crash, and when it was sent.
-pub type Run = (Rc<[Feature]>, Time);
+pub type InFlight = (Rc<[Feature]>, Time);
 
 /// A request that may have crashed an endpoint.
 #[derive(Clone, Debug)]
@@ -26,7 +26,8 @@
     /// When the caller left or its deadline passed without a response; `None` if the response was
     /// lost. The request is cleared if the endpoint has sent anything since.
     pub silent_since: Option<Time>,
-    /// Whether the response is complete, unless the end of its connection was that of its endpoint.
+    /// Whether the response is complete if its endpoint is still up: it ended with its connection, as it
+    /// would have in a crash.
     pub is_complete: bool,
 }
 
@@ -36,7 +37,7 @@
 /// A lost response of an endpoint that accepted connections when it was checked.
 #[derive(Clone, Debug)]
 struct Lost {
-    run: Run,
+    run: InFlight,
     at: Time,
 }
 
@@ -86,7 +87,7 @@
 
     /// Returns the recent lost responses of an endpoint that started again at `started_ms`, by the
     /// crash that caused them: the requests, and when they were sent.
-    pub fn take_lost(&self, now: Time, endpoint: &str, started_ms: u64) -> Vec<(Crash, Vec<Run>)> {
+    pub fn take_lost(&self, now: Time, endpoint: &str, started_ms: u64) -> Vec<(Crash, Vec<InFlight>)> {
         let from = Crash {
             endpoint: endpoint.to_string(),
             started_ms: 0,
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -258,7 +258,7 @@
 
 /// Shares a crash for each feature of the requests that were in flight, unless it has completed
 /// recently.
-fn share_crash(state: &State, crash: &Crash, runs: &[checks::Run]) {
+fn share_crash(state: &State, crash: &Crash, runs: &[checks::InFlight]) {
     let now = clock::now();
     let mut records: BTreeMap<(Crash, Feature), Record> = BTreeMap::new();
     for (features, sent) in runs {
