--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -87,7 +87,12 @@
 
     /// Returns the recent lost responses of an endpoint that started again at `started_ms`, by the
     /// crash that caused them: the requests, and when they were sent.
-    pub fn take_lost(&self, now: Time, endpoint: &str, started_ms: u64) -> Vec<(Crash, Vec<InFlight>)> {
+    pub fn take_lost(
+        &self,
+        now: Time,
+        endpoint: &str,
+        started_ms: u64,
+    ) -> Vec<(Crash, Vec<InFlight>)> {
         let from = Crash {
             endpoint: endpoint.to_string(),
             started_ms: 0,
