--- a/crates/endivespur_core/src/gateway/endpoint.rs
+++ b/crates/endivespur_core/src/gateway/endpoint.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Endpoint, Service, Version, Zone};
+use crate::id::{Endpoint, Service, Software, Version, Zone};
 
 /// A base model that an engine holds, with its adapters.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +27,8 @@
     pub started_ms: u64,
     /// The service.
     pub service: Service,
+    /// The version of its software.
+    pub software: Software,
     /// The address that it listens on.
     pub address: SocketAddr,
     /// The availability zone.
--- a/crates/endivespur_core/src/id.rs
+++ b/crates/endivespur_core/src/id.rs
@@ -8,6 +8,8 @@
 pub type Version = u32;
 /// The name of an endpoint.
 pub type Endpoint = String;
+/// The version of an endpoint's software.
+pub type Software = String;
 /// The name of a calling organisation.
 pub type Organisation = String;
 /// The name of a VM that runs a daemon.
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -17,6 +17,7 @@
         id: id.to_string(),
         started_ms: 1,
         service: "s".to_string(),
+        software: "v1".to_string(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: zone.to_string(),
         slots: 64,
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -166,6 +166,7 @@
             if is_changed {
                 info!(
                     event = "endpoint", endpoint = id, service = instance.service.as_str(),
+                    software = instance.software.as_str(), born = instance.started_ms,
                     leaving = instance.is_draining, revision = item.revision; "registration"
                 );
             }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -250,7 +250,7 @@
     telemetry::engine_granted(waited);
     info!(
         event = "granted", request = call.fields.attempt_id.as_str(),
-        endpoint = permit.instance.id.as_str(), adapter = permit.weights.to_string(),
+        endpoint = permit.instance.id.as_str(), software = permit.instance.software.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(location, _)| location), version = permit.version,
         offer = attempt_number, tokens = call.fields.prompt_tokens, parts = call.part_ids(),
         waited_ms = waited.as_millis() as u64; "granted"
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -188,6 +188,7 @@
     let outcome = match route_request(table.as_deref(), received) {
         Err(outcome) => outcome,
         Ok(call) => {
+            log_resumption(&call);
             service.clone_from(&call.service);
             state.deposit_retry(&call.service);
             let is_engine = table
@@ -225,6 +226,17 @@
     })
 }
 
+/// Logs that a request resumes a stream.
+fn log_resumption(call: &Call) {
+    let fields = &call.fields;
+    if fields.resumes.is_some() || fields.last_event_id.is_some() {
+        info!(
+            event = "resumption", request = fields.attempt_id.as_str(), resumes:? = fields.resumes,
+            last_event:? = fields.last_event_id; "stream to be resumed"
+        );
+    }
+}
+
 /// Returns the configuration, after waiting for the first one.
 async fn wait_for_configuration(state: &State) -> Rc<Table> {
     loop {
