Resume a stream only at the software version that began it

Callers saw streams that went on at an engine of another software version, whose events do not fit those before: in one response of a gateway, and over their own attempts. No choice of an engine looked at the version in its registration, and nothing read `Resumes`.

One that is asked to resume a stream it does not know asks all others at once. A stream whose version is unknown, or has no engine left, is refused at once. What one attempt id began at two versions, or at an engine that has started again with another version within the time that its registration may take, counts as unknown.

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! - [`limit`]: the request rates that endpoints ask for.
 //! - [`crash`]: which requests are refused because they crash endpoints.
 //! - [`feed`]: the local copy of the store's keys.
+//! - [`stream`]: which software versions began streams.
 //! - [`source`]: from where the store's changes are read.
 
 pub mod choice;
@@ -22,4 +23,5 @@
 pub mod placement;
 pub mod prefix;
 pub mod source;
+pub mod stream;
 pub mod table;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod ownership;
 mod placement;
 mod source;
+mod stream;
 mod table;
 mod version;
 
--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/stream.rs
@@ -0,0 +1,118 @@
+//! Gateways share which software versions began streams, so that each can tell where a stream may be resumed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use endivespur_core::gateway::stream::{self, Origin, RETENTION, Tracker};
+
+use crate::ms;
+
+const KEY: u64 = 7;
+
+fn origin(software: &str) -> Origin {
+    Origin::new("s", software)
+}
+
+fn versions(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn origin_of_shared_stream() {
+    let (mut first, mut second) = (Tracker::new(), Tracker::new());
+    first.began(ms(0), KEY, origin("v1"), "e");
+    for (origin, keys) in first.take_unshared() {
+        for key in keys {
+            second.learned(ms(1), key, origin.clone());
+        }
+    }
+    assert_eq!(second.origin(ms(2), KEY), Some(&origin("v1")));
+    assert!(!first.has_unshared() && !second.has_unshared());
+}
+
+/// Two callers use the same id for an attempt.
+#[test]
+fn origin_of_two_streams_with_one_key() {
+    let mut tracker = Tracker::new();
+    tracker.began(ms(0), KEY, origin("v1"), "e");
+    tracker.learned(ms(1), KEY, origin("v2"));
+    assert_eq!(tracker.origin(ms(2), KEY), None);
+    tracker.learned(ms(3), KEY, origin("v1"));
+    assert_eq!(tracker.origin(ms(4), KEY), None);
+}
+
+/// An engine writes under the registration of its former start until the new one arrives.
+#[test]
+fn origin_of_restarted_engine() {
+    let (mut tracker, mut replica) = (Tracker::new(), Tracker::new());
+    let (old, recent, other) = (1, 2, 3);
+    tracker.began(ms(0), old, origin("v1"), "e");
+    tracker.began(ms(9_000), recent, origin("v1"), "e");
+    tracker.began(ms(9_000), other, origin("v1"), "f");
+    let share = |tracker: &mut Tracker, replica: &mut Tracker| {
+        for (origin, keys) in tracker.take_unshared() {
+            for key in keys {
+                replica.learned(ms(9_500), key, origin.clone());
+            }
+        }
+    };
+    share(&mut tracker, &mut replica);
+    tracker.restarted(ms(10_000), "e");
+    share(&mut tracker, &mut replica);
+    for tracker in [&mut tracker, &mut replica] {
+        assert_eq!(tracker.origin(ms(10_000), old), Some(&origin("v1")));
+        assert_eq!(tracker.origin(ms(10_000), recent), None);
+        assert_eq!(tracker.origin(ms(10_000), other), Some(&origin("v1")));
+    }
+}
+
+/// The gateway that began a stream may have ended: the one that resumes it shares it again.
+#[test]
+fn origin_of_resumed_stream_is_shared() {
+    let mut tracker = Tracker::new();
+    tracker.resumed(ms(0), KEY, origin("v1"));
+    assert_eq!(tracker.take_unshared()[&origin("v1")], [KEY]);
+    tracker.resumed(ms(1), KEY, origin("v1"));
+    assert!(!tracker.has_unshared());
+}
+
+#[test]
+fn origin_after_retention() {
+    let mut tracker = Tracker::new();
+    tracker.began(ms(0), KEY, origin("v1"), "e");
+    let last = RETENTION.saturating_sub(ms(1));
+    assert_eq!(tracker.origin(last, KEY), Some(&origin("v1")));
+    assert_eq!(tracker.origin(RETENTION, KEY), None);
+    assert!(!tracker.has_unshared());
+}
+
+/// Streams arrive faster than they are forgotten: the memory stays bounded.
+#[test]
+fn origin_of_oldest_of_many_streams() {
+    const COUNT: u64 = 100_000;
+    let mut tracker = Tracker::new();
+    for number in 0..COUNT {
+        let key = stream::key(&number.to_string());
+        tracker.learned(ms(number / 100), key, origin("v1"));
+    }
+    let now = ms(COUNT / 100);
+    assert_eq!(tracker.origin(now, stream::key("0")), None);
+    let newest = stream::key(&(COUNT - 1).to_string());
+    assert_eq!(tracker.origin(now, newest), Some(&origin("v1")));
+}
+
+#[test]
+fn sole_software_while_versions_change() {
+    let mut tracker = Tracker::new();
+    let sole = |tracker: &mut Tracker, now: Duration, current: &[&str]| {
+        tracker.sole_software(now, "s", versions(current))
+    };
+    assert_eq!(sole(&mut tracker, ms(0), &[]), None);
+    assert_eq!(sole(&mut tracker, ms(0), &["v1"]), Some("v1".to_string()));
+    assert_eq!(sole(&mut tracker, ms(0), &["v1", "v2"]), None);
+    // The last engine of `v1` leaves.
+    tracker.registered(ms(10), "s", "v1");
+    assert_eq!(sole(&mut tracker, ms(20), &["v2"]), None);
+    let later = RETENTION + ms(10);
+    assert_eq!(sole(&mut tracker, later, &["v2"]), Some("v2".to_string()));
+}
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -10,7 +10,7 @@
 use endivespur_core::gateway::choice;
 use endivespur_core::gateway::endpoint::{Instance, Weights};
 use endivespur_core::gateway::placement::Request;
-use endivespur_core::id::{Endpoint, Grant, Version};
+use endivespur_core::id::{Endpoint, Grant, Software, Version};
 use log::info;
 use smol::Timer;
 
@@ -122,7 +122,8 @@
     }
 }
 
-/// Waits until an engine may run the request, and returns a permit for it.
+/// Waits until an engine may run the request, and returns a permit for it. If `software` is given, only
+/// engines of that software version may.
 ///
 /// # Errors
 ///
@@ -131,6 +132,7 @@
     state: &Rc<State>,
     call: &Call,
     tried: &BTreeSet<Endpoint>,
+    software: Option<&Software>,
 ) -> Result<Permit, Unavailable> {
     let weights = call
         .fields
@@ -138,7 +140,7 @@
         .clone()
         .unwrap_or_else(|| Weights::new("", ""));
     loop {
-        let engines = candidates(state, call, &weights.base, tried);
+        let engines = candidates(state, call, &weights.base, tried, software);
         if engines.is_empty() {
             return Err(Unavailable::new("no-engine"));
         }
@@ -369,7 +371,7 @@
     }
 }
 
-/// Returns the service's engines that were not tried yet.
+/// Returns the service's engines of a software version, if one is given, that were not tried yet.
 ///
 /// Engines that still load the base model are left out if another one holds it. Avoided engines
 /// are left out unless they exceed [`MAX_AVOIDED_SHARE`].
@@ -378,10 +380,12 @@
     call: &Call,
     base: &str,
     tried: &BTreeSet<Endpoint>,
+    software: Option<&Software>,
 ) -> Vec<Rc<Instance>> {
     let now = clock::now();
     let mut engines = state.catalog.borrow().serving(&call.service);
     engines.retain(|instance| !tried.contains(&instance.id));
+    engines.retain(|instance| software.is_none_or(|software| instance.software == *software));
     let has_base = |instance: &Rc<Instance>| instance.bases.contains_key(base);
     if engines.iter().any(has_base) {
         engines.retain(has_base);
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -13,7 +13,7 @@
 use log::{info, warn};
 
 use crate::state::State;
-use crate::{crash, member, record, telemetry};
+use crate::{crash, member, record, stream, telemetry};
 
 /// How long the owners that have lost their claims may take to claim their engines again: a renewal of
 /// the lease, a few calls, and the delays of their ranks.
@@ -152,6 +152,7 @@
         .strip_prefix(registration::KEY_PREFIX)
         .unwrap_or(&item.key);
     let Some(value) = &item.value else {
+        stream::unregistered(state, id);
         info!(event = "endpoint-gone", endpoint = id, revision = item.revision; "registration ended");
         state.catalog.borrow_mut().remove_endpoint(now, id);
         return true;
@@ -170,6 +171,7 @@
                     leaving = instance.is_draining, revision = item.revision; "registration"
                 );
             }
+            stream::registered(state, &instance);
             if is_changed {
                 crash::record_restart(state, id, instance.started_ms);
             }
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
 use endivespur_core::hash;
-use endivespur_core::id::Service;
+use endivespur_core::id::{Service, Software};
 use endivespur_http::body::{LAST_CHUNK, encode_chunk};
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
@@ -38,6 +38,8 @@
     pub route: Route,
     /// The service that handles it.
     pub service: Service,
+    /// The software version that engines must have, if the request resumes a stream.
+    pub software: Option<Software>,
     /// The time at which its head was read.
     pub started: Time,
     /// The time by which the response must be complete.
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::gateway::table::RetryPolicy;
-use endivespur_core::id::Endpoint;
+use endivespur_core::id::{Endpoint, Software};
 use endivespur_http::head::Framing;
 use endivespur_platform::header::Dispatch;
 use log::info;
@@ -16,7 +17,7 @@
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::State;
-use crate::{limit, telemetry, timer};
+use crate::{limit, stream, telemetry, timer};
 
 /// The delay after which a caller retries when no engine was found: the time in which a new owner
 /// takes over.
@@ -37,6 +38,8 @@
     last_event_id: Option<u64>,
     /// The bytes of an incomplete event.
     partial: Vec<u8>,
+    /// The software version that wrote its first event; only that version may resume it.
+    software: Option<Software>,
 }
 
 /// The outcome of relaying one engine's response.
@@ -79,6 +82,7 @@
         stream: Stream {
             last_event_id: call.fields.last_event_id,
             partial: Vec::new(),
+            software: call.software.clone(),
         },
     };
     let mut last = Outcome::refused("late", RETRY_AFTER);
@@ -86,7 +90,8 @@
         if call.time_left().is_zero() {
             break;
         }
-        let mut permit = match acquire(state, call, &progress.tried).await {
+        let software = progress.stream.software.as_ref();
+        let mut permit = match acquire(state, call, &progress.tried, software).await {
             Ok(permit) => permit,
             Err(Unavailable {
                 reason,
@@ -180,7 +185,7 @@
                     health.record_success(clock::now(), &instance.id, took);
                 }
                 let stream = &mut progress.stream;
-                match relay_response(state, call, caller, &mut response, stream).await {
+                match relay_response(state, call, caller, &instance, &mut response, stream).await {
                     Transfer::Complete => {
                         let status = response.head.status;
                         let framing = response.framing;
@@ -288,6 +293,7 @@
     state: &State,
     call: &Call,
     caller: &mut Caller<'_>,
+    instance: &Instance,
     response: &mut relay::EndpointResponse,
     stream: &mut Stream,
 ) -> Transfer {
@@ -316,6 +322,10 @@
                 if stream.partial.len() > MAX_EVENT_BYTES {
                     return Transfer::Interrupted("event too long".to_string());
                 }
+                if !events.is_empty() && stream.software.is_none() {
+                    stream.software = Some(instance.software.clone());
+                    stream::began(state, call, instance);
+                }
                 caller.send_chunk(&events).await
             } else {
                 caller.send_chunk(&bytes).await
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod serve;
 mod start;
 mod state;
+mod stream;
 mod telemetry;
 mod timer;
 
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use capnp::struct_list;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::feed::{Change, Item, Page};
 use endivespur_core::gateway::limit::Decision;
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::gateway::prefix::Part;
-use endivespur_wire::gateway_capnp::{ask, changes, news, reply, token_reply};
+use endivespur_core::gateway::stream::{Batch, Origin};
+use endivespur_wire::gateway_capnp::{ask, changes, news, reply, streams, token_reply};
 
 use crate::owned::Reply;
 
@@ -105,6 +107,31 @@
     })
 }
 
+/// Writes streams by the version that began them.
+pub fn write_streams(mut to: struct_list::Builder<'_, streams::Owned>, batch: &Batch) {
+    for (index, (origin, keys)) in batch.iter().enumerate() {
+        let mut to = to.reborrow().get(index as u32);
+        to.set_service(&origin.service);
+        to.set_software(&origin.software);
+        to.set_keys(&keys[..]).ok();
+    }
+}
+
+/// Reads streams by the version that began them.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed.
+pub fn read_streams(from: struct_list::Reader<'_, streams::Owned>) -> Result<Batch, capnp::Error> {
+    from.iter()
+        .map(|from| {
+            let (service, software) = (from.get_service()?, from.get_software()?);
+            let origin = Origin::new(service.to_str()?, software.to_str()?);
+            Ok((origin, from.get_keys()?.iter().collect()))
+        })
+        .collect()
+}
+
 /// Writes an update for a follower.
 pub fn write_update(mut to: news::Builder<'_>, update: &Update) {
     match update {
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -9,6 +9,7 @@
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::limit::{Decision, Rate};
 use endivespur_core::gateway::placement::Request;
+use endivespur_core::gateway::stream::{Batch, Key};
 use endivespur_core::id::Grant;
 use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
@@ -234,6 +235,53 @@
     notify(state, address, send).await;
 }
 
+/// Returns `default` if a gateway of an older release does not know the call.
+fn unless_unimplemented<T>(reply: Result<T, capnp::Error>, default: T) -> Result<T, capnp::Error> {
+    match reply {
+        Err(error) if error.kind == capnp::ErrorKind::Unimplemented => Ok(default),
+        reply => reply,
+    }
+}
+
+/// Notifies the gateway at an address which software versions began streams.
+///
+/// If this is lost, that gateway does not know them.
+pub async fn streams_began(state: &Rc<State>, address: SocketAddr, batch: &Batch) {
+    let send = async |client: gateway::Client| {
+        let mut request = client.streams_began_request();
+        message::write_streams(request.get().init_streams(batch.len() as u32), batch);
+        let response = request.send().promise.await;
+        unless_unimplemented(response.map(drop), ())
+    };
+    notify(state, address, send).await;
+}
+
+/// Requests which software versions began streams, as far as the gateway at an address knows.
+///
+/// # Errors
+///
+/// Returns [`Unresponsive`] if it does not reply.
+pub async fn locate_streams(
+    state: &Rc<State>,
+    address: SocketAddr,
+    keys: &[Key],
+) -> Result<Batch, Unresponsive> {
+    if state.peers.is_unresponsive(address) {
+        return Err(Unresponsive);
+    }
+    let send = async |client: gateway::Client| {
+        let mut request = client.locate_streams_request();
+        request.get().set_keys(keys)?;
+        let response = request.send().promise.await;
+        let streams = response.and_then(|response| {
+            let streams = response.get()?.get_streams()?;
+            message::read_streams(streams)
+        });
+        unless_unimplemented(streams, Batch::new())
+    };
+    request(state, address, REPLY_SLACK, send).await
+}
+
 /// Notifies the owner at an address that a granted request has ended.
 ///
 /// If this is lost, the grant expires at the owner.
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -8,6 +8,7 @@
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::limit::Limit;
+use endivespur_core::gateway::stream::Key;
 use endivespur_wire::gateway_capnp::gateway;
 use futures_util::AsyncReadExt;
 use log::debug;
@@ -19,6 +20,7 @@
 use crate::owned::Reply;
 use crate::record;
 use crate::state::State;
+use crate::stream;
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -134,6 +136,27 @@
         Ok(())
     }
 
+    async fn streams_began(
+        self: Rc<Self>,
+        params: gateway::StreamsBeganParams,
+        _: gateway::StreamsBeganResults,
+    ) -> Result<(), capnp::Error> {
+        let batch = message::read_streams(params.get()?.get_streams()?)?;
+        stream::learned(&self.state, batch);
+        Ok(())
+    }
+
+    async fn locate_streams(
+        self: Rc<Self>,
+        params: gateway::LocateStreamsParams,
+        mut results: gateway::LocateStreamsResults,
+    ) -> Result<(), capnp::Error> {
+        let keys: Vec<Key> = params.get()?.get_keys()?.iter().collect();
+        let batch = stream::known(&self.state, &keys);
+        message::write_streams(results.get().init_streams(batch.len() as u32), &batch);
+        Ok(())
+    }
+
     async fn follow(
         self: Rc<Self>,
         params: gateway::FollowParams,
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{crash, generate, plain, telemetry, timer};
+use crate::{crash, generate, plain, stream, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -187,8 +187,7 @@
     };
     let outcome = match route_request(table.as_deref(), received) {
         Err(outcome) => outcome,
-        Ok(call) => {
-            log_resumption(&call);
+        Ok(mut call) => {
             service.clone_from(&call.service);
             state.deposit_retry(&call.service);
             let is_engine = table
@@ -196,6 +195,9 @@
                 .and_then(|table| table.services.get(&call.service))
                 .is_some_and(|group| group.engine.is_some());
             let response = async {
+                if is_engine && let Err(refusal) = stream::pin(state, &mut call).await {
+                    return refusal;
+                }
                 if let Err(refusal) = crash::admit(state, &call).await {
                     return refusal;
                 }
@@ -226,17 +228,6 @@
     })
 }
 
-/// Logs that a request resumes a stream.
-fn log_resumption(call: &Call) {
-    let fields = &call.fields;
-    if fields.resumes.is_some() || fields.last_event_id.is_some() {
-        info!(
-            event = "resumption", request = fields.attempt_id.as_str(), resumes:? = fields.resumes,
-            last_event:? = fields.last_event_id; "stream to be resumed"
-        );
-    }
-}
-
 /// Returns the configuration, after waiting for the first one.
 async fn wait_for_configuration(state: &State) -> Rc<Table> {
     loop {
@@ -292,6 +283,7 @@
         is_trial: Cell::new(false),
         fields,
         service,
+        software: None,
         started,
         deadline: started + limit,
         route,
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{exposition, follow, member, owner, readiness, record, rpc, serve, telemetry};
+use crate::{exposition, follow, member, owner, readiness, record, rpc, serve, stream, telemetry};
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
 /// second and reacts after two failures.
@@ -73,6 +73,7 @@
     member::start(&state);
     owner::start(&state);
     record::start(&state);
+    stream::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
     state.spawn(readiness::serve(state.clone(), probes));
     state.spawn(serve::listen(state.clone(), callers));
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
+use crate::stream::Streams;
 use crate::telemetry;
 
 /// The share of the permitted retries that this VM uses, because callers are spread unevenly over
@@ -70,6 +71,8 @@
     pub health: RefCell<health::Tracker>,
     /// The limits that endpoints have named.
     pub limits: RefCell<limit::Tracker>,
+    /// The streams that began recently.
+    pub streams: Streams,
     /// The requests that crashed endpoints.
     pub crashes: RefCell<crash::Tracker>,
     /// The requests that wait for the check whether an endpoint crashed.
@@ -114,6 +117,7 @@
             pool: RefCell::new(Pool::new()),
             health: RefCell::new(health::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
+            streams: Streams::new(),
             crashes: RefCell::new(crash::Tracker::new()),
             checks: Checks::new(),
             records: Outbox::new(),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -63,6 +63,13 @@
   }
 }
 
+# Streams that began at engines of one software version of a service.
+struct Streams {
+  service @0 :Text;
+  software @1 :Text;      # empty if it is not known which version began them
+  keys @2 :List(UInt64);  # the hashes of the attempts that brought the first events
+}
+
 interface Gateway {
   # Requests a grant from the owner of an engine.
   ask @0 (ask :Ask) -> (reply :Reply);
@@ -80,4 +87,8 @@
   token @5 (endpoint :Text, rate :Float64, ageMs :UInt32) -> (reply :TokenReply);
   # Reports that an endpoint no longer names a limit.
   limitEnded @6 (endpoint :Text) -> ();
+  # Reports which software versions began streams.
+  streamsBegan @7 (streams :List(Streams)) -> ();
+  # Returns which software versions began streams, for those that the gateway knows.
+  locateStreams @8 (keys :List(UInt64)) -> (streams :List(Streams));
 }
