--- a/crates/endivespur_core/src/gateway/feed.rs
+++ b/crates/endivespur_core/src/gateway/feed.rs
@@ -72,6 +72,12 @@
         self.revision
     }
 
+    /// Returns the revision of a key's last change, if the key exists.
+    pub fn key_revision(&self, key: &str) -> Option<u64> {
+        let item = self.items.get(key).filter(|item| item.value.is_some());
+        item.map(|item| item.revision)
+    }
+
     /// Returns whether a key exists.
     pub fn contains(&self, key: &str) -> bool {
         let item = self.items.get(key);
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod ownership;
 mod placement;
+mod reach;
 mod source;
 mod stream;
 mod table;
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -24,6 +24,12 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: Zone,
+    /// The address at which it forwards requests of other gateways; `None` for an older release.
+    #[serde(default)]
+    pub forward_address: Option<SocketAddr>,
+    /// Whether it is cut off from the endpoints that others reach.
+    #[serde(default)]
+    pub is_cut_off: bool,
 }
 
 /// The cached state of the store.
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -1,7 +1,6 @@
 //! Detects requests that crash endpoints, and refuses them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +9,7 @@
 use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::gateway::crash::{Crash, Record};
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::reach::Reach;
 use endivespur_http::head::Framing;
 use endivespur_http::pool;
 use log::info;
@@ -18,7 +18,7 @@
 use crate::checks::{self, Suspect};
 use crate::exchange::{Call, Outcome};
 use crate::state::State;
-use crate::{record, telemetry};
+use crate::{reach, record, telemetry};
 
 /// The delay between the end of a run and the check of the endpoint, which may only have reset the
 /// connection.
@@ -154,8 +154,8 @@
         let crash = crash_of(&self.instance);
         let is_first = self.state.checks.add(crash.clone(), suspect);
         if is_first {
-            let (state, address) = (self.state.clone(), self.instance.address);
-            self.state.spawn(check(state, crash, address));
+            let (state, instance) = (self.state.clone(), self.instance.clone());
+            self.state.spawn(check(state, crash, instance));
         }
     }
 }
@@ -177,7 +177,7 @@
 }
 
 /// Checks whether an endpoint crashed, for all requests that wait for the check.
-async fn check(state: Rc<State>, crash: Crash, address: SocketAddr) {
+async fn check(state: Rc<State>, crash: Crash, instance: Rc<Instance>) {
     Timer::after(CHECK_DELAY).await;
     let mut suspects = state.checks.take(&crash);
     let last_activity = state.health.borrow().last_activity(&crash.endpoint);
@@ -191,10 +191,8 @@
     let started_ms = registered_start(&state, &crash.endpoint);
     let outcome = if started_ms.is_some_and(|started_ms| started_ms > crash.started_ms) {
         "restarted"
-    } else if pool::connect(address, CONNECT_TIMEOUT).await.is_ok() {
-        "up"
     } else {
-        "down"
+        find_condition(&state, &instance).await
     };
     telemetry::crash_checked(outcome);
     for suspect in &suspects {
@@ -206,7 +204,7 @@
             "checked for a crash"
         );
     }
-    if outcome == "up" {
+    if outcome == "up" || outcome == "unknown" {
         state.checks.add_lost(clock::now(), &crash, &suspects);
         suspects.retain(|suspect| suspect.is_complete);
         complete_unless_restarted(&state, &crash, &suspects).await;
@@ -218,6 +216,23 @@
     share_crash(&state, &crash, &runs.collect::<Vec<_>>());
 }
 
+/// Returns whether an endpoint accepts connections, as far as this gateway or another one can tell: its own
+/// link may be cut.
+async fn find_condition(state: &Rc<State>, instance: &Rc<Instance>) -> &'static str {
+    if pool::connect(instance.address, CONNECT_TIMEOUT)
+        .await
+        .is_ok()
+    {
+        return "up";
+    }
+    match reach::ask_others(state, &instance.id).await {
+        Reach::Reached => "up",
+        Reach::Unreached => "down",
+        Reach::Unknown if reach::have_links(state, instance).await => "down",
+        Reach::Unknown => "unknown",
+    }
+}
+
 /// Records the completion of requests whose responses ended with their connections, unless the
 /// endpoint turns out to have restarted.
 async fn complete_unless_restarted(state: &State, crash: &Crash, suspects: &[Suspect]) {
--- /dev/null
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -0,0 +1,287 @@
+//! Sends requests to endpoints through another gateway, while this one reaches none.
+//!
+//! The gateway that received a request keeps all decisions: grants, tokens, retries, and what its outcome
+//! means. The other one only passes the bytes on, over HTTP with a length or in chunks, so that a response
+//! that ends early never looks complete.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::gateway::endpoint::Instance;
+use endivespur_http::body::{LAST_CHUNK, encode_chunk};
+use endivespur_http::connection::{self, Connection};
+use endivespur_http::head::{Framing, Request, Response};
+use endivespur_http::pool;
+use endivespur_platform::header;
+use log::{debug, info};
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::reach;
+use crate::relay::{self, EndpointResponse, Failure};
+use crate::state::{InFlight, State};
+use crate::{telemetry, timer};
+
+/// Names the endpoint of a forwarded request.
+const ENDPOINT: &str = "Endivespur-Forward-To";
+/// In a response, how the forwarding gateway failed, or the framing of the endpoint's response.
+const RESULT: &str = "Endivespur-Forward-Result";
+
+/// The endpoint was not reached, and others are.
+const UNREACHED: &str = "unreached";
+/// The forwarding gateway may be cut off itself, or forwards too many requests.
+const UNAVAILABLE: &str = "unavailable";
+/// The request was sent to the endpoint, and its response was lost.
+const LOST: &str = "lost";
+/// The request was sent to the endpoint, and had no response in time.
+const TIMEOUT: &str = "timeout";
+/// The endpoint's response ends with its connection.
+const CLOSE_DELIMITED: &str = "close-delimited";
+
+/// The maximum time to connect to another gateway: a few round trips between zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+/// The maximum number of gateways that are tried for one request.
+const GATEWAY_LIMIT: usize = 3;
+/// The maximum number of requests that a gateway forwards at a time.
+const MAX_FORWARDED: usize = 1024;
+/// The maximum size of the head of a forwarded request.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The maximum size of the body of a forwarded request, if there is no configuration.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// The maximum time for a forwarded request to arrive.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a forwarded request may take if it does not say.
+const DEFAULT_LIMIT: Duration = Duration::from_secs(20);
+/// The pause after a failed accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends a request to an endpoint through another gateway, and reads the head of the response within
+/// `limit`.
+///
+/// # Errors
+///
+/// Returns a [`Failure`] if there is no response.
+pub async fn send(
+    state: &Rc<State>,
+    instance: &Instance,
+    request: &Request,
+    body: &[u8],
+    attempt_id: &str,
+    limit: Duration,
+) -> Result<EndpointResponse, Failure> {
+    let deadline = clock::now() + limit;
+    let mut request = request.clone();
+    request
+        .headers
+        .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
+    request.headers.push(ENDPOINT, instance.id.as_bytes());
+    let mut message = request.encode();
+    message.extend_from_slice(body);
+    let mut reason = "no gateway reaches an endpoint".to_string();
+    for gateway in reach::others(state, attempt_id)
+        .into_iter()
+        .take(GATEWAY_LIMIT)
+    {
+        let Some(address) = gateway.forward_address else {
+            continue;
+        };
+        let left = deadline.saturating_sub(clock::now());
+        let connected = pool::connect(address, CONNECT_TIMEOUT.min(left)).await;
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(error) => {
+                reason = format!("forwarding to {address}: {error}");
+                continue;
+            }
+        };
+        let sent = clock::now();
+        let exchange = relay::exchange(&mut connection, &message, &request.method, attempt_id);
+        let (mut head, framing) = timer::within(left, exchange)
+            .await
+            .ok_or(Failure::Timeout)?
+            .map_err(Failure::Lost)?;
+        let result = head.headers.get(RESULT).unwrap_or_default().to_string();
+        head.headers
+            .remove(|name| name.eq_ignore_ascii_case(RESULT));
+        telemetry::request_forwarded(&result);
+        match result.as_str() {
+            UNREACHED => {
+                let mut health = state.health.borrow_mut();
+                health.record_unreachable(clock::now(), &instance.id);
+                return Err(Failure::NotSent(format!("not reached from {address}")));
+            }
+            UNAVAILABLE => {
+                state.peers.has_no_links(gateway.address);
+                reason = format!("{address} cannot forward");
+            }
+            LOST => return Err(Failure::Lost("lost by another gateway".to_string())),
+            TIMEOUT => return Err(Failure::Timeout),
+            _ => {
+                debug!(event = "forwarded", request = attempt_id, address:% = address; "sent by another gateway");
+                let response =
+                    EndpointResponse::new(state, instance, connection, head, framing, sent);
+                let is_close_delimited = result == CLOSE_DELIMITED;
+                return Ok(response.forwarded(is_close_delimited));
+            }
+        }
+    }
+    Err(Failure::NotSent(reason))
+}
+
+/// Serves the requests of other gateways until the future is dropped.
+pub async fn serve(state: Rc<State>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task_state = state.clone();
+                state.spawn(async move {
+                    let open = &task_state.open_requests;
+                    open.set(open.get() + 1);
+                    if let Err(error) = handle(&task_state, stream).await {
+                        debug!(event = "forward"; "{error}");
+                    }
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(error) => {
+                info!(event = "accept"; "{error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Handles the one request of a connection.
+async fn handle(state: &Rc<State>, stream: TcpStream) -> Result<(), connection::Error> {
+    let mut connection = Connection::new(stream);
+    let table = state.catalog.borrow().table();
+    let body_limit = table.map_or(MAX_BODY_BYTES, |table| table.limits.body_bytes);
+    let receive = async {
+        let Some((request, framing)) = connection.read_request(MAX_HEAD_BYTES).await? else {
+            return Ok(None);
+        };
+        let body = connection.read_full_body(framing, body_limit).await?;
+        Ok(body.map(|body| (request, body)))
+    };
+    let received: Option<Result<_, connection::Error>> =
+        timer::within(RECEIVE_TIMEOUT, receive).await;
+    let Some((request, body)) = received.transpose()?.flatten() else {
+        return Ok(());
+    };
+    let gateway = connection.stream();
+    let forward = forward(state, &mut connection, request, body);
+    let left = async {
+        connection::closed(gateway).await;
+        Ok(())
+    };
+    forward.or(left).await
+}
+
+async fn forward(
+    state: &Rc<State>,
+    connection: &mut Connection,
+    mut request: Request,
+    body: Vec<u8>,
+) -> Result<(), connection::Error> {
+    let fields = header::Request::decode(&request.headers);
+    let endpoint = request
+        .headers
+        .get(ENDPOINT)
+        .unwrap_or_default()
+        .to_string();
+    request
+        .headers
+        .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
+    let instance = state.catalog.borrow().endpoint(&endpoint);
+    let is_available =
+        state.forwarded.get() < MAX_FORWARDED && !state.reach.borrow().needs_forwarding();
+    let Some(instance) = instance.filter(|_| is_available) else {
+        return respond(connection, UNAVAILABLE, &fields.attempt_id).await;
+    };
+    let _in_flight = InFlight::new(state, &instance.id);
+    let _forwarded = Forwarded::new(state);
+    let limit = fields.timeout.unwrap_or(DEFAULT_LIMIT);
+    let sent = relay::send(state, &instance, &request, &body, &fields.attempt_id, limit);
+    let response = match sent.await {
+        Ok(response) => response,
+        Err(failure) => {
+            let result = match failure {
+                Failure::NotSent(_) if reach::have_links(state, &instance).await => UNREACHED,
+                Failure::NotSent(_) => UNAVAILABLE,
+                Failure::Lost(_) => LOST,
+                Failure::Timeout => TIMEOUT,
+            };
+            return respond(connection, result, &fields.attempt_id).await;
+        }
+    };
+    let body = relay_response(state, connection, response);
+    timer::within(limit + relay::STREAM_SLACK, body)
+        .await
+        .unwrap_or(Ok(()))
+}
+
+async fn respond(
+    connection: &mut Connection,
+    result: &str,
+    attempt_id: &str,
+) -> Result<(), connection::Error> {
+    let mut head = header::gateway_response(503, attempt_id, None);
+    head.headers.push(RESULT, result.as_bytes());
+    head.headers.push("Content-Length", b"0");
+    head.headers.push("Connection", b"close");
+    Ok(connection.write(&head.encode()).await?)
+}
+
+async fn relay_response(
+    state: &Rc<State>,
+    connection: &mut Connection,
+    mut response: EndpointResponse,
+) -> Result<(), connection::Error> {
+    let mut head: Response = response.head.clone();
+    head.headers.remove_hop_by_hop();
+    let length = match response.framing {
+        Framing::Length(length) => Some(length),
+        Framing::Chunked | Framing::Close => None,
+    };
+    match length {
+        Some(length) => head
+            .headers
+            .push("Content-Length", length.to_string().as_bytes()),
+        None => head.headers.push("Transfer-Encoding", b"chunked"),
+    }
+    if response.framing == Framing::Close {
+        head.headers.push(RESULT, CLOSE_DELIMITED.as_bytes());
+    }
+    head.headers.push("Connection", b"close");
+    connection.write(&head.encode()).await?;
+    while let Some(bytes) = response.next_chunk(state).await? {
+        if length.is_some() {
+            connection.write(&bytes).await?;
+        } else {
+            connection.write(&encode_chunk(&bytes)).await?;
+        }
+    }
+    if length.is_none() {
+        connection.write(LAST_CHUNK).await?;
+    }
+    response.recycle(state);
+    Ok(())
+}
+
+/// Counts a request as forwarded until dropped.
+struct Forwarded(Rc<State>);
+
+impl Forwarded {
+    fn new(state: &Rc<State>) -> Self {
+        state.forwarded.set(state.forwarded.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        self.0.forwarded.set(self.0.forwarded.get() - 1);
+    }
+}
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -17,7 +17,7 @@
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::state::State;
-use crate::{limit, stream, telemetry, timer};
+use crate::{limit, link, stream, telemetry, timer};
 
 /// The delay after which a caller retries when no engine was found: the time in which a new owner
 /// takes over.
@@ -30,8 +30,6 @@
 const MAX_REFUSAL_BYTES: usize = 4096;
 /// The maximum time to read that body: another engine may still serve the request.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
-/// The extra time after the deadline in which a stream may still end by itself.
-const STREAM_SLACK: Duration = Duration::from_millis(300);
 
 /// The position in the stream of events relayed to the caller.
 struct Stream {
@@ -277,7 +275,7 @@
         priority: Some(call.route.priority.min(9)),
         resume_after: last_event_id.filter(|_| caller.has_started),
     });
-    relay::send(
+    link::send(
         state,
         &permit.instance,
         &request,
@@ -298,7 +296,7 @@
     stream: &mut Stream,
 ) -> Transfer {
     let is_stream = call.route.retry_policy.is_stream() && response.head.status == 200;
-    let limit = call.time_left() + STREAM_SLACK;
+    let limit = call.time_left() + relay::STREAM_SLACK;
     let work = async {
         if !caller.has_started {
             let framing = if is_stream {
--- /dev/null
+++ b/crates/endivespur_gateway/src/link.rs
@@ -0,0 +1,44 @@
+//! Sends a request to an endpoint: over this gateway's own link, or through another gateway.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::gateway::endpoint::Instance;
+use endivespur_http::head::Request;
+
+use crate::relay::{EndpointResponse, Failure};
+use crate::state::State;
+use crate::{forward, relay};
+
+/// Sends a request with its body and reads the head of the response within `limit`: directly, or through
+/// another gateway if this one's links do not work.
+///
+/// An endpoint that cannot be reached is recorded as failing.
+///
+/// # Errors
+///
+/// Returns a [`Failure`] if there is no response.
+pub async fn send(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    request: &Request,
+    body: &[u8],
+    attempt_id: &str,
+    limit: Duration,
+) -> Result<EndpointResponse, Failure> {
+    if state.reach.borrow().needs_forwarding() {
+        return forward::send(state, instance, request, body, attempt_id, limit).await;
+    }
+    let started = clock::now();
+    let sent = relay::send(state, instance, request, body, attempt_id, limit).await;
+    if !matches!(sent, Err(Failure::NotSent(_))) || state.reach.borrow().has_evidence(started) {
+        return sent;
+    }
+    let left = limit.saturating_sub(clock::now().saturating_sub(started));
+    let forwarded = forward::send(state, instance, request, body, attempt_id, left).await;
+    match forwarded {
+        Err(Failure::NotSent(_)) => sent,
+        forwarded => forwarded,
+    }
+}
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -38,13 +38,6 @@
 /// The gap between two checks above which the process is assumed to have been suspended.
 const SUSPENSION_GAP: Duration = Duration::from_millis(700);
 
-#[derive(Serialize, Deserialize)]
-struct VmRecord {
-    process: Process,
-    address: std::net::SocketAddr,
-    zone: String,
-}
-
 #[derive(Serialize, Deserialize)]
 struct ClaimRecord {
     vm: Vm,
@@ -53,14 +46,9 @@
 
 /// Decodes a VM's record.
 pub fn decode_vm(value: &[u8]) -> Option<Peer> {
-    let record: VmRecord = serde_json::from_slice(value)
+    serde_json::from_slice(value)
         .inspect_err(|error| warn!(event = "vm"; "unreadable record: {error}"))
-        .ok()?;
-    Some(Peer {
-        process: record.process,
-        address: record.address,
-        zone: record.zone,
-    })
+        .ok()
 }
 
 /// Decodes a claim's record.
@@ -157,14 +145,7 @@
     info!(event = "lease-lapsed", lease = id.id; "claims have ended");
     state.lease.borrow_mut().end();
     let now = clock::now();
-    let own_engines: Vec<Endpoint> = {
-        let claims = state.claims.borrow();
-        let own = claims
-            .iter()
-            .filter(|(_, claim)| claim.process == state.process);
-        own.map(|(endpoint, _)| endpoint.clone()).collect()
-    };
-    for endpoint in own_engines {
+    for (endpoint, _) in own_claims(state) {
         state
             .claims
             .borrow_mut()
@@ -182,16 +163,11 @@
         .grant(ttl)
         .await
         .map_err(|error| error.to_string())?;
-    let record = VmRecord {
-        process: state.process.clone(),
-        address: state.settings.peer_address,
-        zone: state.settings.zone.clone(),
-    };
-    let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
+    let is_cut_off = state.reach.borrow().is_cut_off();
     let write = Write {
-        expected: Vec::new(),
-        puts: vec![(format!("{VM_KEY_PREFIX}{}", state.settings.vm), value)],
+        puts: vec![vm_record(state, is_cut_off)?],
         lease: id,
+        ..Write::default()
     };
     let outcome = state
         .store
@@ -202,11 +178,95 @@
         return Err(format!("record not written: {outcome:?}"));
     }
     info!(event = "lease", lease = id.id; "granted");
+    state.is_published_cut_off.set(is_cut_off);
     state.lease.borrow_mut().renewed(id, sent, ttl);
     state.notify();
     Ok(())
 }
 
+/// Returns the key and the value of this VM's record.
+fn vm_record(state: &State, is_cut_off: bool) -> Result<(String, Vec<u8>), String> {
+    let record = Peer {
+        process: state.process.clone(),
+        address: state.settings.peer_address,
+        zone: state.settings.zone.clone(),
+        forward_address: Some(state.settings.forward_address),
+        is_cut_off,
+    };
+    let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
+    Ok((format!("{VM_KEY_PREFIX}{}", state.settings.vm), value))
+}
+
+/// Writes whether this VM is cut off from all endpoints. If it is, gives up its claims: another VM must send
+/// the orders.
+pub async fn publish(state: &State, is_cut_off: bool) {
+    let Some(lease) = state.lease.borrow().id else {
+        return;
+    };
+    let own = if is_cut_off {
+        own_claims(state)
+    } else {
+        Vec::new()
+    };
+    // An empty batch still writes the record.
+    let batches = own.chunks(MAX_CLAIMS_PER_CALL - 1);
+    let batches: Vec<_> = batches.chain(own.is_empty().then_some(&[][..])).collect();
+    for batch in batches {
+        if let Err(message) = publish_batch(state, lease, is_cut_off, batch).await {
+            telemetry::store_failed("reach");
+            warn!(event = "reach"; "not written: {message}");
+            return;
+        }
+    }
+    info!(event = "reach", is_cut_off, claims = own.len(); "links published");
+    state.is_published_cut_off.set(is_cut_off);
+    state.notify();
+}
+
+async fn publish_batch(
+    state: &State,
+    lease: Lease,
+    is_cut_off: bool,
+    claims: &[(Endpoint, Fence)],
+) -> Result<(), String> {
+    let key = |endpoint: &str| format!("{CLAIM_KEY_PREFIX}{endpoint}");
+    // The fence of several claims that were written in one call is that of the last one.
+    let revision = |key: String, fence: Fence| {
+        let revision = state.feed.borrow().key_revision(&key);
+        (key, revision.unwrap_or(fence))
+    };
+    let write = Write {
+        expected: claims
+            .iter()
+            .map(|(endpoint, fence)| revision(key(endpoint), *fence))
+            .collect(),
+        puts: vec![vm_record(state, is_cut_off)?],
+        removes: claims.iter().map(|(endpoint, _)| key(endpoint)).collect(),
+        lease,
+    };
+    let outcome = state.store.write(&write).await;
+    match outcome.map_err(|error| error.to_string())? {
+        Outcome::Written(position) => {
+            let mut owned = state.claims.borrow_mut();
+            for (endpoint, _) in claims {
+                owned.set(clock::now(), endpoint, position, None);
+            }
+            Ok(())
+        }
+        outcome => Err(format!("{outcome:?}")),
+    }
+}
+
+/// Returns the claims of this process.
+fn own_claims(state: &State) -> Vec<(Endpoint, Fence)> {
+    let claims = state.claims.borrow();
+    let own = claims
+        .iter()
+        .filter(|(_, claim)| claim.process == state.process);
+    own.map(|(endpoint, claim)| (endpoint.clone(), claim.fence))
+        .collect()
+}
+
 async fn claim_engines(state: Rc<State>) {
     while !state.is_stopping.get() {
         let listener = state.changed.listen();
@@ -222,6 +282,9 @@
 /// Claims the engines that this VM should own; returns when to check again.
 async fn claim_unowned(state: &Rc<State>) -> Option<Time> {
     let lease = state.lease.borrow().id?;
+    if state.reach.borrow().is_cut_off() {
+        return None;
+    }
     let now = clock::now();
     let mut next_check: Option<Time> = None;
     let mut claimable: Vec<(Endpoint, Fence)> = Vec::new();
@@ -238,7 +301,8 @@
         });
         for engine in engines {
             let own = (state.settings.vm.as_str(), state.process.as_str());
-            let vms = catalog.peers().map(|(vm, _)| vm.as_str());
+            let vms = catalog.peers().filter(|(_, peer)| !peer.is_cut_off);
+            let vms = vms.map(|(vm, _)| vm.as_str());
             match claims.decide(now, &engine.id, own, vms) {
                 Decision::Claim(fence) => claimable.push((engine.id.clone(), fence)),
                 Decision::Wait(at) => next_check = Some(next_check.map_or(at, |next| next.min(at))),
@@ -277,6 +341,7 @@
             .iter()
             .map(|(endpoint, _)| (key(endpoint), value.clone()))
             .collect(),
+        removes: Vec::new(),
         lease,
     };
     match state.store.write(&write).await {
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -8,8 +8,9 @@
 use endivespur_core::gateway::limit::Decision;
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::gateway::prefix::Part;
+use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::stream::{Batch, Origin};
-use endivespur_wire::gateway_capnp::{ask, changes, news, reply, streams, token_reply};
+use endivespur_wire::gateway_capnp::{self, ask, changes, news, reply, streams, token_reply};
 
 use crate::owned::Reply;
 
@@ -107,6 +108,24 @@
     })
 }
 
+/// Encodes what a gateway says about its link to an endpoint.
+pub fn encode_reach(reach: Reach) -> gateway_capnp::Reach {
+    match reach {
+        Reach::Reached => gateway_capnp::Reach::Reached,
+        Reach::Unreached => gateway_capnp::Reach::Unreached,
+        Reach::Unknown => gateway_capnp::Reach::Unknown,
+    }
+}
+
+/// Decodes what a gateway says about its link to an endpoint.
+pub fn decode_reach(reach: gateway_capnp::Reach) -> Reach {
+    match reach {
+        gateway_capnp::Reach::Reached => Reach::Reached,
+        gateway_capnp::Reach::Unreached => Reach::Unreached,
+        gateway_capnp::Reach::Unknown => Reach::Unknown,
+    }
+}
+
 /// Writes streams by the version that began them.
 pub fn write_streams(mut to: struct_list::Builder<'_, streams::Owned>, batch: &Batch) {
     for (index, (origin, keys)) in batch.iter().enumerate() {
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -17,7 +17,7 @@
 use crate::member;
 use crate::owned::OwnedEngine;
 use crate::state::State;
-use crate::{telemetry, timer};
+use crate::{reach, telemetry, timer};
 
 /// How long an engine may take to respond to an order or a request for its report: about twenty times
 /// what it usually takes between zones.
@@ -131,7 +131,7 @@
     }
 }
 
-async fn fetch_report(state: &State, instance: &Instance, owned: &OwnedEngine) {
+async fn fetch_report(state: &Rc<State>, instance: &Rc<Instance>, owned: &OwnedEngine) {
     let result = engine::report(&state.engines, &target(instance), ORDER_TIMEOUT).await;
     match result {
         Ok((report, started_ms)) if started_ms == 0 || started_ms == owned.started_ms => {
@@ -150,6 +150,7 @@
         }
         Err(error) => {
             warn!(event = "report", endpoint = instance.id.as_str(); "{error}");
+            reach::suspect(state, instance);
             owned.is_unreachable.set(true);
             owned.state_changed.notify(usize::MAX);
             Timer::after(RETRY_PAUSE).await;
@@ -158,7 +159,12 @@
 }
 
 /// Sends an order; returns whether this VM is still the owner.
-async fn send_order(state: &State, instance: &Instance, owned: &OwnedEngine, order: Order) -> bool {
+async fn send_order(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    owned: &OwnedEngine,
+    order: Order,
+) -> bool {
     let sent = clock::now();
     let outcome = engine::order(
         &state.engines,
@@ -175,7 +181,10 @@
         engine::Outcome::Accepted => Answer::Accepted,
         engine::Outcome::AlreadyApplied => Answer::AlreadyApplied,
         engine::Outcome::Conflict(_) => Answer::Conflict,
-        engine::Outcome::NoResponse(_) => Answer::NoResponse,
+        engine::Outcome::NoResponse(_) => {
+            reach::suspect(state, instance);
+            Answer::NoResponse
+        }
         engine::Outcome::Failed(..) => {
             Timer::after(RETRY_PAUSE).await;
             Answer::Conflict
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -9,6 +9,7 @@
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::limit::{Decision, Rate};
 use endivespur_core::gateway::placement::Request;
+use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::stream::{Batch, Key};
 use endivespur_core::id::Grant;
 use endivespur_wire::gateway_capnp::gateway;
@@ -25,6 +26,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long a reply may take beyond the wait that the call permits.
 const REPLY_SLACK: Duration = Duration::from_millis(80);
+/// How long a gateway may take to find out whether it reaches an endpoint: two rounds of connections.
+const REACH_TIMEOUT: Duration = Duration::from_millis(400);
 /// The same for the changes of the store: twice the time in which a VM with 10 Mbit/s sends the
 /// largest reply to all its followers.
 const FOLLOW_SLACK: Duration = Duration::from_millis(600);
@@ -282,6 +285,20 @@
     request(state, address, REPLY_SLACK, send).await
 }
 
+/// Asks the gateway at an address whether it reaches an endpoint; returns `None` without a reply.
+pub async fn reach(state: &Rc<State>, address: SocketAddr, endpoint: &str) -> Option<Reach> {
+    let send = async |client: gateway::Client| {
+        let mut request = client.reach_request();
+        request.get().set_endpoint(endpoint);
+        let response = request.send().promise.await?;
+        Ok(message::decode_reach(response.get()?.get_reach()?))
+    };
+    let reply = call(state, address, REACH_TIMEOUT, send).await?;
+    reply
+        .inspect_err(|error| info!(event = "reach", endpoint; "not known: {error}"))
+        .ok()
+}
+
 /// Notifies the owner at an address that a granted request has ended.
 ///
 /// If this is lost, the grant expires at the owner.
--- a/crates/endivespur_gateway/src/peers.rs
+++ b/crates/endivespur_gateway/src/peers.rs
@@ -19,6 +19,9 @@
     /// The clients by address.
     pub clients: RefCell<BTreeMap<SocketAddr, gateway::Client>>,
     unresponsive: RefCell<BTreeMap<SocketAddr, Time>>,
+    /// The gateways that could not tell whether endpoints are up, with the time until which they are not
+    /// asked again.
+    without_links: RefCell<BTreeMap<SocketAddr, Time>>,
 }
 
 impl Peers {
@@ -44,6 +47,18 @@
         }
     }
 
+    /// Returns whether a VM recently could not tell whether endpoints are up.
+    pub fn is_without_links(&self, address: SocketAddr) -> bool {
+        let until = self.without_links.borrow().get(&address).copied();
+        until.is_some_and(|until| clock::now() < until)
+    }
+
+    /// Records that a VM could not tell whether an endpoint is up: it may be cut off itself.
+    pub fn has_no_links(&self, address: SocketAddr) {
+        let until = clock::now() + BACKOFF;
+        self.without_links.borrow_mut().insert(address, until);
+    }
+
     /// Records that a VM replied.
     pub fn replied(&self, address: SocketAddr) {
         if self.unresponsive.borrow_mut().remove(&address).is_some() {
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -15,9 +15,9 @@
 
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
-use crate::relay::{self, Failure, log_failed_attempt};
+use crate::relay::{Failure, log_failed_attempt};
 use crate::state::{InFlight, State};
-use crate::{limit, timer};
+use crate::{limit, link, timer};
 
 /// The maximum size of a response, which is read completely before it is relayed.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -198,7 +198,7 @@
 }
 
 /// Sends the request to one endpoint and reads its response.
-async fn send(state: &Rc<State>, call: &Call, instance: &Instance) -> Attempt {
+async fn send(state: &Rc<State>, call: &Call, instance: &Rc<Instance>) -> Attempt {
     let _in_flight = InFlight::new(state, &instance.id);
     let left = call.time_left();
     let request = call.endpoint_request(&Dispatch {
@@ -206,7 +206,7 @@
         timeout: left,
         ..Dispatch::default()
     });
-    let sent = relay::send(
+    let sent = link::send(
         state,
         instance,
         &request,
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -317,6 +317,7 @@
     let write = Write {
         expected,
         puts,
+        removes: Vec::new(),
         lease,
     };
     let outcome = state.store.write(&write).await;
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -1,9 +1,10 @@
-//! Sends a request to an endpoint and reads its response.
+//! Sends a request to an endpoint over this gateway's own link, and reads its response.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::id::Endpoint;
 use endivespur_http::body::Decoder;
@@ -14,20 +15,20 @@
 use log::info;
 
 use crate::exchange::Call;
-use crate::state::State;
-use crate::{limit, telemetry, timer};
+use crate::state::{DEFAULT_KEEP_ALIVE, State};
+use crate::{limit, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long an idle connection is kept if the endpoint sends no keep-alive timeout.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// The maximum time that an idle connection is kept.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the endpoint's keep-alive timeout an idle connection is dropped: if the endpoint
 /// closes it while a request is in flight, it is unknown whether that request ran.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
-/// The maximum number of idle connections to one endpoint.
-const MAX_IDLE: usize = 8;
+/// The extra time after the deadline in which a stream may still end by itself.
+pub const STREAM_SLACK: Duration = Duration::from_millis(300);
+/// How long an endpoint may be silent before its link is suspected.
+const MAX_SILENCE: Duration = Duration::from_millis(600);
 /// The maximum size of a response to another request that is read and dropped.
 const MAX_STRAY_BYTES: usize = 1024 * 1024;
 
@@ -58,6 +59,41 @@
 }
 
 impl EndpointResponse {
+    /// Creates the response to a request that was sent at `sent`.
+    pub fn new(
+        state: &Rc<State>,
+        instance: &Instance,
+        connection: Connection,
+        head: Response,
+        framing: Framing,
+        sent: Time,
+    ) -> Self {
+        let mut health = state.health.borrow_mut();
+        health.record_activity(clock::now(), &instance.id);
+        drop(health);
+        let fields = header::Response::decode(&head);
+        limit::record(state, &instance.id, sent, fields.limit);
+        Self {
+            keep_alive: keep_alive(&head, framing),
+            decoder: Decoder::new(framing),
+            endpoint: instance.id.clone(),
+            address: instance.address,
+            connection,
+            head,
+            framing,
+            fields,
+        }
+    }
+
+    /// Marks the response as forwarded by another gateway, whose connection carries one request.
+    pub fn forwarded(mut self, is_close_delimited: bool) -> Self {
+        self.keep_alive = None;
+        if is_close_delimited {
+            self.framing = Framing::Close;
+        }
+        self
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
@@ -99,10 +135,7 @@
             return;
         };
         if self.decoder.is_done() {
-            state
-                .pool
-                .borrow_mut()
-                .put(self.address, self.connection, keep_alive, MAX_IDLE);
+            state.keep(self.address, self.connection, keep_alive);
         }
     }
 }
@@ -116,7 +149,7 @@
     );
 }
 
-/// Sends a request with its body and reads the head of the response within `limit`.
+/// Sends a request over this gateway's own link, and reads the head of the response within `limit`.
 ///
 /// An endpoint that cannot be reached is recorded as failing.
 ///
@@ -125,7 +158,7 @@
 /// Returns a [`Failure`] if there is no response.
 pub async fn send(
     state: &Rc<State>,
-    instance: &Instance,
+    instance: &Rc<Instance>,
     request: &Request,
     body: &[u8],
     attempt_id: &str,
@@ -134,48 +167,81 @@
     let pooled = state.pool.borrow_mut().take(instance.address);
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => pool::connect(instance.address, CONNECT_TIMEOUT.min(limit))
-            .await
-            .map_err(|error| {
-                let mut health = state.health.borrow_mut();
-                if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                    health.record_unreachable(clock::now(), &instance.id);
-                } else {
-                    health.record_failure(clock::now(), &instance.id);
-                }
-                Failure::NotSent(error.to_string())
-            })?,
+        None => connect(state, instance, limit).await?,
     };
     let sent = clock::now();
     let mut message = request.encode();
     message.extend_from_slice(body);
-    let exchange = async {
-        connection
-            .write(&message)
-            .await
-            .map_err(|error| error.to_string())?;
-        read_response(&mut connection, &request.method, attempt_id).await
+    let answered = {
+        let mut exchange = Box::pin(exchange(
+            &mut connection,
+            &message,
+            &request.method,
+            attempt_id,
+        ));
+        let early = timer::within(limit.min(MAX_SILENCE), &mut exchange).await;
+        if early.is_some() {
+            early
+        } else {
+            suspect_silence(state, instance);
+            timer::within(limit.saturating_sub(MAX_SILENCE), exchange).await
+        }
     };
-    let (head, framing) = timer::within(limit, exchange)
+    let (head, framing) = answered.ok_or(Failure::Timeout)?.map_err(Failure::Lost)?;
+    Ok(EndpointResponse::new(
+        state, instance, connection, head, framing, sent,
+    ))
+}
+
+/// Connects to an endpoint; records a failure, and that the link is suspected.
+async fn connect(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    limit: Duration,
+) -> Result<Connection, Failure> {
+    let now = clock::now;
+    match pool::connect(instance.address, CONNECT_TIMEOUT.min(limit)).await {
+        Ok(connection) => {
+            state.reach.borrow_mut().connected(now());
+            Ok(connection)
+        }
+        Err(error) => {
+            reach::suspect(state, instance);
+            let mut health = state.health.borrow_mut();
+            if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                health.record_unreachable(now(), &instance.id);
+            } else {
+                health.record_failure(now(), &instance.id);
+            }
+            Err(Failure::NotSent(error.to_string()))
+        }
+    }
+}
+
+/// Suspects the link to an endpoint that has sent nothing for some time.
+fn suspect_silence(state: &Rc<State>, instance: &Rc<Instance>) {
+    let last_activity = state.health.borrow().last_activity(&instance.id);
+    if clock::now().saturating_sub(last_activity) >= MAX_SILENCE {
+        reach::suspect(state, instance);
+    }
+}
+
+/// Sends a message and reads the head of the response.
+///
+/// # Errors
+///
+/// Returns the cause if there is no response.
+pub async fn exchange(
+    connection: &mut Connection,
+    message: &[u8],
+    method: &str,
+    attempt_id: &str,
+) -> Result<(Response, Framing), String> {
+    connection
+        .write(message)
         .await
-        .ok_or(Failure::Timeout)?
-        .map_err(Failure::Lost)?;
-    state
-        .health
-        .borrow_mut()
-        .record_activity(clock::now(), &instance.id);
-    let fields = header::Response::decode(&head);
-    limit::record(state, &instance.id, sent, fields.limit);
-    Ok(EndpointResponse {
-        keep_alive: keep_alive(&head, framing),
-        decoder: Decoder::new(framing),
-        endpoint: instance.id.clone(),
-        address: instance.address,
-        connection,
-        head,
-        framing,
-        fields,
-    })
+        .map_err(|error| error.to_string())?;
+    read_response(connection, method, attempt_id).await
 }
 
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -18,6 +18,7 @@
 use crate::follow;
 use crate::message;
 use crate::owned::Reply;
+use crate::reach;
 use crate::record;
 use crate::state::State;
 use crate::stream;
@@ -157,6 +158,17 @@
         Ok(())
     }
 
+    async fn reach(
+        self: Rc<Self>,
+        params: gateway::ReachParams,
+        mut results: gateway::ReachResults,
+    ) -> Result<(), capnp::Error> {
+        let endpoint = params.get()?.get_endpoint()?.to_str()?;
+        let reach = reach::check(&self.state, endpoint).await;
+        results.get().set_reach(message::encode_reach(reach));
+        Ok(())
+    }
+
     async fn follow(
         self: Rc<Self>,
         params: gateway::FollowParams,
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{crash, generate, plain, stream, telemetry, timer};
+use crate::{crash, generate, plain, reach, stream, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -195,6 +195,9 @@
                 .and_then(|table| table.services.get(&call.service))
                 .is_some_and(|group| group.engine.is_some());
             let response = async {
+                if let Err(refusal) = reach::admit(state) {
+                    return refusal;
+                }
                 if is_engine && let Err(refusal) = stream::pin(state, &mut call).await {
                     return refusal;
                 }
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -14,7 +14,9 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
-use crate::{exposition, follow, member, owner, readiness, record, rpc, serve, stream, telemetry};
+use crate::{
+    exposition, follow, forward, member, owner, readiness, record, rpc, serve, stream, telemetry,
+};
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
 /// second and reacts after two failures.
@@ -62,6 +64,7 @@
     let process = format!("{}#{}", settings.vm, clock::now().as_nanos());
     let callers = listen(settings.caller_address).await?;
     let peers = listen(settings.peer_address).await?;
+    let forwards = listen(settings.forward_address).await?;
     let probes = listen(settings.readiness_address).await?;
     info!(event = "start", vm = settings.vm.as_str(), process = process.as_str(); "started");
     let state = Rc::new(State::new(settings, process, executor));
@@ -75,6 +78,7 @@
     record::start(&state);
     stream::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
+    state.spawn(forward::serve(state.clone(), forwards));
     state.spawn(readiness::serve(state.clone(), probes));
     state.spawn(serve::listen(state.clone(), callers));
     while let Some(signal) = signals.next().await {
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -2,7 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash;
@@ -10,8 +12,10 @@
 use endivespur_core::gateway::health;
 use endivespur_core::gateway::limit;
 use endivespur_core::gateway::ownership::Claims;
+use endivespur_core::gateway::reach;
 use endivespur_core::id::{Endpoint, Process};
 use endivespur_core::retry::Budget;
+use endivespur_http::connection::Connection;
 use endivespur_http::pool::Pool;
 use endivespur_platform::Client;
 use endivespur_platform::settings::Settings;
@@ -25,9 +29,13 @@
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
-use crate::stream::Streams;
+use crate::streams::Streams;
 use crate::telemetry;
 
+/// How long an idle connection is kept if the endpoint sends no keep-alive timeout.
+pub const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(800);
+/// The maximum number of idle connections to one endpoint.
+const MAX_IDLE: usize = 8;
 /// The share of the permitted retries that this VM uses, because callers are spread unevenly over
 /// the VMs.
 const RETRY_SHARE: f64 = 0.6;
@@ -67,6 +75,14 @@
     pub peers: Peers,
     /// The idle connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// Whether this VM's own links to endpoints work.
+    pub reach: RefCell<reach::Tracker>,
+    /// Whether the links are being surveyed.
+    pub is_surveying: Cell<bool>,
+    /// Whether this VM's record says that it is cut off from all endpoints.
+    pub is_published_cut_off: Cell<bool>,
+    /// The number of requests that are forwarded for other gateways.
+    pub forwarded: Cell<usize>,
     /// The recent failures and latencies of endpoints.
     pub health: RefCell<health::Tracker>,
     /// The limits that endpoints have named.
@@ -115,6 +131,10 @@
             owned_engines: OwnedEngines::new(),
             peers: Peers::new(),
             pool: RefCell::new(Pool::new()),
+            reach: RefCell::new(reach::Tracker::new()),
+            is_surveying: Cell::new(false),
+            is_published_cut_off: Cell::new(false),
+            forwarded: Cell::new(0),
             health: RefCell::new(health::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
             streams: Streams::new(),
@@ -137,6 +157,12 @@
         self.executor.spawn(task).detach();
     }
 
+    /// Keeps an idle connection to an endpoint for another request.
+    pub fn keep(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
+        let mut pool = self.pool.borrow_mut();
+        pool.put(address, connection, idle_timeout, MAX_IDLE);
+    }
+
     /// Wakes all tasks that wait for a change of the catalog or the claims.
     pub fn notify(&self) {
         self.changed.notify(usize::MAX);
--- a/crates/endivespur_gateway/src/stream.rs
+++ b/crates/endivespur_gateway/src/stream.rs
@@ -4,18 +4,15 @@
 //! after it has ended. Callers name the attempt that brought the first event, but may send it to any
 //! gateway: one that does not know the stream asks all others.
 
-use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Instance;
-use endivespur_core::gateway::stream::{self, Batch, Key, Origin, Tracker};
+use endivespur_core::gateway::stream::{self, Batch, Key, Origin};
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
-use event_listener::Event;
 use futures_util::future::join_all;
 use log::info;
 use smol::Timer;
@@ -34,27 +31,6 @@
 /// The delay after which a caller may retry a stream that cannot be resumed. Only a new stream helps it.
 const RETRY_AFTER: Duration = Duration::from_mins(2);
 
-/// The streams that began recently, and the lookups of others.
-#[derive(Default)]
-pub struct Streams {
-    tracker: RefCell<Tracker>,
-    /// The streams that are being looked up.
-    lookups: RefCell<BTreeSet<Key>>,
-    /// The lookups that have not been sent yet.
-    queued: RefCell<Vec<Key>>,
-    /// Signals that streams are to be shared.
-    began: Event,
-    /// Signals the result of a lookup.
-    located: Event,
-}
-
-impl Streams {
-    /// Creates an empty set.
-    pub fn new() -> Self {
-        Self::default()
-    }
-}
-
 /// Starts the task that shares streams.
 pub fn start(state: &Rc<State>) {
     state.spawn(share(state.clone()));
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -71,6 +71,18 @@
     counter!("endivespur_gateway_tokens_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts that this gateway's own links to endpoints failed, or work again.
+pub fn links_changed(is_lost: bool) {
+    let state = if is_lost { "lost" } else { "regained" };
+    counter!("endivespur_gateway_links_total", "state" => state).increment(1);
+}
+
+/// Counts a request that another gateway was asked to forward.
+pub fn request_forwarded(result: &str) {
+    let result = if result.is_empty() { "sent" } else { result };
+    counter!("endivespur_gateway_forwarded_total", "result" => result.to_string()).increment(1);
+}
+
 /// Counts an order sent to an engine.
 pub fn order_sent(action: &'static str, outcome: &'static str) {
     counter!("endivespur_gateway_orders_total", "action" => action, "outcome" => outcome)
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -70,6 +70,12 @@
   keys @2 :List(UInt64);  # the hashes of the attempts that brought the first events
 }
 
+enum Reach {
+  unknown @0;             # the gateway may be cut off from all endpoints itself
+  reached @1;
+  unreached @2;           # the endpoint does not accept connections, and others do
+}
+
 interface Gateway {
   # Requests a grant from the owner of an engine.
   ask @0 (ask :Ask) -> (reply :Reply);
@@ -91,4 +97,6 @@
   streamsBegan @7 (streams :List(Streams)) -> ();
   # Returns which software versions began streams, for those that the gateway knows.
   locateStreams @8 (keys :List(UInt64)) -> (streams :List(Streams));
+  # Connects to an endpoint, and returns whether the gateway reaches it.
+  reach @9 (endpoint :Text) -> (reach :Reach);
 }
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -2539,6 +2539,77 @@
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Unknown = 0,
+    Reached = 1,
+    Unreached = 2,
+}
+
+impl ::capnp::introspect::Introspect for Reach {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&reach::ARENA, reach::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Reach> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Reach) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&reach::ARENA, reach::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Reach {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Reach as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Unknown),
+            1 => ::core::result::Result::Ok(Self::Reached),
+            2 => ::core::result::Result::Ok(Self::Unreached),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Reach> for u16 {
+    #[inline]
+    fn from(x: Reach) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Reach {
+    const TYPE_ID: u64 = 0xc23a_1159_516b_d5fbu64;
+}
+mod reach {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 30] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(251, 213, 107, 81, 89, 17, 58, 194),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(134, 80, 63, 157, 161, 194, 228, 183),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 82, 101),
+    ::capnp::word(97, 99, 104, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+    ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
+    ::capnp::word(117, 110, 114, 101, 97, 99, 104, 101),
+    ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 
 pub mod gateway {
     #![allow(unused_variables)]
@@ -2560,6 +2631,8 @@
     pub type StreamsBeganResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::streams_began_results::Owned>;
     pub type LocateStreamsParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::locate_streams_params::Owned>;
     pub type LocateStreamsResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::locate_streams_results::Owned>;
+    pub type ReachParams<> = ::capnp::capability::Params<crate::gateway_capnp::gateway::reach_params::Owned>;
+    pub type ReachResults<> = ::capnp::capability::Results<crate::gateway_capnp::gateway::reach_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2636,6 +2709,9 @@
         pub fn locate_streams_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::locate_streams_params::Owned,crate::gateway_capnp::gateway::locate_streams_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
         }
+        pub fn reach_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::gateway::reach_params::Owned,crate::gateway_capnp::gateway::reach_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::ask not implemented".to_string()))) }
@@ -2647,6 +2723,7 @@
         fn limit_ended(self: ::capnp::capability::Rc<Self>, _: LimitEndedParams<>, _: LimitEndedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::limit_ended not implemented".to_string()))) }
         fn streams_began(self: ::capnp::capability::Rc<Self>, _: StreamsBeganParams<>, _: StreamsBeganResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::streams_began not implemented".to_string()))) }
         fn locate_streams(self: ::capnp::capability::Rc<Self>, _: LocateStreamsParams<>, _: LocateStreamsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::locate_streams not implemented".to_string()))) }
+        fn reach(self: ::capnp::capability::Rc<Self>, _: ReachParams<>, _: ReachResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method gateway::Server::reach not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2685,6 +2762,7 @@
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::limit_ended(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::streams_began(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::locate_streams(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::reach(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6518,4 +6596,409 @@
             pub(crate) const TYPE_ID: u64 = 0x8508_9aad_970b_143f;
         }
     }
+
+    pub mod reach_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(132, 24, 95, 76, 162, 8, 77, 157),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 114, 101),
+                ::capnp::word(97, 99, 104, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9d4d_08a2_4c5f_1884;
+        }
+    }
+
+    pub mod reach_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reach(self) -> ::core::result::Result<crate::gateway_capnp::Reach,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reach(self) -> ::core::result::Result<crate::gateway_capnp::Reach,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_reach(&mut self, value: crate::gateway_capnp::Reach)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(5, 2, 179, 219, 137, 2, 178, 212),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 71, 97),
+                ::capnp::word(116, 101, 119, 97, 121, 46, 114, 101),
+                ::capnp::word(97, 99, 104, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 97, 99, 104, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(251, 213, 107, 81, 89, 17, 58, 194),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::gateway_capnp::Reach as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd4b2_0289_dbb3_0205;
+        }
+    }
 }
