--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -1,6 +1,9 @@
 //! Callers keep sending the requests that crash endpoints. A harmless request that was in flight
 //! during a crash is sent again once and must not be refused.
 
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
 use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::gateway::crash::{Crash, Record, Tracker};
 
@@ -304,3 +307,51 @@
     assert_eq!(unstored.len(), 2);
     assert!(unstored.iter().all(|record| record.is_void));
 }
+
+/// Engines crash together, several times, and each of many gateways records the requests that it had in
+/// flight. The work grew with the square of the records: gateways applied configurations seconds late.
+#[test]
+fn add_many_records_of_joint_crashes() {
+    const GATEWAY_COUNT: u64 = 84;
+    const ENGINE_COUNT: u64 = 12;
+    const ROUND_COUNT: u64 = 3;
+    const PART_COUNT: u64 = 40;
+    // Within this time gateways must also apply what the records arrive beside, on a quarter of a core.
+    const LIMIT: Duration = Duration::from_millis(500);
+    let mut records = Vec::new();
+    for round in 0..ROUND_COUNT {
+        for engine in 0..ENGINE_COUNT {
+            for gateway in 0..GATEWAY_COUNT {
+                let request = 1_000 + (round * ENGINE_COUNT + engine) * GATEWAY_COUNT + gateway;
+                let features = [
+                    (gateway % PART_COUNT, Scope::Part(0)),
+                    (100 + request % PART_COUNT, Scope::Part(1)),
+                    (request, Scope::Request),
+                ];
+                records.extend(features.map(|(fingerprint, scope)| Record {
+                    feature: Feature { fingerprint, scope },
+                    crash: Crash {
+                        endpoint: format!("e{engine}"),
+                        started_ms: round,
+                        ordinal: 0,
+                    },
+                    requests: BTreeSet::from([request]),
+                    is_void: false,
+                }));
+            }
+        }
+    }
+    let mut tracker = Tracker::new();
+    let started = Instant::now();
+    for (number, record) in records.iter().enumerate() {
+        tracker.add(ms(number as u64), record);
+    }
+    let quarantined = tracker.quarantined().len();
+    let elapsed = started.elapsed();
+    assert!(quarantined > 0);
+    assert!(
+        elapsed < LIMIT,
+        "{} records took {elapsed:?}",
+        records.len()
+    );
+}
