Find the causes of crashes only when a request asks for them

Each record of a crash recomputed the causes of all crashes, went through all records for expired ones, and copied the quarantine, in the one thread that also applies the changes of the store: 9072 records took 12.4 s in an optimised build.

Records now only mark the causes as outdated, and the next request recomputes them; expired records are removed once a second.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -3,6 +3,7 @@
 //! Gateways exchange [`Record`]s. They are only ever added: neither their order nor receiving one
 //! twice makes a difference.
 
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -28,6 +29,9 @@
 /// feature that crashes endpoints never completes.
 const COMPLETION_TIME: Duration = Duration::from_secs(3);
 
+/// The minimum time between two removals of expired records: each goes through all of them.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A crash of one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
@@ -130,8 +134,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     suspects: BTreeMap<Fingerprint, Suspect>,
-    /// The features that must not run.
-    quarantined: BTreeSet<Fingerprint>,
+    /// The features that must not run, as of when they were last asked for: finding them takes the records
+    /// of all crashes, and many records arrive at once.
+    quarantined: RefCell<BTreeSet<Fingerprint>>,
+    /// Whether records have changed since.
+    is_outdated: Cell<bool>,
     /// The features with refuted crashes.
     refuted: BTreeSet<Fingerprint>,
     /// When this gateway learned of each crash.
@@ -140,6 +147,8 @@
     completions: BTreeMap<Fingerprint, Time>,
     /// When outdated completions were last removed.
     pruned_at: Time,
+    /// When expired records were last removed.
+    expired_at: Time,
 }
 
 impl Tracker {
@@ -164,14 +173,9 @@
 
     /// Adds a record; returns whether it was new.
     pub fn add(&mut self, now: Time, record: &Record) -> bool {
-        let suspect_count = self.suspects.len();
-        self.suspects
-            .retain(|_, suspect| now < suspect.last_seen + RETENTION);
-        let has_expired = self.suspects.len() < suspect_count;
-        self.refuted
-            .retain(|fingerprint| self.suspects.contains_key(fingerprint));
-        self.crashes
-            .retain(|_, learned_at| now < *learned_at + RETENTION);
+        if now >= self.expired_at + EXPIRY_INTERVAL {
+            self.expire(now);
+        }
         self.crashes.entry(record.crash.clone()).or_insert(now);
         let Feature { fingerprint, scope } = record.feature;
         let status = if record.is_void {
@@ -206,12 +210,26 @@
         let is_new = !is_known || (record.is_void && !was_void);
         let is_relevant = record.is_void || suspect.count() >= CRASH_LIMIT;
         let may_quarantine = (is_new || has_new_requests) && is_relevant;
-        if has_expired || may_quarantine {
-            self.quarantined = self.find_causes();
+        if may_quarantine {
+            self.is_outdated.set(true);
         }
         is_new
     }
 
+    fn expire(&mut self, now: Time) {
+        self.expired_at = now;
+        let suspect_count = self.suspects.len();
+        self.suspects
+            .retain(|_, suspect| now < suspect.last_seen + RETENTION);
+        if self.suspects.len() < suspect_count {
+            self.is_outdated.set(true);
+        }
+        self.refuted
+            .retain(|fingerprint| self.suspects.contains_key(fingerprint));
+        self.crashes
+            .retain(|_, learned_at| now < *learned_at + RETENTION);
+    }
+
     /// Returns the features to be quarantined.
     fn find_causes(&self) -> BTreeSet<Fingerprint> {
         let suspects = self.suspects.iter();
@@ -234,15 +252,19 @@
     }
 
     /// Returns the fingerprints of the quarantined features.
-    pub fn quarantined(&self) -> &BTreeSet<Fingerprint> {
-        &self.quarantined
+    pub fn quarantined(&self) -> Ref<'_, BTreeSet<Fingerprint>> {
+        if self.is_outdated.replace(false) {
+            *self.quarantined.borrow_mut() = self.find_causes();
+        }
+        self.quarantined.borrow()
     }
 
     /// Returns the first of a request's features for which it must be refused.
     pub fn find_quarantined(&self, features: &[Feature]) -> Option<Feature> {
+        let quarantined = self.quarantined();
         let mut features = features.iter();
         features
-            .find(|feature| self.quarantined.contains(&feature.fingerprint))
+            .find(|feature| quarantined.contains(&feature.fingerprint))
             .copied()
     }
 
@@ -288,7 +310,7 @@
             }
         }
         if is_changed {
-            self.quarantined = self.find_causes();
+            self.is_outdated.set(true);
         }
     }
 
@@ -362,7 +384,7 @@
         let feature = self.find_quarantined(features)?;
         let mut others = features.iter().filter(|other| **other != feature);
         let is_ambiguous = others.any(|other| {
-            self.quarantined.contains(&other.fingerprint)
+            self.quarantined().contains(&other.fingerprint)
                 || (other.scope > feature.scope && self.count(other.fingerprint) > 0)
         });
         let suspect = self.suspects.get(&feature.fingerprint)?;
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -221,7 +221,8 @@
     }
     // The shared first part has all crashes until one of its requests completes.
     tracker.completed(ms(40), &[part(1, 0), request(9)]);
-    let quarantined = tracker.quarantined().iter().copied();
+    let quarantined = tracker.quarantined();
+    let quarantined = quarantined.iter().copied();
     assert_eq!(quarantined.collect::<Vec<_>>(), [2, 3]);
 }
 
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -62,6 +62,7 @@
 }
 
 fn find_quarantined(state: &State, call: &Call) -> Option<Feature> {
+    record::log_quarantine(state);
     state.crashes.borrow().find_quarantined(&call.features)
 }
 
--- a/crates/endivespur_gateway/src/outbox.rs
+++ b/crates/endivespur_gateway/src/outbox.rs
@@ -1,8 +1,10 @@
 //! The records of crashes that are not in the store yet.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 
 use endivespur_core::clock::Time;
+use endivespur_core::feature::Fingerprint;
 use endivespur_core::gateway::crash::Record;
 use endivespur_platform::store::Lease;
 use event_listener::Event;
@@ -14,6 +16,8 @@
     pub pending: RefCell<Vec<Record>>,
     /// How many of the pending records were sent to the other gateways directly.
     pub sent_count: Cell<usize>,
+    /// What was quarantined when it was last logged.
+    pub logged_quarantine: RefCell<BTreeSet<Fingerprint>>,
     /// Signals that records were added.
     pub added: Event,
     /// Signals that completions refute crashes.
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -65,17 +65,26 @@
     update(state, |crashes| crashes.completed(clock::now(), features));
 }
 
-/// Changes the tracker; logs what becomes or is no longer quarantined, and wakes the task that shares
-/// refutations.
-fn update<T>(state: &State, change: impl FnOnce(&mut Tracker) -> T) -> T {
-    let mut crashes = state.crashes.borrow_mut();
-    let before = crashes.quarantined().clone();
-    let result = change(&mut crashes);
-    for fingerprint in crashes.quarantined().symmetric_difference(&before) {
-        let active = crashes.quarantined().contains(fingerprint);
+/// Logs what has become or is no longer quarantined since this was last called.
+pub fn log_quarantine(state: &State) {
+    let crashes = state.crashes.borrow();
+    let quarantined = crashes.quarantined();
+    let mut logged = state.records.logged_quarantine.borrow_mut();
+    if *logged == *quarantined {
+        return;
+    }
+    for fingerprint in quarantined.symmetric_difference(&logged) {
+        let active = quarantined.contains(fingerprint);
         let count = crashes.count(*fingerprint);
         info!(event = "quarantine", print = *fingerprint, active, count; "changed");
     }
+    logged.clone_from(&quarantined);
+}
+
+/// Changes the tracker, and wakes the task that shares refutations.
+fn update<T>(state: &State, change: impl FnOnce(&mut Tracker) -> T) -> T {
+    let mut crashes = state.crashes.borrow_mut();
+    let result = change(&mut crashes);
     if crashes.has_refutations() {
         state.records.refuted.notify(usize::MAX);
     }
