--- a/crates/endivespur_dev/tests/soak.rs
+++ b/crates/endivespur_dev/tests/soak.rs
@@ -4,7 +4,7 @@
 use endivespur_stand::soak;
 
 /// Runs rounds with the faults that the seed generates.
-fn run(seed: u64, rounds: usize) {
+fn run(seed: u64, rounds: usize, gateways: usize) {
     let folder =
         std::env::temp_dir().join(format!("endivespur-soak-{}-{seed}", std::process::id()));
     let options = soak::Options {
@@ -12,7 +12,7 @@
         folder: folder.clone(),
         seed,
         rounds,
-        gateways: 3,
+        gateways,
         is_verbose: true,
     };
     let requests = soak::run(&options).unwrap();
@@ -24,18 +24,25 @@
 /// crashes engines was released when a request that crashed them too had been in flight beside it.
 #[test]
 fn run_short() {
-    run(3, 2);
+    run(3, 2, 3);
 }
 
 /// The probes of one caller shared each endpoint with two requests that crash endpoints, and were
 /// quarantined with them.
 #[test]
 fn run_polls_beside_crashes() {
-    run(101, 3);
+    run(101, 3, 3);
 }
 
 /// The store comes back from a copy beside other faults.
 #[test]
 fn run_restored_store() {
-    run(301, 2);
+    run(301, 2, 3);
+}
+
+/// A gateway is cut off from the engines, but knows other addresses of the plain endpoints, as it has
+/// followed another gateway: connections to these showed that its links worked.
+#[test]
+fn run_partly_cut_off() {
+    run(1, 1, 4);
 }
