Release the room of an endpoint at the gateway that gave it out

If another gateway had begun to give out an endpoint's room, or the same one had started again, the end of a request released the room of another one under the same number.

The room has a file of its own, and so has the choice of the gateway that gives out tokens and room.

--- a/crates/endivespur_core/src/gateway/room.rs
+++ b/crates/endivespur_core/src/gateway/room.rs
@@ -68,7 +68,8 @@
             rejections: VecDeque::new(),
             closed_until: now,
             max_rejections: 0,
-            next_hold: 1,
+            // A gateway that has started again must not release what it gave out before.
+            next_hold: now.as_nanos() as Hold,
         }
     }
 
--- a/crates/endivespur_core/tests/gateway/room.rs
+++ b/crates/endivespur_core/tests/gateway/room.rs
@@ -69,6 +69,17 @@
     assert_eq!([0, 50, 100, 200].map(&mut count), [2, 0, 2, 2]);
 }
 
+/// The gateway has started again, and requests end that held room before.
+#[test]
+fn release_after_restart() {
+    let mut before = Tracker::new();
+    let old = before.hold(ms(0), "e", &request(1.0)).unwrap();
+    let mut tracker = Tracker::new();
+    tracker.hold(ms(500), "e", &request(1.0)).unwrap();
+    tracker.release(ms(600), "e", old, false);
+    assert!(tracker.hold(ms(700), "e", &request(1.0)).is_err());
+}
+
 /// The endpoint has less room than is known: no more is given out before it can reject again.
 #[test]
 fn release_rejected() {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -15,8 +15,8 @@
 use crate::acquire::{Permit, Unavailable, acquire};
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
-use crate::limit::Held;
 use crate::relay::{self, Failure, log_failed_attempt};
+use crate::room::Held;
 use crate::state::State;
 use crate::{limit, link, stream, telemetry, timer};
 
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod acquire;
 mod apply;
+mod assign;
 mod catalog;
 mod checks;
 mod crash;
@@ -30,6 +31,7 @@
 mod readiness;
 mod record;
 mod relay;
+mod room;
 mod rpc;
 mod serve;
 mod start;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -15,8 +15,8 @@
 
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
-use crate::limit::Held;
 use crate::relay::{Failure, log_failed_attempt};
+use crate::room::Held;
 use crate::state::{InFlight, State};
 use crate::{limit, link, timer};
 
