--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -190,7 +190,7 @@
         process: state.process.clone(),
         address: state.settings.peer_address,
         zone: state.settings.zone.clone(),
-        forward_address: Some(state.settings.forward_address),
+        forward_address: state.settings.forward_address,
         is_cut_off,
     };
     let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -64,7 +64,10 @@
     let process = format!("{}#{}", settings.vm, clock::now().as_nanos());
     let callers = listen(settings.caller_address).await?;
     let peers = listen(settings.peer_address).await?;
-    let forwards = listen(settings.forward_address).await?;
+    let forwards = match settings.forward_address {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     let probes = listen(settings.readiness_address).await?;
     info!(event = "start", vm = settings.vm.as_str(), process = process.as_str(); "started");
     let state = Rc::new(State::new(settings, process, executor));
@@ -78,7 +81,9 @@
     record::start(&state);
     stream::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
-    state.spawn(forward::serve(state.clone(), forwards));
+    if let Some(forwards) = forwards {
+        state.spawn(forward::serve(state.clone(), forwards));
+    }
     state.spawn(readiness::serve(state.clone(), probes));
     state.spawn(serve::listen(state.clone(), callers));
     while let Some(signal) = signals.next().await {
