--- a/crates/endivespur_core/src/gateway/reach.rs
+++ b/crates/endivespur_core/src/gateway/reach.rs
@@ -15,6 +15,11 @@
 /// The minimum time between two surveys while the links work: each opens a connection to an endpoint.
 const SURVEY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long the requests of an endpoint are forwarded before its link is tried again.
+const BYPASS_TIME: Duration = Duration::from_secs(2);
+/// The minimum time between two questions to other gateways whether they reach an endpoint.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a gateway says about its link to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -26,11 +31,6 @@
     Unknown,
 }
 
-/// How long the requests of an endpoint are forwarded before its link is tried again.
-const BYPASS_TIME: Duration = Duration::from_secs(2);
-/// The minimum time between two questions to other gateways whether they reach an endpoint.
-const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The result of a survey.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Survey {
--- a/crates/endivespur_core/src/gateway/room.rs
+++ b/crates/endivespur_core/src/gateway/room.rs
@@ -18,7 +18,6 @@
 const FULL_DELAY: Duration = Duration::from_millis(50);
 /// How long after a request was sent its rejection arrives at the latest.
 const REJECTION_TIME: Duration = Duration::from_millis(100);
-
 /// The part of the room in use that is given out after a rejection: the endpoint has less than it says.
 const REJECTED_SHARE: f64 = 0.9;
 /// The part of all room by which that rises again in a second.
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -25,7 +25,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// The maximum number of attempts for one request.
 const ATTEMPT_LIMIT: usize = 6;
-/// The maximum size of one event of a stream, which is room until it is complete.
+/// The maximum size of one event of a stream, which is held until it is complete.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// The maximum size of a refusal's body that is read to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 4096;
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -150,13 +150,21 @@
 }
 
 /// Writes streams by the version that began them.
-pub fn write_streams(mut to: struct_list::Builder<'_, streams::Owned>, batch: &Batch) {
+///
+/// # Errors
+///
+/// Returns an error if the message is too large.
+pub fn write_streams(
+    mut to: struct_list::Builder<'_, streams::Owned>,
+    batch: &Batch,
+) -> Result<(), capnp::Error> {
     for (index, (origin, keys)) in batch.iter().enumerate() {
         let mut to = to.reborrow().get(index as u32);
         to.set_service(&origin.service);
         to.set_software(&origin.software);
-        to.set_keys(&keys[..]).ok();
+        to.set_keys(&keys[..])?;
     }
+    Ok(())
 }
 
 /// Reads streams by the version that began them.
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -302,7 +302,7 @@
 pub async fn streams_began(state: &Rc<State>, address: SocketAddr, batch: &Batch) {
     let send = async |client: gateway::Client| {
         let mut request = client.streams_began_request();
-        message::write_streams(request.get().init_streams(batch.len() as u32), batch);
+        message::write_streams(request.get().init_streams(batch.len() as u32), batch)?;
         let response = request.send().promise.await;
         unless_unimplemented(response.map(drop), ())
     };
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -189,8 +189,7 @@
     ) -> Result<(), capnp::Error> {
         let keys: Vec<Key> = params.get()?.get_keys()?.iter().collect();
         let batch = stream::known(&self.state, &keys);
-        message::write_streams(results.get().init_streams(batch.len() as u32), &batch);
-        Ok(())
+        message::write_streams(results.get().init_streams(batch.len() as u32), &batch)
     }
 
     async fn reach(
