--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -381,6 +381,21 @@
         Ok(started.elapsed())
     }
 
+    /// Waits until each running daemon has a current configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if that takes longer than `limit`.
+    pub fn wait_until_ready(&self, limit: Duration) -> Result<(), String> {
+        wait_until(limit, || {
+            let is_ready = |name: &String| {
+                let response = self.call(name, Method::Get, "/readyz", &[], None);
+                response.status == 200
+            };
+            self.daemons.keys().all(is_ready)
+        })
+    }
+
     /// Returns the daemon that reports itself as an endpoint's owner, or an empty name.
     pub fn owner_of(&self, endpoint: &str) -> String {
         let is_owner = |name: &&String| {
--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -30,6 +30,7 @@
     site.start_daemon("a", "za").expect("started");
     site.start_daemon("b", "zb").expect("started");
     site.wait_until_owned(OWNERSHIP_TIMEOUT).expect("owned");
+    site.wait_until_ready(OWNERSHIP_TIMEOUT).expect("ready");
     site
 }
 
@@ -144,6 +145,19 @@
     assert!(text.starts_with("HTTP/1.1 408"), "{text:?}");
 }
 
+/// A daemon that has not read its first configuration refused proper callers as unknown, for good.
+#[test]
+fn callers_before_first_configuration() {
+    let mut site = Site::start("first-configuration", &["za"], Vec::new()).expect("emulators");
+    site.write_organisation("o").expect("written");
+    site.add_relay("a").expect("started");
+    site.set_partitioned("a", true).expect("cut");
+    site.start_daemon("a", "za").expect("started");
+    let headers = [("endivespur-organisation", "o")];
+    let response = site.call("a", Method::Get, "/v1/models", &headers, None);
+    assert_eq!(response.status, 503, "{}", response.text());
+}
+
 #[test]
 fn models_only_own_adapters() {
     let site = start_site("models");
--- a/crates/endivespur_dev/tests/scenarios/main.rs
+++ b/crates/endivespur_dev/tests/scenarios/main.rs
@@ -123,6 +123,8 @@
             site.start_daemon(name, zone)?;
         }
         site.wait_until_owned(OWNERSHIP_TIMEOUT)?;
+        // A daemon that owns nothing may not have read its configuration yet.
+        site.wait_until_ready(OWNERSHIP_TIMEOUT)?;
         Ok(Self {
             site,
             zones,
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -117,12 +117,13 @@
     path: &str,
     id: &str,
 ) -> Result<Response, Failure> {
-    let caller = identify(node, &request, id)?;
+    // The organisations are part of the configuration.
     if !node.is_current() {
         let message = "the configuration may be out of date here";
         let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
         return Err(failure.with_retry_after(Duration::from_secs(1)));
     }
+    let caller = identify(node, &request, id)?;
     let is_post = request.method() == Method::Post;
     match path {
         "/v1/models" if request.method() == Method::Get => Ok(models(node, &caller)),
