Take a gateway for cut off only if it fails again where another one succeeds

Endpoints that went down and came back were reached by other gateways a moment after this one had failed. A gateway now connects once more after another one has reached the endpoint.

--- a/crates/endivespur_gateway/src/reach.rs
+++ b/crates/endivespur_gateway/src/reach.rs
@@ -52,6 +52,10 @@
         state.reach.borrow_mut().end_bypass(&endpoint.id);
         return;
     }
+    // The endpoint may have come back since.
+    if probe(&state, &endpoint).await {
+        return;
+    }
     info!(event = "bypass", endpoint = endpoint.id.as_str(); "reached by other gateways only");
     state.reach.borrow_mut().bypass(clock::now(), &endpoint.id);
     if !state.reach.borrow().is_cut_off() {
@@ -148,9 +152,12 @@
     )
 }
 
+/// Returns whether another gateway reaches an endpoint that this one does not.
 async fn others_reach_any(state: &Rc<State>) -> bool {
     for endpoint in sample(state) {
-        if ask_others(state, &endpoint.id).await == Reach::Reached {
+        let is_reached = ask_others(state, &endpoint.id).await == Reach::Reached;
+        // The endpoint may have come back since it was probed.
+        if is_reached && !probe(state, &endpoint).await {
             return true;
         }
     }
