--- a/crates/endivespur_core/src/gateway/room.rs
+++ b/crates/endivespur_core/src/gateway/room.rs
@@ -45,6 +45,7 @@
     level: f64,
 }
 
+/// The room of one endpoint, in shares of all that it says it has.
 #[derive(Clone, Debug)]
 struct Room {
     /// The part of all room that may be in use, as of a time.
@@ -151,6 +152,7 @@
     }
 }
 
+/// What the endpoints of a brittle service say.
 #[derive(Clone, Copy, Debug)]
 struct Brittleness {
     max_rejections: u32,
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -180,6 +180,7 @@
     forward.or(left).await
 }
 
+/// Sends the request over this gateway's own link, and passes the response on.
 async fn forward(
     state: &Rc<State>,
     connection: &mut Connection,
@@ -223,6 +224,7 @@
         .unwrap_or(Ok(()))
 }
 
+/// Answers that the endpoint's response cannot be passed on.
 async fn respond(
     connection: &mut Connection,
     result: &str,
@@ -235,6 +237,7 @@
     Ok(connection.write(&head.encode()).await?)
 }
 
+/// Passes a response on, with a length or in chunks.
 async fn relay_response(
     state: &Rc<State>,
     connection: &mut Connection,
--- a/crates/endivespur_gateway/src/link.rs
+++ b/crates/endivespur_gateway/src/link.rs
@@ -34,6 +34,7 @@
     let was_bypassed = state.reach.borrow().was_bypassed(&instance.id);
     let sent = relay::send(state, instance, request, body, attempt_id, limit).await;
     let has_evidence = state.reach.borrow().has_evidence(started);
+    // While other links work, an endpoint that was not bypassed before is rather down than cut off.
     if !matches!(sent, Err(Failure::NotSent(_))) || (has_evidence && !was_bypassed) {
         return sent;
     }
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -184,7 +184,7 @@
     Ok(())
 }
 
-/// Returns the key and the value of this VM's record.
+/// Returns the key and the value of this VM's record in the store.
 fn vm_record(state: &State, is_cut_off: bool) -> Result<(String, Vec<u8>), String> {
     let record = Peer {
         process: state.process.clone(),
@@ -252,6 +252,7 @@
     true
 }
 
+/// Writes this VM's record and removes the claims of one batch, if they are still its own.
 async fn publish_batch(
     state: &State,
     lease: Lease,
--- a/crates/endivespur_gateway/src/reach.rs
+++ b/crates/endivespur_gateway/src/reach.rs
@@ -27,16 +27,16 @@
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
 /// The time by which gateways differ in that interval, so that they do not come back at once.
 const SURVEY_SPREAD: Duration = Duration::from_millis(250);
-
 /// The delay after which a caller retries while no gateway reaches an endpoint.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Finds out, if that is due, why a connection or a response of an endpoint has failed.
+/// Finds out why a connection or a response of an endpoint has failed: the endpoint may be down, its link may
+/// be cut, or all links. Does nothing if that was done recently.
 pub fn suspect(state: &Rc<State>, endpoint: &Rc<Instance>) {
     let now = clock::now();
     let mut reach = state.reach.borrow_mut();
     if reach.start_survey(now) && !state.is_surveying.replace(true) {
-        state.spawn(watch(state.clone(), endpoint.clone()));
+        state.spawn(survey_until_reached(state.clone(), endpoint.clone()));
     }
     if !reach.has_failed() && reach.start_question(now, &endpoint.id) {
         state.spawn(check_link(state.clone(), endpoint.clone()));
@@ -64,7 +64,7 @@
 }
 
 /// Surveys the links until an endpoint is reached, and tells the other gateways.
-async fn watch(state: Rc<State>, suspected: Rc<Instance>) {
+async fn survey_until_reached(state: Rc<State>, suspected: Rc<Instance>) {
     let spread = SURVEY_SPREAD.as_millis() as u64;
     let pause = SURVEY_INTERVAL + Duration::from_millis(hash::mix(&state.process, 2) % spread);
     let mut suspected = Some(suspected);
@@ -126,6 +126,7 @@
     join_all(probes).await.contains(&true)
 }
 
+/// Returns whether an endpoint is reached over a new connection, which is kept for the next request.
 async fn probe(state: &Rc<State>, endpoint: &Instance) -> bool {
     let Ok(connection) = pool::connect(endpoint.address, CONNECT_TIMEOUT).await else {
         return false;
