--- a/crates/endivespur_gateway/src/checks.rs
+++ b/crates/endivespur_gateway/src/checks.rs
@@ -19,6 +19,8 @@
     pub features: Rc<[Feature]>,
     /// The id of the attempt, for the log.
     pub request: String,
+    /// What identifies the request, for the log.
+    pub identity: String,
     /// When it was sent.
     pub sent: Time,
     /// How long the response had been arriving; `None` if it had not started.
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -74,7 +74,7 @@
     };
     let part = part.map_or("none", |part| part.id.as_str());
     info!(
-        event = "quarantined", request, print = feature.fingerprint, part;
+        event = "quarantined", request, print = feature.fingerprint, part, identity = call.identity();
         "has crashed endpoints"
     );
     let mut crashes = state.crashes.borrow_mut();
@@ -91,6 +91,8 @@
     instance: Rc<Instance>,
     features: Rc<[Feature]>,
     request: String,
+    /// What identifies the request, for the log.
+    identity: String,
     sent: Time,
     /// When the response started.
     started: Option<Time>,
@@ -105,6 +107,7 @@
             instance: instance.clone(),
             features: call.features.clone(),
             request: call.fields.attempt_id.clone(),
+            identity: call.identity(),
             sent: clock::now(),
             started: None,
             has_ended: false,
@@ -145,6 +148,7 @@
         let suspect = Suspect {
             features: self.features.clone(),
             request: self.request.clone(),
+            identity: self.identity.clone(),
             sent: self.sent,
             response_time: self
                 .started
@@ -199,7 +203,7 @@
     for suspect in &suspects {
         info!(
             event = "crash-check", request = suspect.request.as_str(),
-            prints = prints(&suspect.features),
+            prints = prints(&suspect.features), identity = suspect.identity.as_str(),
             endpoint = crash.endpoint.as_str(), born = crash.started_ms, outcome,
             response_ms:? = suspect.response_time.map(|time| time.as_millis());
             "checked for a crash"
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -28,6 +28,8 @@
     pub head: Request,
     /// The complete body, without its framing.
     pub body: Vec<u8>,
+    /// The address of the caller.
+    pub caller: Option<IpAddr>,
     /// What may crash the endpoints that run the request.
     pub features: Rc<[Feature]>,
     /// Whether the request is the trial of a quarantined feature, which may run once.
@@ -68,6 +70,16 @@
         (self.started + self.route.objective).saturating_sub(clock::now())
     }
 
+    /// Returns what identifies the request when it is sent again, for the log.
+    pub fn identity(&self) -> String {
+        let (method, target) = (&self.head.method, &self.head.target);
+        let path = target.split('?').next().unwrap_or_default();
+        let caller = self
+            .caller
+            .map_or("unknown".to_string(), |caller| caller.to_string());
+        format!("{method} {path}, {} bytes, from {caller}", self.body.len())
+    }
+
     /// Returns the ids of the prompt's parts, for the log.
     pub fn part_ids(&self) -> String {
         let ids = self.fields.parts.iter().map(|part| part.id.as_str());
