Recognise a request without a body from other addresses

Callers saw 503 for all requests to a plain service: its three endpoints crashed together every four seconds.

Cause: the fingerprint of a request without a body held the address of its caller. One request came from another address at each gateway, so that each address crashed three endpoints before it was quarantined.

The whole request is a feature without the address now, and a request without a body from one address another one, so that polls of one caller are still told apart from those of others: their completed runs void the crashes of the whole request, and the address remains (refuse_crashing_polls_of_one_address).

--- a/crates/endivespur_core/src/feature.rs
+++ b/crates/endivespur_core/src/feature.rs
@@ -7,11 +7,14 @@
 /// The hash by which a feature is recognised in other requests.
 pub type Fingerprint = u64;
 
-/// What a fingerprint identifies. A greater scope is shared by fewer requests.
+/// What a fingerprint identifies. Of features that explain crashes equally well, the one with the greatest
+/// scope is the cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Scope {
     /// A part of the prompt, at this position.
     Part(usize),
+    /// The whole request, if it comes from one address.
+    Address,
     /// The whole request.
     #[default]
     Request,
@@ -58,7 +61,7 @@
 ///
 /// A request that crashes an endpoint has other features too. The feature with the most crashes
 /// explains those of its requests, so that they do not count against its companions. Of features with
-/// the same number of crashes, the one that fewer requests share is the cause. Requests that were in
+/// the same number of crashes, the one with the greatest scope is the cause. Requests that were in
 /// flight beside each other do not explain each other: both may crash endpoints.
 pub fn find_causes<Crash: Clone + Ord>(
     mut candidates: Vec<Candidate<Crash>>,
--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -378,8 +378,8 @@
     /// Returns the trial that a request may take now for its only quarantined feature. It must be
     /// claimed first, so that only one gateway runs it.
     ///
-    /// If a feature that fewer requests share is suspected too, a crash would not show which of
-    /// them caused it.
+    /// If a feature with a greater scope is suspected too, a crash would not show which of them caused
+    /// it.
     pub fn available_trial(&self, now: Time, features: &[Feature]) -> Option<(Fingerprint, Trial)> {
         let feature = self.find_quarantined(features)?;
         let mut others = features.iter().filter(|other| **other != feature);
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -70,7 +70,7 @@
     let request = call.fields.attempt_id.as_str();
     let part = match feature.scope {
         Scope::Part(position) => call.fields.parts.get(position),
-        Scope::Request => None,
+        Scope::Address | Scope::Request => None,
     };
     let part = part.map_or("none", |part| part.id.as_str());
     info!(
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::feature::{Feature, Fingerprint, Scope};
+use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
 use endivespur_core::hash;
@@ -101,6 +101,10 @@
 
 /// Returns the features of a request: each part of its prompt but the last, which no other request
 /// shares, and the whole request.
+///
+/// Its caller sends it again with the same path and body, but possibly with another query and from
+/// another address. Requests without a body may be alike, such as those of callers that poll the same
+/// path, and only those of one caller crash endpoints: the address is a feature of its own.
 pub fn features(
     caller: Option<IpAddr>,
     head: &Request,
@@ -115,30 +119,24 @@
             scope: Scope::Part(position),
         })
         .collect();
+    let path = head.target.split('?').next().unwrap_or_default();
+    let (method, path) = (head.method.as_bytes(), path.as_bytes());
+    if let Some(caller) = caller
+        && body.is_empty()
+    {
+        let caller = caller.to_string();
+        features.push(Feature {
+            fingerprint: hash::digest(&[b"address", caller.as_bytes(), method, path]),
+            scope: Scope::Address,
+        });
+    }
     features.push(Feature {
-        fingerprint: fingerprint(caller, head, body),
+        fingerprint: hash::digest(&[b"request", method, path, body]),
         scope: Scope::Request,
     });
     features.into()
 }
 
-/// Returns the fingerprint of a whole request.
-///
-/// Its caller sends it again with the same path and body, but possibly with another query. The
-/// address of the caller distinguishes requests without a body, such as those of callers that poll
-/// the same path.
-fn fingerprint(caller: Option<IpAddr>, head: &Request, body: &[u8]) -> Fingerprint {
-    let path = head.target.split('?').next().unwrap_or_default();
-    let caller = caller.filter(|_| body.is_empty());
-    let caller = caller.map_or_else(String::new, |caller| caller.to_string());
-    hash::digest(&[
-        caller.as_bytes(),
-        head.method.as_bytes(),
-        path.as_bytes(),
-        body,
-    ])
-}
-
 /// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -437,7 +437,7 @@
         let mut params = request.get();
         params.set_print(run.feature.fingerprint);
         params.set_message(match run.feature.scope {
-            Scope::Request => 0,
+            Scope::Address | Scope::Request => 0,
             Scope::Part(position) => position as u32 + 1,
         });
         params.set_request(run.request);
