Send an endpoint that asks for rest nothing until it ends

Callers saw 503 although other engines had room: a gateway sent an engine that rejects everything one request after the other, and gave up after two or three rejections.

Cause: nothing read Retry-After in an endpoint's response.

The rest is kept with the limits that endpoints name, per gateway and incarnation, and is checked where tokens are acquired and right before a send, also for requests that other gateways forward through this one. Its owner gives a resting engine no orders. If all endpoints of a service rest, requests are refused at once with the time to the end.

--- a/crates/endivespur_core/src/gateway/limit.rs
+++ b/crates/endivespur_core/src/gateway/limit.rs
@@ -1,4 +1,5 @@
-//! The request rates that endpoints ask all gateways together to keep to.
+//! The request rates that endpoints ask all gateways together to keep to, and the rests that they ask single
+//! gateways for.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -25,6 +26,13 @@
     pub named_at: Time,
 }
 
+/// The time in which one incarnation of an endpoint wants no requests from this gateway.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    started_ms: u64,
+    until: Time,
+}
+
 /// The tokens of one endpoint, each for one request.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -78,6 +86,8 @@
     tokens: BTreeMap<Endpoint, Vec<Time>>,
     /// The time until which there is no token for this gateway.
     exhausted_until: BTreeMap<Endpoint, Time>,
+    /// The rests that endpoints have asked this gateway for.
+    rests: BTreeMap<Endpoint, Rest>,
     /// The tokens that this gateway gives out.
     buckets: BTreeMap<Endpoint, Bucket>,
     /// When another gateway reported that an endpoint no longer names a limit.
@@ -159,6 +169,25 @@
         (now < until).then(|| until.saturating_sub(now))
     }
 
+    /// Records that an incarnation of an endpoint, which started at `started_ms`, wants no requests for the
+    /// time `rest`. An earlier rest that lasts longer remains, since responses may overtake each other.
+    pub fn record_rest(&mut self, now: Time, endpoint: &str, started_ms: u64, rest: Duration) {
+        let until = now + rest;
+        let current = self.rests.get(endpoint).copied();
+        let current = current.filter(|current| current.started_ms >= started_ms);
+        if current.is_none_or(|current| current.started_ms == started_ms && current.until < until) {
+            let rest = Rest { started_ms, until };
+            self.rests.insert(endpoint.to_string(), rest);
+        }
+    }
+
+    /// Returns for how long an incarnation of an endpoint still wants no requests.
+    pub fn rest_left(&self, now: Time, endpoint: &str, started_ms: u64) -> Option<Duration> {
+        let rest = self.rests.get(endpoint)?;
+        let is_resting = rest.started_ms == started_ms && now < rest.until;
+        is_resting.then(|| rest.until.saturating_sub(now))
+    }
+
     /// Decides as the gateway that gives out an endpoint's tokens, by the limit that the requesting
     /// gateway knows.
     pub fn decide(&mut self, now: Time, endpoint: &str, limit: Limit) -> Decision {
@@ -191,6 +220,7 @@
         self.limits.retain(|endpoint, _| keep(endpoint));
         self.tokens.retain(|endpoint, _| keep(endpoint));
         self.exhausted_until.retain(|endpoint, _| keep(endpoint));
+        self.rests.retain(|endpoint, _| keep(endpoint));
         self.buckets.retain(|endpoint, _| keep(endpoint));
         self.ended.retain(|endpoint, _| keep(endpoint));
     }
--- a/crates/endivespur_core/tests/gateway/limit.rs
+++ b/crates/endivespur_core/tests/gateway/limit.rs
@@ -103,3 +103,26 @@
     assert_eq!(tracker.wait(ms(400), "e"), Some(ms(500)));
     assert_eq!(tracker.wait(ms(900), "e"), None);
 }
+
+/// Responses overtake each other: a shorter rest must not end a longer one.
+#[test]
+fn record_rest_overlapping() {
+    let mut tracker = Tracker::new();
+    tracker.record_rest(ms(100), "e", 7, ms(3_000));
+    tracker.record_rest(ms(200), "e", 7, ms(500));
+    assert_eq!(tracker.rest_left(ms(1_100), "e", 7), Some(ms(2_000)));
+    tracker.record_rest(ms(1_100), "e", 7, ms(4_000));
+    assert_eq!(tracker.rest_left(ms(1_100), "e", 7), Some(ms(4_000)));
+    assert_eq!(tracker.rest_left(ms(5_100), "e", 7), None);
+}
+
+/// A restart ends the rest, also if the last response of the former process arrives after it.
+#[test]
+fn record_rest_of_a_former_process() {
+    let mut tracker = Tracker::new();
+    tracker.record_rest(ms(100), "e", 7, ms(3_000));
+    assert_eq!(tracker.rest_left(ms(200), "e", 9), None);
+    tracker.record_rest(ms(300), "e", 9, ms(400));
+    tracker.record_rest(ms(310), "e", 7, ms(3_000));
+    assert_eq!(tracker.rest_left(ms(400), "e", 9), Some(ms(300)));
+}
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -19,10 +19,9 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::reach;
 use crate::relay::{self, EndpointResponse, Failure};
 use crate::state::{InFlight, State};
-use crate::{telemetry, timer};
+use crate::{limit, reach, telemetry, timer};
 
 /// Names the endpoint of a forwarded request.
 const ENDPOINT: &str = "Endivespur-Forward-To";
@@ -33,6 +32,8 @@
 const UNREACHED: &str = "unreached";
 /// The forwarding gateway may be cut off itself, or forwards too many requests.
 const UNAVAILABLE: &str = "unavailable";
+/// The endpoint wants no requests from the forwarding gateway for some time.
+const RESTING: &str = "resting";
 /// The request was sent to the endpoint, and its response was lost.
 const LOST: &str = "lost";
 /// The request was sent to the endpoint, and had no response in time.
@@ -117,6 +118,7 @@
                 state.peers.has_no_links(gateway.address);
                 reason = format!("{address} cannot forward");
             }
+            RESTING => reason = format!("the endpoint wants no requests from {address}"),
             LOST => return Err(Failure::Lost("lost by another gateway".to_string())),
             TIMEOUT => return Err(Failure::Timeout),
             _ => {
@@ -202,6 +204,9 @@
     let Some(instance) = instance.filter(|_| is_available) else {
         return respond(connection, UNAVAILABLE, &fields.attempt_id).await;
     };
+    if limit::rest_left(state, &instance).is_some() {
+        return respond(connection, RESTING, &fields.attempt_id).await;
+    }
     let _in_flight = InFlight::new(state, &instance.id);
     let _forwarded = Forwarded::new(state);
     let limit = fields.timeout.unwrap_or(DEFAULT_LIMIT);
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -97,7 +97,10 @@
                 retry_after,
             }) => {
                 if progress.runs == 0 {
-                    last = Outcome::refused(reason, retry_after.unwrap_or(RETRY_AFTER));
+                    last = match retry_after {
+                        Some(wait) => limit::refuse(call, wait),
+                        None => Outcome::refused(reason, RETRY_AFTER),
+                    };
                 }
                 break;
             }
@@ -107,14 +110,14 @@
             Ok(room) => room,
             Err(wait) => {
                 if progress.runs == 0 {
-                    last = Outcome::refused("limited", wait);
+                    last = limit::refuse(call, wait);
                 }
                 continue;
             }
         };
         if let Err(refusal) = crash::check_before_send(state, call) {
             if progress.runs == 0 {
-                last = refusal;
+                return refusal;
             }
             break;
         }
@@ -145,7 +148,10 @@
     if caller.has_started {
         return Outcome::Aborted("stream not resumed".to_string());
     }
-    last
+    match limit::service_wait(state, &call.service) {
+        Some(wait) if progress.runs == 0 => limit::refuse(call, wait),
+        _ => last,
+    }
 }
 
 /// Sends the request to one engine and relays its response.
--- a/crates/endivespur_gateway/src/limit.rs
+++ b/crates/endivespur_gateway/src/limit.rs
@@ -1,4 +1,5 @@
-//! Keeps to the limits that endpoints name, together with the other gateways.
+//! Keeps to the limits that endpoints name, together with the other gateways, and to the rests that they ask
+//! this one for.
 //!
 //! One gateway gives out the tokens of an endpoint, selected by rendezvous hashing. A gateway to which an
 //! endpoint has named a limit needs a token for each request that it sends there. Without a reply it
@@ -11,16 +12,19 @@
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::gateway::limit::{Decision, Limit, Rate, Tracker};
+use endivespur_core::hash;
 use endivespur_core::id::Endpoint;
 use log::info;
 
 use crate::assign::{self, Location};
-use crate::exchange::Call;
+use crate::exchange::{Call, Outcome};
 use crate::state::State;
 use crate::{peer, room, telemetry};
 
 /// The delay before a gateway that did not reply is asked for a token again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// The largest share of the wait by which the return of a refused caller is delayed.
+const MAX_SPREAD_SHARE: f64 = 0.25;
 
 /// Permission to send one request to an endpoint with a limit. If it is dropped unused, another request
 /// may use it.
@@ -83,12 +87,53 @@
     }
 }
 
+/// Records that an endpoint wants no requests from this gateway for some time.
+pub fn record_rest(state: &State, instance: &Instance, rest: Duration) {
+    let (now, endpoint) = (clock::now(), instance.id.as_str());
+    let mut limits = state.limits.borrow_mut();
+    if limits
+        .rest_left(now, endpoint, instance.started_ms)
+        .is_none()
+    {
+        info!(event = "rest", endpoint, rest_ms = rest.as_millis() as u64; "no requests for some time");
+    }
+    limits.record_rest(now, endpoint, instance.started_ms, rest);
+}
+
+/// Returns for how long an endpoint wants no requests from this gateway.
+pub fn rest_left(state: &State, instance: &Instance) -> Option<Duration> {
+    let limits = state.limits.borrow();
+    limits.rest_left(clock::now(), &instance.id, instance.started_ms)
+}
+
+/// Returns the time after which an endpoint of a service may take a request, if none of them does now since it
+/// rests or has no token.
+pub fn service_wait(state: &State, service: &str) -> Option<Duration> {
+    let now = clock::now();
+    let (catalog, limits) = (state.catalog.borrow(), state.limits.borrow());
+    let waits = catalog.serving(service).into_iter().map(|instance| {
+        let rest = limits.rest_left(now, &instance.id, instance.started_ms);
+        rest.max(limits.wait(now, &instance.id))
+    });
+    waits.collect::<Option<Vec<_>>>()?.into_iter().min()
+}
+
+/// Refuses a request until the time `wait` has passed, and a share of it that differs between requests: their
+/// callers must not all come back at the same time.
+pub fn refuse(call: &Call, wait: Duration) -> Outcome {
+    let unit = hash::mix(&call.fields.attempt_id, 0) as f64 / u64::MAX as f64;
+    Outcome::refused("limited", wait.mul_f64(1.0 + MAX_SPREAD_SHARE * unit))
+}
+
 /// Acquires a token for an endpoint, if it has a limit.
 ///
 /// # Errors
 ///
-/// Returns the time after which there may be a token.
+/// Returns the time after which there may be a token, or the rest of the endpoint has ended.
 pub async fn acquire(state: &Rc<State>, instance: &Instance) -> Result<Option<Token>, Duration> {
+    if let Some(rest) = rest_left(state, instance) {
+        return Err(rest);
+    }
     let (now, endpoint) = (clock::now(), instance.id.as_str());
     let is_brittle = room::max_rejections(state, instance).is_some();
     if is_brittle && let Some(wait) = state.limits.borrow().wait(now, endpoint) {
@@ -144,7 +189,7 @@
 ///
 /// # Errors
 ///
-/// Returns the time after which there may be a token, or room.
+/// Returns the time after which there may be a token, or room, or the rest of the endpoint has ended.
 pub async fn consume(
     state: &Rc<State>,
     instance: &Instance,
@@ -157,7 +202,11 @@
     {
         token.consume();
     }
-    Ok(held)
+    // The endpoint may have asked for rest since the token was acquired.
+    match rest_left(state, instance) {
+        Some(rest) => Err(rest),
+        None => Ok(held),
+    }
 }
 
 /// Requests a token; returns `None` without a reply.
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::placement::{Decision, Engine, Request};
 use endivespur_core::id::{Endpoint, Fence, Grant, Version};
@@ -25,6 +26,8 @@
     pub started_ms: u64,
     /// Whether the last attempt to read its report failed.
     pub is_unreachable: Cell<bool>,
+    /// The time until which the engine wants no orders.
+    pub resting_until: Cell<Time>,
     /// The adapters that it holds and should hold.
     pub engine: RefCell<Engine>,
     /// Signals a change of what the engine should hold; wakes the task that sends orders.
@@ -147,6 +150,9 @@
                 Decision::Wait if owned.is_unreachable.get() => {
                     return Reply::Busy(UNREACHABLE_DELAY);
                 }
+                Decision::Wait if now < owned.resting_until.get() => {
+                    return Reply::Busy(owned.resting_until.get().saturating_sub(now));
+                }
                 Decision::Busy(_) | Decision::Wait => {}
             }
             if now >= deadline {
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -17,7 +17,7 @@
 use crate::member;
 use crate::owned::OwnedEngine;
 use crate::state::State;
-use crate::{reach, telemetry, timer};
+use crate::{limit, reach, telemetry, timer};
 
 /// How long an engine may take to respond to an order or a request for its report: about twenty times
 /// what it usually takes between zones.
@@ -76,6 +76,7 @@
         fence,
         started_ms: instance.started_ms,
         is_unreachable: Cell::new(false),
+        resting_until: Cell::new(Time::ZERO),
         engine: RefCell::new(engine),
         target_changed: Event::new(),
         state_changed: Event::new(),
@@ -106,6 +107,13 @@
         }
         let listener = owned.target_changed.listen();
         let now = clock::now();
+        if let Some(rest) = limit::rest_left(&state, &instance) {
+            // Requests that wait for an adapter must be sent elsewhere.
+            owned.resting_until.set(now + rest);
+            owned.state_changed.notify(usize::MAX);
+            Timer::after(rest.min(IDLE_PAUSE)).await;
+            continue;
+        }
         let step = owned.engine.borrow_mut().step(now);
         match step {
             Step::Sleep(until) => {
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -55,14 +55,14 @@
         let (instance, room) = match acquire_endpoint(state, call, &tried).await {
             Ok(acquired) => acquired,
             Err(Some(wait)) if deliveries == 0 => {
-                last = Outcome::refused("limited", wait);
+                last = limit::refuse(call, wait);
                 break;
             }
             Err(_) => break,
         };
         if let Err(refusal) = crash::check_before_send(state, call) {
             if runs == 0 {
-                last = refusal;
+                return refusal;
             }
             break;
         }
@@ -122,9 +122,12 @@
             break;
         }
     }
-    match failed {
-        Some((head, body)) => relay_response(caller, &head, &body).await,
-        None => last,
+    if let Some((head, body)) = failed {
+        return relay_response(caller, &head, &body).await;
+    }
+    match limit::service_wait(state, &call.service) {
+        Some(wait) if runs == 0 => limit::refuse(call, wait),
+        _ => last,
     }
 }
 
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -74,6 +74,9 @@
         let fields = header::Response::decode(&head);
         limit::record(state, &instance.id, sent, fields.limit);
         room::record(state, instance, sent, fields.max_rejections);
+        if let Some(rest) = fields.rest {
+            limit::record_rest(state, instance, rest);
+        }
         Self {
             keep_alive: keep_alive(&head, framing),
             decoder: Decoder::new(framing),
