Take an endpoint that says that it leaves for draining

An endpoint that leaves names Server-Leaving in all its responses from now on. Nothing read it: an endpoint that was still registered as ready got its share of the requests until it was gone.

The catalog keeps it for the incarnation and shows the endpoint as draining, so that plain services, owners, candidates, resumed streams and forwarded requests see one state. Responses to orders and reports count too.

--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -15,6 +15,16 @@
 /// register again.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2200);
 
+/// How long it is remembered that an endpoint without a registration leaves: it may register again.
+const LEAVING_RETENTION: Duration = Duration::from_mins(10);
+
+/// The incarnation of an endpoint that leaves by its own responses.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    started_ms: u64,
+    recorded_at: Time,
+}
+
 /// A gateway, as recorded in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -43,6 +53,8 @@
     unregistered: BTreeMap<Endpoint, Time>,
     /// The time until which ended registrations may be renewed.
     grace_end: Time,
+    /// The endpoints that leave by their own responses, whatever their registrations say.
+    leaving: BTreeMap<Endpoint, Leaving>,
 }
 
 impl Catalog {
@@ -83,6 +95,38 @@
         self.grace_end.saturating_sub(now)
     }
 
+    /// Records that an incarnation of an endpoint has said that it leaves, which counts as draining until it
+    /// starts again; returns whether this is new.
+    pub fn mark_leaving(&mut self, now: Time, id: &str, started_ms: u64) -> bool {
+        let endpoints = &self.endpoints;
+        self.leaving.retain(|id, leaving| {
+            endpoints.contains_key(id) || now < leaving.recorded_at + LEAVING_RETENTION
+        });
+        let known = self.leaving.get(id);
+        if known.is_some_and(|known| known.started_ms >= started_ms) {
+            return false;
+        }
+        let leaving = Leaving {
+            started_ms,
+            recorded_at: now,
+        };
+        self.leaving.insert(id.to_string(), leaving);
+        if let Some(instance) = self.endpoints.get_mut(id) {
+            let mut changed = Instance::clone(instance);
+            changed.is_draining |= changed.started_ms == started_ms;
+            *instance = Rc::new(changed);
+        }
+        true
+    }
+
+    /// Returns a registration as it is to be used: an endpoint that has said that it leaves is draining.
+    pub fn with_leaving(&self, mut instance: Instance) -> Instance {
+        let leaving = self.leaving.get(&instance.id);
+        instance.is_draining |=
+            leaving.is_some_and(|leaving| leaving.started_ms == instance.started_ms);
+        instance
+    }
+
     /// Adds or replaces an endpoint's registration.
     pub fn set_endpoint(&mut self, instance: Instance) {
         self.unregistered.remove(&instance.id);
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -34,6 +34,8 @@
 const UNAVAILABLE: &str = "unavailable";
 /// The endpoint wants no requests from the forwarding gateway for some time.
 const RESTING: &str = "resting";
+/// The endpoint is draining.
+const DRAINING: &str = "draining";
 /// The request was sent to the endpoint, and its response was lost.
 const LOST: &str = "lost";
 /// The request was sent to the endpoint, and had no response in time.
@@ -118,7 +120,7 @@
                 state.peers.has_no_links(gateway.address);
                 reason = format!("{address} cannot forward");
             }
-            RESTING => reason = format!("the endpoint wants no requests from {address}"),
+            RESTING | DRAINING => reason = format!("{result} for {address}"),
             LOST => return Err(Failure::Lost("lost by another gateway".to_string())),
             TIMEOUT => return Err(Failure::Timeout),
             _ => {
@@ -204,6 +206,9 @@
     let Some(instance) = instance.filter(|_| is_available) else {
         return respond(connection, UNAVAILABLE, &fields.attempt_id).await;
     };
+    if instance.is_draining {
+        return respond(connection, DRAINING, &fields.attempt_id).await;
+    }
     if limit::rest_left(state, &instance).is_some() {
         return respond(connection, RESTING, &fields.attempt_id).await;
     }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod link;
 mod member;
 mod message;
+mod notice;
 mod outbox;
 mod owned;
 mod owner;
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -17,7 +17,7 @@
 use crate::member;
 use crate::owned::OwnedEngine;
 use crate::state::State;
-use crate::{limit, reach, telemetry, timer};
+use crate::{limit, notice, reach, telemetry, timer};
 
 /// How long an engine may take to respond to an order or a request for its report: about twenty times
 /// what it usually takes between zones.
@@ -140,7 +140,8 @@
 }
 
 async fn fetch_report(state: &Rc<State>, instance: &Rc<Instance>, owned: &OwnedEngine) {
-    let result = engine::report(&state.engines, &target(instance), ORDER_TIMEOUT).await;
+    let (result, fields) = engine::report(&state.engines, &target(instance), ORDER_TIMEOUT).await;
+    notice::record_of_call(state, instance, &fields);
     match result {
         Ok((report, started_ms)) if started_ms == 0 || started_ms == owned.started_ms => {
             info!(
@@ -174,7 +175,7 @@
     order: Order,
 ) -> bool {
     let sent = clock::now();
-    let outcome = engine::order(
+    let (outcome, fields) = engine::order(
         &state.engines,
         &target(instance),
         &state.process,
@@ -183,6 +184,7 @@
         ORDER_TIMEOUT,
     )
     .await;
+    notice::record_of_call(state, instance, &fields);
     let now = clock::now();
     log_order(instance, &order, &outcome, now.saturating_sub(sent));
     let answer = match outcome {
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -16,7 +16,7 @@
 
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{limit, reach, room, telemetry, timer};
+use crate::{notice, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -72,11 +72,7 @@
         health.record_activity(clock::now(), &instance.id);
         drop(health);
         let fields = header::Response::decode(&head);
-        limit::record(state, &instance.id, sent, fields.limit);
-        room::record(state, instance, sent, fields.max_rejections);
-        if let Some(rest) = fields.rest {
-            limit::record_rest(state, instance, rest);
-        }
+        notice::record(state, instance, sent, &fields);
         Self {
             keep_alive: keep_alive(&head, framing),
             decoder: Decoder::new(framing),
