--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -40,25 +40,96 @@
     /// The start time of the incarnation, in Unix milliseconds, as known when the request was sent.
     pub started_ms: u64,
     /// Distinguishes crashes of later incarnations whose registration was not known yet.
-    #[serde(default)]
     pub ordinal: u32,
 }
 
 /// A crash during which a request with a feature was in flight.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// The feature.
-    #[serde(flatten)]
     pub feature: Feature,
     /// The crash.
     pub crash: Crash,
     /// The fingerprints of the requests with the feature that were in flight.
-    #[serde(default)]
     pub requests: BTreeSet<Fingerprint>,
     /// Whether a request with the feature has completed since, so that the crash no longer counts.
     pub is_void: bool,
 }
 
+/// The records of one crash as they are encoded, which names the crash and each request once.
+#[derive(Serialize, Deserialize)]
+struct Batch {
+    crash: Crash,
+    is_void: bool,
+    /// The fingerprints of the requests that were in flight; none if the crash no longer counts.
+    requests: Vec<Fingerprint>,
+    /// The features, each with the positions of its requests.
+    features: Vec<(Feature, Vec<usize>)>,
+}
+
+/// Encodes records for the store and for other gateways.
+///
+/// # Errors
+///
+/// Returns a message if they cannot be encoded.
+pub fn encode(records: &[Record]) -> Result<Vec<u8>, String> {
+    let mut by_crash: BTreeMap<(&Crash, bool), Vec<&Record>> = BTreeMap::new();
+    for record in records {
+        let batch = by_crash.entry((&record.crash, record.is_void));
+        batch.or_default().push(record);
+    }
+    let batches = by_crash.into_iter().map(|((crash, is_void), records)| {
+        let requests: BTreeSet<Fingerprint> = records
+            .iter()
+            .filter(|record| !record.is_void)
+            .flat_map(|record| record.requests.iter().copied())
+            .collect();
+        let requests: Vec<Fingerprint> = requests.into_iter().collect();
+        let features = records.iter().map(|record| {
+            let positions = record.requests.iter();
+            let positions = positions.filter_map(|request| requests.binary_search(request).ok());
+            (record.feature, positions.collect())
+        });
+        Batch {
+            crash: crash.clone(),
+            is_void,
+            features: features.collect(),
+            requests,
+        }
+    });
+    let batches: Vec<Batch> = batches.collect();
+    postcard::to_allocvec(&batches).map_err(|error| error.to_string())
+}
+
+/// Decodes records; those of crashes that no longer count come without their requests.
+///
+/// # Errors
+///
+/// Returns a message if the bytes are no records.
+pub fn decode(bytes: &[u8]) -> Result<Vec<Record>, String> {
+    let batches: Vec<Batch> = postcard::from_bytes(bytes).map_err(|error| error.to_string())?;
+    let records = batches.into_iter().flat_map(|batch| {
+        let Batch {
+            crash,
+            is_void,
+            requests,
+            features,
+        } = batch;
+        features
+            .into_iter()
+            .map(move |(feature, positions)| Record {
+                feature,
+                crash: crash.clone(),
+                requests: positions
+                    .iter()
+                    .filter_map(|position| requests.get(*position).copied())
+                    .collect(),
+                is_void,
+            })
+    });
+    Ok(records.collect())
+}
+
 /// The number of a trial of one feature. A feature has one trial until it completes.
 pub type Trial = usize;
 
--- a/crates/endivespur_core/tests/gateway/crash.rs
+++ b/crates/endivespur_core/tests/gateway/crash.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use endivespur_core::feature::{Feature, Scope};
-use endivespur_core::gateway::crash::{Crash, Record, Tracker};
+use endivespur_core::gateway::crash::{Crash, Record, Tracker, decode, encode};
 
 use crate::ms;
 
@@ -356,3 +356,61 @@
         records.len()
     );
 }
+
+/// Many engines crash at the same time, and each gateway records the requests that it had in flight, and
+/// later the completions of their features. A watcher that sends all records to its followers over a link
+/// of 10 Mbit/s kept the configurations back for as long: it must be done within the 3 s in which these
+/// must be in force.
+#[test]
+fn encode_records_of_many_crashes() {
+    const GATEWAYS: u64 = 70;
+    const ENGINES: u64 = 28;
+    const REQUESTS_PER_ENGINE: u64 = 35;
+    const FOLLOWERS: usize = 11;
+    const BYTES_PER_SECOND: usize = 10_000_000 / 8;
+    let fingerprint = |request: u64, position: u64| u64::MAX / 3 + request * 4 + position;
+    let mut bytes = 0;
+    for gateway in 0..GATEWAYS {
+        for is_void in [false, true] {
+            let mut records = Vec::new();
+            for engine in 0..ENGINES {
+                let requests = (0..REQUESTS_PER_ENGINE).map(|n| engine * REQUESTS_PER_ENGINE + n);
+                for request in requests.filter(|request| request % GATEWAYS == gateway) {
+                    let whole = fingerprint(request, 3);
+                    records.extend((0..4).map(|position| Record {
+                        feature: Feature {
+                            fingerprint: fingerprint(request, position),
+                            scope: if position == 3 {
+                                Scope::Request
+                            } else {
+                                Scope::Part(position as usize)
+                            },
+                        },
+                        crash: Crash {
+                            endpoint: format!("i-{engine:010}"),
+                            started_ms: 1_796_000_000_000 + engine,
+                            ordinal: 0,
+                        },
+                        requests: BTreeSet::from([whole]),
+                        is_void,
+                    }));
+                }
+            }
+            let encoded = encode(&records).unwrap();
+            bytes += encoded.len();
+            assert_eq!(decode(&encoded).unwrap().len(), records.len());
+            for record in decode(&encoded).unwrap() {
+                let sent = records
+                    .iter()
+                    .find(|sent| sent.feature == record.feature && sent.crash == record.crash);
+                let mut sent = sent.unwrap().clone();
+                if is_void {
+                    sent.requests.clear();
+                }
+                assert_eq!(sent, record);
+            }
+        }
+    }
+    let took_s = (bytes * FOLLOWERS) as f64 / BYTES_PER_SECOND as f64;
+    assert!(took_s < 3.0, "{bytes} bytes take {took_s:.1} s");
+}
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -9,7 +9,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::feature::{Feature, Fingerprint};
-use endivespur_core::gateway::crash::{RETENTION, Record, Tracker, Trial};
+use endivespur_core::gateway::crash::{self, RETENTION, Record, Tracker, Trial};
 use endivespur_core::gateway::feed::Item;
 use endivespur_core::hash;
 use endivespur_platform::store::{Lease, Outcome, Write};
@@ -127,14 +127,9 @@
     );
 }
 
-/// Encodes records for the store and for other gateways.
-fn encode(records: &[Record]) -> Result<Vec<u8>, String> {
-    serde_json::to_vec(records).map_err(|error| error.to_string())
-}
-
 /// Adds the records of another gateway, or those in the store.
 pub fn receive(state: &State, value: &[u8], source: &'static str) {
-    match serde_json::from_slice::<Vec<Record>>(value) {
+    match crash::decode(value) {
         Ok(records) => {
             for record in records {
                 add(state, &record, source);
@@ -284,7 +279,8 @@
     if unsent.is_empty() {
         return;
     }
-    let Ok(value) = encode(unsent).inspect_err(|error| warn!(event = "crash-unshared"; "{error}"))
+    let Ok(value) =
+        crash::encode(unsent).inspect_err(|error| warn!(event = "crash-unshared"; "{error}"))
     else {
         return;
     };
@@ -310,7 +306,7 @@
     // A `#` would end the path of a call that names the key.
     let process = state.process.replace('#', ".");
     let key = format!("{KEY_PREFIX}{process}/{number}");
-    match write(state, vec![(key, encode(records)?)], Vec::new()).await? {
+    match write(state, vec![(key, crash::encode(records)?)], Vec::new()).await? {
         Outcome::Written(_) => Ok(()),
         outcome => Err(format!("{outcome:?}")),
     }
