Name addresses, paths and leaving endpoints for what they are

Reading the changes as a newcomer: the address that a request came from is caller_address, since Caller is the connection; its path has one function; a registration is adjusted by apply_leaving, since with_ constructs. No decision changes.

--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -159,7 +159,7 @@
     };
     match registration::decode(&item.key, value) {
         Ok(instance) => {
-            let instance = state.catalog.borrow().with_leaving(instance);
+            let instance = state.catalog.borrow().apply_leaving(instance);
             let current = state.catalog.borrow().endpoint(id);
             let is_changed = current.is_none_or(|current| {
                 current.started_ms != instance.started_ms
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -18,7 +18,7 @@
 /// How long it is remembered that an endpoint without a registration leaves: it may register again.
 const LEAVING_RETENTION: Duration = Duration::from_mins(10);
 
-/// The incarnation of an endpoint that leaves by its own responses.
+/// An incarnation of an endpoint that has said in a response that it leaves.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
     started_ms: u64,
@@ -53,7 +53,8 @@
     unregistered: BTreeMap<Endpoint, Time>,
     /// The time until which ended registrations may be renewed.
     grace_end: Time,
-    /// The endpoints that leave by their own responses, whatever their registrations say.
+    /// The endpoints that have said in a response that they leave: their registrations may still say that they
+    /// are ready.
     leaving: BTreeMap<Endpoint, Leaving>,
 }
 
@@ -99,8 +100,8 @@
     /// starts again; returns whether this is new.
     pub fn mark_leaving(&mut self, now: Time, id: &str, started_ms: u64) -> bool {
         let endpoints = &self.endpoints;
-        self.leaving.retain(|id, leaving| {
-            endpoints.contains_key(id) || now < leaving.recorded_at + LEAVING_RETENTION
+        self.leaving.retain(|endpoint, leaving| {
+            endpoints.contains_key(endpoint) || now < leaving.recorded_at + LEAVING_RETENTION
         });
         let known = self.leaving.get(id);
         if known.is_some_and(|known| known.started_ms >= started_ms) {
@@ -119,8 +120,8 @@
         true
     }
 
-    /// Returns a registration as it is to be used: an endpoint that has said that it leaves is draining.
-    pub fn with_leaving(&self, mut instance: Instance) -> Instance {
+    /// Returns a registration, as draining if its incarnation has said that it leaves.
+    pub fn apply_leaving(&self, mut instance: Instance) -> Instance {
         let leaving = self.leaving.get(&instance.id);
         instance.is_draining |=
             leaving.is_some_and(|leaving| leaving.started_ms == instance.started_ms);
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -28,8 +28,8 @@
     pub head: Request,
     /// The complete body, without its framing.
     pub body: Vec<u8>,
-    /// The address of the caller.
-    pub caller: Option<IpAddr>,
+    /// The address that the request came from.
+    pub caller_address: Option<IpAddr>,
     /// What may crash the endpoints that run the request.
     pub features: Rc<[Feature]>,
     /// Whether the request is the trial of a quarantined feature, which may run once.
@@ -72,12 +72,10 @@
 
     /// Returns what identifies the request when it is sent again, for the log.
     pub fn identity(&self) -> String {
-        let (method, target) = (&self.head.method, &self.head.target);
-        let path = target.split('?').next().unwrap_or_default();
-        let caller = self
-            .caller
-            .map_or("unknown".to_string(), |caller| caller.to_string());
-        format!("{method} {path}, {} bytes, from {caller}", self.body.len())
+        let (method, path) = (&self.head.method, path(&self.head));
+        let address = self.caller_address.map(|address| address.to_string());
+        let address = address.as_deref().unwrap_or("unknown");
+        format!("{method} {path}, {} bytes, from {address}", self.body.len())
     }
 
     /// Returns the ids of the prompt's parts, for the log.
@@ -103,10 +101,11 @@
 /// shares, and the whole request.
 ///
 /// Its caller sends it again with the same path and body, but possibly with another query and from
-/// another address. Requests without a body may be alike, such as those of callers that poll the same
-/// path, and only those of one caller crash endpoints: the address is a feature of its own.
+/// another address. Several callers may send the same request without a body, as when they poll a path, and
+/// only those of one of them may crash endpoints. A request without a body from one address is therefore a
+/// feature too.
 pub fn features(
-    caller: Option<IpAddr>,
+    caller_address: Option<IpAddr>,
     head: &Request,
     body: &[u8],
     parts: &[Part],
@@ -119,14 +118,13 @@
             scope: Scope::Part(position),
         })
         .collect();
-    let path = head.target.split('?').next().unwrap_or_default();
-    let (method, path) = (head.method.as_bytes(), path.as_bytes());
-    if let Some(caller) = caller
+    let (method, path) = (head.method.as_bytes(), path(head).as_bytes());
+    if let Some(address) = caller_address
         && body.is_empty()
     {
-        let caller = caller.to_string();
+        let address = address.to_string();
         features.push(Feature {
-            fingerprint: hash::digest(&[b"address", caller.as_bytes(), method, path]),
+            fingerprint: hash::digest(&[b"address", address.as_bytes(), method, path]),
             scope: Scope::Address,
         });
     }
@@ -137,6 +135,11 @@
     features.into()
 }
 
+/// Returns the path of a request without its query.
+fn path(head: &Request) -> &str {
+    head.target.split('?').next().unwrap_or_default()
+}
+
 /// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -120,7 +120,9 @@
                 state.peers.has_no_links(gateway.address);
                 reason = format!("{address} cannot forward");
             }
-            RESTING | DRAINING => reason = format!("{result} for {address}"),
+            RESTING | DRAINING => {
+                reason = format!("the endpoint is {result} for the gateway at {address}");
+            }
             LOST => return Err(Failure::Lost("lost by another gateway".to_string())),
             TIMEOUT => return Err(Failure::Timeout),
             _ => {
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -180,7 +180,7 @@
     let caller_address = stream.peer_addr().ok().map(|address| address.ip());
     let features = exchange::features(caller_address, &head, &body, &fields.parts);
     let received = Received {
-        caller: caller_address,
+        caller_address,
         head,
         body,
         features,
@@ -247,8 +247,8 @@
 
 /// A request that was read completely.
 struct Received {
-    /// The address of the caller.
-    caller: Option<IpAddr>,
+    /// The address that it came from.
+    caller_address: Option<IpAddr>,
     head: Request,
     body: Vec<u8>,
     features: Rc<[Feature]>,
@@ -260,7 +260,7 @@
 /// Selects the route and the service of a request.
 fn route_request(table: Option<&Table>, received: Received) -> Result<Call, Outcome> {
     let Received {
-        caller,
+        caller_address,
         head,
         body,
         features,
@@ -285,7 +285,7 @@
         .timeout
         .map_or(route.timeout, |left| left.min(route.timeout));
     Ok(Call {
-        caller,
+        caller_address,
         head,
         body,
         features,
