Log which source failed, how late a view is, and who keeps ended registrations

The logs told neither how long a source was waited for nor how old a gateway's view of the store was, nor that an endpoint whose registration has ended is still used.

--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -153,7 +153,11 @@
         .unwrap_or(&item.key);
     let Some(value) = &item.value else {
         stream::unregistered(state, id);
-        info!(event = "endpoint-gone", endpoint = id, revision = item.revision; "registration ended");
+        let kept_ms = state.catalog.borrow().grace_left(now).as_millis() as u64;
+        info!(
+            event = "endpoint-gone", endpoint = id, revision = item.revision, kept_ms;
+            "registration ended"
+        );
         state.catalog.borrow_mut().remove_endpoint(now, id);
         return true;
     };
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::feed::{Change, Limits, Page};
 use endivespur_core::gateway::source::{Selector, Source};
 use endivespur_platform::store;
-use log::{debug, info, warn};
+use log::{Level, debug, info, log, warn};
 use smol::Timer;
 
 use crate::message::Update;
@@ -25,6 +26,8 @@
 /// The time that each VM adds to that pause: all VMs poll a store that is unavailable, at a cost
 /// for each call.
 const RETRY_PAUSE_PER_VM: Duration = Duration::from_millis(10);
+/// The time without changes from a source above which a gateway's view of the store is logged as late.
+const LATE_VIEW: Duration = Duration::from_millis(1500);
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
 /// The pause after urgent changes, in which the changes of claims arrive that follow the end of a
@@ -80,6 +83,7 @@
             info!(event = "source", source:? = source; "follows");
             current = Some(source.clone());
         }
+        let asked = clock::now();
         let outcome = match &source {
             Source::Store => {
                 // A store that has failed is asked to respond at once, so that its recovery is
@@ -89,6 +93,13 @@
             }
             Source::Vm(vm) => follow_vm(&state, vm).await,
         };
+        log_attempt(
+            &state,
+            &source,
+            &outcome,
+            asked,
+            selector.has_failed(&source),
+        );
         match outcome {
             Outcome::Changes => selector.record_success(&source),
             Outcome::Stale => selector.record_disconnected(clock::now(), &source),
@@ -97,6 +108,34 @@
     }
 }
 
+/// Logs how long a source that was asked at `asked` took to fail, and how old this gateway's view is.
+fn log_attempt(state: &State, source: &Source, outcome: &Outcome, asked: Time, is_repeated: bool) {
+    let now = clock::now();
+    let outcome = match outcome {
+        Outcome::Changes => "changes",
+        Outcome::Stale => "stale",
+        Outcome::Failed => "failed",
+    };
+    telemetry::source_asked(outcome);
+    if outcome == "changes" {
+        let updated_at = state.updated_at.replace(now);
+        let age = now.saturating_sub(updated_at);
+        if age > LATE_VIEW && updated_at != Time::ZERO {
+            info!(event = "view-late", source:? = source, age_ms = age.as_millis() as u64; "changes received again");
+        }
+        return;
+    }
+    let waited_ms = now.saturating_sub(asked).as_millis() as u64;
+    let age_ms = now.saturating_sub(state.updated_at.get()).as_millis() as u64;
+    // While the store is unavailable, every source fails several times a second.
+    let level = if is_repeated {
+        Level::Debug
+    } else {
+        Level::Info
+    };
+    log!(level, event = "source-failed", source:? = source, outcome, waited_ms, age_ms; "no changes");
+}
+
 /// Records that the store's changes are received from neither the store nor another gateway.
 fn record_loss(state: &State, error: &store::Error) {
     telemetry::store_failed("watch");
@@ -165,6 +204,8 @@
     let now = clock::now();
     if record_recovery(state) {
         state.catalog.borrow_mut().store_recovered(now);
+        let grace_ms = state.catalog.borrow().grace_left(now).as_millis() as u64;
+        info!(event = "grace", source:? = Source::Store, grace_ms; "ended registrations may be renewed");
     }
     state.store_responded_at.set(Some(now));
 }
@@ -203,8 +244,12 @@
         page = complete;
     }
     record_recovery(state);
-    let until = clock::now() + grace;
-    state.catalog.borrow_mut().extend_grace(until);
+    let now = clock::now();
+    if state.catalog.borrow().grace_left(now).is_zero() && !grace.is_zero() {
+        let grace_ms = grace.as_millis() as u64;
+        info!(event = "grace", source = vm, grace_ms; "ended registrations may be renewed");
+    }
+    state.catalog.borrow_mut().extend_grace(now + grace);
     apply::apply(state, page);
     Outcome::Changes
 }
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -62,6 +62,8 @@
     pub feed: RefCell<Feed>,
     /// When the store last responded to this gateway, if it watches the store.
     pub store_responded_at: Cell<Option<Time>>,
+    /// When this gateway last received the store's changes, possibly none, from a source.
+    pub updated_at: Cell<Time>,
     /// The owners of the engines.
     pub claims: RefCell<Claims>,
     /// Signals a change of the catalog or the claims.
@@ -127,6 +129,7 @@
             catalog: RefCell::new(Catalog::new()),
             feed: RefCell::new(Feed::new()),
             store_responded_at: Cell::new(None),
+            updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(Claims::new()),
             changed: Event::new(),
             lease: RefCell::new(Lease::new()),
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -71,6 +71,11 @@
     counter!("endivespur_gateway_tokens_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a request for the store's changes to a source, the store or another gateway.
+pub fn source_asked(outcome: &'static str) {
+    counter!("endivespur_gateway_sources_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts that this gateway's own links to endpoints failed, or work again.
 pub fn links_changed(is_lost: bool) {
     let state = if is_lost { "lost" } else { "regained" };
