Ask other gateways and the store at the same time when a source fails

Cause: a gateway whose source fell silent asked its other sources in turn. Each may take as long as the slowest reply, 1.0 to 1.8 s, over connections that were open before the cut, and the store came after all of them. The class: a time bound that holds for one attempt, and no bound for their sum.

Now a gateway without a source asks four gateways at once, round by round, and the store beside them, and takes the first that answers; backoff does not apply to a search. It leaves a source that answers only for a better one that has answered a trial of 0.4 s, one between two answers. So the sum is one failed source and a search.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -2,7 +2,7 @@
 //!
 //! In each zone a few gateways (watchers) watch the store; the others follow them, so that the
 //! number of calls to the store does not grow with the number of VMs. A gateway whose source
-//! fails switches to another at once, and watches the store itself if there is none.
+//! fails asks others and the store at the same time, and takes the first that answers.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,17 +14,17 @@
 /// The number of VMs in a zone per watcher: a watcher sends every change of endpoints to each
 /// follower, which has to fit into the bandwidth of the smallest VM.
 pub const VMS_PER_WATCHER: usize = 12;
-/// How long a source is not used after its first failure: the lease of a VM that died lapses soon
+/// How long a source is not tried after its first failure: the lease of a VM that died lapses soon
 /// after.
 pub const RETRY_DELAY: Duration = Duration::from_millis(1500);
-/// How long a source is not used that has lost its own connection to the store; shorter, since
+/// How long a source is not tried that has lost its own connection to the store; shorter, since
 /// such a source answers at once.
 const DISCONNECTED_RETRY_DELAY: Duration = Duration::from_millis(700);
-/// The maximum retry delay. The delay grows with each failure, since every attempt can take as long
-/// as the first.
+/// The maximum retry delay. The delay grows with each failure, since every trial delays the changes
+/// of the current source.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(6);
-/// The maximum number of other gateways to try if neither a watcher nor the store answers.
-const MAX_FALLBACKS: usize = 4;
+/// The number of gateways that are asked at the same time by one that has no source.
+pub const CANDIDATES_PER_ROUND: usize = 4;
 /// The key that ranks the VMs of a zone.
 const RANK_KEY: &str = "watch";
 
@@ -38,60 +38,79 @@
 }
 
 /// Selects a source for one gateway.
+///
+/// A gateway leaves a source that answers only for a better one that has answered a trial. If its
+/// source fails it has none, and asks many at once.
 #[derive(Clone, Debug)]
 pub struct Selector {
     vm: Vm,
     zone: Zone,
+    /// The source that answered last.
+    current: Option<Source>,
+    /// Whether another source may be tried: the current one has answered since the last trial failed.
+    may_try: bool,
     /// The sources that failed since they last answered.
     failures: BTreeMap<Source, Failure>,
 }
 
-/// When to use a failed source again, and the current retry delay.
+/// When to try a failed source again, and the delay if it fails again.
 #[derive(Clone, Copy, Debug)]
 struct Failure {
     retry_at: Time,
-    retry_delay: Duration,
+    next_delay: Duration,
 }
 
 impl Selector {
-    /// Creates the selector of a gateway.
+    /// Creates the selector of a gateway that has no source yet.
     pub fn new(vm: &str, zone: &str) -> Self {
         Self {
             vm: vm.to_string(),
             zone: zone.to_string(),
+            current: None,
+            may_try: false,
             failures: BTreeMap::new(),
         }
     }
 
+    /// Returns the source that answered last, if it has not failed since.
+    pub fn current(&self) -> Option<&Source> {
+        self.current.as_ref()
+    }
+
     /// Records that a source has lost its own connection to the store.
     pub fn record_disconnected(&mut self, now: Time, source: &Source) {
-        let previous = self.failures.get(source);
-        let failure = Failure {
-            retry_at: now + DISCONNECTED_RETRY_DELAY,
-            retry_delay: previous.map_or(RETRY_DELAY, |previous| previous.retry_delay),
-        };
-        self.failures.insert(source.clone(), failure);
+        let next_delay = self.next_delay(source);
+        self.fail(source, now + DISCONNECTED_RETRY_DELAY, next_delay);
     }
 
     /// Records that a source did not answer.
     pub fn record_failure(&mut self, now: Time, source: &Source) {
-        let previous = self.failures.get(source);
-        let retry_delay = previous.map_or(RETRY_DELAY, |previous| {
-            (previous.retry_delay * 2).min(MAX_RETRY_DELAY)
-        });
-        let retry_at = now + retry_delay;
-        self.failures.insert(
-            source.clone(),
-            Failure {
-                retry_at,
-                retry_delay,
-            },
-        );
+        let delay = self.next_delay(source);
+        self.fail(source, now + delay, (delay * 2).min(MAX_RETRY_DELAY));
+    }
+
+    fn next_delay(&self, source: &Source) -> Duration {
+        let failure = self.failures.get(source);
+        failure.map_or(RETRY_DELAY, |failure| failure.next_delay)
     }
 
-    /// Records that a source answered.
+    fn fail(&mut self, source: &Source, retry_at: Time, next_delay: Duration) {
+        let failure = Failure {
+            retry_at,
+            next_delay,
+        };
+        self.failures.insert(source.clone(), failure);
+        self.may_try = false;
+        if self.current.as_ref() == Some(source) {
+            self.current = None;
+        }
+    }
+
+    /// Records that a source answered: it is the current one from now on.
     pub fn record_success(&mut self, source: &Source) {
         self.failures.remove(source);
+        self.current = Some(source.clone());
+        self.may_try = true;
     }
 
     /// Returns whether a source has failed since it last answered.
@@ -99,35 +118,57 @@
         self.failures.contains_key(source)
     }
 
-    /// Chooses a source, given the zones of all live gateways.
-    ///
-    /// A watcher uses the store, a follower a watcher, preferably of its own zone. If none of them
-    /// is usable, the store is tried and then a few other gateways, since a gateway that cannot
-    /// reach the store has a stale view of which gateways watch it.
-    pub fn choose(&self, now: Time, zones: &BTreeMap<Vm, Zone>) -> Source {
-        let is_usable = |source: &Source| {
+    /// Chooses the source to ask next, given the zones of all live gateways: the current one, or a better one
+    /// for a trial. Returns `None` if there is no current source.
+    pub fn choose(&self, now: Time, zones: &BTreeMap<Vm, Zone>) -> Option<Source> {
+        let current = self.current.as_ref()?;
+        let is_due = |source: &Source| {
             let failure = self.failures.get(source);
-            failure.is_none_or(|failure| failure.retry_at <= now)
+            self.may_try && failure.is_none_or(|failure| failure.retry_at <= now)
         };
+        let order = self.order(zones);
+        let mut better = order.iter().take_while(|source| *source != current);
+        let chosen = better.find(|source| is_due(source)).unwrap_or(current);
+        Some(chosen.clone())
+    }
+
+    /// Returns the sources that this gateway should have, the best first.
+    ///
+    /// A watcher uses the store, a follower a watcher, preferably of its own zone.
+    fn order(&self, zones: &BTreeMap<Vm, Zone>) -> Vec<Source> {
         let watchers = watchers(zones);
         let is_watcher = watchers.contains(&self.vm) || !zones.contains_key(&self.vm);
-        if is_watcher && is_usable(&Source::Store) {
-            return Source::Store;
+        let others = watchers.into_iter().filter(|vm| *vm != self.vm);
+        let vms = self.rank(others.collect(), zones);
+        let vms = vms.into_iter().map(Source::Vm);
+        if is_watcher {
+            [Source::Store].into_iter().chain(vms).collect()
+        } else {
+            vms.chain([Source::Store]).collect()
         }
-        let rank = |vms: Vec<Vm>, max: usize| hash::rank(&self.vm, vms, String::as_str, max);
+    }
+
+    /// Returns VMs in the order in which this gateway asks them, those of its own zone first.
+    fn rank(&self, vms: Vec<Vm>, zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
+        let is_near = |vm: &Vm| zones.get(vm) == Some(&self.zone);
+        let (near, far): (Vec<Vm>, Vec<Vm>) = vms.into_iter().partition(is_near);
+        let rank = |vms: Vec<Vm>| hash::rank(&self.vm, vms, String::as_str, usize::MAX);
+        [rank(near), rank(far)].concat()
+    }
+
+    /// Returns the gateways to ask at once in a round of a search for a source, numbered from 0.
+    ///
+    /// The rounds begin with the watchers and come to all gateways, since one that cannot reach the store has a
+    /// stale view of which gateways watch it.
+    pub fn candidates(&self, round: usize, zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
+        let watchers = watchers(zones);
         let others = zones.keys().filter(|vm| **vm != self.vm).cloned();
-        let (watching, others): (Vec<Vm>, Vec<Vm>) = others.partition(|vm| watchers.contains(vm));
-        let (near, far): (Vec<Vm>, Vec<Vm>) = watching
-            .into_iter()
-            .partition(|vm| zones.get(vm) == Some(&self.zone));
-        let first = [rank(near, usize::MAX), rank(far, usize::MAX)].concat();
-        let last = rank(others, MAX_FALLBACKS);
-        let vms = |vms: Vec<Vm>| vms.into_iter().map(Source::Vm);
-        vms(first)
-            .chain([Source::Store])
-            .chain(vms(last))
-            .find(is_usable)
-            .unwrap_or(Source::Store)
+        let (first, last): (Vec<Vm>, Vec<Vm>) = others.partition(|vm| watchers.contains(vm));
+        let all = [self.rank(first, zones), self.rank(last, zones)].concat();
+        let rounds = all.len().div_ceil(CANDIDATES_PER_ROUND).max(1);
+        let skipped = round % rounds * CANDIDATES_PER_ROUND;
+        let round = all.into_iter().skip(skipped);
+        round.take(CANDIDATES_PER_ROUND).collect()
     }
 }
 
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -208,6 +208,14 @@
         self.peers.get(vm)
     }
 
+    /// Returns the zones of the gateways, this one included.
+    pub fn zones(&self) -> BTreeMap<Vm, Zone> {
+        let zones = self.peers.iter();
+        zones
+            .map(|(vm, peer)| (vm.clone(), peer.zone.clone()))
+            .collect()
+    }
+
     /// Iterates over the gateways, this one included.
     pub fn peers(&self) -> impl Iterator<Item = (&Vm, &Peer)> {
         self.peers.iter()
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -1,5 +1,5 @@
 //! Follows the store's changes: a few gateways of each zone watch the store, the others follow
-//! those watchers.
+//! those watchers. [`search`] finds a source for a gateway that has none.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,23 +9,20 @@
 use endivespur_core::gateway::feed::{Change, Limits, Page};
 use endivespur_core::gateway::source::{Selector, Source};
 use endivespur_platform::store;
-use log::{Level, debug, info, log, warn};
+use log::{Level, debug, info, log};
 use smol::Timer;
 
 use crate::message::Update;
 use crate::state::State;
-use crate::{apply, peer, telemetry, timer};
+use crate::{apply, peer, search, telemetry, timer};
 
 /// The maximum wait of a watch; a partition from the store is noticed soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// How old the store's last response to a watcher may be before the watcher reports itself as stale
 /// to its followers: the sum of a pause, a watch and a slow response.
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1300);
-/// The minimum pause after a failed call to the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// The time that each VM adds to that pause: all VMs poll a store that is unavailable, at a cost
-/// for each call.
-const RETRY_PAUSE_PER_VM: Duration = Duration::from_millis(10);
+/// How long a gateway may take to reply to a trial, beyond the time to connect.
+const TRIAL_TIME: Duration = Duration::from_millis(400);
 /// The time without changes from a source above which a gateway's view of the store is logged as late.
 const LATE_VIEW: Duration = Duration::from_millis(1500);
 /// The prefix of all keys.
@@ -55,9 +52,9 @@
 };
 
 /// The result of one request to a source.
-enum Outcome {
-    /// The store's changes, possibly none.
-    Changes,
+pub enum Outcome {
+    /// The store's changes, possibly none; the source should be asked again after this pause.
+    Changes(Duration),
     /// The source replied that it has no recent response from the store itself.
     Stale,
     /// The source did not respond.
@@ -71,48 +68,63 @@
 
 async fn follow(state: Rc<State>) {
     let mut selector = Selector::new(&state.settings.vm, &state.settings.zone);
-    let mut current = None;
+    let mut logged = None;
     loop {
-        let source = {
-            let catalog = state.catalog.borrow();
-            let zones = catalog.peers();
-            let zones = zones.map(|(vm, peer)| (vm.clone(), peer.zone.clone()));
-            selector.choose(clock::now(), &zones.collect())
+        let source = selector.choose(clock::now(), &state.catalog.borrow().zones());
+        let pause = match source {
+            Some(source) => {
+                let is_trial = selector.current() != Some(&source);
+                let asked = clock::now();
+                let outcome = request(&state, &source, is_trial).await;
+                record(&state, &mut selector, &source, asked, &outcome)
+            }
+            None => search::search(&state, &mut selector).await,
         };
-        if current.as_ref() != Some(&source) {
+        if logged.as_ref() != selector.current()
+            && let Some(source) = selector.current()
+        {
             info!(event = "source", source:? = source; "follows");
-            current = Some(source.clone());
+            logged = Some(source.clone());
         }
-        let asked = clock::now();
-        let outcome = match &source {
-            Source::Store => {
-                // A store that has failed is asked to respond at once, so that its recovery is
-                // noticed soon.
-                let is_probe = selector.has_failed(&source);
-                watch(&state, if is_probe { Duration::ZERO } else { WATCH_WAIT }).await
-            }
-            Source::Vm(vm) => follow_vm(&state, vm).await,
-        };
-        log_attempt(
-            &state,
-            &source,
-            &outcome,
-            asked,
-            selector.has_failed(&source),
-        );
-        match outcome {
-            Outcome::Changes => selector.record_success(&source),
-            Outcome::Stale => selector.record_disconnected(clock::now(), &source),
-            Outcome::Failed => selector.record_failure(clock::now(), &source),
+        Timer::after(pause).await;
+    }
+}
+
+/// Requests the next changes from a source. A trial is to be answered at once.
+async fn request(state: &Rc<State>, source: &Source, is_trial: bool) -> Outcome {
+    match source {
+        Source::Store => watch(state, if is_trial { Duration::ZERO } else { WATCH_WAIT }).await,
+        Source::Vm(vm) if is_trial => try_vm(state, vm).await,
+        Source::Vm(vm) => follow_vm(state, vm, batch_time(state, MAX_BATCH_SHARE), None).await,
+    }
+}
+
+/// Records the outcome of a request to a source that was asked at `asked`; returns the pause before the next
+/// request.
+pub fn record(
+    state: &State,
+    selector: &mut Selector,
+    source: &Source,
+    asked: Time,
+    outcome: &Outcome,
+) -> Duration {
+    log_attempt(state, source, outcome, asked, selector.has_failed(source));
+    match outcome {
+        Outcome::Changes(pause) => {
+            selector.record_success(source);
+            return *pause;
         }
+        Outcome::Stale => selector.record_disconnected(clock::now(), source),
+        Outcome::Failed => selector.record_failure(clock::now(), source),
     }
+    Duration::ZERO
 }
 
 /// Logs how long a source that was asked at `asked` took to fail, and how old this gateway's view is.
 fn log_attempt(state: &State, source: &Source, outcome: &Outcome, asked: Time, is_repeated: bool) {
     let now = clock::now();
     let outcome = match outcome {
-        Outcome::Changes => "changes",
+        Outcome::Changes(_) => "changes",
         Outcome::Stale => "stale",
         Outcome::Failed => "failed",
     };
@@ -136,18 +148,6 @@
     log!(level, event = "source-failed", source:? = source, outcome, waited_ms, age_ms; "no changes");
 }
 
-/// Records that the store's changes are received from neither the store nor another gateway.
-fn record_loss(state: &State, error: &store::Error) {
-    telemetry::store_failed("watch");
-    if state.store_responded_at.take().is_some() {
-        state.notify();
-    }
-    if state.store_lost_at.get().is_none() {
-        warn!(event = "store-lost"; "{error}");
-        state.store_lost_at.set(Some(clock::now()));
-    }
-}
-
 /// Records that the store's changes are received; returns whether they were not received before.
 fn record_recovery(state: &State) -> bool {
     let Some(since) = state.store_lost_at.take() else {
@@ -159,7 +159,7 @@
 }
 
 /// Waits at most `wait` for the store's next changes.
-async fn watch(state: &Rc<State>, wait: Duration) -> Outcome {
+pub async fn watch(state: &Rc<State>, wait: Duration) -> Outcome {
     let revision = state.feed.borrow().revision();
     let change = if revision == 0 {
         Ok(Change::Compacted)
@@ -172,17 +172,13 @@
             record_response(state);
             let is_idle = page.items.is_empty();
             let is_urgent = apply::apply(state, page);
-            if !is_idle {
-                let pause = if is_urgent {
-                    URGENT_PAUSE
-                } else {
-                    batch_time(state, MAX_PAUSE_SHARE)
-                };
-                Timer::after(pause).await;
-            }
-            Outcome::Changes
+            Outcome::Changes(match (is_idle, is_urgent) {
+                (true, _) => Duration::ZERO,
+                (false, true) => URGENT_PAUSE,
+                (false, false) => batch_time(state, MAX_PAUSE_SHARE),
+            })
         }
-        Err(error) => handle_failure(state, &error).await,
+        Err(error) => handle_failure(state, &error),
     }
 }
 
@@ -193,9 +189,9 @@
             info!(event = "listed", revision = page.revision, keys = page.items.len(); "all keys listed");
             record_response(state);
             apply::replace(state, page);
-            Outcome::Changes
+            Outcome::Changes(Duration::ZERO)
         }
-        Err(error) => handle_failure(state, &error).await,
+        Err(error) => handle_failure(state, &error),
     }
 }
 
@@ -210,23 +206,36 @@
     state.store_responded_at.set(Some(now));
 }
 
-/// Records a failed call to the store, and pauses.
-async fn handle_failure(state: &State, error: &store::Error) -> Outcome {
-    record_loss(state, error);
-    let vms = state.catalog.borrow().peers().count() as u32;
-    Timer::after((RETRY_PAUSE_PER_VM * vms).max(RETRY_PAUSE)).await;
+/// Records a failed call to the store: followers must use another source.
+fn handle_failure(state: &State, error: &store::Error) -> Outcome {
+    telemetry::store_failed("watch");
+    debug!(event = "store-failed"; "{error}");
+    if state.store_responded_at.take().is_some() {
+        state.notify();
+    }
     Outcome::Failed
 }
 
-/// Waits for the next changes from another gateway.
-async fn follow_vm(state: &Rc<State>, vm: &str) -> Outcome {
+/// Requests the changes that another gateway has already received.
+pub async fn try_vm(state: &Rc<State>, vm: &str) -> Outcome {
+    follow_vm(state, vm, Duration::ZERO, Some(TRIAL_TIME)).await
+}
+
+/// Waits at most `wait` for the next changes from another gateway, which may take `reply_time` longer to reply,
+/// or by default the time for the largest reply.
+async fn follow_vm(
+    state: &Rc<State>,
+    vm: &str,
+    wait: Duration,
+    reply_time: Option<Duration>,
+) -> Outcome {
     let address = state.catalog.borrow().peer(vm).map(|peer| peer.address);
     let Some(address) = address else {
         return Outcome::Failed;
     };
     let after = state.feed.borrow().revision();
-    let wait = batch_time(state, MAX_BATCH_SHARE);
-    let (mut page, grace) = match peer::follow(state, address, after, wait, false).await {
+    let limit = wait + reply_time.unwrap_or(peer::FOLLOW_SLACK);
+    let (mut page, grace) = match peer::follow(state, address, after, wait, limit).await {
         Ok(Update::Changes(Change::Changes(page), grace)) => (page, grace),
         Ok(Update::Changes(Change::Compacted, _)) => return list(state).await,
         Ok(Update::Stale) => {
@@ -237,7 +246,7 @@
     };
     if !read_large(state, &mut page).await {
         // The store does not respond to this gateway.
-        let update = peer::follow(state, address, after, Duration::ZERO, true).await;
+        let update = peer::follow_whole(state, address, after).await;
         let Ok(Update::Changes(Change::Changes(complete), _)) = update else {
             return Outcome::Failed;
         };
@@ -251,7 +260,7 @@
     }
     state.catalog.borrow_mut().extend_grace(now + grace);
     apply::apply(state, page);
-    Outcome::Changes
+    Outcome::Changes(Duration::ZERO)
 }
 
 /// Reads the values that a watcher left out because of their size; returns whether the store
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod room;
 mod rpc;
+mod search;
 mod serve;
 mod start;
 mod state;
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -29,9 +29,9 @@
 const REPLY_SLACK: Duration = Duration::from_millis(80);
 /// How long a gateway may take to find out whether it reaches an endpoint: two rounds of connections.
 const REACH_TIMEOUT: Duration = Duration::from_millis(400);
-/// The same for the changes of the store: twice the time in which a VM with 10 Mbit/s sends the
+/// How long a reply with changes of the store may take: twice the time in which a VM with 10 Mbit/s sends the
 /// largest reply to all its followers.
-const FOLLOW_SLACK: Duration = Duration::from_millis(600);
+pub const FOLLOW_SLACK: Duration = Duration::from_millis(600);
 /// The same for replies with large values.
 const LARGE_VALUES_SLACK: Duration = Duration::from_secs(2);
 
@@ -141,8 +141,8 @@
     request(state, address, wait + REPLY_SLACK, send).await
 }
 
-/// Requests the store's changes after a revision from the gateway at an address, with large values
-/// if `with_large_values` is set.
+/// Requests the store's changes after a revision, without large values, from the gateway at an address. It may
+/// wait for changes for `wait`, and must reply within `limit`.
 ///
 /// # Errors
 ///
@@ -152,22 +152,41 @@
     address: SocketAddr,
     after: u64,
     wait: Duration,
-    with_large_values: bool,
+    limit: Duration,
 ) -> Result<Update, Unresponsive> {
-    let send = async |client: gateway::Client| {
-        let mut request = client.follow_request();
-        request.get().set_after(after);
-        request.get().set_wait_ms(wait.as_millis() as u32);
-        request.get().set_whole(with_large_values);
-        let response = request.send().promise.await?;
-        message::read_update(response.get()?.get_news()?)
-    };
-    let slack = if with_large_values {
-        LARGE_VALUES_SLACK
-    } else {
-        FOLLOW_SLACK
-    };
-    request(state, address, wait + slack, send).await
+    request(state, address, limit, async |client: gateway::Client| {
+        request_changes(client, after, wait, false).await
+    })
+    .await
+}
+
+/// Requests all of the store's changes after a revision from the gateway at an address, to be sent at once.
+///
+/// # Errors
+///
+/// Returns [`Unresponsive`] if it does not reply.
+pub async fn follow_whole(
+    state: &Rc<State>,
+    address: SocketAddr,
+    after: u64,
+) -> Result<Update, Unresponsive> {
+    let send =
+        async |client: gateway::Client| request_changes(client, after, Duration::ZERO, true).await;
+    request(state, address, LARGE_VALUES_SLACK, send).await
+}
+
+async fn request_changes(
+    client: gateway::Client,
+    after: u64,
+    wait: Duration,
+    with_large_values: bool,
+) -> Result<Update, capnp::Error> {
+    let mut request = client.follow_request();
+    request.get().set_after(after);
+    request.get().set_wait_ms(wait.as_millis() as u32);
+    request.get().set_whole(with_large_values);
+    let response = request.send().promise.await?;
+    message::read_update(response.get()?.get_news()?)
 }
 
 /// Notifies the owner at an address that the response to a granted request has started.
