Count a gateway as a source only while it watches the store

Cause: a gateway counted as a source for 1.3 s after the store had last responded to it, also if it had gone back to following another gateway since, so that nothing told how old its answers were.

--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -80,6 +80,9 @@
             }
             None => search::search(&state, &mut selector).await,
         };
+        if matches!(selector.current(), Some(Source::Vm(_))) {
+            stop_watching(&state);
+        }
         if logged.as_ref() != selector.current()
             && let Some(source) = selector.current()
         {
@@ -210,10 +213,15 @@
 fn handle_failure(state: &State, error: &store::Error) -> Outcome {
     telemetry::store_failed("watch");
     debug!(event = "store-failed"; "{error}");
+    stop_watching(state);
+    Outcome::Failed
+}
+
+/// Makes those that follow this gateway use another source: it no longer watches the store.
+fn stop_watching(state: &State) {
     if state.store_responded_at.take().is_some() {
         state.notify();
     }
-    Outcome::Failed
 }
 
 /// Requests the changes that another gateway has already received.
