Keep ended registrations after a cut only if the store was away for all

Cause: a gateway to which the store responds again took for granted that the store had been away for all, and kept registrations that ended in the next 2.2 s, which is longer than the permitted 2 s. Others took this over from it, also those that had received changes all the time. The class: an own cut taken for an outage of what is behind it.

Now such a gateway asks others, round by round, and ends this as soon as one replies that it watches the store and keeps nothing; a source's word counts for a gateway only if it received no changes itself. A gateway that has just started asks too, as it cannot tell either, and vouches for nothing before. The time itself stays: after an outage for all, endpoints need it (two tests).

Also: the retry delay of a source no longer grows within one search.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -77,7 +77,8 @@
         self.current.as_ref()
     }
 
-    /// Records that a source has lost its own connection to the store.
+    /// Records that a source has lost its own connection to the store, or did not answer in a search. Neither
+    /// has delayed another source, so that the retry delay does not grow.
     pub fn record_disconnected(&mut self, now: Time, source: &Source) {
         let next_delay = self.next_delay(source);
         self.fail(source, now + DISCONNECTED_RETRY_DELAY, next_delay);
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -81,7 +81,7 @@
         is_newer
     }
 
-    /// Records that the store is available again: ended registrations may be renewed.
+    /// Records that the store may have been away until now: ended registrations may be renewed.
     pub fn store_recovered(&mut self, now: Time) {
         self.extend_grace(now + REREGISTRATION_TIME);
     }
@@ -91,6 +91,14 @@
         self.grace_end = self.grace_end.max(until);
     }
 
+    /// Records that the store has not been away: removes the endpoints whose registrations have ended.
+    pub fn end_grace(&mut self) {
+        self.grace_end = Time::ZERO;
+        for id in std::mem::take(&mut self.unregistered).into_keys() {
+            self.endpoints.remove(&id);
+        }
+    }
+
     /// Returns for how long ended registrations may still be renewed.
     pub fn grace_left(&self, now: Time) -> Duration {
         self.grace_end.saturating_sub(now)
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -14,7 +14,7 @@
 
 use crate::message::Update;
 use crate::state::State;
-use crate::{apply, peer, search, telemetry, timer};
+use crate::{apply, grace, peer, search, telemetry, timer};
 
 /// The maximum wait of a watch; a partition from the store is noticed soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(500);
@@ -22,7 +22,7 @@
 /// to its followers: the sum of a pause, a watch and a slow response.
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1300);
 /// How long a gateway may take to reply to a trial, beyond the time to connect.
-const TRIAL_TIME: Duration = Duration::from_millis(400);
+pub const TRIAL_TIME: Duration = Duration::from_millis(400);
 /// The time without changes from a source above which a gateway's view of the store is logged as late.
 const LATE_VIEW: Duration = Duration::from_millis(1500);
 /// The prefix of all keys.
@@ -104,7 +104,7 @@
 
 /// Records the outcome of a request to a source that was asked at `asked`; returns the pause before the next
 /// request.
-pub fn record(
+fn record(
     state: &State,
     selector: &mut Selector,
     source: &Source,
@@ -124,7 +124,13 @@
 }
 
 /// Logs how long a source that was asked at `asked` took to fail, and how old this gateway's view is.
-fn log_attempt(state: &State, source: &Source, outcome: &Outcome, asked: Time, is_repeated: bool) {
+pub fn log_attempt(
+    state: &State,
+    source: &Source,
+    outcome: &Outcome,
+    asked: Time,
+    is_repeated: bool,
+) {
     let now = clock::now();
     let outcome = match outcome {
         Outcome::Changes(_) => "changes",
@@ -153,8 +159,9 @@
 
 /// Records that the store's changes are received; returns whether they were not received before.
 fn record_recovery(state: &State) -> bool {
+    let is_first = state.feed.borrow().revision() == 0;
     let Some(since) = state.store_lost_at.take() else {
-        return false;
+        return is_first;
     };
     let age_ms = clock::now().saturating_sub(since).as_millis() as u64;
     info!(event = "store-regained", age_ms; "receiving changes of the store again");
@@ -199,14 +206,11 @@
 }
 
 /// Records that the store has responded to this gateway.
-fn record_response(state: &State) {
-    let now = clock::now();
+fn record_response(state: &Rc<State>) {
     if record_recovery(state) {
-        state.catalog.borrow_mut().store_recovered(now);
-        let grace_ms = state.catalog.borrow().grace_left(now).as_millis() as u64;
-        info!(event = "grace", source:? = Source::Store, grace_ms; "ended registrations may be renewed");
+        grace::store_responded(state);
     }
-    state.store_responded_at.set(Some(now));
+    state.store_responded_at.set(Some(clock::now()));
 }
 
 /// Records a failed call to the store: followers must use another source.
@@ -260,13 +264,8 @@
         };
         page = complete;
     }
-    record_recovery(state);
-    let now = clock::now();
-    if state.catalog.borrow().grace_left(now).is_zero() && !grace.is_zero() {
-        let grace_ms = grace.as_millis() as u64;
-        info!(event = "grace", source = vm, grace_ms; "ended registrations may be renewed");
-    }
-    state.catalog.borrow_mut().extend_grace(now + grace);
+    let was_lost = record_recovery(state);
+    grace::source_replied(state, vm, grace, was_lost);
     apply::apply(state, page);
     Outcome::Changes(Duration::ZERO)
 }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod forward;
 mod generate;
+mod grace;
 mod lease;
 mod limit;
 mod link;
--- a/crates/endivespur_gateway/src/search.rs
+++ b/crates/endivespur_gateway/src/search.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::source::{CANDIDATES_PER_ROUND, Selector, Source};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::warn;
@@ -81,9 +82,7 @@
         });
         let mut requests: FuturesUnordered<_> = requests.collect();
         while let Some((source, outcome)) = requests.next().await {
-            let mut selector = self.selector.borrow_mut();
-            let pause = follow::record(self.state, &mut selector, &source, asked, &outcome);
-            if matches!(outcome, Outcome::Changes(_)) {
+            if let Some(pause) = self.record(&source, asked, &outcome) {
                 return Some(pause);
             }
         }
@@ -100,11 +99,7 @@
         loop {
             let asked = clock::now();
             let outcome = follow::watch(self.state, Duration::ZERO).await;
-            let pause = {
-                let mut selector = self.selector.borrow_mut();
-                follow::record(self.state, &mut selector, &Source::Store, asked, &outcome)
-            };
-            if matches!(outcome, Outcome::Changes(_)) {
+            if let Some(pause) = self.record(&Source::Store, asked, &outcome) {
                 return pause;
             }
             self.has_store_failed.set(true);
@@ -113,6 +108,21 @@
         }
     }
 
+    /// Records the outcome of a request to a source that was asked at `asked`; returns the pause before the next
+    /// one if it has answered.
+    fn record(&self, source: &Source, asked: Time, outcome: &Outcome) -> Option<Duration> {
+        let mut selector = self.selector.borrow_mut();
+        let is_repeated = selector.has_failed(source);
+        follow::log_attempt(self.state, source, outcome, asked, is_repeated);
+        if let Outcome::Changes(pause) = outcome {
+            selector.record_success(source);
+            Some(*pause)
+        } else {
+            selector.record_disconnected(clock::now(), source);
+            None
+        }
+    }
+
     /// Records that the store's changes are received from neither the store nor another gateway, once all
     /// have failed.
     fn record_loss(&self) {
