--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -126,11 +126,11 @@
                 );
             }
             Err(error) => {
-                warn!(event = "configuration", revision = item.revision; "unreadable: {error}");
+                warn!(event = "configuration", revision = item.revision, outcome = false; "rejected: {error}");
             }
         }
     } else if item.key.starts_with(document::VERSION_KEY_PREFIX) {
-        match document::decode_version(value) {
+        match document::decode_version(&item.key, value) {
             Ok((weights, version)) => {
                 info!(
                     event = "version", adapter = weights.to_string(), version,
@@ -139,7 +139,7 @@
                 state.owned_engines.announce(&weights, version);
                 state.catalog.borrow_mut().set_version(weights, version);
             }
-            Err(error) => warn!(event = "version", key = item.key.as_str(); "unreadable: {error}"),
+            Err(error) => warn!(event = "version", key = item.key.as_str(); "rejected: {error}"),
         }
     }
 }
