Close connections to engines that have carried a refusal

Seen by other operators: a faulty engine writes an earlier refusal once more on a kept connection, and callers are told that a request has not run while it runs.

Cause: an answer is told from others by the id of its attempt alone. An engine that lacks an adapter refuses a request, and may be sent the same attempt again over the same connection; a copy of the refusal then passes for the answer. Connections to plain endpoints were not kept after a refusal; now those to engines, also of requests that are forwarded, are not either. A copy that arrives before another attempt's answer was dropped already.

--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -27,10 +27,6 @@
 const ATTEMPT_LIMIT: usize = 6;
 /// The maximum size of one event of a stream, which is held until it is complete.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-/// The maximum size of a refusal's body that is read to reuse the connection.
-const MAX_REFUSAL_BYTES: usize = 4096;
-/// The maximum time to read that body: another engine may still serve the request.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// The position in the stream of events relayed to the caller.
 struct Stream {
@@ -175,7 +171,8 @@
             {
                 room.reject();
             }
-            return record_not_run(state, call, &mut permit, progress, response).await;
+            let status = response.head.status;
+            return record_not_run(call, &mut permit, progress, status);
         }
         Ok(mut response) if response.fields.is_signed => {
             telemetry::response_started(clock::now().saturating_sub(now));
@@ -243,24 +240,18 @@
 /// Records that an engine did not run the request.
 ///
 /// An engine that lacks the adapter may be tried again if its owner granted the request.
-async fn record_not_run(
-    state: &Rc<State>,
+fn record_not_run(
     call: &Call,
     permit: &mut Permit,
     progress: &mut Progress,
-    mut response: relay::EndpointResponse,
+    status: u16,
 ) -> Attempt {
-    let status = response.head.status;
     permit.is_adapter_missing = status == 421;
     if status != 421 || permit.grant.is_none() {
         progress.tried.insert(permit.instance.id.clone());
     }
     let reason = format!("engine-status-{status}");
     log_failed_attempt(call, &permit.instance, "not-run", &reason);
-    let body = response.read_all(state, MAX_REFUSAL_BYTES);
-    if let Some(Ok(Some(_))) = timer::within(REFUSAL_BODY_TIMEOUT, body).await {
-        response.recycle(state);
-    }
     Attempt::NotRun(reason)
 }
 
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -130,8 +130,11 @@
     }
 
     /// Returns the connection to the pool, if the response was read to its end.
+    ///
+    /// One that has carried a refusal is closed: if a faulty endpoint wrote the refusal once more, the next answer to
+    /// the same attempt could not be told from it.
     pub fn recycle(self, state: &State) {
-        let Some(keep_alive) = self.keep_alive else {
+        let Some(keep_alive) = self.keep_alive.filter(|_| !self.fields.is_not_executed) else {
             return;
         };
         if self.decoder.is_done() {
