--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -53,6 +53,8 @@
     unregistered: BTreeMap<Endpoint, Time>,
     /// The time until which ended registrations may be renewed.
     grace_end: Time,
+    /// The time from which this gateway can tell others that the store was not away: it did not run before.
+    vouches_from: Time,
     /// The endpoints that have said in a response that they leave: their registrations may still say that they
     /// are ready.
     leaving: BTreeMap<Endpoint, Leaving>,
@@ -81,6 +83,11 @@
         is_newer
     }
 
+    /// Records that this gateway has received the store's state for the first time.
+    pub fn started(&mut self, now: Time) {
+        self.vouches_from = now + REREGISTRATION_TIME;
+    }
+
     /// Records that the store may have been away until now: ended registrations may be renewed.
     pub fn store_recovered(&mut self, now: Time) {
         self.extend_grace(now + REREGISTRATION_TIME);
@@ -104,6 +111,13 @@
         self.grace_end.saturating_sub(now)
     }
 
+    /// Returns for how long ended registrations may still be renewed, as far as those that follow this gateway can
+    /// rely on it.
+    pub fn grace_for_others(&self, now: Time) -> Duration {
+        let until = self.grace_end.max(self.vouches_from);
+        until.saturating_sub(now)
+    }
+
     /// Records that an incarnation of an endpoint has said that it leaves, which counts as draining until it
     /// starts again; returns whether this is new.
     pub fn mark_leaving(&mut self, now: Time, id: &str, started_ms: u64) -> bool {
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -159,9 +159,8 @@
 
 /// Records that the store's changes are received; returns whether they were not received before.
 fn record_recovery(state: &State) -> bool {
-    let is_first = state.feed.borrow().revision() == 0;
     let Some(since) = state.store_lost_at.take() else {
-        return is_first;
+        return false;
     };
     let age_ms = clock::now().saturating_sub(since).as_millis() as u64;
     info!(event = "store-regained", age_ms; "receiving changes of the store again");
@@ -207,6 +206,9 @@
 
 /// Records that the store has responded to this gateway.
 fn record_response(state: &Rc<State>) {
+    if state.feed.borrow().revision() == 0 {
+        state.catalog.borrow_mut().started(clock::now());
+    }
     if record_recovery(state) {
         grace::store_responded(state);
     }
@@ -321,7 +323,7 @@
         };
         if state.feed.borrow().urgent_revision() > after || now >= until {
             let change = state.feed.borrow().since(after, limits);
-            return Update::Changes(change, state.catalog.borrow().grace_left(now));
+            return Update::Changes(change, state.catalog.borrow().grace_for_others(now));
         }
         let left = until
             .min(responded_at + MAX_RESPONSE_AGE)
