Resume unnamed streams only if no other version can have begun them

Cause: a gateway took the only version that it saw for the only one there had been. One that has just started cannot know. Without proof such a request is refused, not run: from its start the stream would bring events twice.

--- a/crates/endivespur_core/src/gateway/stream.rs
+++ b/crates/endivespur_core/src/gateway/stream.rs
@@ -71,6 +71,9 @@
     unshared: BTreeSet<Key>,
     /// When each software version of a service was last registered or unregistered.
     registered: BTreeMap<Service, BTreeMap<Software, Time>>,
+    /// The time from which all versions are known that may have begun a stream which can be resumed; `None`
+    /// before registrations were received.
+    complete_from: Option<Time>,
 }
 
 impl Tracker {
@@ -170,14 +173,26 @@
         versions.insert(software.to_string(), now);
     }
 
+    /// Records that registrations are received from now on. Other processes may have begun streams before, unless
+    /// the whole system starts for the first time.
+    pub fn started(&mut self, now: Time, is_first_start: bool) {
+        let unknown = if is_first_start {
+            Time::ZERO
+        } else {
+            RETENTION
+        };
+        self.complete_from = Some(now + unknown);
+    }
+
     /// Returns the software version of a service that has had only one recently, by the versions of its
-    /// engines that are `current`.
+    /// engines that are `current`; `None` if others may have been there before this gateway started.
     pub fn sole_software(
         &mut self,
         now: Time,
         service: &str,
         mut current: BTreeSet<Software>,
     ) -> Option<Software> {
+        self.complete_from.filter(|from| *from <= now)?;
         if let Some(versions) = self.registered.get_mut(service) {
             versions.retain(|_, seen_at| now.saturating_sub(*seen_at) < RETENTION);
             current.extend(versions.keys().cloned());
--- a/crates/endivespur_core/tests/gateway/stream.rs
+++ b/crates/endivespur_core/tests/gateway/stream.rs
@@ -104,6 +104,7 @@
 #[test]
 fn sole_software_while_versions_change() {
     let mut tracker = Tracker::new();
+    tracker.started(ms(0), true);
     let sole = |tracker: &mut Tracker, now: Duration, current: &[&str]| {
         tracker.sole_software(now, "s", versions(current))
     };
@@ -116,3 +117,18 @@
     let later = RETENTION + ms(10);
     assert_eq!(sole(&mut tracker, later, &["v2"]), Some("v2".to_string()));
 }
+
+/// A process that had just started saw one version only, and took it for the one that had begun a stream at a process
+/// which had ended.
+#[test]
+fn sole_software_after_a_restart() {
+    let mut tracker = Tracker::new();
+    let sole =
+        |tracker: &mut Tracker, now: Duration| tracker.sole_software(now, "s", versions(&["v2"]));
+    assert_eq!(sole(&mut tracker, ms(0)), None);
+    tracker.started(ms(5), false);
+    assert_eq!(sole(&mut tracker, ms(10)), None);
+    assert_eq!(sole(&mut tracker, RETENTION), None);
+    let later = RETENTION + ms(5);
+    assert_eq!(sole(&mut tracker, later), Some("v2".to_string()));
+}
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -207,7 +207,10 @@
 /// Records that the store has responded to this gateway.
 fn record_response(state: &Rc<State>) {
     if state.feed.borrow().revision() == 0 {
-        state.catalog.borrow_mut().started(clock::now());
+        let now = clock::now();
+        state.catalog.borrow_mut().started(now);
+        let mut streams = state.streams.tracker.borrow_mut();
+        streams.started(now, state.settings.is_first_start);
     }
     if record_recovery(state) {
         grace::store_responded(state);
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -69,7 +69,10 @@
         None => None,
     };
     let probes = listen(settings.readiness_address).await?;
-    info!(event = "start", vm = settings.vm.as_str(), process = process.as_str(); "started");
+    info!(
+        event = "start", vm = settings.vm.as_str(), process = process.as_str(),
+        first = settings.is_first_start; "started"
+    );
     let state = Rc::new(State::new(settings, process, executor));
     if let Some((port, handle)) = metrics_port.zip(telemetry::install()) {
         let address = SocketAddr::new(state.settings.caller_address.ip(), port);
