--- a/crates/endivespur_dev/src/main.rs
+++ b/crates/endivespur_dev/src/main.rs
@@ -84,6 +84,10 @@
             option("folder")
                 .help("The folder for logs, by default a new one in the temporary folder"),
         )
+        .arg(
+            option("earlier")
+                .help("The daemon of an earlier release, which every second gateway runs"),
+        )
 }
 
 fn soak(matches: &ArgMatches) -> Result<(), String> {
@@ -97,6 +101,7 @@
     for seed in number("seed")..number("seed") + number("runs") {
         let options = soak::Options {
             program: program.clone(),
+            earlier_program: matches.get_one::<String>("earlier").map(PathBuf::from),
             folder: base.join(seed.to_string()),
             seed,
             rounds: number("rounds") as usize,
--- a/crates/endivespur_dev/tests/soak.rs
+++ b/crates/endivespur_dev/tests/soak.rs
@@ -9,6 +9,7 @@
         std::env::temp_dir().join(format!("endivespur-soak-{}-{seed}", std::process::id()));
     let options = soak::Options {
         program: process::build().unwrap().join("endivespurd"),
+        earlier_program: None,
         folder: folder.clone(),
         seed,
         rounds,
