Record the software versions of services in the store

Gateways that know all recent versions of a service now write them to the store, under the lease that the records of crashes have, which outlasts the gateways: one small record for each version, written when it appears or lapses, by the first of them after a delay of its own. One that starts takes a record as proof that there was no other version. A stream that no gateway knows, named or not, goes on if its route has one service, and that has had one version. With two versions it is refused as before.

--- a/crates/endivespur_core/src/gateway/stream.rs
+++ b/crates/endivespur_core/src/gateway/stream.rs
@@ -74,6 +74,8 @@
     /// The time from which all versions are known that may have begun a stream which can be resumed; `None`
     /// before registrations were received.
     complete_from: Option<Time>,
+    /// The services whose versions other processes have recorded.
+    recorded: BTreeSet<Service>,
 }
 
 impl Tracker {
@@ -184,6 +186,26 @@
         self.complete_from = Some(now + unknown);
     }
 
+    /// Records a software version of a service from the record of a process that knew all versions.
+    pub fn recorded(&mut self, now: Time, service: &str, software: &str) {
+        self.registered(now, service, software);
+        self.recorded.insert(service.to_string());
+    }
+
+    /// Returns whether all software versions are known that a service has had recently.
+    pub fn is_complete(&self, now: Time, service: &str) -> bool {
+        self.complete_from.is_some_and(|from| from <= now) || self.recorded.contains(service)
+    }
+
+    /// Returns the software versions that a service has had recently.
+    pub fn recent_software(&mut self, now: Time, service: &str) -> BTreeSet<Software> {
+        let Some(versions) = self.registered.get_mut(service) else {
+            return BTreeSet::new();
+        };
+        versions.retain(|_, seen_at| now.saturating_sub(*seen_at) < RETENTION);
+        versions.keys().cloned().collect()
+    }
+
     /// Returns the software version of a service that has had only one recently, by the versions of its
     /// engines that are `current`; `None` if others may have been there before this gateway started.
     pub fn sole_software(
@@ -192,11 +214,10 @@
         service: &str,
         mut current: BTreeSet<Software>,
     ) -> Option<Software> {
-        self.complete_from.filter(|from| *from <= now)?;
-        if let Some(versions) = self.registered.get_mut(service) {
-            versions.retain(|_, seen_at| now.saturating_sub(*seen_at) < RETENTION);
-            current.extend(versions.keys().cloned());
+        if !self.is_complete(now, service) {
+            return None;
         }
+        current.extend(self.recent_software(now, service));
         let sole = current.pop_first();
         sole.filter(|_| current.is_empty())
     }
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -13,7 +13,7 @@
 use log::{info, warn};
 
 use crate::state::State;
-use crate::{crash, member, record, stream, telemetry};
+use crate::{crash, member, record, software, stream, telemetry};
 
 /// How long the owners that have lost their claims may take to claim their engines again: a renewal of
 /// the lease, a few calls, and the delays of their ranks.
@@ -98,7 +98,10 @@
             if !apply_registration(state, item) {
                 continue;
             }
-        } else if !record::apply(state, item) && item.key.starts_with(member::KEY_PREFIX) {
+        } else if !record::apply(state, item)
+            && !software::apply(state, item)
+            && item.key.starts_with(member::KEY_PREFIX)
+        {
             apply_member(state, item);
         }
         is_urgent = true;
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod rpc;
 mod search;
 mod serve;
+mod software;
 mod start;
 mod state;
 mod stream;
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -313,7 +313,11 @@
 }
 
 /// Writes keys under a lease of its own, which outlasts this process.
-async fn write(
+///
+/// # Errors
+///
+/// Returns the cause if the store does not respond or refuses the call.
+pub async fn write(
     state: &State,
     puts: Vec<(String, Vec<u8>)>,
     expected: Vec<(String, u64)>,
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -15,7 +15,8 @@
 
 use crate::state::State;
 use crate::{
-    exposition, follow, forward, member, owner, readiness, record, rpc, serve, stream, telemetry,
+    exposition, follow, forward, member, owner, readiness, record, rpc, serve, software, stream,
+    telemetry,
 };
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
@@ -83,6 +84,7 @@
     owner::start(&state);
     record::start(&state);
     stream::start(&state);
+    software::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
     if let Some(forwards) = forwards {
         state.spawn(forward::serve(state.clone(), forwards));
--- a/crates/endivespur_gateway/src/stream.rs
+++ b/crates/endivespur_gateway/src/stream.rs
@@ -45,10 +45,11 @@
     if !call.fields.is_resumption || !call.route.retry_policy.is_stream() {
         return Ok(());
     }
-    let origin = match &call.fields.resumes {
+    let named = match &call.fields.resumes {
         Some(attempt) => locate(state, stream::key(attempt)).await,
-        None => sole_origin(state, call),
+        None => None,
     };
+    let origin = named.or_else(|| sole_origin(state, call));
     let origin = origin.filter(|origin| {
         let mut targets = call.route.targets.iter();
         targets.any(|target| target.service == origin.service)
@@ -74,9 +75,12 @@
     Ok(())
 }
 
-/// Returns the origin of a stream whose caller does not name the attempt that began it: it is known if the
-/// service has only one software version.
+/// Returns the origin of a stream that no gateway knows, or whose caller does not name the attempt that began it: it
+/// is known if the route has only one service, and that only one software version.
 fn sole_origin(state: &State, call: &Call) -> Option<Origin> {
+    if call.route.targets.len() > 1 {
+        return None;
+    }
     let catalog = state.catalog.borrow();
     let engines = catalog.endpoints();
     let current = engines
