Split requests to sources and updates for followers from the loop that follows the store

The modules of the gateway depended on each other in a cycle, which modules_without_cycles shows: follow, search and grace. Requests to a source are now in source, updates for followers in update, and follow is the loop. No behaviour changes.

--- a/crates/endivespur_gateway/src/grace.rs
+++ b/crates/endivespur_gateway/src/grace.rs
@@ -16,8 +16,8 @@
 use smol::Timer;
 
 use crate::message::Update;
+use crate::peer;
 use crate::state::State;
-use crate::{follow, peer};
 
 /// The pause between two rounds of questions to other gateways.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
@@ -89,7 +89,7 @@
         return false;
     };
     let after = state.feed.borrow().revision();
-    let reply = peer::follow(state, address, after, Duration::ZERO, follow::TRIAL_TIME).await;
+    let reply = peer::follow(state, address, after, Duration::ZERO, peer::TRIAL_TIME).await;
     match reply {
         // In an earlier era it does not know yet that the store was away.
         Ok(Update::Changes(Change::Changes(page), grace)) => {
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -38,11 +38,13 @@
 mod search;
 mod serve;
 mod software;
+mod source;
 mod start;
 mod state;
 mod stream;
 mod streams;
 mod telemetry;
 mod timer;
+mod update;
 
 pub use start::{Error, run};
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -34,6 +34,8 @@
 pub const FOLLOW_SLACK: Duration = Duration::from_millis(600);
 /// The same for replies with large values.
 const LARGE_VALUES_SLACK: Duration = Duration::from_secs(2);
+/// How long a gateway may take to reply to a request for the changes that it has, beyond the time to connect.
+pub const TRIAL_TIME: Duration = Duration::from_millis(400);
 
 /// The VM did not reply, or was not called because it did not reply recently.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -16,13 +16,13 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::follow;
 use crate::message;
 use crate::owned::Reply;
 use crate::reach;
 use crate::record;
 use crate::state::State;
 use crate::stream;
+use crate::update;
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -211,7 +211,7 @@
         let params = params.get()?;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
         let (after, with_large_values) = (params.get_after(), params.get_whole());
-        let update = follow::next_update(&self.state, after, wait, with_large_values).await;
+        let update = update::next_update(&self.state, after, wait, with_large_values).await;
         message::write_update(results.get().init_news(), &update);
         Ok(())
     }
--- a/crates/endivespur_gateway/src/search.rs
+++ b/crates/endivespur_gateway/src/search.rs
@@ -13,7 +13,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 
-use crate::follow::{self, Outcome};
+use crate::source::{self, Outcome};
 use crate::state::State;
 
 /// The time in which other gateways may answer before the store is asked, whose calls have a price.
@@ -77,7 +77,7 @@
         let candidates = self.selector.borrow().candidates(round, &zones);
         let asked = clock::now();
         let requests = candidates.into_iter().map(|vm| async move {
-            let outcome = follow::try_vm(self.state, &vm).await;
+            let outcome = source::try_vm(self.state, &vm).await;
             (Source::Vm(vm), outcome)
         });
         let mut requests: FuturesUnordered<_> = requests.collect();
@@ -98,7 +98,7 @@
         let interval = (STORE_INTERVAL_PER_VM * vms).max(STORE_INTERVAL);
         loop {
             let asked = clock::now();
-            let outcome = follow::watch(self.state, Duration::ZERO).await;
+            let outcome = source::watch(self.state, Duration::ZERO).await;
             if let Some(pause) = self.record(&Source::Store, asked, &outcome) {
                 return pause;
             }
@@ -113,7 +113,7 @@
     fn record(&self, source: &Source, asked: Time, outcome: &Outcome) -> Option<Duration> {
         let mut selector = self.selector.borrow_mut();
         let is_repeated = selector.has_failed(source);
-        follow::log_attempt(self.state, source, outcome, asked, is_repeated);
+        source::log_attempt(self.state, source, outcome, asked, is_repeated);
         if let Outcome::Changes(pause) = outcome {
             selector.record_success(source);
             Some(*pause)
