--- a/crates/endivespur_gateway/src/grace.rs
+++ b/crates/endivespur_gateway/src/grace.rs
@@ -19,7 +19,7 @@
 use crate::peer;
 use crate::state::State;
 
-/// The pause between two rounds of questions to other gateways.
+/// The pause between two rounds of requests to other gateways.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
 /// Records that the store responds to this gateway, which received no changes before.
@@ -65,12 +65,12 @@
     for round in 0.. {
         let zones = state.catalog.borrow().zones();
         let candidates = selector.candidates(round, &zones);
-        let questions = candidates.into_iter().map(|vm| {
+        let requests = candidates.into_iter().map(|vm| {
             let state = state.clone();
-            async move { keeps_none(&state, &vm).await.then_some(vm) }
+            async move { has_seen_no_outage(&state, &vm).await.then_some(vm) }
         });
-        let mut questions: FuturesUnordered<_> = questions.collect();
-        while let Some(vm) = questions.next().await {
+        let mut requests: FuturesUnordered<_> = requests.collect();
+        while let Some(vm) = requests.next().await {
             if let Some(vm) = vm {
                 return end(&state, &vm);
             }
@@ -82,8 +82,8 @@
     }
 }
 
-/// Returns whether another gateway watches the store and keeps no ended registrations.
-async fn keeps_none(state: &Rc<State>, vm: &str) -> bool {
+/// Returns whether another gateway watches the store and has seen no outage recently: it keeps no ended registrations.
+async fn has_seen_no_outage(state: &Rc<State>, vm: &str) -> bool {
     let address = state.catalog.borrow().peer(vm).map(|peer| peer.address);
     let Some(address) = address else {
         return false;
