Log and count the bytes of large values that gateways receive

The monitoring of the platform told how many bytes each gateway received while configurations were late, but not what they were. The log now says from where a large value came, its size and the time that it took, and a counter adds up the bytes by source, which tells transfers that repeat from those that are slow.

--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -179,10 +179,13 @@
     };
     if !read_large(state, &mut page).await {
         // The store does not respond to this gateway.
+        let asked = clock::now();
         let update = peer::follow_whole(state, address, after).await;
         let Ok(Update::Changes(Change::Changes(complete), _)) = update else {
+            info!(event = "large-value", from = vm; "no update with large values");
             return Outcome::Failed;
         };
+        log_received(vm, "gateway", &complete, asked);
         page = complete;
     }
     let was_lost = record_recovery(state);
@@ -195,8 +198,12 @@
 /// responded.
 async fn read_large(state: &State, page: &mut Page) -> bool {
     for key in std::mem::take(&mut page.large_keys) {
+        let asked = clock::now();
         match state.store.list(&key).await {
-            Ok(listed) => page.items.extend(listed.items),
+            Ok(listed) => {
+                log_received("store", "store", &listed, asked);
+                page.items.extend(listed.items);
+            }
             Err(error) => {
                 telemetry::store_failed("read");
                 info!(event = "large-value", key = key.as_str(); "value not read: {error}");
@@ -207,6 +214,15 @@
     true
 }
 
+/// Logs and counts the bytes of the values in a page that was requested at `asked`.
+fn log_received(source: &str, from: &'static str, page: &Page, asked: Time) {
+    let values = page.items.iter().filter_map(|item| item.value.as_ref());
+    let bytes = values.map(Vec::len).sum();
+    telemetry::value_received(from, bytes);
+    let took_ms = clock::now().saturating_sub(asked).as_millis() as u64;
+    info!(event = "large-value", from = source, bytes, took_ms; "received");
+}
+
 /// Returns for how long changes that are not urgent are batched.
 pub fn batch_time(state: &State, share: f64) -> Duration {
     let vms = state.catalog.borrow().peers().count() as u32;
