Apply small changes while a large value is on its way

Callers saw requests reach an endpoint more than three seconds after it had said that it leaves (DRAIN). A gateway applied an update of its source as a whole: it first read the configuration that the update named, from the store for 0.8 s and from its source for 2 s, and dropped what else the update held when both failed. In the record a gateway held the change for 2.8 s while it sent a request. The response of a watch of the store, which carries small changes behind a configuration, took 1.1 s over an idle link of 10 Mbit/s.

A gateway now applies what it has: an update names the large values that have changed, with their revisions, the gateway records them as missing, and a task of its own reads them. While a watch brings a large response, the watcher polls the prefixes of small values. Its position has two parts, the revisions up to which all changes and all small changes are known, and followers send both, so that neither a small change is sent twice nor a large one passed over.

--- a/crates/endivespur_core/src/gateway/feed.rs
+++ b/crates/endivespur_core/src/gateway/feed.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The size in bytes above which a value is transferred separately: at 10 Mbit/s, a VM sends one in 13 ms.
+pub const LARGE_VALUE_BYTES: usize = 16 << 10;
 /// The maximum number of removed keys that are kept: some minutes' worth at the largest sites.
 const MAX_REMOVED: usize = 4096;
 
@@ -21,10 +23,21 @@
 pub struct Page {
     /// The items or changes.
     pub items: Vec<Item>,
-    /// Further keys that changed, whose values are too large to send to all followers.
-    pub large_keys: Vec<String>,
-    /// The store's revision.
+    /// Further keys that changed, with the revisions. Their large values are transferred separately.
+    pub large: Vec<(String, u64)>,
+    /// The revision up to which all changes are included.
     pub revision: u64,
+    /// The revision up to which all changes of small values are included, if it is higher.
+    pub small_revision: u64,
+}
+
+/// How far a follower has received the changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cursor {
+    /// The revision up to which it knows all changes.
+    pub revision: u64,
+    /// The revision up to which it knows all changes of small values; not below `revision`.
+    pub small_revision: u64,
 }
 
 /// Limits of one message to a follower.
@@ -46,12 +59,17 @@
 }
 
 /// The last change of every key.
+///
+/// Small changes may be ahead of large ones: while a large value is on its way, further changes of small values are
+/// applied, and a large value that is known to have changed may be missing.
 #[derive(Clone, Debug, Default)]
 pub struct Feed {
     items: BTreeMap<String, Item>,
     by_revision: BTreeSet<(u64, String)>,
     removed: BTreeSet<(u64, String)>,
-    revision: u64,
+    /// The large values that have changed and were not received, with the revisions of their changes.
+    missing: BTreeMap<String, u64>,
+    cursor: Cursor,
     /// The revision up to which removals may have been discarded.
     compacted_revision: u64,
     /// The revisions before and after the last listing: a key that was written and removed in
@@ -59,6 +77,8 @@
     gap: (u64, u64),
     /// The revision of the last change that should reach followers at once.
     urgent_revision: u64,
+    /// The revision of the last change of a large value.
+    large_revision: u64,
 }
 
 impl Feed {
@@ -67,9 +87,32 @@
         Self::default()
     }
 
-    /// Returns the revision up to which all changes were received; 0 before the first listing.
+    /// Returns the revision up to which all changes are known; 0 before the first listing. Large values may be
+    /// missing.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.cursor.revision
+    }
+
+    /// Returns how far all changes are known.
+    pub fn cursor(&self) -> Cursor {
+        self.cursor
+    }
+
+    /// Returns the revision up to which no change and no value is missing.
+    pub fn complete_revision(&self) -> u64 {
+        let missing = self.missing.values().min();
+        let complete = missing.map_or(u64::MAX, |revision| revision.saturating_sub(1));
+        self.cursor.revision.min(complete)
+    }
+
+    /// Returns the large values that are missing, with the revisions that are needed at least.
+    pub fn missing(&self) -> &BTreeMap<String, u64> {
+        &self.missing
+    }
+
+    /// Returns the last change of a key.
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
     }
 
     /// Returns the revision of a key's last change, if the key exists.
@@ -84,9 +127,14 @@
         item.is_some_and(|item| item.value.is_some())
     }
 
-    /// Returns the revision of the last urgent change.
-    pub fn urgent_revision(&self) -> u64 {
-        self.urgent_revision
+    /// Returns whether a follower should receive changes at once.
+    pub fn has_urgent(&self, cursor: Cursor) -> bool {
+        self.urgent_revision > cursor.small_revision || self.large_revision > cursor.revision
+    }
+
+    /// Returns whether a follower that receives complete changes only should receive some at once.
+    pub fn has_urgent_complete(&self, after: u64) -> bool {
+        self.urgent_revision.min(self.complete_revision()) > after
     }
 
     /// Records that the change at `revision` should reach followers at once.
@@ -109,13 +157,13 @@
             })
             .collect();
         self.compacted_revision = self.compacted_revision.max(self.gap.1);
-        self.gap = (self.revision, page.revision);
+        self.gap = (self.cursor.revision, page.revision);
         let mut items = page.items;
         items.extend(missing);
         self.apply(Page {
             items,
-            large_keys: Vec::new(),
             revision: page.revision,
+            ..Page::default()
         })
     }
 
@@ -123,7 +171,14 @@
     pub fn apply(&mut self, page: Page) -> Vec<Item> {
         let mut changed = Vec::new();
         for item in page.items {
-            let known = self.items.get(&item.key).map_or(0, |known| known.revision);
+            if self
+                .missing
+                .get(&item.key)
+                .is_some_and(|revision| *revision <= item.revision)
+            {
+                self.missing.remove(&item.key);
+            }
+            let known = self.key_change(&item.key);
             if item.revision <= known {
                 continue;
             }
@@ -135,10 +190,23 @@
                 self.removed.insert(entry.clone());
             }
             self.by_revision.insert(entry);
+            let size = item.value.as_ref().map_or(0, Vec::len);
+            if size > LARGE_VALUE_BYTES {
+                self.large_revision = self.large_revision.max(item.revision);
+            }
             self.items.insert(item.key.clone(), item.clone());
             changed.push(item);
         }
-        self.revision = self.revision.max(page.revision);
+        for (key, revision) in page.large {
+            self.large_revision = self.large_revision.max(revision);
+            if revision > self.key_change(&key) {
+                let missing = self.missing.entry(key).or_default();
+                *missing = revision.max(*missing);
+            }
+        }
+        self.cursor.revision = self.cursor.revision.max(page.revision);
+        let small_revision = self.cursor.revision.max(page.small_revision);
+        self.cursor.small_revision = self.cursor.small_revision.max(small_revision);
         while self.removed.len() > MAX_REMOVED
             && let Some(entry) = self.removed.pop_first()
         {
@@ -149,22 +217,54 @@
         changed
     }
 
-    /// Returns the last change of each key that changed after a revision, oldest first.
+    /// Returns the revision of the last change of a key, also if it was removed; 0 if none is known.
+    fn key_change(&self, key: &str) -> u64 {
+        self.items.get(key).map_or(0, |item| item.revision)
+    }
+
+    /// Returns the last change of each key that changed after a follower's position, oldest first.
+    ///
+    /// Keys with larger values than `limits.value_bytes`, and those whose values are missing, are returned without
+    /// them.
+    pub fn since(&self, after: Cursor, limits: Limits) -> Change {
+        self.collect(after, self.cursor, limits)
+    }
+
+    /// As [`Feed::since`], for a follower that cannot receive small changes before large ones.
+    pub fn complete_since(&self, after: u64, limits: Limits) -> Change {
+        let complete = self.complete_revision();
+        let cursor = |revision| Cursor {
+            revision,
+            small_revision: revision,
+        };
+        self.collect(cursor(after), cursor(complete), limits)
+    }
+
+    /// Returns the changes between two positions.
     ///
-    /// `limits.bytes` applies to changes after the last listing only; older ones are always
-    /// included. Keys with larger values than `limits.value_bytes` are returned without them.
-    pub fn since(&self, after: u64, limits: Limits) -> Change {
-        let is_in_gap = self.gap.0 < after && after < self.gap.1;
-        if after < self.compacted_revision || is_in_gap {
+    /// `limits.bytes` applies to changes after the last listing only; older ones are always included.
+    fn collect(&self, after: Cursor, end: Cursor, limits: Limits) -> Change {
+        let is_in_gap = self.gap.0 < after.revision && after.revision < self.gap.1;
+        if after.revision < self.compacted_revision || is_in_gap {
             return Change::Compacted;
         }
+        let missing = self.missing.iter();
+        let missing = missing
+            .filter(|(_, revision)| after.revision < **revision && **revision <= end.revision);
+        let mut page = Page {
+            large: missing
+                .map(|(key, revision)| (key.clone(), *revision))
+                .collect(),
+            ..Page::default()
+        };
+        let first = (after.revision.saturating_add(1), String::new());
         let mut later = self
             .by_revision
-            .range((after + 1, String::new())..)
+            .range(first..)
+            .take_while(|(revision, _)| *revision <= end.small_revision)
             .peekable();
-        let mut page = Page::default();
         let mut bytes = 0;
-        let mut last = after;
+        let mut last = after.revision;
         // A listing is sent whole, since a watch cannot resume inside of it.
         while let Some((revision, key)) =
             later.next_if(|(revision, _)| bytes < limits.bytes || *revision <= self.gap.1)
@@ -174,20 +274,25 @@
                 continue;
             };
             let size = item.value.as_ref().map_or(0, Vec::len);
-            bytes += key.len();
             if size > limits.value_bytes {
-                page.large_keys.push(key.clone());
-            } else {
-                bytes += size;
+                // A position before this change does not include it, whatever was sent of the small changes.
+                page.large.push((key.clone(), *revision));
+                bytes += key.len();
+            } else if *revision > after.small_revision {
                 page.items.push(item.clone());
+                bytes += key.len() + size;
             }
         }
-        page.revision = match later.peek() {
+        let included = match later.peek() {
             // Several keys may have changed at one revision.
-            Some((next, _)) if *next == last => last.saturating_sub(1).max(self.gap.1).max(after),
+            Some((next, _)) if *next == last => {
+                last.saturating_sub(1).max(self.gap.1).max(after.revision)
+            }
             Some(_) => last.max(self.gap.1),
-            None => self.revision,
+            None => end.small_revision,
         };
+        page.revision = included.min(end.revision);
+        page.small_revision = included;
         Change::Changes(page)
     }
 }
--- a/crates/endivespur_core/tests/gateway/feed.rs
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -1,7 +1,7 @@
 //! Gateways follow other gateways, which may be ahead, behind or restarted.
 
 use assert_matches::assert_matches;
-use endivespur_core::gateway::feed::{Change, Feed, Item, Limits, Page};
+use endivespur_core::gateway::feed::{Change, Cursor, Feed, Item, LARGE_VALUE_BYTES, Limits, Page};
 
 /// Limits that the tests do not reach, except for large values.
 const ALL: Limits = Limits {
@@ -28,20 +28,29 @@
     Page {
         items,
         revision,
+        small_revision: revision,
         ..Page::default()
     }
 }
 
+/// Returns the position of a follower that has received all changes up to a revision.
+fn at(revision: u64) -> Cursor {
+    Cursor {
+        revision,
+        small_revision: revision,
+    }
+}
+
 /// Applies all changes of `from` since the revision of `feed`.
 fn follow(feed: &mut Feed, from: &Feed) {
-    let Change::Changes(page) = from.since(feed.revision(), ALL) else {
+    let Change::Changes(page) = from.since(feed.cursor(), ALL) else {
         panic!("compacted");
     };
     feed.apply(page);
 }
 
 fn keys_since(feed: &Feed, after: u64) -> Vec<String> {
-    match feed.since(after, ALL) {
+    match feed.since(at(after), ALL) {
         Change::Changes(page) => page.items.into_iter().map(|item| item.key).collect(),
         Change::Compacted => panic!("compacted"),
     }
@@ -94,7 +103,7 @@
     source.apply(page(items.collect(), 13));
     let few = Limits { bytes: 80, ..ALL };
     for _ in 0..12 {
-        let Change::Changes(page) = source.since(feed.revision(), few) else {
+        let Change::Changes(page) = source.since(feed.cursor(), few) else {
             panic!("compacted");
         };
         assert!(page.items.len() <= 9);
@@ -116,11 +125,10 @@
     };
     source.apply(page(vec![large.clone(), item("b", 3)], 3));
     assert_eq!(
-        source.since(1, ALL),
+        source.since(at(1), ALL),
         Change::Changes(Page {
-            items: vec![item("b", 3)],
-            large_keys: vec!["config".to_string()],
-            revision: 3,
+            large: vec![("config".to_string(), 2)],
+            ..page(vec![item("b", 3)], 3)
         })
     );
     let whole = Limits {
@@ -128,7 +136,7 @@
         value_bytes: usize::MAX,
     };
     assert_eq!(
-        source.since(1, whole),
+        source.since(at(1), whole),
         Change::Changes(page(vec![large, item("b", 3)], 3))
     );
 }
@@ -139,17 +147,17 @@
     let mut source = Feed::new();
     source.replace(page(vec![item("a", 1)], 5));
     source.replace(page(vec![item("a", 1)], 20));
-    assert_matches!(source.since(12, ALL), Change::Compacted);
-    assert_matches!(source.since(5, ALL), Change::Changes(_));
-    assert_matches!(source.since(20, ALL), Change::Changes(_));
+    assert_matches!(source.since(at(12), ALL), Change::Compacted);
+    assert_matches!(source.since(at(5), ALL), Change::Changes(_));
+    assert_matches!(source.since(at(20), ALL), Change::Changes(_));
 }
 
 #[test]
 fn since_restarted_source() {
     let mut source = Feed::new();
     source.replace(page(vec![item("a", 1)], 20));
-    assert_matches!(source.since(12, ALL), Change::Compacted);
-    assert_matches!(source.since(0, ALL), Change::Changes(_));
+    assert_matches!(source.since(at(12), ALL), Change::Compacted);
+    assert_matches!(source.since(at(0), ALL), Change::Changes(_));
 }
 
 #[test]
@@ -161,7 +169,7 @@
         feed.apply(page(vec![item(&key, 2 * number + 2)], 2 * number + 2));
         feed.apply(page(vec![removed(&key, 2 * number + 3)], 2 * number + 3));
     }
-    assert_matches!(feed.since(2, ALL), Change::Compacted);
+    assert_matches!(feed.since(at(2), ALL), Change::Compacted);
     assert!(keys_since(&feed, feed.revision() - 20).len() <= 11);
 }
 
@@ -173,7 +181,125 @@
     source.mark_urgent(4);
     let mut feed = Feed::new();
     feed.apply(page(Vec::new(), 1));
-    assert!(source.urgent_revision() > feed.revision());
+    assert!(source.has_urgent(feed.cursor()));
+    assert!(source.has_urgent_complete(feed.revision()));
+    follow(&mut feed, &source);
+    assert!(!source.has_urgent(feed.cursor()));
+    assert!(!source.has_urgent_complete(feed.revision()));
+}
+
+/// Returns a value that is transferred separately.
+fn large(key: &str, revision: u64) -> Item {
+    Item {
+        value: Some(vec![b'x'; LARGE_VALUE_BYTES + 1]),
+        ..item(key, revision)
+    }
+}
+
+/// Returns a gateway on which a large value of revision 2 is on its way, and which has received the small changes up
+/// to revision 4 meanwhile.
+fn source_that_receives_a_large_value() -> Feed {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 1));
+    source.apply(Page {
+        items: vec![item("b", 3)],
+        small_revision: 4,
+        ..Page::default()
+    });
+    source
+}
+
+/// An endpoint that left was known only when a configuration that had changed before had arrived.
+#[test]
+fn since_small_changes_before_a_large_one() {
+    let mut source = source_that_receives_a_large_value();
+    let mut feed = Feed::new();
+    feed.apply(page(Vec::new(), 1));
+    follow(&mut feed, &source);
+    assert!(feed.contains("b"));
+    let cursor = Cursor {
+        revision: 1,
+        small_revision: 4,
+    };
+    assert_eq!(feed.cursor(), cursor);
+    // The large value arrives after small changes with higher revisions.
+    source.apply(page(vec![large("config", 2)], 3));
+    assert!(source.has_urgent(feed.cursor()));
+    follow(&mut feed, &source);
+    assert_eq!(feed.missing().get("config"), Some(&2));
+    assert_eq!((feed.revision(), feed.complete_revision()), (3, 1));
+    assert!(!source.has_urgent(feed.cursor()));
+}
+
+/// Small changes that a follower has received must not be sent again and again while a large value is on its way.
+#[test]
+fn since_small_changes_once() {
+    let source = source_that_receives_a_large_value();
+    let mut feed = Feed::new();
+    feed.apply(page(Vec::new(), 1));
     follow(&mut feed, &source);
-    assert!(source.urgent_revision() <= feed.revision());
+    let Change::Changes(page) = source.since(feed.cursor(), ALL) else {
+        panic!("compacted");
+    };
+    assert_eq!(page.items, []);
+    assert!(!source.has_urgent(feed.cursor()));
+}
+
+/// Followers of the release at commit 9fad22f know one revision only, and would never ask for what changed before it.
+#[test]
+fn complete_since_without_a_large_value() {
+    let mut source = source_that_receives_a_large_value();
+    assert_eq!(
+        source.complete_since(1, ALL),
+        Change::Changes(page(Vec::new(), 1))
+    );
+    assert!(!source.has_urgent_complete(1));
+    source.apply(page(vec![large("config", 2)], 3));
+    source.mark_urgent(2);
+    assert!(source.has_urgent_complete(1));
+    let Change::Changes(page) = source.complete_since(1, ALL) else {
+        panic!("compacted");
+    };
+    assert_eq!(page.large, [("config".to_string(), 2)]);
+    assert_eq!(page.items, [item("b", 3)]);
+    assert_eq!(page.revision, 3);
+}
+
+/// A gateway that lacks a value must not send others a revision behind which they would not ask for it.
+#[test]
+fn complete_since_a_missing_value() {
+    let mut feed = Feed::new();
+    feed.apply(page(Vec::new(), 1));
+    feed.apply(Page {
+        large: vec![("config".to_string(), 2)],
+        ..page(vec![item("b", 3)], 3)
+    });
+    assert_eq!(
+        feed.complete_since(1, ALL),
+        Change::Changes(page(Vec::new(), 1))
+    );
+    let Change::Changes(announced) = feed.since(at(1), ALL) else {
+        panic!("compacted");
+    };
+    assert_eq!(announced.large, [("config".to_string(), 2)]);
+    feed.apply(page(vec![large("config", 2)], 0));
+    assert!(feed.missing().is_empty());
+    assert_eq!(feed.complete_revision(), 3);
+}
+
+/// A newer value than the one that was announced takes its place.
+#[test]
+fn apply_newer_value_than_missing() {
+    let mut feed = Feed::new();
+    feed.apply(Page {
+        large: vec![("config".to_string(), 2)],
+        ..page(Vec::new(), 3)
+    });
+    feed.apply(page(vec![large("config", 5)], 0));
+    assert!(feed.missing().is_empty());
+    feed.apply(Page {
+        large: vec![("config".to_string(), 5)],
+        ..page(Vec::new(), 5)
+    });
+    assert!(feed.missing().is_empty());
 }
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -25,8 +25,12 @@
 /// whether it serves, of documents, of claims and of records of crashes are urgent.
 pub fn apply(state: &Rc<State>, page: Page) -> bool {
     let era = Era::enter(state, page.revision);
+    let announces = !page.large.is_empty();
     let items = state.feed.borrow_mut().apply(page);
     let is_urgent = apply_items(state, &items);
+    if announces {
+        state.notify();
+    }
     if let Some(era) = era {
         era.recover(state);
     }
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -39,6 +39,7 @@
             }
             None => search::search(&state, &mut selector).await,
         };
+        *state.source.borrow_mut() = selector.current().cloned();
         if matches!(selector.current(), Some(Source::Vm(_))) {
             source::stop_watching(&state);
         }
--- a/crates/endivespur_gateway/src/grace.rs
+++ b/crates/endivespur_gateway/src/grace.rs
@@ -88,12 +88,13 @@
     let Some(address) = address else {
         return false;
     };
-    let after = state.feed.borrow().revision();
-    let reply = peer::follow(state, address, after, Duration::ZERO, peer::TRIAL_TIME).await;
-    match reply {
+    let after = state.feed.borrow().cursor();
+    let complete = state.feed.borrow().complete_revision();
+    let (wait, limit) = (Duration::ZERO, peer::TRIAL_TIME);
+    match peer::changes(state, address, after, complete, wait, limit).await {
         // In an earlier era it does not know yet that the store was away.
         Ok(Update::Changes(Change::Changes(page), grace)) => {
-            grace.is_zero() && store::era(page.revision) >= store::era(after)
+            grace.is_zero() && store::era(page.revision) >= store::era(after.revision)
         }
         _ => false,
     }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway: serves callers' requests with the engines registered on the platform.
 //!
 //! [`follow`] keeps the [`catalog`] and the claims up to date from the store or from other
-//! gateways, [`member`] keeps the VM's lease and claims engines, [`owner`] sends orders to the
+//! gateways, [`fetch`] reads large values that have changed, [`member`] keeps the VM's lease and claims engines, [`owner`] sends orders to the
 //! engines that this VM owns, [`peer`] and [`rpc`] are the two sides of the calls between VMs, and
 //! [`serve`] handles the requests of callers.
 
@@ -13,6 +13,7 @@
 mod crash;
 mod exchange;
 mod exposition;
+mod fetch;
 mod follow;
 mod forward;
 mod generate;
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -12,7 +12,7 @@
 use endivespur_core::gateway::room::Hold;
 use endivespur_core::gateway::stream::{Batch, Origin};
 use endivespur_wire::gateway_capnp::{
-    self, ask, changes, news, reply, room_reply, streams, token_reply,
+    self, ask, item, news, reply, room_reply, streams, token_reply, update,
 };
 
 use crate::owned::Reply;
@@ -182,8 +182,8 @@
         .collect()
 }
 
-/// Writes an update for a follower.
-pub fn write_update(mut to: news::Builder<'_>, update: &Update) {
+/// Writes an update for a follower of an older release, which reads large values from the store.
+pub fn write_news(mut to: news::Builder<'_>, update: &Update) {
     match update {
         Update::Stale => to.set_away(()),
         Update::Changes(Change::Compacted, _) => to.set_compacted(()),
@@ -191,43 +191,103 @@
             let mut to = to.init_changes();
             to.set_revision(page.revision);
             to.set_settling_ms(grace.as_millis() as u32);
-            let mut large = to.reborrow().init_large(page.large_keys.len() as u32);
-            for (index, key) in page.large_keys.iter().enumerate() {
+            let mut large = to.reborrow().init_large(page.large.len() as u32);
+            for (index, (key, _)) in page.large.iter().enumerate() {
                 large.set(index as u32, key);
             }
-            let mut items = to.init_items(page.items.len() as u32);
-            for (index, item) in page.items.iter().enumerate() {
-                let mut to = items.reborrow().get(index as u32);
-                to.set_key(&item.key);
-                to.set_present(item.value.is_some());
-                to.set_value(item.value.as_deref().unwrap_or_default());
-                to.set_revision(item.revision);
-            }
+            write_items(to.init_items(page.items.len() as u32), &page.items);
         }
     }
 }
 
-/// Reads an update from a watcher.
+/// Reads an update and the keys of large values from a gateway of an older release.
 ///
 /// # Errors
 ///
 /// Returns an error if the message is malformed.
-pub fn read_update(from: news::Reader<'_>) -> Result<Update, capnp::Error> {
+pub fn read_news(from: news::Reader<'_>) -> Result<(Update, Vec<String>), capnp::Error> {
     Ok(match from.which()? {
-        news::Which::Away(()) => Update::Stale,
-        news::Which::Compacted(()) => Update::Changes(Change::Compacted, Duration::ZERO),
+        news::Which::Away(()) => (Update::Stale, Vec::new()),
+        news::Which::Compacted(()) => {
+            let update = Update::Changes(Change::Compacted, Duration::ZERO);
+            (update, Vec::new())
+        }
         news::Which::Changes(from) => {
             let from = from?;
             let grace = Duration::from_millis(u64::from(from.get_settling_ms()));
-            Update::Changes(Change::Changes(read_page(from)?), grace)
+            let keys = from.get_large()?.iter();
+            let keys: Result<Vec<String>, capnp::Error> =
+                keys.map(|key| Ok(key?.to_string()?)).collect();
+            let page = Page {
+                items: read_items(from.get_items()?)?,
+                revision: from.get_revision(),
+                ..Page::default()
+            };
+            (Update::Changes(Change::Changes(page), grace), keys?)
         }
     })
 }
 
-fn read_page(from: changes::Reader<'_>) -> Result<Page, capnp::Error> {
-    let items: Result<Vec<Item>, capnp::Error> = from
-        .get_items()?
-        .iter()
+/// Writes an update for a follower.
+pub fn write_update(mut to: update::Builder<'_>, update: &Update) {
+    match update {
+        Update::Stale => to.set_stale(()),
+        Update::Changes(Change::Compacted, _) => to.set_compacted(()),
+        Update::Changes(Change::Changes(page), grace) => {
+            let mut to = to.init_changes();
+            to.set_revision(page.revision);
+            to.set_small_revision(page.small_revision);
+            to.set_grace_ms(grace.as_millis() as u32);
+            let mut large = to.reborrow().init_large(page.large.len() as u32);
+            for (index, (key, revision)) in page.large.iter().enumerate() {
+                let mut to = large.reborrow().get(index as u32);
+                to.set_key(key);
+                to.set_revision(*revision);
+            }
+            write_items(to.init_items(page.items.len() as u32), &page.items);
+        }
+    }
+}
+
+/// Reads an update from a watcher.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed.
+pub fn read_update(from: update::Reader<'_>) -> Result<Update, capnp::Error> {
+    Ok(match from.which()? {
+        update::Which::Stale(()) => Update::Stale,
+        update::Which::Compacted(()) => Update::Changes(Change::Compacted, Duration::ZERO),
+        update::Which::Changes(from) => {
+            let grace = Duration::from_millis(u64::from(from.get_grace_ms()));
+            let large: Result<Vec<(String, u64)>, capnp::Error> = from
+                .get_large()?
+                .iter()
+                .map(|large| Ok((large.get_key()?.to_string()?, large.get_revision())))
+                .collect();
+            let page = Page {
+                items: read_items(from.get_items()?)?,
+                large: large?,
+                revision: from.get_revision(),
+                small_revision: from.get_small_revision(),
+            };
+            Update::Changes(Change::Changes(page), grace)
+        }
+    })
+}
+
+fn write_items(mut to: struct_list::Builder<'_, item::Owned>, items: &[Item]) {
+    for (index, item) in items.iter().enumerate() {
+        let mut to = to.reborrow().get(index as u32);
+        to.set_key(&item.key);
+        to.set_present(item.value.is_some());
+        to.set_value(item.value.as_deref().unwrap_or_default());
+        to.set_revision(item.revision);
+    }
+}
+
+fn read_items(from: struct_list::Reader<'_, item::Owned>) -> Result<Vec<Item>, capnp::Error> {
+    from.iter()
         .map(|item| {
             let value = item.get_present().then(|| item.get_value()).transpose()?;
             Ok(Item {
@@ -236,15 +296,5 @@
                 revision: item.get_revision(),
             })
         })
-        .collect();
-    let large_keys: Result<Vec<String>, capnp::Error> = from
-        .get_large()?
-        .iter()
-        .map(|key| Ok(key?.to_string()?))
-        .collect();
-    Ok(Page {
-        items: items?,
-        large_keys: large_keys?,
-        revision: from.get_revision(),
-    })
+        .collect()
 }
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_core::gateway::endpoint::Weights;
+use endivespur_core::gateway::feed::{Change, Cursor};
 use endivespur_core::gateway::limit::{Decision, Rate};
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::gateway::reach::Reach;
@@ -32,7 +33,7 @@
 /// How long a reply with changes of the store may take: twice the time in which a VM with 10 Mbit/s sends the
 /// largest reply to all its followers.
 pub const FOLLOW_SLACK: Duration = Duration::from_millis(600);
-/// The same for replies with large values.
+/// How long a reply with large values may take.
 const LARGE_VALUES_SLACK: Duration = Duration::from_secs(2);
 /// How long a gateway may take to reply to a request for the changes that it has, beyond the time to connect.
 pub const TRIAL_TIME: Duration = Duration::from_millis(400);
@@ -45,6 +46,22 @@
     if let Some(client) = state.peers.clients.borrow().get(&address) {
         return Ok(client.clone());
     }
+    let (client, system) = connect(address).await?;
+    let task_state = state.clone();
+    state.spawn(async move {
+        if let Err(error) = system.await {
+            info!(event = "peer-connection", address:% = address; "{error}");
+        }
+        task_state.peers.clients.borrow_mut().remove(&address);
+        task_state.peers.disconnected(address);
+    });
+    let mut clients = state.peers.clients.borrow_mut();
+    clients.insert(address, client.clone());
+    Ok(client)
+}
+
+/// Connects to the gateway at an address; returns the client and the system that runs it.
+async fn connect(address: SocketAddr) -> Result<(gateway::Client, RpcSystem<Side>), String> {
     let stream = timer::within(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok_or("connect: timeout")?
@@ -58,20 +75,8 @@
         capnp::message::ReaderOptions::new(),
     );
     let mut system = RpcSystem::new(Box::new(network), None);
-    let client: gateway::Client = system.bootstrap(Side::Server);
-    let task_state = state.clone();
-    state.spawn(async move {
-        if let Err(error) = system.await {
-            info!(event = "peer-connection", address:% = address; "{error}");
-        }
-        task_state.peers.clients.borrow_mut().remove(&address);
-    });
-    state
-        .peers
-        .clients
-        .borrow_mut()
-        .insert(address, client.clone());
-    Ok(client)
+    let client = system.bootstrap(Side::Server);
+    Ok((client, system))
 }
 
 /// Calls the gateway at an address; returns `None` if it does not reply within `limit`.
@@ -143,52 +148,75 @@
     request(state, address, wait + REPLY_SLACK, send).await
 }
 
-/// Requests the store's changes after a revision, without large values, from the gateway at an address. It may
-/// wait for changes for `wait`, and must reply within `limit`.
+/// Requests the store's changes after a position, without large values, from the gateway at an address. It may wait
+/// for changes for `wait`, and must reply within `limit`. A gateway of an older release gets `complete` as the position,
+/// up to which no large value is missing.
 ///
 /// # Errors
 ///
 /// Returns [`Unresponsive`] if it does not reply.
-pub async fn follow(
+pub async fn changes(
     state: &Rc<State>,
     address: SocketAddr,
-    after: u64,
+    after: Cursor,
+    complete: u64,
     wait: Duration,
     limit: Duration,
 ) -> Result<Update, Unresponsive> {
-    request(state, address, limit, async |client: gateway::Client| {
-        request_changes(client, after, wait, false).await
-    })
-    .await
+    if !state.peers.is_older(address) {
+        let send = async |client: gateway::Client| {
+            let mut request = client.changes_request();
+            let mut to = request.get();
+            to.set_after(after.revision);
+            to.set_after_small(after.small_revision);
+            to.set_wait_ms(wait.as_millis() as u32);
+            let response = request.send().promise.await;
+            let update = response
+                .and_then(|response| message::read_update(response.get()?.get_update()?).map(Some));
+            unless_unimplemented(update, None)
+        };
+        if let Some(update) = request(state, address, limit, send).await? {
+            return Ok(update);
+        }
+        state.peers.found_older(address);
+    }
+    let send = async |client: gateway::Client| {
+        let mut request = client.follow_request();
+        request.get().set_after(complete);
+        request.get().set_wait_ms(wait.as_millis() as u32);
+        let response = request.send().promise.await?;
+        message::read_news(response.get()?.get_news()?)
+    };
+    let (mut update, large_keys) = request(state, address, limit, send).await?;
+    if let Update::Changes(Change::Changes(page), _) = &mut update {
+        // It does not tell at which revisions they have changed.
+        page.large = large_keys
+            .into_iter()
+            .map(|key| (key, complete + 1))
+            .collect();
+    }
+    Ok(update)
 }
 
-/// Requests all of the store's changes after a revision from the gateway at an address, to be sent at once.
+/// Requests all changes after a revision, with large values, from the gateway at an address.
 ///
 /// # Errors
 ///
 /// Returns [`Unresponsive`] if it does not reply.
-pub async fn follow_whole(
+pub async fn whole_changes(
     state: &Rc<State>,
     address: SocketAddr,
     after: u64,
 ) -> Result<Update, Unresponsive> {
-    let send =
-        async |client: gateway::Client| request_changes(client, after, Duration::ZERO, true).await;
-    request(state, address, LARGE_VALUES_SLACK, send).await
-}
-
-async fn request_changes(
-    client: gateway::Client,
-    after: u64,
-    wait: Duration,
-    with_large_values: bool,
-) -> Result<Update, capnp::Error> {
-    let mut request = client.follow_request();
-    request.get().set_after(after);
-    request.get().set_wait_ms(wait.as_millis() as u32);
-    request.get().set_whole(with_large_values);
-    let response = request.send().promise.await?;
-    message::read_update(response.get()?.get_news()?)
+    let send = async |client: gateway::Client| {
+        let mut request = client.follow_request();
+        request.get().set_after(after);
+        request.get().set_whole(true);
+        let response = request.send().promise.await?;
+        message::read_news(response.get()?.get_news()?)
+    };
+    let reply = request(state, address, LARGE_VALUES_SLACK, send).await?;
+    Ok(reply.0)
 }
 
 /// Notifies the owner at an address that the response to a granted request has started.
--- a/crates/endivespur_gateway/src/peers.rs
+++ b/crates/endivespur_gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! The open connections to other gateways.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
 pub struct Peers {
     /// The clients by address.
     pub clients: RefCell<BTreeMap<SocketAddr, gateway::Client>>,
+    /// The gateways of an older release, which send changes by another call.
+    older: RefCell<BTreeSet<SocketAddr>>,
     unresponsive: RefCell<BTreeMap<SocketAddr, Time>>,
     /// The gateways that could not tell whether endpoints are up, with the time until which they are not
     /// asked again.
@@ -47,6 +49,23 @@
         }
     }
 
+    /// Returns whether a gateway is of an older release.
+    pub fn is_older(&self, address: SocketAddr) -> bool {
+        self.older.borrow().contains(&address)
+    }
+
+    /// Records that a gateway is of an older release, as long as the connection to it lasts.
+    pub fn found_older(&self, address: SocketAddr) {
+        if self.older.borrow_mut().insert(address) {
+            info!(event = "peer-older", address:% = address; "sends changes as an older release");
+        }
+    }
+
+    /// Records that a connection to a gateway has ended: it may be upgraded.
+    pub fn disconnected(&self, address: SocketAddr) {
+        self.older.borrow_mut().remove(&address);
+    }
+
     /// Returns whether a VM recently could not tell whether endpoints are up.
     pub fn is_without_links(&self, address: SocketAddr) -> bool {
         let until = self.without_links.borrow().get(&address).copied();
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Weights;
+use endivespur_core::gateway::feed::Cursor;
 use endivespur_core::gateway::limit::Limit;
 use endivespur_core::gateway::room;
 use endivespur_core::gateway::stream::Key;
@@ -211,8 +212,24 @@
         let params = params.get()?;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
         let (after, with_large_values) = (params.get_after(), params.get_whole());
-        let update = update::next_update(&self.state, after, wait, with_large_values).await;
-        message::write_update(results.get().init_news(), &update);
+        let update = update::next_complete(&self.state, after, wait, with_large_values).await;
+        message::write_news(results.get().init_news(), &update);
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: gateway::ChangesParams,
+        mut results: gateway::ChangesResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let after = Cursor {
+            revision: params.get_after(),
+            small_revision: params.get_after_small(),
+        };
+        let update = update::next_update(&self.state, after, wait).await;
+        message::write_update(results.get().init_update(), &update);
         Ok(())
     }
 
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -5,19 +5,32 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::feed::{Change, Page};
+use endivespur_core::gateway::feed::{Change, Item, LARGE_VALUE_BYTES, Page};
 use endivespur_core::gateway::source::Source;
-use endivespur_platform::store;
+use endivespur_platform::{Progress, document, registration, store};
+use futures_util::future::try_join_all;
 use log::{Level, debug, info, log};
+use smol::Timer;
+use smol::future::FutureExt;
 
 use crate::message::Update;
 use crate::state::State;
-use crate::{apply, grace, peer, telemetry};
+use crate::{apply, grace, member, peer, telemetry};
 
 /// The time without changes from a source above which a gateway's view of the store is logged as late.
 const LATE_VIEW: Duration = Duration::from_millis(1500);
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
+/// The prefixes of the keys whose values are small.
+const SMALL_VALUE_PREFIXES: [&str; 3] = [
+    member::KEY_PREFIX,
+    document::VERSION_KEY_PREFIX,
+    registration::KEY_PREFIX,
+];
+/// The pause between two polls of small changes.
+const SMALL_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The pause after an update of an older release, which repeats changes while a large value is missing.
+const REPEATED_PAUSE: Duration = Duration::from_millis(100);
 /// The pause after urgent changes, in which the changes of claims arrive that follow the end of a
 /// lease.
 const URGENT_PAUSE: Duration = Duration::from_millis(50);
@@ -89,7 +102,13 @@
     let change = if revision == 0 {
         Ok(Change::Compacted)
     } else {
-        state.store.watch(ALL_KEYS, revision, wait).await
+        let progress = Progress::new();
+        let watch = state
+            .store
+            .watch_with_progress(ALL_KEYS, revision, wait, &progress);
+        watch
+            .or(poll_small_changes(state, revision, &progress))
+            .await
     };
     match change {
         Ok(Change::Compacted) => list(state).await,
@@ -107,6 +126,52 @@
     }
 }
 
+/// Applies small changes after a revision while the response to a watch brings a large one, which may take seconds.
+/// Never returns.
+async fn poll_small_changes<T>(state: &Rc<State>, revision: u64, progress: &Progress) -> T {
+    progress.exceeds(LARGE_VALUE_BYTES).await;
+    info!(event = "large-value", from = "store", revision; "receiving");
+    let mut after = revision;
+    loop {
+        let polls =
+            SMALL_VALUE_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
+        match try_join_all(polls).await {
+            Ok(changes) => {
+                if let Some(page) = merge(changes) {
+                    record_response(state);
+                    after = page.small_revision;
+                    apply::apply(state, page);
+                }
+            }
+            Err(error) => debug!(event = "store-failed"; "{error}"),
+        }
+        Timer::after(SMALL_POLL_INTERVAL).await;
+    }
+}
+
+/// Merges the changes below several prefixes up to the lowest of their revisions; `None` if some are no longer kept.
+fn merge(changes: Vec<Change>) -> Option<Page> {
+    let pages: Option<Vec<Page>> = changes
+        .into_iter()
+        .map(|change| match change {
+            Change::Changes(page) => Some(page),
+            Change::Compacted => None,
+        })
+        .collect();
+    let pages = pages?;
+    let small_revision = pages.iter().map(|page| page.revision).min()?;
+    let items = pages.into_iter().flat_map(|page| page.items);
+    let mut items: Vec<Item> = items
+        .filter(|item| item.revision <= small_revision)
+        .collect();
+    items.sort_by_key(|item| item.revision);
+    Some(Page {
+        items,
+        small_revision,
+        ..Page::default()
+    })
+}
+
 /// Lists all keys.
 async fn list(state: &Rc<State>) -> Outcome {
     match state.store.list(ALL_KEYS).await {
@@ -166,61 +231,29 @@
     let Some(address) = address else {
         return Outcome::Failed;
     };
-    let after = state.feed.borrow().revision();
+    let after = state.feed.borrow().cursor();
+    let complete = state.feed.borrow().complete_revision();
     let limit = wait + reply_time.unwrap_or(peer::FOLLOW_SLACK);
-    let (mut page, grace) = match peer::follow(state, address, after, wait, limit).await {
-        Ok(Update::Changes(Change::Changes(page), grace)) => (page, grace),
-        Ok(Update::Changes(Change::Compacted, _)) => return list(state).await,
+    match peer::changes(state, address, after, complete, wait, limit).await {
+        Ok(Update::Changes(Change::Changes(page), grace)) => {
+            let was_lost = record_recovery(state);
+            grace::source_replied(state, vm, grace, was_lost);
+            apply::apply(state, page);
+            let is_repeated =
+                state.peers.is_older(address) && !state.feed.borrow().missing().is_empty();
+            Outcome::Changes(if is_repeated {
+                REPEATED_PAUSE
+            } else {
+                Duration::ZERO
+            })
+        }
+        Ok(Update::Changes(Change::Compacted, _)) => list(state).await,
         Ok(Update::Stale) => {
             debug!(event = "source-away", vm; "has no recent response from the store");
-            return Outcome::Stale;
+            Outcome::Stale
         }
-        Err(peer::Unresponsive) => return Outcome::Failed,
-    };
-    if !read_large(state, &mut page).await {
-        // The store does not respond to this gateway.
-        let asked = clock::now();
-        let update = peer::follow_whole(state, address, after).await;
-        let Ok(Update::Changes(Change::Changes(complete), _)) = update else {
-            info!(event = "large-value", from = vm; "no update with large values");
-            return Outcome::Failed;
-        };
-        log_received(vm, "gateway", &complete, asked);
-        page = complete;
+        Err(peer::Unresponsive) => Outcome::Failed,
     }
-    let was_lost = record_recovery(state);
-    grace::source_replied(state, vm, grace, was_lost);
-    apply::apply(state, page);
-    Outcome::Changes(Duration::ZERO)
-}
-
-/// Reads the values that a watcher left out because of their size; returns whether the store
-/// responded.
-async fn read_large(state: &State, page: &mut Page) -> bool {
-    for key in std::mem::take(&mut page.large_keys) {
-        let asked = clock::now();
-        match state.store.list(&key).await {
-            Ok(listed) => {
-                log_received("store", "store", &listed, asked);
-                page.items.extend(listed.items);
-            }
-            Err(error) => {
-                telemetry::store_failed("read");
-                info!(event = "large-value", key = key.as_str(); "value not read: {error}");
-                return false;
-            }
-        }
-    }
-    true
-}
-
-/// Logs and counts the bytes of the values in a page that was requested at `asked`.
-fn log_received(source: &str, from: &'static str, page: &Page, asked: Time) {
-    let values = page.items.iter().filter_map(|item| item.value.as_ref());
-    let bytes = values.map(Vec::len).sum();
-    telemetry::value_received(from, bytes);
-    let took_ms = clock::now().saturating_sub(asked).as_millis() as u64;
-    info!(event = "large-value", from = source, bytes, took_ms; "received");
 }
 
 /// Returns for how long changes that are not urgent are batched.
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -15,8 +15,8 @@
 
 use crate::state::State;
 use crate::{
-    exposition, follow, forward, member, owner, readiness, record, rpc, serve, software, stream,
-    telemetry,
+    exposition, fetch, follow, forward, member, owner, readiness, record, rpc, serve, software,
+    stream, telemetry,
 };
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
@@ -80,6 +80,7 @@
         state.spawn(exposition::serve(state.clone(), address, handle));
     }
     follow::start(&state);
+    fetch::start(&state);
     member::start(&state);
     owner::start(&state);
     record::start(&state);
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -14,6 +14,7 @@
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::gateway::reach;
 use endivespur_core::gateway::room;
+use endivespur_core::gateway::source::Source;
 use endivespur_core::id::{Endpoint, Process};
 use endivespur_core::retry::Budget;
 use endivespur_http::connection::Connection;
@@ -60,6 +61,8 @@
     pub catalog: RefCell<Catalog>,
     /// The store's keys and changes, for the gateways that follow this one.
     pub feed: RefCell<Feed>,
+    /// The source that answered last, if it has not failed since.
+    pub source: RefCell<Option<Source>>,
     /// When the store last responded to this gateway, if it watches the store.
     pub store_responded_at: Cell<Option<Time>>,
     /// When this gateway last received the store's changes, possibly none, from a source.
@@ -128,6 +131,7 @@
             engines: Client::new(),
             catalog: RefCell::new(Catalog::new()),
             feed: RefCell::new(Feed::new()),
+            source: RefCell::new(None),
             store_responded_at: Cell::new(None),
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(Claims::new()),
--- a/crates/endivespur_gateway/src/update.rs
+++ b/crates/endivespur_gateway/src/update.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::feed::Limits;
+use endivespur_core::gateway::feed::{Change, Cursor, LARGE_VALUE_BYTES, Limits};
 
 use crate::message::Update;
 use crate::state::State;
@@ -16,19 +16,28 @@
 /// and in 0.3 s to all of them.
 const REPLY_LIMITS: Limits = Limits {
     bytes: 32 << 10,
-    value_bytes: 16 << 10,
+    value_bytes: LARGE_VALUE_BYTES,
 };
-/// The same for a follower that cannot read large values from the store.
+/// The same for a follower of an older release that cannot read large values from the store.
 const LARGE_REPLY_LIMITS: Limits = Limits {
     bytes: 1 << 20,
     value_bytes: usize::MAX,
 };
 
-/// Returns the update for a follower that has received the changes up to revision `after`.
+/// Returns the update for a follower that has received the changes up to a position.
 ///
-/// Waits at most `wait` while there is no urgent change. Large values are included only if
-/// `with_large_values` is set.
-pub async fn next_update(
+/// Waits at most `wait` while there is no urgent change.
+pub async fn next_update(state: &State, after: Cursor, wait: Duration) -> Update {
+    let is_urgent = || state.feed.borrow().has_urgent(after);
+    next(state, wait, is_urgent, || {
+        state.feed.borrow().since(after, REPLY_LIMITS)
+    })
+    .await
+}
+
+/// As [`next_update`], for a follower of an older release, which has received all changes up to revision `after`.
+/// Large values are included only if `with_large_values` is set.
+pub async fn next_complete(
     state: &State,
     after: u64,
     wait: Duration,
@@ -39,6 +48,20 @@
     } else {
         REPLY_LIMITS
     };
+    let is_urgent = || state.feed.borrow().has_urgent_complete(after);
+    next(state, wait, is_urgent, || {
+        state.feed.borrow().complete_since(after, limits)
+    })
+    .await
+}
+
+/// Returns changes once one of them is urgent, after `wait` at the latest.
+async fn next(
+    state: &State,
+    wait: Duration,
+    is_urgent: impl Fn() -> bool,
+    changes: impl Fn() -> Change,
+) -> Update {
     let until = clock::now() + wait;
     loop {
         let listener = state.changed.listen();
@@ -50,9 +73,8 @@
         let Some(responded_at) = responded_at.filter(|_| !state.is_stopping.get()) else {
             return Update::Stale;
         };
-        if state.feed.borrow().urgent_revision() > after || now >= until {
-            let change = state.feed.borrow().since(after, limits);
-            return Update::Changes(change, state.catalog.borrow().grace_for_others(now));
+        if is_urgent() || now >= until {
+            return Update::Changes(changes(), state.catalog.borrow().grace_for_others(now));
         }
         let left = until
             .min(responded_at + MAX_RESPONSE_AGE)
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -83,6 +83,27 @@
   unreached @2;           # the endpoint does not accept connections, and others do
 }
 
+# A key with the revision of its last change, whose value is read by a call of its own.
+struct LargeKey {
+  key @0 :Text;
+  revision @1 :UInt64;
+}
+
+# The answer to changes.
+struct Update {
+  union {
+    changes :group {
+      items @0 :List(Item);
+      large @1 :List(LargeKey);
+      revision @2 :UInt64;       # all changes up to it are included
+      smallRevision @3 :UInt64;  # all changes of small values up to it are included
+      graceMs @4 :UInt32;        # for how long ended registrations may still be renewed
+    }
+    compacted @5 :Void;   # changes since the revision are no longer kept; list all keys
+    stale @6 :Void;       # the gateway receives nothing from the store itself
+  }
+}
+
 interface Gateway {
   # Requests a grant from the owner of an engine.
   ask @0 (ask :Ask) -> (reply :Reply);
@@ -112,4 +133,7 @@
     -> (reply :RoomReply);
   # The request has ended; whether the endpoint rejected it.
   releaseRoom @11 (endpoint :Text, hold :UInt64, rejected :Bool) -> ();
+  # Returns the changes of the store after a position, after waitMs at the latest. Gateways of older releases call
+  # follow in its place.
+  changes @12 (after :UInt64, afterSmall :UInt64, waitMs :UInt32) -> (update :Update);
 }
