Resume a stream only with its next events

Reproduced here: of 14 answers of the second engine, 400, 404, 409, 410, 422, 429, 206, 302 and 200 with another type were relayed into the stream, 204 ended it as complete, and events with a gap or without an id followed.

Its first new event must have an id, and the id that the steps between the events before lead to, if these were all the same; events that were relayed before are still left out. Anything else counts as a failed attempt at that engine, and the stream breaks off unless another engine goes on with it.

--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -9,7 +9,7 @@
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::id::{Endpoint, Software};
 use endivespur_http::head::Framing;
-use endivespur_platform::header::Dispatch;
+use endivespur_platform::header::{self, Dispatch};
 use log::info;
 
 use crate::acquire::{Permit, Unavailable, acquire};
@@ -28,9 +28,33 @@
 /// The maximum size of one event of a stream, which is held until it is complete.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The difference between the ids of two events of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Fewer than two events were relayed.
+    Unknown,
+    /// It was the same for all events so far.
+    Constant(u64),
+    /// It differed.
+    Variable,
+}
+
+impl Step {
+    fn after(self, step: u64) -> Self {
+        match self {
+            Self::Unknown => Self::Constant(step),
+            Self::Constant(known) if known == step => self,
+            Self::Constant(_) | Self::Variable => Self::Variable,
+        }
+    }
+}
+
 /// The position in the stream of events relayed to the caller.
 struct Stream {
     last_event_id: Option<u64>,
+    step: Step,
+    /// Whether the next event is the first one of an engine that resumes the stream.
+    is_resumed: bool,
     /// The bytes of an incomplete event.
     partial: Vec<u8>,
     /// The software version that wrote its first event; only that version may resume it.
@@ -76,6 +100,8 @@
         runs: 0,
         stream: Stream {
             last_event_id: call.fields.last_event_id,
+            step: Step::Unknown,
+            is_resumed: false,
             partial: Vec::new(),
             software: call.software.clone(),
         },
@@ -187,7 +213,9 @@
             let is_failure = response.head.status >= 500;
             let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream
                 && progress.runs + 1 < call.route.max_endpoints;
-            if is_failure && (caller.has_started || may_resume) {
+            if caller.has_started && !header::is_event_stream(&response.head) {
+                format!("engine-status-{}-is-no-stream", response.head.status)
+            } else if is_failure && may_resume {
                 format!("engine-status-{}", response.head.status)
             } else {
                 if !is_failure {
@@ -304,6 +332,7 @@
 ) -> Transfer {
     let is_stream = call.route.retry_policy.is_stream() && response.head.status == 200;
     let limit = call.time_left() + relay::STREAM_SLACK;
+    let is_resumed = caller.has_started;
     let work = async {
         if !caller.has_started {
             let framing = if is_stream {
@@ -316,6 +345,7 @@
             }
         }
         stream.partial.clear();
+        stream.is_resumed = is_resumed;
         loop {
             let bytes = match response.next_chunk(state).await {
                 Ok(Some(bytes)) => bytes,
@@ -323,7 +353,10 @@
                 Err(error) => return Transfer::Interrupted(error.to_string()),
             };
             let sent = if is_stream {
-                let events = complete_events(stream, &bytes);
+                let events = match complete_events(stream, &bytes) {
+                    Ok(events) => events,
+                    Err(reason) => return Transfer::Interrupted(reason),
+                };
                 if stream.partial.len() > MAX_EVENT_BYTES {
                     return Transfer::Interrupted("event too long".to_string());
                 }
@@ -353,7 +386,11 @@
 }
 
 /// Returns the events completed by these bytes, without those relayed before.
-fn complete_events(stream: &mut Stream, bytes: &[u8]) -> Vec<u8> {
+///
+/// # Errors
+///
+/// Returns the reason if an engine that resumes the stream does not begin with the next event.
+fn complete_events(stream: &mut Stream, bytes: &[u8]) -> Result<Vec<u8>, String> {
     stream.partial.extend_from_slice(bytes);
     let mut events = Vec::new();
     while let Some(end) = stream.partial.windows(2).position(|pair| pair == b"\n\n") {
@@ -364,10 +401,31 @@
         if is_repeated {
             continue;
         }
+        if stream.is_resumed {
+            check_next(stream, id)?;
+            stream.is_resumed = false;
+        }
+        if let (Some(id), Some(last)) = (id, stream.last_event_id) {
+            stream.step = stream.step.after(id - last);
+        }
         stream.last_event_id = id.or(stream.last_event_id);
         events.extend_from_slice(&event);
     }
-    events
+    Ok(events)
+}
+
+/// Checks that an event is the next one of a resumed stream, as far as its ids tell.
+fn check_next(stream: &Stream, id: Option<u64>) -> Result<(), String> {
+    let Some(last) = stream.last_event_id else {
+        return Ok(());
+    };
+    match (id, stream.step) {
+        (None, _) => Err(format!("event without id after {last}")),
+        (Some(id), Step::Constant(step)) if id != last + step => {
+            Err(format!("event {id} after {last}"))
+        }
+        _ => Ok(()),
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
