Reset the connection when a response to HTTP/1.0 breaks off

Callers of HTTP/1.0 get streams whose end is the end of the connection. One that broke off was closed like a complete one, so that the caller took what it had received for the whole. Found with the reports of answers that are no stream.

--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
 use endivespur_platform::header;
+use log::warn;
 
 /// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
 /// with each crash.
@@ -185,7 +186,8 @@
     minor: u8,
     /// Whether the connection closes after this response.
     pub should_close: bool,
-    is_chunked: bool,
+    /// How the end of the body is marked.
+    framing: Framing,
     /// Whether sending the response has started.
     pub has_started: bool,
 }
@@ -197,7 +199,7 @@
             connection,
             minor: request.minor_version,
             should_close: should_close || !request.keeps_connection(),
-            is_chunked: false,
+            framing: Framing::Length(0),
             has_started: false,
         }
     }
@@ -215,10 +217,13 @@
                 head.headers
                     .push("Content-Length", length.to_string().as_bytes());
             }
-            Framing::Chunked | Framing::Close if self.minor == 0 => self.should_close = true,
+            Framing::Chunked | Framing::Close if self.minor == 0 => {
+                self.should_close = true;
+                self.framing = Framing::Close;
+            }
             Framing::Chunked | Framing::Close => {
                 head.headers.push("Transfer-Encoding", b"chunked");
-                self.is_chunked = true;
+                self.framing = Framing::Chunked;
             }
         }
         if self.should_close {
@@ -237,20 +242,29 @@
         if bytes.is_empty() {
             return Ok(());
         }
-        if self.is_chunked {
+        if self.framing == Framing::Chunked {
             self.connection.write(&encode_chunk(bytes)).await
         } else {
             self.connection.write(bytes).await
         }
     }
 
+    /// Records that the response ends before it is complete, and its connection with it.
+    pub fn abort(&self) {
+        if self.framing == Framing::Close
+            && let Err(error) = self.connection.reset_at_end()
+        {
+            warn!(event = "caller-left"; "response may look complete: {error}");
+        }
+    }
+
     /// Ends the body.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller has disconnected.
     pub async fn end_body(&mut self) -> io::Result<()> {
-        if self.is_chunked {
+        if self.framing == Framing::Chunked {
             self.connection.write(LAST_CHUNK).await?;
         }
         Ok(())
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -326,6 +326,7 @@
             );
         }
         Outcome::Aborted(reason) => {
+            caller.abort();
             info!(
                 event = "answered", request = attempt_id, outcome = "broken",
                 reason = reason.as_str(), took_ms; "response aborted"
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -8,6 +8,7 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use snafu::Snafu;
+use socket2::SockRef;
 
 use crate::body::Decoder;
 use crate::head::{self, Framing, Request, Response};
@@ -82,6 +83,15 @@
         self.stream.clone()
     }
 
+    /// Lets the end of the connection reset it, so that the peer cannot take what it has received for complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the option cannot be set.
+    pub fn reset_at_end(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Returns whether bytes have been read that were not consumed yet.
     pub fn has_buffered_bytes(&self) -> bool {
         !self.buffer.is_empty()
