Let unknown streams go on only if the store confirms that there is one version

A stream that no gateway knows goes on if its service has had one version only. That was decided by the gateway's own view, in which a version that joined during a cut does not exist, and an answer of no gateway was taken for one of all. The gateway now asks the store for the small changes since its view, by a call that is made after the request has arrived and that all waiting requests share, and refuses at once if it has no reply within 0.3 s. A gateway that stood still is covered as well. Streams whose origin a gateway knows go on as before, also while the store is away.

The handling of requests that resume streams moves from stream to a module of its own, resume, since what follows the store uses the other half.

--- /dev/null
+++ b/crates/endivespur_gateway/src/confirm.rs
@@ -0,0 +1,65 @@
+//! Confirms with the store that this gateway knows all small changes.
+//!
+//! A gateway that was cut off or suspended cannot tell from its own view that something does *not* exist.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event;
+use log::info;
+
+use crate::state::State;
+use crate::{source, timer};
+
+/// How long the store may take to confirm a view; a gateway that is cut off should refuse without delay.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The requests for a confirmation, which one call to the store answers together.
+#[derive(Default)]
+pub struct Confirmations {
+    /// The number of requests so far.
+    requested: Cell<u64>,
+    /// The number of the last request that was answered, and whether the view was confirmed.
+    answered: Cell<(u64, bool)>,
+    is_asking: Cell<bool>,
+    changed: Event,
+}
+
+/// Returns whether this gateway knows all small changes that the store had accepted before the call.
+pub async fn confirm(state: &Rc<State>) -> bool {
+    let confirmations = &state.confirmations;
+    let number = confirmations.requested.get() + 1;
+    confirmations.requested.set(number);
+    if !confirmations.is_asking.replace(true) {
+        state.spawn(ask(state.clone()));
+    }
+    loop {
+        let listener = confirmations.changed.listen();
+        let (answered, is_confirmed) = confirmations.answered.get();
+        if answered >= number {
+            return is_confirmed;
+        }
+        listener.await;
+    }
+}
+
+/// Asks the store until all requests are answered.
+async fn ask(state: Rc<State>) {
+    let confirmations = &state.confirmations;
+    loop {
+        let number = confirmations.requested.get();
+        let after = state.feed.borrow().cursor().small_revision;
+        let poll = timer::within(TIMEOUT, source::poll_small_changes(&state, after)).await;
+        let is_confirmed = poll.flatten().is_some();
+        if !is_confirmed {
+            info!(event = "view-unconfirmed", revision = after; "the store did not confirm the view");
+        }
+        confirmations.answered.set((number, is_confirmed));
+        confirmations.changed.notify(usize::MAX);
+        if confirmations.requested.get() == number {
+            confirmations.is_asking.set(false);
+            return;
+        }
+    }
+}
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -20,7 +20,7 @@
 
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{crash, generate, plain, reach, stream, telemetry, timer};
+use crate::{crash, generate, plain, reach, resume, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -200,7 +200,7 @@
                 if let Err(refusal) = reach::admit(state) {
                     return refusal;
                 }
-                if is_engine && let Err(refusal) = stream::pin(state, &mut call).await {
+                if is_engine && let Err(refusal) = resume::pin(state, &mut call).await {
                     return refusal;
                 }
                 if let Err(refusal) = crash::admit(state, &call).await {
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -107,7 +107,7 @@
             .store
             .watch_with_progress(ALL_KEYS, revision, wait, &progress);
         watch
-            .or(poll_small_changes(state, revision, &progress))
+            .or(follow_small_changes(state, revision, &progress))
             .await
     };
     match change {
@@ -128,27 +128,38 @@
 
 /// Applies small changes after a revision while the response to a watch brings a large one, which may take seconds.
 /// Never returns.
-async fn poll_small_changes<T>(state: &Rc<State>, revision: u64, progress: &Progress) -> T {
+async fn follow_small_changes<T>(state: &Rc<State>, revision: u64, progress: &Progress) -> T {
     progress.exceeds(LARGE_VALUE_BYTES).await;
     info!(event = "large-value", from = "store", revision; "receiving");
     let mut after = revision;
     loop {
-        let polls =
-            SMALL_VALUE_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
-        match try_join_all(polls).await {
-            Ok(changes) => {
-                if let Some(page) = merge(changes) {
-                    record_response(state);
-                    after = page.small_revision;
-                    apply::apply(state, page);
-                }
-            }
-            Err(error) => debug!(event = "store-failed"; "{error}"),
+        if let Some(small_revision) = poll_small_changes(state, after).await {
+            record_response(state);
+            after = small_revision;
         }
         Timer::after(SMALL_POLL_INTERVAL).await;
     }
 }
 
+/// Requests the small changes after a revision from the store, and applies them; returns the revision up to which
+/// they are known then, or `None` if the store does not send them.
+pub async fn poll_small_changes(state: &Rc<State>, after: u64) -> Option<u64> {
+    let polls = SMALL_VALUE_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
+    match try_join_all(polls).await {
+        Ok(changes) => {
+            let page = merge(changes)?;
+            let small_revision = page.small_revision;
+            apply::apply(state, page);
+            Some(small_revision)
+        }
+        Err(error) => {
+            telemetry::store_failed("poll");
+            debug!(event = "store-failed"; "{error}");
+            None
+        }
+    }
+}
+
 /// Merges the changes below several prefixes up to the lowest of their revisions; `None` if some are no longer kept.
 fn merge(changes: Vec<Change>) -> Option<Page> {
     let pages: Option<Vec<Page>> = changes
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -27,6 +27,7 @@
 
 use crate::catalog::Catalog;
 use crate::checks::Checks;
+use crate::confirm::Confirmations;
 use crate::lease::Lease;
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
@@ -66,6 +67,8 @@
     pub values: Values,
     /// The source that answered last, if it has not failed since.
     pub source: RefCell<Option<Source>>,
+    /// The requests to confirm this gateway's view of the store.
+    pub confirmations: Confirmations,
     /// When the store last responded to this gateway, if it watches the store.
     pub store_responded_at: Cell<Option<Time>>,
     /// When this gateway last received the store's changes, possibly none, from a source.
@@ -136,6 +139,7 @@
             feed: RefCell::new(Feed::new()),
             values: Values::new(settings.link_rate),
             source: RefCell::new(None),
+            confirmations: Confirmations::default(),
             store_responded_at: Cell::new(None),
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(Claims::new()),
--- a/crates/endivespur_gateway/src/stream.rs
+++ b/crates/endivespur_gateway/src/stream.rs
@@ -1,8 +1,7 @@
-//! Lets a stream be resumed only by the software version that began it.
+//! Remembers which software versions began streams: only that version may resume one.
 //!
 //! A gateway remembers the streams that it began, and shares them with a few other gateways, which answer
-//! after it has ended. Callers name the attempt that brought the first event, but may send it to any
-//! gateway: one that does not know the stream asks all others.
+//! after it has ended.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,11 +12,9 @@
 use endivespur_core::gateway::stream::{self, Batch, Key, Origin};
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
-use futures_util::future::join_all;
-use log::info;
 use smol::Timer;
 
-use crate::exchange::{Call, Outcome};
+use crate::exchange::Call;
 use crate::peer;
 use crate::state::State;
 
@@ -26,71 +23,12 @@
 /// The time in which streams are collected before they are shared: a gateway that is killed takes those
 /// that are not shared yet with it.
 const SHARE_INTERVAL: Duration = Duration::from_millis(200);
-/// The time in which lookups are collected: callers resume the streams of a crashed engine at once.
-const LOOKUP_DELAY: Duration = Duration::from_millis(5);
-/// The delay after which a caller may retry a stream that cannot be resumed. Only a new stream helps it.
-const RETRY_AFTER: Duration = Duration::from_mins(2);
 
 /// Starts the task that shares streams.
 pub fn start(state: &Rc<State>) {
     state.spawn(share(state.clone()));
 }
 
-/// Restricts a request that resumes a stream to the service and the software version that began it.
-///
-/// # Errors
-///
-/// Returns the refusal if they are not known, or no engine of that version is registered.
-pub async fn pin(state: &Rc<State>, call: &mut Call) -> Result<(), Outcome> {
-    if !call.fields.is_resumption || !call.route.retry_policy.is_stream() {
-        return Ok(());
-    }
-    let named = match &call.fields.resumes {
-        Some(attempt) => locate(state, stream::key(attempt)).await,
-        None => None,
-    };
-    let origin = named.or_else(|| sole_origin(state, call));
-    let origin = origin.filter(|origin| {
-        let mut targets = call.route.targets.iter();
-        targets.any(|target| target.service == origin.service)
-    });
-    let fields = &call.fields;
-    info!(
-        event = "resumption", request = fields.attempt_id.as_str(), resumes:? = fields.resumes,
-        last_event:? = fields.last_event_id,
-        software:? = origin.as_ref().map(|origin| origin.software.as_str()); "stream to be resumed"
-    );
-    let Some(origin) = origin else {
-        return Err(Outcome::refused("stream-unknown", RETRY_AFTER));
-    };
-    let engines = state.catalog.borrow().serving(&origin.service);
-    if !engines
-        .iter()
-        .any(|engine| engine.software == origin.software)
-    {
-        return Err(Outcome::refused("no-engine-of-version", RETRY_AFTER));
-    }
-    call.service = origin.service;
-    call.software = Some(origin.software);
-    Ok(())
-}
-
-/// Returns the origin of a stream that no gateway knows, or whose caller does not name the attempt that began it: it
-/// is known if the route has only one service, and that only one software version.
-fn sole_origin(state: &State, call: &Call) -> Option<Origin> {
-    if call.route.targets.len() > 1 {
-        return None;
-    }
-    let catalog = state.catalog.borrow();
-    let engines = catalog.endpoints();
-    let current = engines
-        .filter(|engine| engine.service == call.service)
-        .map(|engine| engine.software.clone());
-    let mut tracker = state.streams.tracker.borrow_mut();
-    let software = tracker.sole_software(clock::now(), &call.service, current.collect())?;
-    Some(Origin::new(&call.service, &software))
-}
-
 /// Records that an engine writes the first event of a stream.
 pub fn began(state: &State, call: &Call, instance: &Instance) {
     let attempt = &call.fields.attempt_id;
@@ -147,60 +85,6 @@
     }
 }
 
-/// Returns the origin of a stream; asks the other gateways if this one does not know it.
-async fn locate(state: &Rc<State>, key: Key) -> Option<Origin> {
-    let streams = &state.streams;
-    let origin = || {
-        let mut tracker = streams.tracker.borrow_mut();
-        tracker.origin(clock::now(), key).cloned()
-    };
-    if let Some(origin) = origin() {
-        return Some(origin);
-    }
-    if streams.lookups.borrow_mut().insert(key) {
-        streams.queued.borrow_mut().push(key);
-        if streams.queued.borrow().len() == 1 {
-            state.spawn(look_up(state.clone()));
-        }
-    }
-    loop {
-        let listener = streams.located.listen();
-        let origin = origin();
-        if origin.is_some() || !streams.lookups.borrow().contains(&key) {
-            return origin;
-        }
-        listener.await;
-    }
-}
-
-/// Asks the other gateways for the origins of streams.
-async fn look_up(state: Rc<State>) {
-    Timer::after(LOOKUP_DELAY).await;
-    let streams = &state.streams;
-    let keys = streams.queued.take();
-    let asked = other_gateways(&state)
-        .into_iter()
-        .map(async |(_, address)| {
-            let Ok(batch) = peer::locate_streams(&state, address, &keys).await else {
-                return;
-            };
-            let mut tracker = streams.tracker.borrow_mut();
-            for (origin, keys) in batch {
-                for key in keys {
-                    tracker.resumed(clock::now(), key, origin.clone());
-                }
-            }
-            drop(tracker);
-            streams.located.notify(usize::MAX);
-            streams.began.notify(usize::MAX);
-        });
-    join_all(asked).await;
-    for key in &keys {
-        streams.lookups.borrow_mut().remove(key);
-    }
-    streams.located.notify(usize::MAX);
-}
-
 /// Shares streams with the replicas of this gateway.
 async fn share(state: Rc<State>) {
     let streams = &state.streams;
@@ -222,7 +106,7 @@
 }
 
 /// Returns the zones and addresses of the other gateways.
-fn other_gateways(state: &State) -> Vec<(String, SocketAddr)> {
+pub fn other_gateways(state: &State) -> Vec<(String, SocketAddr)> {
     let catalog = state.catalog.borrow();
     let others = catalog
         .peers()
