--- a/crates/endivespur_gateway/src/confirm.rs
+++ b/crates/endivespur_gateway/src/confirm.rs
@@ -2,11 +2,9 @@
 //!
 //! A gateway that was cut off or suspended cannot tell from its own view that something does *not* exist.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use event_listener::Event;
 use log::info;
 
 use crate::state::State;
@@ -15,17 +13,6 @@
 /// How long the store may take to confirm a view; a gateway that is cut off should refuse without delay.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The requests for a confirmation, which one call to the store answers together.
-#[derive(Default)]
-pub struct Confirmations {
-    /// The number of requests so far.
-    requested: Cell<u64>,
-    /// The number of the last request that was answered, and whether the view was confirmed.
-    answered: Cell<(u64, bool)>,
-    is_asking: Cell<bool>,
-    changed: Event,
-}
-
 /// Returns whether this gateway knows all small changes that the store had accepted before the call.
 pub async fn confirm(state: &Rc<State>) -> bool {
     let confirmations = &state.confirmations;
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod catalog;
 mod checks;
 mod confirm;
+mod confirmations;
 mod crash;
 mod exchange;
 mod exposition;
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -27,7 +27,7 @@
 
 use crate::catalog::Catalog;
 use crate::checks::Checks;
-use crate::confirm::Confirmations;
+use crate::confirmations::Confirmations;
 use crate::lease::Lease;
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
@@ -139,7 +139,7 @@
             feed: RefCell::new(Feed::new()),
             values: Values::new(settings.link_rate),
             source: RefCell::new(None),
-            confirmations: Confirmations::default(),
+            confirmations: Confirmations::new(),
             store_responded_at: Cell::new(None),
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(Claims::new()),
