Reject responses that do not tell where they end on the product's own path

On the product's own path a head that is cut at any byte is an error, and so is a body that is shorter than its length or lacks its last chunk; the new tests hold this. A response with neither a length nor chunks was taken for one without a body, by the HTTP library: callers got a 200 without the body that had been sent, and could not tell a response that had been cut from a whole one.

--- a/crates/endivespur_net/src/client.rs
+++ b/crates/endivespur_net/src/client.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::{Method, Request, Response, Url};
+use http_types::{Method, Request, Response, StatusCode, Url};
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use snafu::{ResultExt, Snafu};
@@ -96,11 +96,14 @@
         })?;
     let stream = connect(&address.to_string(), timeout).await?;
     let response = async {
-        async_h1::connect(stream, request)
-            .await
-            .map_err(|error| Error::Response {
-                message: error.to_string(),
-            })
+        let response =
+            async_h1::connect(stream, request)
+                .await
+                .map_err(|error| Error::Response {
+                    message: error.to_string(),
+                })?;
+        check_framing(&response)?;
+        Ok(response)
     };
     let timed_out = async {
         smol::Timer::after(timeout).await;
@@ -111,6 +114,24 @@
     response.or(timed_out).await
 }
 
+/// Checks that a response tells where its body ends: `async-h1` takes a body that ends with its connection for empty.
+fn check_framing(response: &Response) -> Result<(), Error> {
+    let has_no_body = response.status().is_informational()
+        || matches!(
+            response.status(),
+            StatusCode::NoContent | StatusCode::NotModified
+        );
+    let is_framed = ["content-length", "transfer-encoding"]
+        .into_iter()
+        .any(|name| response.header(name).is_some());
+    if has_no_body || is_framed {
+        return Ok(());
+    }
+    Err(Error::Response {
+        message: "neither a length nor chunks".to_string(),
+    })
+}
+
 /// Posts JSON and returns the JSON response.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/endivespur_net/tests/response.rs
@@ -0,0 +1,76 @@
+//! An endpoint closes its connection in the middle of its response: the caller must not get what has arrived as a whole
+//! response.
+
+use std::time::Duration;
+
+use endivespur_net::{body, client};
+use futures_util::{AsyncReadExt, AsyncWriteExt};
+use http_types::Method;
+use smol::net::TcpListener;
+
+/// The maximum wait for a response.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns the status and the body of a response, of which an endpoint sends these bytes before it closes.
+fn exchange(bytes: &[u8]) -> Result<(u16, Vec<u8>), String> {
+    let bytes = bytes.to_vec();
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            assert!(stream.read(&mut request).await.unwrap() > 0);
+            stream.write_all(&bytes).await.unwrap();
+        })
+        .detach();
+        let request = client::request(Method::Get, &address, "/").unwrap();
+        let mut response = client::send(request, TIMEOUT)
+            .await
+            .map_err(|error| error.to_string())?;
+        let mut content = response.take_body();
+        let body = body::read(&mut content, 1 << 10).await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok((response.status().into(), body))
+    })
+}
+
+/// Checks that no beginning of a response is taken for a whole one, before the byte at which its body is complete.
+fn check_beginnings(response: &str, complete_at: usize) {
+    let whole = exchange(response.as_bytes());
+    let whole_body = whole.as_ref().map(|(_, body)| body.clone());
+    assert_eq!(whole_body, Ok(b"body".to_vec()), "{response:?}");
+    for end in 0..complete_at {
+        let result = exchange(&response.as_bytes()[..end]);
+        assert!(result.is_err(), "{:?}: {result:?}", &response[..end]);
+    }
+}
+
+#[test]
+fn response_with_a_length_cut() {
+    let response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Last: field\r\n\r\nbody";
+    check_beginnings(response, response.len());
+}
+
+#[test]
+fn response_in_chunks_cut() {
+    let response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    // After the last chunk, only trailers could be missing.
+    check_beginnings(response, response.len() - "\r\n".len());
+}
+
+/// A body without a length ends with its connection, also if it is cut; the client took it for empty.
+#[test]
+fn response_without_a_length() {
+    for body in ["", "body"] {
+        let result = exchange(format!("HTTP/1.1 200 OK\r\n\r\n{body}").as_bytes());
+        assert!(result.is_err(), "{result:?}");
+    }
+}
+
+/// Responses that have no body need no length.
+#[test]
+fn response_without_a_body() {
+    let result = exchange(b"HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(result, Ok((204, Vec::new())));
+}
