Let the gateways with the fastest links watch the store

The store sends a configuration whole to each gateway that watches it: 1.4 MB in Base64 at the largest size, 1.1 s over a link of 10 Mbit/s, for which all that follow that gateway wait, and 57 ms over one of 200 Mbit/s. Which gateways watch was decided by a hash alone. A gateway's record now has the rate of its link, from the platform's settings, and in each zone those with the fastest links watch, as many as before; among equal links the hash decides, so that nothing changes where all links are alike.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -1,9 +1,10 @@
 //! Selects the source from which a gateway reads the store's changes.
 //!
-//! In each zone a few gateways (watchers) watch the store; the others follow them, so that the
-//! number of calls to the store does not grow with the number of VMs. A gateway whose source
+//! In each zone a few gateways (watchers) watch the store, those with the fastest links; the others follow them, so
+//! that the number of calls to the store does not grow with the number of VMs. A gateway whose source
 //! fails asks others and the store at the same time, and takes the first that answers.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -28,6 +29,15 @@
 /// The key that ranks the VMs of a zone.
 const RANK_KEY: &str = "watch";
 
+/// What a gateway's record says that decides whom it follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gateway {
+    /// Its zone.
+    pub zone: Zone,
+    /// The bytes a second that its link carries.
+    pub link_rate: u64,
+}
+
 /// A source of changes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -119,15 +129,15 @@
         self.failures.contains_key(source)
     }
 
-    /// Chooses the source to ask next, given the zones of all live gateways: the current one, or a better one
+    /// Chooses the source to ask next, given all live gateways: the current one, or a better one
     /// for a trial. Returns `None` if there is no current source.
-    pub fn choose(&self, now: Time, zones: &BTreeMap<Vm, Zone>) -> Option<Source> {
+    pub fn choose(&self, now: Time, gateways: &BTreeMap<Vm, Gateway>) -> Option<Source> {
         let current = self.current.as_ref()?;
         let is_due = |source: &Source| {
             let failure = self.failures.get(source);
             self.may_try && failure.is_none_or(|failure| failure.retry_at <= now)
         };
-        let order = self.order(zones);
+        let order = self.order(gateways);
         let mut better = order.iter().take_while(|source| *source != current);
         let chosen = better.find(|source| is_due(source)).unwrap_or(current);
         Some(chosen.clone())
@@ -136,11 +146,11 @@
     /// Returns the sources that this gateway should have, the best first.
     ///
     /// A watcher uses the store, a follower a watcher, preferably of its own zone.
-    fn order(&self, zones: &BTreeMap<Vm, Zone>) -> Vec<Source> {
-        let watchers = watchers(zones);
-        let is_watcher = watchers.contains(&self.vm) || !zones.contains_key(&self.vm);
+    fn order(&self, gateways: &BTreeMap<Vm, Gateway>) -> Vec<Source> {
+        let watchers = watchers(gateways);
+        let is_watcher = watchers.contains(&self.vm) || !gateways.contains_key(&self.vm);
         let others = watchers.into_iter().filter(|vm| *vm != self.vm);
-        let vms = self.rank(others.collect(), zones);
+        let vms = self.rank(others.collect(), gateways);
         let vms = vms.into_iter().map(Source::Vm);
         if is_watcher {
             [Source::Store].into_iter().chain(vms).collect()
@@ -150,28 +160,32 @@
     }
 
     /// Returns VMs in the order in which this gateway asks them, those of its own zone first.
-    fn rank(&self, vms: Vec<Vm>, zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
-        let is_near = |vm: &Vm| zones.get(vm) == Some(&self.zone);
+    fn rank(&self, vms: Vec<Vm>, gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
+        let is_near = |vm: &Vm| {
+            gateways
+                .get(vm)
+                .is_some_and(|gateway| gateway.zone == self.zone)
+        };
         let (near, far): (Vec<Vm>, Vec<Vm>) = vms.into_iter().partition(is_near);
         let rank = |vms: Vec<Vm>| hash::rank(&self.vm, vms, String::as_str, usize::MAX);
         [rank(near), rank(far)].concat()
     }
 
     /// Returns all other gateways in the order in which this gateway asks them for a value.
-    pub fn all(&self, zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
-        let others = zones.keys().filter(|vm| **vm != self.vm).cloned();
-        self.rank(others.collect(), zones)
+    pub fn all(&self, gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
+        let others = gateways.keys().filter(|vm| **vm != self.vm).cloned();
+        self.rank(others.collect(), gateways)
     }
 
     /// Returns the gateways to ask at once in a round of a search for a source, numbered from 0.
     ///
     /// The rounds begin with the watchers and come to all gateways, since one that cannot reach the store has a
     /// stale view of which gateways watch it.
-    pub fn candidates(&self, round: usize, zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
-        let watchers = watchers(zones);
-        let others = zones.keys().filter(|vm| **vm != self.vm).cloned();
+    pub fn candidates(&self, round: usize, gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
+        let watchers = watchers(gateways);
+        let others = gateways.keys().filter(|vm| **vm != self.vm).cloned();
         let (first, last): (Vec<Vm>, Vec<Vm>) = others.partition(|vm| watchers.contains(vm));
-        let all = [self.rank(first, zones), self.rank(last, zones)].concat();
+        let all = [self.rank(first, gateways), self.rank(last, gateways)].concat();
         let rounds = all.len().div_ceil(CANDIDATES_PER_ROUND).max(1);
         let skipped = round % rounds * CANDIDATES_PER_ROUND;
         let round = all.into_iter().skip(skipped);
@@ -179,17 +193,19 @@
     }
 }
 
-/// Returns the VMs that watch the store, given the zones of all live gateways.
-fn watchers(zones: &BTreeMap<Vm, Zone>) -> Vec<Vm> {
+/// Returns the VMs that watch the store, given all live gateways: in each zone those with the fastest links.
+fn watchers(gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
     let mut by_zone: BTreeMap<&Zone, Vec<&Vm>> = BTreeMap::new();
-    for (vm, zone) in zones {
-        by_zone.entry(zone).or_default().push(vm);
+    for (vm, gateway) in gateways {
+        by_zone.entry(&gateway.zone).or_default().push(vm);
     }
     by_zone
         .into_values()
         .flat_map(|vms| {
             let count = vms.len().div_ceil(VMS_PER_WATCHER);
-            hash::rank(RANK_KEY, vms, |vm| vm.as_str(), count)
+            let mut ranked = hash::rank(RANK_KEY, vms, |vm| vm.as_str(), usize::MAX);
+            ranked.sort_by_key(|vm| gateways.get(*vm).map(|gateway| Reverse(gateway.link_rate)));
+            ranked.into_iter().take(count)
         })
         .cloned()
         .collect()
--- a/crates/endivespur_core/tests/gateway/source.rs
+++ b/crates/endivespur_core/tests/gateway/source.rs
@@ -4,26 +4,34 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use endivespur_core::gateway::source::{
-    CANDIDATES_PER_ROUND, RETRY_DELAY, Selector, Source, VMS_PER_WATCHER,
+    CANDIDATES_PER_ROUND, Gateway, RETRY_DELAY, Selector, Source, VMS_PER_WATCHER,
 };
-use endivespur_core::id::{Vm, Zone};
+use endivespur_core::id::Vm;
 
 use crate::ms;
 
-fn site(vms: usize, zones: usize) -> BTreeMap<Vm, Zone> {
-    let vm = |number: usize| (format!("vm-{number}"), format!("z{}", number % zones));
-    (0..vms).map(vm).collect()
+/// The bytes a second of the slowest links.
+const LINK_RATE: u64 = 1_250_000;
+
+fn site(vms: usize, zones: usize) -> BTreeMap<Vm, Gateway> {
+    let gateway = |number: usize| Gateway {
+        zone: format!("z{}", number % zones),
+        link_rate: LINK_RATE,
+    };
+    (0..vms)
+        .map(|number| (format!("vm-{number}"), gateway(number)))
+        .collect()
 }
 
 /// Returns the selector of a VM, with the store as its source.
-fn selector(vm: &str, zones: &BTreeMap<Vm, Zone>) -> Selector {
-    let mut selector = Selector::new(vm, &zones[vm]);
+fn selector(vm: &str, zones: &BTreeMap<Vm, Gateway>) -> Selector {
+    let mut selector = Selector::new(vm, &zones[vm].zone);
     selector.record_success(&Source::Store);
     selector
 }
 
 /// Returns a VM that follows another, with its selector.
-fn follower(zones: &BTreeMap<Vm, Zone>) -> (Vm, Selector) {
+fn follower(zones: &BTreeMap<Vm, Gateway>) -> (Vm, Selector) {
     let selectors = zones.keys().map(|vm| (vm.clone(), selector(vm, zones)));
     let mut followers =
         selectors.filter(|(_, selector)| selector.choose(ms(0), zones) != Some(Source::Store));
@@ -34,7 +42,7 @@
 }
 
 /// Returns which VMs watch the store, and how many follow each.
-fn followers(zones: &BTreeMap<Vm, Zone>) -> (BTreeSet<Vm>, BTreeMap<Vm, usize>) {
+fn followers(zones: &BTreeMap<Vm, Gateway>) -> (BTreeSet<Vm>, BTreeMap<Vm, usize>) {
     let mut watchers = BTreeSet::new();
     let mut followers: BTreeMap<Vm, usize> = BTreeMap::new();
     for vm in zones.keys() {
@@ -43,7 +51,10 @@
                 watchers.insert(vm.clone());
             }
             Source::Vm(watcher) => {
-                assert_eq!(zones[vm], zones[&watcher], "followed in another zone");
+                assert_eq!(
+                    zones[vm].zone, zones[&watcher].zone,
+                    "followed in another zone"
+                );
                 *followers.entry(watcher).or_default() += 1;
             }
         }
@@ -88,11 +99,11 @@
             .iter()
             .all(|vm| watchers.contains(vm))
     );
-    let is_near = |vm: &&Vm| zones[*vm] == zones[&asked[0]];
+    let is_near = |vm: &&Vm| zones[*vm].zone == zones[&asked[0]].zone;
     let near = asked[..watchers.len()].iter().take_while(is_near).count();
     let all_near = asked[..watchers.len()].iter().filter(is_near).count();
     assert_eq!(near, all_near);
-    assert_eq!(zones[&asked[0]], zones[&vm]);
+    assert_eq!(zones[&asked[0]].zone, zones[&vm].zone);
     assert_eq!(selector.candidates(rounds.len(), &zones), rounds[0]);
 }
 
@@ -196,3 +207,17 @@
     selector.record_success(&Source::Store);
     assert_eq!(selector.choose(ms(0), &zones), Some(Source::Store));
 }
+
+/// The store sends a configuration whole to each watcher: over a link of 10 Mbit/s it takes a second, and the followers
+/// of that watcher wait for it.
+#[test]
+fn choose_watchers_with_fast_links() {
+    let mut zones = site(84, 3);
+    let fast: BTreeSet<Vm> = (6..12).map(|number| format!("vm-{number}")).collect();
+    for vm in &fast {
+        zones.get_mut(vm).unwrap().link_rate = 20 * LINK_RATE;
+    }
+    let (watchers, _) = followers(&zones);
+    assert!(fast.is_subset(&watchers), "{watchers:?}");
+    assert!(watchers.len() <= 84 / VMS_PER_WATCHER + 3);
+}
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -7,8 +7,10 @@
 
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::endpoint::{Instance, Weights};
+use endivespur_core::gateway::source::Gateway;
 use endivespur_core::gateway::table::Table;
 use endivespur_core::id::{Endpoint, Process, Version, Vm, Zone};
+use endivespur_platform::settings::DEFAULT_LINK_RATE;
 use serde::{Deserialize, Serialize};
 
 /// How long an endpoint whose registration ended while the store was unavailable may take to
@@ -40,6 +42,13 @@
     /// Whether it is cut off from the endpoints that others reach.
     #[serde(default)]
     pub is_cut_off: bool,
+    /// The bytes a second that its link carries; that of the slowest VMs for an older release.
+    #[serde(default = "default_link_rate")]
+    pub link_rate: u64,
+}
+
+fn default_link_rate() -> u64 {
+    DEFAULT_LINK_RATE
 }
 
 /// The cached state of the store.
@@ -230,11 +239,15 @@
         self.peers.get(vm)
     }
 
-    /// Returns the zones of the gateways, this one included.
-    pub fn zones(&self) -> BTreeMap<Vm, Zone> {
-        let zones = self.peers.iter();
-        zones
-            .map(|(vm, peer)| (vm.clone(), peer.zone.clone()))
+    /// Returns the zones and the link rates of the gateways, this one included.
+    pub fn gateways(&self) -> BTreeMap<Vm, Gateway> {
+        let gateway = |peer: &Peer| Gateway {
+            zone: peer.zone.clone(),
+            link_rate: peer.link_rate,
+        };
+        let peers = self.peers.iter();
+        peers
+            .map(|(vm, peer)| (vm.clone(), gateway(peer)))
             .collect()
     }
 
--- a/crates/endivespur_gateway/src/fetch.rs
+++ b/crates/endivespur_gateway/src/fetch.rs
@@ -78,7 +78,7 @@
 /// Returns the gateways to ask in a round: the one that this gateway follows, and others.
 fn candidates(state: &State, round: usize) -> Vec<Vm> {
     let selector = Selector::new(&state.settings.vm, &state.settings.zone);
-    let others = selector.all(&state.catalog.borrow().zones());
+    let others = selector.all(&state.catalog.borrow().gateways());
     let source = state.source.borrow().clone();
     let source = source.and_then(|source| match source {
         Source::Vm(vm) => Some(vm),
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -29,7 +29,7 @@
     let mut selector = Selector::new(&state.settings.vm, &state.settings.zone);
     let mut logged = None;
     loop {
-        let source = selector.choose(clock::now(), &state.catalog.borrow().zones());
+        let source = selector.choose(clock::now(), &state.catalog.borrow().gateways());
         let pause = match source {
             Some(source) => {
                 let is_trial = selector.current() != Some(&source);
--- a/crates/endivespur_gateway/src/grace.rs
+++ b/crates/endivespur_gateway/src/grace.rs
@@ -63,8 +63,8 @@
 async fn ask_gateways(state: Rc<State>) {
     let selector = Selector::new(&state.settings.vm, &state.settings.zone);
     for round in 0.. {
-        let zones = state.catalog.borrow().zones();
-        let candidates = selector.candidates(round, &zones);
+        let gateways = state.catalog.borrow().gateways();
+        let candidates = selector.candidates(round, &gateways);
         let requests = candidates.into_iter().map(|vm| {
             let state = state.clone();
             async move { has_seen_no_outage(&state, &vm).await.then_some(vm) }
--- a/crates/endivespur_gateway/src/search.rs
+++ b/crates/endivespur_gateway/src/search.rs
@@ -73,8 +73,8 @@
 
     /// Asks the gateways of one round at once; returns when the first of them has answered.
     async fn ask_round(&self, round: usize) -> Option<Duration> {
-        let zones = self.state.catalog.borrow().zones();
-        let candidates = self.selector.borrow().candidates(round, &zones);
+        let gateways = self.state.catalog.borrow().gateways();
+        let candidates = self.selector.borrow().candidates(round, &gateways);
         let asked = clock::now();
         let requests = candidates.into_iter().map(|vm| async move {
             let outcome = source::try_vm(self.state, &vm).await;
