Let long JSON responses arrive on the product's own path

The timeout now starts again with every 16 KB of the body. response_longer_than_the_timeout failed before (timed out); response_that_drips holds that a body which hardly comes still ends the call.

--- a/crates/endivespur_net/src/body.rs
+++ b/crates/endivespur_net/src/body.rs
@@ -1,10 +1,16 @@
 //! Reading whole bodies up to a size limit, and streaming bodies in chunks.
 
 use std::io;
+use std::time::Duration;
 
 use futures_util::{AsyncReadExt, TryStreamExt};
 use http_types::Body;
 use smol::channel::{Receiver, Sender, bounded};
+use smol::future::FutureExt;
+
+/// The part of a body that must arrive within the timeout of a call: it ends when its response stops coming, not when
+/// it is long.
+const PROGRESS_BYTES: u64 = 16 << 10;
 
 /// Reads a whole body; a body shorter than its `Content-Length` is an error.
 ///
@@ -25,6 +31,38 @@
     Ok(bytes)
 }
 
+/// Reads a whole body as [`read`] does, of which each [`PROGRESS_BYTES`] must arrive within `timeout`.
+///
+/// # Errors
+///
+/// Returns an error as [`read`] does, and if the body stops coming.
+pub async fn read_within(body: &mut Body, limit: usize, timeout: Duration) -> io::Result<Vec<u8>> {
+    let content_length = body.len();
+    let mut bytes = Vec::new();
+    loop {
+        let start = bytes.len();
+        let part = async {
+            let mut part = body.take(PROGRESS_BYTES);
+            part.read_to_end(&mut bytes).await
+        };
+        let timed_out = async {
+            smol::Timer::after(timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        part.or(timed_out).await?;
+        if bytes.len() > limit {
+            return Err(io::Error::other("the body is too large"));
+        }
+        if bytes.len() < start + PROGRESS_BYTES as usize {
+            break;
+        }
+    }
+    if content_length.is_some_and(|len| len != bytes.len()) {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(bytes)
+}
+
 /// A chunk of a streamed body; an error closes the connection without the last chunk.
 pub type Chunk = io::Result<Vec<u8>>;
 
--- a/crates/endivespur_net/src/client.rs
+++ b/crates/endivespur_net/src/client.rs
@@ -166,14 +166,13 @@
 /// The maximum size of a JSON response.
 const MAX_JSON_BYTES: usize = 64 << 20;
 
-/// Sends a request and reads the JSON response; reading the body takes at most `timeout` more.
+/// Sends a request and reads the JSON response; the body may take longer than `timeout` as long as it keeps coming.
 async fn send_json(request: Request, timeout: Duration) -> Result<serde_json::Value, Error> {
     let failed = |message: String| Error::Response { message };
     let mut response = send(request, timeout).await?;
     let status = response.status();
     let mut body = response.take_body();
-    let bytes = crate::body::read(&mut body, MAX_JSON_BYTES)
-        .or(time_out(timeout))
+    let bytes = crate::body::read_within(&mut body, MAX_JSON_BYTES, timeout)
         .await
         .map_err(|error| failed(error.to_string()))?;
     if status.is_client_error() || status.is_server_error() {
--- a/crates/endivespur_net/tests/response.rs
+++ b/crates/endivespur_net/tests/response.rs
@@ -1,7 +1,7 @@
 //! An endpoint closes its connection in the middle of its response: the caller must not get what has arrived as a whole
 //! response.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use endivespur_net::{body, client};
 use futures_util::{AsyncReadExt, AsyncWriteExt};
@@ -74,3 +74,53 @@
     let result = exchange(b"HTTP/1.1 204 No Content\r\n\r\n");
     assert_eq!(result, Ok((204, Vec::new())));
 }
+
+/// Returns the JSON that an endpoint sends in parts, each after a pause, or the error, and the time that it took.
+fn exchange_slowly(
+    part: &'static [u8],
+    count: usize,
+    pause: Duration,
+    timeout: Duration,
+) -> (Result<serde_json::Value, String>, Duration) {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            assert!(stream.read(&mut request).await.unwrap() > 0);
+            let length = part.len() * count + 2;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n\"");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..count {
+                smol::Timer::after(pause).await;
+                if stream.write_all(part).await.is_err() {
+                    return;
+                }
+            }
+            stream.write_all(b"\"").await.ok();
+        })
+        .detach();
+        let started = Instant::now();
+        let value = client::get_json(&address, "/", timeout).await;
+        (value.map_err(|error| error.to_string()), started.elapsed())
+    })
+}
+
+/// A listing of the store that took longer over a slow link than the timeout of a call never arrived.
+#[test]
+fn response_longer_than_the_timeout() {
+    const PART: &[u8] = &[b'x'; 32 << 10];
+    let pause = Duration::from_millis(100);
+    let (value, _) = exchange_slowly(PART, 12, pause, Duration::from_millis(400));
+    assert_eq!(value.unwrap().as_str().map(str::len), Some(12 * PART.len()));
+}
+
+/// An endpoint that keeps sending next to nothing must not hold a call.
+#[test]
+fn response_that_drips() {
+    let pause = Duration::from_millis(50);
+    let (value, took) = exchange_slowly(b"x", 100, pause, Duration::from_millis(300));
+    assert!(value.is_err());
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
