Answer followers at once only with changes that can be sent

A gateway that had fetched a newer large value than it had been told of answered its followers without a change as soon as they asked, until the changes up to that value had arrived: both ran through calls without a pause.

--- a/crates/endivespur_core/src/gateway/feed.rs
+++ b/crates/endivespur_core/src/gateway/feed.rs
@@ -127,9 +127,11 @@
         item.is_some_and(|item| item.value.is_some())
     }
 
-    /// Returns whether a follower should receive changes at once.
+    /// Returns whether a follower should receive changes at once. A value that was fetched before the changes up to its
+    /// revision are known cannot be announced yet.
     pub fn has_urgent(&self, cursor: Cursor) -> bool {
-        self.urgent_revision > cursor.small_revision || self.large_revision > cursor.revision
+        self.urgent_revision.min(self.cursor.small_revision) > cursor.small_revision
+            || self.large_revision.min(self.cursor.revision) > cursor.revision
     }
 
     /// Returns whether a follower that receives complete changes only should receive some at once.
--- a/crates/endivespur_core/tests/gateway/feed.rs
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -303,3 +303,23 @@
     });
     assert!(feed.missing().is_empty());
 }
+
+/// A gateway that has fetched a newer value than it was told of cannot announce it yet. Its followers were answered at
+/// once, with nothing, over and over.
+#[test]
+fn urgent_value_ahead_of_other_changes() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 3));
+    let follower = source.cursor();
+    source.apply(page(vec![large("config", 9)], 0));
+    source.mark_urgent(9);
+    assert!(!source.has_urgent(follower));
+    assert!(!source.has_urgent_complete(3));
+    source.apply(page(Vec::new(), 9));
+    assert!(source.has_urgent(follower));
+    let Change::Changes(page) = source.since(follower, ALL) else {
+        panic!("compacted");
+    };
+    assert_eq!(page.large, [("config".to_string(), 9)]);
+    assert_eq!(page.revision, 9);
+}
