Let only polled keys be ahead in a position

A watcher polls the small values below three prefixes while a long response to its watch is on its way. Followers took the revision of that poll as the position of all small values, a configuration of less than 16 KB included, which came with the watch behind it: no follower was ever sent it.

Whether a change may be ahead now depends on its key alone. A model test of watches, polls, listings, fetches and followers in any order found that, and two more: a listing hides removals from the followers of a gateway that received it, and a missing large value that was removed left no trace. The last listing now goes with each update (two new fields of the wire). The model failed before on: watch, write of a small configuration, poll.

--- a/crates/endivespur_core/tests/gateway/feed.rs
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -265,6 +265,75 @@
     assert_eq!(page.revision, 3);
 }
 
+/// While the store turned some gateways away, the response to a watch exceeded the size above which small values are
+/// polled. The configuration in it was small, and lay behind the position that the followers had reached: none of them
+/// was sent it.
+#[test]
+fn since_small_value_that_is_not_polled() {
+    let mut source = Feed::with_polled_prefixes(&["endpoint/"]);
+    source.replace(page(vec![item("config", 1)], 1));
+    let mut feed = source.clone();
+    source.apply(Page {
+        items: vec![item("endpoint/a", 3)],
+        small_revision: 4,
+        ..Page::default()
+    });
+    follow(&mut feed, &source);
+    source.apply(page(vec![item("config", 2), item("endpoint/a", 3)], 4));
+    assert!(source.has_urgent(feed.cursor()));
+    follow(&mut feed, &source);
+    assert_eq!(feed.key_revision("config"), Some(2));
+    assert!(!source.has_urgent(feed.cursor()));
+}
+
+/// An endpoint that ended while one gateway listed the store stayed at the followers of another one, which had
+/// received that listing and did not know that it hides removals.
+#[test]
+fn since_listing_of_a_source() {
+    let mut first = Feed::new();
+    first.replace(page(vec![item("a", 1)], 1));
+    let mut follower = first.clone();
+    let mut second = first.clone();
+    follower.apply(page(vec![item("b", 2)], 2));
+    first.replace(page(vec![item("a", 1)], 5));
+    follow(&mut second, &first);
+    assert_matches!(second.since(follower.cursor(), ALL), Change::Compacted);
+    assert_matches!(second.since(at(1), ALL), Change::Changes(_));
+}
+
+/// A follower may have a large value that its source never received before it was removed.
+#[test]
+fn replace_missing_value() {
+    let mut feed = Feed::new();
+    feed.apply(Page {
+        large: vec![("config".to_string(), 2)],
+        ..page(Vec::new(), 3)
+    });
+    let changed = feed.replace(page(Vec::new(), 6));
+    assert_eq!(changed, vec![removed("config", 6)]);
+    assert!(feed.missing().is_empty());
+}
+
+/// A gateway that starts can receive all changes from another one, whatever that has discarded.
+#[test]
+fn since_the_beginning() {
+    let mut source = Feed::new();
+    source.replace(page(vec![item("a", 1)], 5));
+    source.replace(page(vec![item("a", 1), item("b", 7)], 20));
+    source.apply(page(vec![item("c", 22)], 23));
+    let few = Limits { bytes: 0, ..ALL };
+    let mut feed = Feed::new();
+    for _ in 0..2 {
+        let Change::Changes(page) = source.since(feed.cursor(), few) else {
+            panic!("compacted");
+        };
+        feed.apply(page);
+    }
+    assert_eq!(keys_since(&feed, 0), ["a", "b"]);
+    follow(&mut feed, &source);
+    assert_eq!(keys_since(&feed, 0), keys_since(&source, 0));
+}
+
 /// A gateway that lacks a value must not send others a revision behind which they would not ask for it.
 #[test]
 fn complete_since_a_missing_value() {
--- a/crates/endivespur_core/tests/histories/main.rs
+++ b/crates/endivespur_core/tests/histories/main.rs
@@ -2,6 +2,7 @@
 //! generated histories.
 
 mod config;
+mod feed;
 mod order;
 mod owner;
 mod queue;
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -240,6 +240,8 @@
             to.set_revision(page.revision);
             to.set_small_revision(page.small_revision);
             to.set_grace_ms(grace.as_millis() as u32);
+            to.set_gap_start(page.gap.start);
+            to.set_gap_end(page.gap.end);
             let mut large = to.reborrow().init_large(page.large.len() as u32);
             for (index, (key, revision)) in page.large.iter().enumerate() {
                 let mut to = large.reborrow().get(index as u32);
@@ -272,6 +274,7 @@
                 large: large?,
                 revision: from.get_revision(),
                 small_revision: from.get_small_revision(),
+                gap: from.get_gap_start()..from.get_gap_end(),
             };
             Update::Changes(Change::Changes(page), grace)
         }
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -21,8 +21,8 @@
 const LATE_VIEW: Duration = Duration::from_millis(1500);
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
-/// The prefixes of the keys whose values are small.
-const SMALL_VALUE_PREFIXES: [&str; 3] = [
+/// The prefixes of the keys that are polled while a watch brings a large value. All gateways must agree on them.
+pub const POLLED_PREFIXES: [&str; 3] = [
     member::KEY_PREFIX,
     document::VERSION_KEY_PREFIX,
     registration::KEY_PREFIX,
@@ -144,7 +144,7 @@
 /// Requests the small changes after a revision from the store, and applies them; returns the revision up to which
 /// they are known then, or `None` if the store does not send them.
 pub async fn poll_small_changes(state: &Rc<State>, after: u64) -> Option<u64> {
-    let polls = SMALL_VALUE_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
+    let polls = POLLED_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
     match try_join_all(polls).await {
         Ok(changes) => {
             let page = merge(changes)?;
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -16,7 +16,7 @@
 use crate::state::State;
 use crate::{
     exposition, fetch, follow, forward, member, owner, readiness, record, rpc, serve, software,
-    stream, telemetry,
+    source, stream, telemetry,
 };
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
@@ -74,7 +74,12 @@
         event = "start", vm = settings.vm.as_str(), process = process.as_str(),
         first = settings.is_first_start; "started"
     );
-    let state = Rc::new(State::new(settings, process, executor));
+    let state = Rc::new(State::new(
+        settings,
+        process,
+        executor,
+        &source::POLLED_PREFIXES,
+    ));
     if let Some((port, handle)) = metrics_port.zip(telemetry::install()) {
         let address = SocketAddr::new(state.settings.caller_address.ip(), port);
         state.spawn(exposition::serve(state.clone(), address, handle));
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -127,8 +127,14 @@
 }
 
 impl State {
-    /// Creates the state of a process that has not yet read the store.
-    pub fn new(settings: Settings, process: Process, executor: Rc<LocalExecutor<'static>>) -> Self {
+    /// Creates the state of a process that has not yet read the store, and polls small changes of the keys with these
+    /// prefixes.
+    pub fn new(
+        settings: Settings,
+        process: Process,
+        executor: Rc<LocalExecutor<'static>>,
+        polled_prefixes: &[&str],
+    ) -> Self {
         let store = Store::new(Client::new(), settings.store_address);
         Self {
             process,
@@ -136,7 +142,7 @@
             store,
             engines: Client::new(),
             catalog: RefCell::new(Catalog::new()),
-            feed: RefCell::new(Feed::new()),
+            feed: RefCell::new(Feed::with_polled_prefixes(polled_prefixes)),
             values: Values::new(settings.link_rate),
             source: RefCell::new(None),
             confirmations: Confirmations::new(),
--- a/crates/endivespur_wire/schema/gateway.capnp
+++ b/crates/endivespur_wire/schema/gateway.capnp
@@ -96,8 +96,10 @@
       items @0 :List(Item);
       large @1 :List(LargeKey);
       revision @2 :UInt64;       # all changes up to it are included
-      smallRevision @3 :UInt64;  # all changes of small values up to it are included
+      smallRevision @3 :UInt64;  # all changes of small values that are polled up to it are included
       graceMs @4 :UInt32;        # for how long ended registrations may still be renewed
+      gapStart @7 :UInt64;       # the sender's last listing that the follower has not received: the revisions before
+      gapEnd @8 :UInt64;         # and after it; 0 for none
     }
     compacted @5 :Void;   # changes since the revision are no longer kept; list all keys
     stale @6 :Void;       # the gateway receives nothing from the store itself
--- a/crates/endivespur_wire/src/gateway_capnp.rs
+++ b/crates/endivespur_wire/src/gateway_capnp.rs
@@ -3183,7 +3183,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3241,6 +3241,8 @@
             self.builder.set_data_field::<u64>(0, 0u64);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.set_data_field::<u32>(4, 0u32);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.set_data_field::<u64>(4, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -3286,7 +3288,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(135, 112, 168, 77, 101, 251, 13, 189),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(134, 80, 63, 157, 161, 194, 228, 183),
             ::capnp::word(2, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
@@ -3461,11 +3463,19 @@
             pub fn get_grace_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(4)
             }
+            #[inline]
+            pub fn get_gap_start(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn get_gap_end(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3571,6 +3581,22 @@
             pub fn set_grace_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(4, value);
             }
+            #[inline]
+            pub fn get_gap_start(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_gap_start(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+            #[inline]
+            pub fn get_gap_end(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_gap_end(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3582,59 +3608,73 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 102] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 133] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(10, 215, 83, 157, 70, 198, 247, 138),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(135, 112, 168, 77, 101, 251, 13, 189),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 85, 112),
                 ::capnp::word(100, 97, 116, 101, 46, 99, 104, 97),
                 ::capnp::word(110, 103, 101, 115, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 114, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3685,6 +3725,23 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 112, 83, 116, 97, 114, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 112, 69, 110, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -3693,6 +3750,8 @@
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3706,9 +3765,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,2,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,4,0,1,2,3];
             pub(crate) const TYPE_ID: u64 = 0x8af7_c646_9d53_d70a;
         }
     }
