Answer all requests before a gateway that stops ends

A request that comes while the gateway stops is limited to the grace that is left, and refused, not run, if its route is expected to take longer (a moving average of the durations of ended requests). All open requests are answered 0.7 s before the grace ends: 503 if nothing was sent, else 504. Connections in the backlog are served. Requests of other gateways are no longer forwarded.

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of a gateway in front of engines that load and unload adapters by order.
 //!
 //! - [`table`]: the routes and services of the operators' configuration.
+//! - [`duration`]: how long requests take.
 //! - [`endpoint`]: the registrations of endpoints.
 //! - [`ownership`]: which VM sends orders to an endpoint.
 //! - [`placement`]: which adapters an engine holds.
@@ -18,6 +19,7 @@
 
 pub mod choice;
 pub mod crash;
+pub mod duration;
 pub mod endpoint;
 pub mod feed;
 pub mod health;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod crash;
+mod duration;
 mod feed;
 mod health;
 mod limit;
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -33,6 +33,8 @@
     pub caller_address: Option<IpAddr>,
     /// What may crash the endpoints that run the request.
     pub features: Rc<[Feature]>,
+    /// Whether an endpoint may have begun to run the request.
+    pub may_have_run: Cell<bool>,
     /// Whether the request is the trial of a quarantined feature, which may run once.
     pub is_trial: Cell<bool>,
     /// The decoded headers.
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -203,8 +203,9 @@
         .headers
         .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
     let instance = state.catalog.borrow().endpoint(&endpoint);
-    let is_available =
-        state.forwarded.get() < MAX_FORWARDED && !state.reach.borrow().is_unreached(&endpoint);
+    let is_available = state.forwarded.get() < MAX_FORWARDED
+        && !state.reach.borrow().is_unreached(&endpoint)
+        && !state.is_stopping.get();
     let Some(instance) = instance.filter(|_| is_available) else {
         return respond(connection, UNAVAILABLE, &fields.attempt_id).await;
     };
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -147,7 +147,11 @@
             break;
         }
         log_permit(call, &permit, attempt_number);
+        let may_have_run = call.may_have_run.replace(true);
         let attempt = attempt(state, call, caller, permit, room, &mut progress).await;
+        if matches!(attempt, Attempt::NotSent(_) | Attempt::NotRun(_)) {
+            call.may_have_run.set(may_have_run);
+        }
         if !matches!(attempt, Attempt::NotSent(_)) {
             progress.deliveries += 1;
         }
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -53,4 +53,4 @@
 mod update;
 mod values;
 
-pub use start::{Error, run};
+pub use start::{Error, run, run_until};
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -195,7 +195,11 @@
     room: Option<Held>,
 ) -> Attempt {
     let run = Run::new(state, call, instance);
+    let may_have_run = call.may_have_run.replace(true);
     let attempt = send(state, call, instance, room).await;
+    if matches!(attempt, Attempt::NotSent(_) | Attempt::NotRun(_)) {
+        call.may_have_run.set(may_have_run);
+    }
     match &attempt {
         Attempt::Complete(head, _, framing) => run.responded(head.status, *framing),
         Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use endivespur_platform::header;
 use log::{debug, info};
 use smol::Timer;
-use smol::future::FutureExt;
+use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::exchange::{self, Call, Caller, Outcome};
@@ -30,16 +30,24 @@
 /// The delay after which a caller retries when the VM has no configuration, or no service for the
 /// route.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The delay after which a caller retries when this VM stops: the other VMs serve.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// How long the request of a connection that was not yet accepted when the VM closes is waited for.
+const BACKLOG_TIMEOUT: Duration = Duration::from_millis(100);
 /// The maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Accepts connections until the gateway takes no more requests.
 pub async fn listen(state: Rc<State>, listener: TcpListener) {
     let closing = state.closing.listen();
-    accept(state, listener).or(closing).await;
+    accept(&state, &listener).or(closing).await;
+    // Callers may have sent requests over connections that only the kernel has accepted.
+    while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
+        state.spawn(serve(state.clone(), stream));
+    }
 }
 
-async fn accept(state: Rc<State>, listener: TcpListener) {
+async fn accept(state: &Rc<State>, listener: &TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => state.spawn(serve(state.clone(), stream)),
@@ -60,12 +68,15 @@
 
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut connection = Connection::new(stream);
+    let mut is_first = true;
     loop {
         let limits = limits(&state);
         let closing = state.closing.listen();
-        if state.is_closing.get() {
+        let is_backlog = state.is_closing.get() && std::mem::take(&mut is_first);
+        if state.is_closing.get() && !is_backlog {
             return;
         }
+        is_first = false;
         let received = async {
             wait_for_bytes(&mut connection).await;
             true
@@ -74,7 +85,12 @@
             closing.await;
             false
         };
-        if timer::within(limits.idle_timeout, received.or(closed)).await != Some(true) {
+        let idle_timeout = if is_backlog {
+            BACKLOG_TIMEOUT
+        } else {
+            limits.idle_timeout
+        };
+        if timer::within(idle_timeout, received.or(closed)).await != Some(true) {
             return;
         }
         match handle_request(&state, &mut connection, &limits).await {
@@ -121,14 +137,32 @@
     if head.headers.has_token("expect", "100-continue") {
         connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let body = match read_body(connection, framing, limits).await {
+    let _open = OpenRequest::new(state);
+    let stopping = async {
+        state.must_answer().await;
+        Err(503)
+    };
+    let body = match read_body(connection, framing, limits).or(stopping).await {
         Ok(body) => body,
         Err(status) => return reject(connection, status).await,
     };
-    state.open_requests.set(state.open_requests.get() + 1);
-    let disposition = respond(state, connection, head, body, started).await;
-    state.open_requests.set(state.open_requests.get() - 1);
-    disposition
+    respond(state, connection, head, body, started).await
+}
+
+/// Counts a caller's request as open until dropped.
+struct OpenRequest(Rc<State>);
+
+impl OpenRequest {
+    fn new(state: &Rc<State>) -> Self {
+        state.open_requests.set(state.open_requests.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
 }
 
 async fn read_body(
@@ -192,11 +226,15 @@
         Ok(mut call) => {
             service.clone_from(&call.service);
             state.deposit_retry(&call.service);
+            let is_stopping = state.is_stopping.get();
             let is_engine = table
                 .as_deref()
                 .and_then(|table| table.services.get(&call.service))
                 .is_some_and(|group| group.engine.is_some());
             let response = async {
+                if is_stopping && let Err(refusal) = limit_to_grace(state, &mut call) {
+                    return refusal;
+                }
                 if let Err(refusal) = reach::admit(state) {
                     return refusal;
                 }
@@ -212,11 +250,28 @@
                     plain::handle(state, &call, &mut caller).await
                 }
             };
+            let response = async { End::Answered(response.await) };
             let disconnected = async {
                 connection::closed(stream).await;
-                Outcome::Aborted("caller left".to_string())
+                End::CallerLeft
+            };
+            let stopped = async {
+                state.must_answer().await;
+                End::Stopped
             };
-            response.or(disconnected).await
+            match response.or(disconnected).or(stopped).await {
+                End::Answered(outcome) => {
+                    if call.may_have_run.get() {
+                        let took = clock::now().saturating_sub(started);
+                        let mut durations = state.durations.borrow_mut();
+                        durations.record(&call.route.name, took);
+                    }
+                    outcome
+                }
+                End::CallerLeft => Outcome::Aborted("caller left".to_string()),
+                End::Stopped if call.may_have_run.get() => Outcome::unknown(504, "stopped"),
+                End::Stopped => Outcome::refused("stopped", STOPPING_RETRY_AFTER),
+            }
         }
     };
     let outcome = match outcome {
@@ -233,6 +288,32 @@
     })
 }
 
+/// How the handling of a request ended.
+enum End {
+    Answered(Outcome),
+    CallerLeft,
+    /// The process stops.
+    Stopped,
+}
+
+/// Limits a request to the time that is left until the process stops.
+///
+/// # Errors
+///
+/// Returns a refusal if the request is not likely to end within that time. Other VMs can run it.
+fn limit_to_grace(state: &State, call: &mut Call) -> Result<(), Outcome> {
+    let Some(stop_at) = state.stop_at.get() else {
+        return Ok(());
+    };
+    let left = stop_at.saturating_sub(clock::now());
+    let expected = state.durations.borrow().expected(&call.route.name);
+    if left.is_zero() || expected > left {
+        return Err(Outcome::refused("stopping", STOPPING_RETRY_AFTER));
+    }
+    call.deadline = call.deadline.min(stop_at);
+    Ok(())
+}
+
 /// Returns the configuration, after waiting for the first one.
 async fn wait_for_configuration(state: &State) -> Rc<Table> {
     loop {
@@ -289,6 +370,7 @@
         head,
         body,
         features,
+        may_have_run: Cell::new(false),
         is_trial: Cell::new(false),
         fields,
         service,
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -8,6 +8,7 @@
 use endivespur_clock as clock;
 use endivespur_platform::settings::{self, Settings};
 use log::{error, info};
+use smol::future::FutureExt;
 use smol::net::TcpListener;
 use smol::stream::StreamExt;
 use smol::{LocalExecutor, Timer};
@@ -16,14 +17,16 @@
 use crate::state::State;
 use crate::{
     exposition, fetch, follow, forward, member, owner, readiness, record, rpc, serve, software,
-    source, stream, telemetry,
+    source, stream, telemetry, timer,
 };
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
 /// second and reacts after two failures.
 const DEREGISTRATION_TIME: Duration = Duration::from_millis(2900);
-/// The part of the grace period that is kept in reserve: the process is killed at its end.
+/// The part of the grace period after which all requests have been answered: the process is killed at its end.
 const GRACE_RESERVE: Duration = Duration::from_millis(700);
+/// The part of that reserve in which the last responses are written.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 
 /// The reason why the gateway did not start.
 #[derive(Debug, Snafu)]
@@ -59,6 +62,20 @@
     executor: Rc<LocalExecutor<'static>>,
     settings: Settings,
     metrics_port: Option<u16>,
+) -> Result<(), Error> {
+    run_until(executor, settings, metrics_port, smol::future::pending()).await
+}
+
+/// As [`run`], until `stop` is ready too.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if it cannot start.
+pub async fn run_until(
+    executor: Rc<LocalExecutor<'static>>,
+    settings: Settings,
+    metrics_port: Option<u16>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context(SignalsSnafu)?;
@@ -97,14 +114,17 @@
     }
     state.spawn(readiness::serve(state.clone(), probes));
     state.spawn(serve::listen(state.clone(), callers));
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => reload(),
-            Ok(_) => break,
-            Err(failure) => error!(event = "signal"; "{failure}"),
+    let signalled = async {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => reload(),
+                Ok(_) => break,
+                Err(failure) => error!(event = "signal"; "{failure}"),
+            }
         }
-    }
-    stop(&state).await;
+    };
+    signalled.or(stop).await;
+    drain(&state).await;
     Ok(())
 }
 
@@ -117,22 +137,30 @@
 }
 
 /// Hands the engines over to other VMs, and waits for the requests in flight.
-async fn stop(state: &Rc<State>) {
+async fn drain(state: &Rc<State>) {
     let started = clock::now();
-    let deadline = started + state.settings.grace_period.saturating_sub(GRACE_RESERVE);
+    let stop_at = started + state.settings.grace_period.saturating_sub(GRACE_RESERVE);
     info!(event = "stop", open = state.open_requests.get(); "stopping");
     state.is_stopping.set(true);
+    state.stop_at.set(Some(stop_at));
+    state.stopping.notify(usize::MAX);
     state.notify();
-    member::revoke_lease(state).await;
-    Timer::after(DEREGISTRATION_TIME).await;
+    let close_at = stop_at.min(started + DEREGISTRATION_TIME);
+    timer::within(
+        close_at.saturating_sub(started),
+        member::revoke_lease(state),
+    )
+    .await;
+    Timer::after(close_at.saturating_sub(clock::now())).await;
     state.is_closing.set(true);
     state.closing.notify(usize::MAX);
     loop {
         Timer::after(Duration::from_millis(50)).await;
-        if clock::now() >= deadline || state.open_requests.get() == 0 {
+        if clock::now() >= stop_at + ANSWER_TIME || state.open_requests.get() == 0 {
             break;
         }
     }
     let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
-    info!(event = "stopped", open = state.open_requests.get(), took_ms; "stopped");
+    let open = state.open_requests.get();
+    info!(event = "stopped", open, took_ms; "stopped");
 }
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -6,8 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_clock as clock;
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::crash;
+use endivespur_core::gateway::duration;
 use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health;
 use endivespur_core::gateway::limit;
@@ -23,7 +25,7 @@
 use endivespur_platform::settings::Settings;
 use endivespur_platform::store::Store;
 use event_listener::Event;
-use smol::LocalExecutor;
+use smol::{LocalExecutor, Timer};
 
 use crate::catalog::Catalog;
 use crate::checks::Checks;
@@ -118,6 +120,12 @@
     retries: RefCell<BTreeMap<String, Budget>>,
     /// Set once the process has been asked to stop.
     pub is_stopping: Cell<bool>,
+    /// The time by which all requests must have been answered, once the process has been asked to stop.
+    pub stop_at: Cell<Option<Time>>,
+    /// Signals that [`State::stop_at`] is set.
+    pub stopping: Event,
+    /// How long requests take.
+    pub durations: RefCell<duration::Tracker>,
     /// Signals that no more requests are accepted; [`State::is_closing`] is set before.
     pub closing: Event,
     /// Set once no more requests are accepted.
@@ -175,6 +183,9 @@
             most_vms: Cell::new(MIN_VMS),
             retries: RefCell::new(BTreeMap::new()),
             is_stopping: Cell::new(false),
+            stop_at: Cell::new(None),
+            stopping: Event::new(),
+            durations: RefCell::new(duration::Tracker::new()),
             closing: Event::new(),
             is_closing: Cell::new(false),
             open_requests: Cell::new(0),
@@ -193,6 +204,18 @@
         pool.put(address, connection, idle_timeout, MAX_IDLE);
     }
 
+    /// Returns when the process has been asked to stop and all requests must have been answered.
+    pub async fn must_answer(&self) {
+        loop {
+            let listener = self.stopping.listen();
+            if let Some(at) = self.stop_at.get() {
+                Timer::after(at.saturating_sub(clock::now())).await;
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Wakes all tasks that wait for a change of the catalog or the claims.
     pub fn notify(&self) {
         self.changed.notify(usize::MAX);
