Count calls to the store by cause, and confirm a cut link before a claim is given up

Suspected: an endpoint that goes down and comes back every 130 ms was down in both probes of one gateway, and up for the one that it asked in between. The link is now tried twice more, 150 ms apart, before the claim is given up.

--- a/crates/endivespur_gateway/src/confirm.rs
+++ b/crates/endivespur_gateway/src/confirm.rs
@@ -37,7 +37,11 @@
     loop {
         let number = confirmations.requested.get();
         let after = state.feed.borrow().cursor().small_revision;
-        let poll = timer::within(TIMEOUT, source::poll_small_changes(&state, after)).await;
+        let poll = timer::within(
+            TIMEOUT,
+            source::poll_small_changes(&state, after, "confirmation"),
+        )
+        .await;
         let is_confirmed = poll.flatten().is_some();
         if !is_confirmed {
             info!(event = "view-unconfirmed", revision = after; "the store did not confirm the view");
--- a/crates/endivespur_gateway/src/fetch.rs
+++ b/crates/endivespur_gateway/src/fetch.rs
@@ -160,6 +160,7 @@
 /// Reads a value from the store; returns whether the store responded.
 async fn read_from_store(state: &Rc<State>, key: &str) -> bool {
     let started = clock::now();
+    telemetry::store_called("list", "large-value");
     let page = match state.store.list(key).await {
         Ok(page) => page,
         Err(error) => {
--- a/crates/endivespur_gateway/src/follow.rs
+++ b/crates/endivespur_gateway/src/follow.rs
@@ -57,7 +57,12 @@
 async fn request(state: &Rc<State>, source: &Source, is_trial: bool) -> Outcome {
     match source {
         Source::Store => {
-            source::watch(state, if is_trial { Duration::ZERO } else { WATCH_WAIT }).await
+            let (wait, cause) = if is_trial {
+                (Duration::ZERO, "trial")
+            } else {
+                (WATCH_WAIT, "source")
+            };
+            source::watch(state, wait, cause).await
         }
         Source::Vm(vm) if is_trial => source::try_vm(state, vm).await,
         Source::Vm(vm) => {
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -88,6 +88,7 @@
 /// Revokes the lease, so that other VMs take the engines over at once.
 pub async fn revoke_lease(state: &State) {
     let id = state.lease.borrow_mut().id.take();
+    telemetry::store_called("revoke", "lease");
     if let Some(id) = id
         && let Err(error) = state.store.revoke(id).await
     {
@@ -137,6 +138,7 @@
 }
 
 async fn renew(state: &State, id: Lease, sent: Time) -> Result<(), String> {
+    telemetry::store_called("renew", "lease");
     let is_renewed = state
         .store
         .renew(id)
@@ -164,6 +166,7 @@
 /// Acquires a lease and writes this VM's record under it.
 async fn acquire_lease(state: &State, sent: Time) -> Result<(), String> {
     let ttl = LEASE_TTL.max(state.settings.min_lease_ttl);
+    telemetry::store_called("grant", "lease");
     let (id, ttl) = state
         .store
         .grant(ttl)
@@ -175,6 +178,7 @@
         lease: id,
         ..Write::default()
     };
+    telemetry::store_called("write", "vm");
     let outcome = state
         .store
         .write(&write)
@@ -282,6 +286,7 @@
         lease,
         ..Write::default()
     };
+    telemetry::store_called("write", "reach");
     let outcome = state.store.write(&write).await;
     match outcome.map_err(|error| error.to_string())? {
         Outcome::Written(position) => {
@@ -395,6 +400,7 @@
     if state.claims.borrow().records_holders() {
         add_holders(state, &mut write, batch);
     }
+    telemetry::store_called("write", "claim");
     match state.store.write(&write).await {
         Ok(Outcome::Written(fence)) => {
             let now = clock::now();
--- a/crates/endivespur_gateway/src/reach.rs
+++ b/crates/endivespur_gateway/src/reach.rs
@@ -27,6 +27,10 @@
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
 /// The time by which gateways differ in that interval, so that they do not come back at once.
 const SURVEY_SPREAD: Duration = Duration::from_millis(250);
+/// How often a link is tried again before the claim of its endpoint is given up.
+const CONFIRMATIONS: usize = 2;
+/// The pause before each of these trials.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(150);
 /// The delay after which a caller retries while no gateway reaches an endpoint.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -58,6 +62,14 @@
     }
     info!(event = "bypass", endpoint = endpoint.id.as_str(); "reached by other gateways only");
     state.reach.borrow_mut().bypass(clock::now(), &endpoint.id);
+    // An endpoint that goes down and comes back over and over is tried at other moments by other gateways. A link
+    // that is cut never works.
+    for _ in 0..CONFIRMATIONS {
+        Timer::after(CONFIRMATION_PAUSE).await;
+        if probe(&state, &endpoint).await {
+            return;
+        }
+    }
     if !state.reach.borrow().is_cut_off() {
         member::give_up(&state, &endpoint.id).await;
     }
--- a/crates/endivespur_gateway/src/record.rs
+++ b/crates/endivespur_gateway/src/record.rs
@@ -329,6 +329,7 @@
         lease,
         ..Write::default()
     };
+    telemetry::store_called("write", "record");
     let outcome = state.store.write(&write).await;
     let outcome = outcome.map_err(|error| error.to_string())?;
     if matches!(outcome, Outcome::NoLease) {
@@ -345,6 +346,7 @@
     {
         return Ok(id);
     }
+    telemetry::store_called("grant", "record");
     let granted = state.store.grant(RETENTION).await;
     let (id, ttl) = granted.map_err(|error| error.to_string())?;
     state.records.lease.set(Some((id, now + ttl / 2)));
--- a/crates/endivespur_gateway/src/search.rs
+++ b/crates/endivespur_gateway/src/search.rs
@@ -98,7 +98,7 @@
         let interval = (STORE_INTERVAL_PER_VM * vms).max(STORE_INTERVAL);
         loop {
             let asked = clock::now();
-            let outcome = source::watch(self.state, Duration::ZERO).await;
+            let outcome = source::watch(self.state, Duration::ZERO, "search").await;
             if let Some(pause) = self.record(&Source::Store, asked, &outcome) {
                 return pause;
             }
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -96,12 +96,13 @@
     true
 }
 
-/// Waits at most `wait` for the store's next changes.
-pub async fn watch(state: &Rc<State>, wait: Duration) -> Outcome {
+/// Waits at most `wait` for the store's next changes, which are requested for `cause`.
+pub async fn watch(state: &Rc<State>, wait: Duration, cause: &'static str) -> Outcome {
     let revision = state.feed.borrow().revision();
     let change = if revision == 0 {
         Ok(Change::Compacted)
     } else {
+        telemetry::store_called("watch", cause);
         let progress = Progress::new();
         let watch = state
             .store
@@ -111,7 +112,9 @@
             .await
     };
     match change {
-        Ok(Change::Compacted) => list(state).await,
+        Ok(Change::Compacted) => {
+            list(state, if revision == 0 { "start" } else { "compacted" }).await
+        }
         Ok(Change::Changes(page)) => {
             record_response(state);
             let is_idle = page.items.is_empty();
@@ -133,7 +136,7 @@
     info!(event = "large-value", from = "store", revision; "receiving");
     let mut after = revision;
     loop {
-        if let Some(small_revision) = poll_small_changes(state, after).await {
+        if let Some(small_revision) = poll_small_changes(state, after, "large-value").await {
             record_response(state);
             after = small_revision;
         }
@@ -143,8 +146,11 @@
 
 /// Requests the small changes after a revision from the store, and applies them; returns the revision up to which
 /// they are known then, or `None` if the store does not send them.
-pub async fn poll_small_changes(state: &Rc<State>, after: u64) -> Option<u64> {
-    let polls = POLLED_PREFIXES.map(|prefix| state.store.watch(prefix, after, Duration::ZERO));
+pub async fn poll_small_changes(state: &Rc<State>, after: u64, cause: &'static str) -> Option<u64> {
+    let polls = POLLED_PREFIXES.map(|prefix| {
+        telemetry::store_called("poll", cause);
+        state.store.watch(prefix, after, Duration::ZERO)
+    });
     match try_join_all(polls).await {
         Ok(changes) => {
             let page = merge(changes)?;
@@ -184,7 +190,8 @@
 }
 
 /// Lists all keys.
-async fn list(state: &Rc<State>) -> Outcome {
+async fn list(state: &Rc<State>, cause: &'static str) -> Outcome {
+    telemetry::store_called("list", cause);
     match state.store.list(ALL_KEYS).await {
         Ok(page) => {
             info!(event = "listed", revision = page.revision, keys = page.items.len(); "all keys listed");
@@ -258,7 +265,7 @@
                 Duration::ZERO
             })
         }
-        Ok(Update::Changes(Change::Compacted, _)) => list(state).await,
+        Ok(Update::Changes(Change::Compacted, _)) => list(state, "compacted").await,
         Ok(Update::Stale) => {
             debug!(event = "source-away", vm; "has no recent response from the store");
             Outcome::Stale
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -116,6 +116,11 @@
     counter!("endivespur_gateway_value_sent_bytes_total").increment(bytes as u64);
 }
 
+/// Counts a call to the store that is about to be made, by its cause.
+pub fn store_called(call: &'static str, cause: &'static str) {
+    counter!("endivespur_gateway_store_calls_total", "call" => call, "cause" => cause).increment(1);
+}
+
 /// Counts a failed call to the store.
 pub fn store_failed(call: &'static str) {
     counter!("endivespur_gateway_store_failures_total", "call" => call).increment(1);
