Make fewer calls to the store at large sites

Polls begin only if a long response has not arrived within 0.2 s. Watchers have 12 to 24 followers by their links, two in a zone at least. The pause after urgent changes doubles up to 0.2 s while they go on. Leases are renewed every 0.9 s in place of 0.6 s, with a second call beside a slow first one after 0.3 s.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -12,9 +12,15 @@
 use crate::hash;
 use crate::id::{Vm, Zone};
 
-/// The number of VMs in a zone per watcher: a watcher sends every change of endpoints to each
-/// follower, which has to fit into the bandwidth of the smallest VM.
+/// The number of VMs in a zone per watcher whose link is one of the slowest: a watcher sends every change of endpoints
+/// to each follower.
 pub const VMS_PER_WATCHER: usize = 12;
+/// The maximum number of VMs per watcher, however fast its link: they all need another source if it is lost.
+pub const MAX_VMS_PER_WATCHER: usize = 24;
+/// The bytes a second that the slowest links carry.
+const SLOWEST_LINK_RATE: u64 = 1_250_000;
+/// The number of watchers in a zone with followers: if one is lost, the others take its followers.
+const MIN_WATCHERS: usize = 2;
 /// How long a source is not tried after its first failure: the lease of a VM that died lapses soon
 /// after.
 pub const RETRY_DELAY: Duration = Duration::from_millis(1500);
@@ -202,11 +208,29 @@
     by_zone
         .into_values()
         .flat_map(|vms| {
-            let count = vms.len().div_ceil(VMS_PER_WATCHER);
+            let count = vms.len();
+            let min = count.div_ceil(VMS_PER_WATCHER).min(MIN_WATCHERS);
             let mut ranked = hash::rank(RANK_KEY, vms, |vm| vm.as_str(), usize::MAX);
-            ranked.sort_by_key(|vm| gateways.get(*vm).map(|gateway| Reverse(gateway.link_rate)));
-            ranked.into_iter().take(count)
+            let link_rate = |vm: &str| gateways.get(vm).map_or(0, |gateway| gateway.link_rate);
+            ranked.sort_by_key(|vm| Reverse(link_rate(vm)));
+            let mut served = 0;
+            let watchers = ranked
+                .into_iter()
+                .enumerate()
+                .take_while(move |(index, vm)| {
+                    let is_needed = *index < min || served < count;
+                    served += followers(link_rate(vm));
+                    is_needed
+                });
+            watchers.map(|(_, vm)| vm)
         })
         .cloned()
         .collect()
 }
+
+/// Returns the number of VMs to which a link carries the changes of endpoints.
+fn followers(link_rate: u64) -> usize {
+    let share = link_rate as f64 / SLOWEST_LINK_RATE as f64;
+    let followers = (VMS_PER_WATCHER as f64 * share) as usize;
+    followers.clamp(VMS_PER_WATCHER, MAX_VMS_PER_WATCHER)
+}
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -17,7 +17,7 @@
 
 /// How long the owners that have lost their claims may take to claim their engines again: a renewal of
 /// the lease, a few calls, and the delays of their ranks.
-const RECLAIM_TIME: Duration = Duration::from_millis(1200);
+const RECLAIM_TIME: Duration = Duration::from_millis(1500);
 
 /// Applies changes; returns whether one of them is urgent and should reach followers at once.
 ///
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -11,6 +11,7 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
+use smol::future::FutureExt;
 
 use crate::catalog::Peer;
 use crate::state::State;
@@ -28,8 +29,10 @@
 /// The lease's time to live: for this long, the engines of a VM that stops responding have no
 /// working owner.
 pub const LEASE_TTL: Duration = Duration::from_secs(2);
-/// The time between renewals; three may fail before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// The time between renewals; two more are made before the lease expires if one fails.
+const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+/// How long a renewal may take before another one is sent beside it: its response may be lost.
+const RENEW_PATIENCE: Duration = Duration::from_millis(300);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The maximum number of claims written in one call: a call holds at most 32 rows, and each claim
@@ -138,12 +141,15 @@
 }
 
 async fn renew(state: &State, id: Lease, sent: Time) -> Result<(), String> {
-    telemetry::store_called("renew", "lease");
-    let is_renewed = state
-        .store
-        .renew(id)
-        .await
-        .map_err(|error| error.to_string())?;
+    let call = || {
+        telemetry::store_called("renew", "lease");
+        state.store.renew(id)
+    };
+    let again = async {
+        Timer::after(RENEW_PATIENCE).await;
+        call().await
+    };
+    let is_renewed = call().or(again).await.map_err(|error| error.to_string())?;
     if is_renewed {
         if state.lease.borrow().id == Some(id) {
             state.lease.borrow_mut().renewed(id, sent, LEASE_TTL);
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -27,13 +27,15 @@
     document::VERSION_KEY_PREFIX,
     registration::KEY_PREFIX,
 ];
-/// The pause between two polls of small changes.
+/// The pause before each poll of small changes.
 const SMALL_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// The pause after an update of an older release, which repeats changes while a large value is missing.
 const REPEATED_PAUSE: Duration = Duration::from_millis(100);
 /// The pause after urgent changes, in which the changes of claims arrive that follow the end of a
 /// lease.
 const URGENT_PAUSE: Duration = Duration::from_millis(50);
+/// The maximum pause after several urgent changes in a row, as when all VMs start or an outage ends.
+const MAX_URGENT_PAUSE: Duration = Duration::from_millis(200);
 /// The minimum time for which changes that are not urgent are batched.
 const BATCH_TIME: Duration = Duration::from_millis(400);
 /// The time that each VM adds to that minimum, which keeps the total message rate about constant.
@@ -119,9 +121,14 @@
             record_response(state);
             let is_idle = page.items.is_empty();
             let is_urgent = apply::apply(state, page);
+            let last_urgent_pause = state.urgent_pause.take();
             Outcome::Changes(match (is_idle, is_urgent) {
                 (true, _) => Duration::ZERO,
-                (false, true) => URGENT_PAUSE,
+                (false, true) => {
+                    let pause = (last_urgent_pause * 2).clamp(URGENT_PAUSE, MAX_URGENT_PAUSE);
+                    state.urgent_pause.set(pause);
+                    pause
+                }
                 (false, false) => batch_time(state, MAX_PAUSE_SHARE),
             })
         }
@@ -133,6 +140,8 @@
 /// Never returns.
 async fn follow_small_changes<T>(state: &Rc<State>, revision: u64, progress: &Progress) -> T {
     progress.exceeds(LARGE_VALUE_BYTES).await;
+    // Many small changes make a long response too, which arrives within this time.
+    Timer::after(SMALL_POLL_INTERVAL).await;
     info!(event = "large-value", from = "store", revision; "receiving");
     let mut after = revision;
     loop {
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -73,6 +73,8 @@
     pub confirmations: Confirmations,
     /// When the store last responded to this gateway, if it watches the store.
     pub store_responded_at: Cell<Option<Time>>,
+    /// The pause after the last response of the store, if its changes were urgent.
+    pub urgent_pause: Cell<Duration>,
     /// When this gateway last received the store's changes, possibly none, from a source.
     pub updated_at: Cell<Time>,
     /// The owners of the engines.
@@ -160,6 +162,7 @@
             source: RefCell::new(None),
             confirmations: Confirmations::new(),
             store_responded_at: Cell::new(None),
+            urgent_pause: Cell::new(Duration::ZERO),
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(claims),
             changed: Event::new(),
