--- a/crates/endivespur_gateway/src/reach.rs
+++ b/crates/endivespur_gateway/src/reach.rs
@@ -27,7 +27,7 @@
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
 /// The time by which gateways differ in that interval, so that they do not come back at once.
 const SURVEY_SPREAD: Duration = Duration::from_millis(250);
-/// How often a link is tried again before the claim of its endpoint is given up.
+/// How often links are tried again before the claims of their endpoints are given up.
 const CONFIRMATIONS: usize = 2;
 /// The pause before each of these trials.
 const CONFIRMATION_PAUSE: Duration = Duration::from_millis(150);
@@ -62,19 +62,32 @@
     }
     info!(event = "bypass", endpoint = endpoint.id.as_str(); "reached by other gateways only");
     state.reach.borrow_mut().bypass(clock::now(), &endpoint.id);
-    // An endpoint that goes down and comes back over and over is tried at other moments by other gateways. A link
-    // that is cut never works.
-    for _ in 0..CONFIRMATIONS {
-        Timer::after(CONFIRMATION_PAUSE).await;
-        if probe(&state, &endpoint).await {
-            return;
-        }
+    if is_reached_again(&state, Some(&endpoint)).await {
+        return;
     }
     if !state.reach.borrow().is_cut_off() {
         member::give_up(&state, &endpoint.id).await;
     }
 }
 
+/// Returns whether an endpoint, or else one of a few, is reached when it is tried again.
+///
+/// Endpoints that go down and come back over and over are tried at other moments by other gateways, while a link that
+/// is cut never works.
+async fn is_reached_again(state: &Rc<State>, endpoint: Option<&Instance>) -> bool {
+    for _ in 0..CONFIRMATIONS {
+        Timer::after(CONFIRMATION_PAUSE).await;
+        let is_reached = match endpoint {
+            Some(endpoint) => probe(state, endpoint).await,
+            None => probe_sample(state).await,
+        };
+        if is_reached {
+            return true;
+        }
+    }
+    false
+}
+
 /// Surveys the links until an endpoint is reached, and tells the other gateways.
 async fn survey_until_reached(state: Rc<State>, suspected: Rc<Instance>) {
     let spread = SURVEY_SPREAD.as_millis() as u64;
@@ -82,8 +95,12 @@
     let mut suspected = Some(suspected);
     loop {
         survey(&state, suspected.take()).await;
+        let is_published = state.is_published_cut_off.get();
+        if state.reach.borrow().is_cut_off() && !is_published {
+            is_reached_again(&state, None).await;
+        }
         let is_cut_off = state.reach.borrow().is_cut_off();
-        if is_cut_off != state.is_published_cut_off.get() {
+        if is_cut_off != is_published {
             member::publish(&state, is_cut_off).await;
         }
         let has_failed = state.reach.borrow().has_failed();
