Take only responses that name the attempt on connections that were used before

Reported by other operators: a server sent a second copy of an answer, late, on a connection that was in use again. Copies that name their attempt were dropped already. A refusal without an attempt id was taken for the answer to the next request: copy_refusal_without_id failed ('t1 ran, and was refused'). On a connection that has carried a request, only responses that name the attempt count now; others are dropped, and the right one is read behind them.

The tests of slow streams (an event each 1.3 s) and of stalled ones (a comment each 0.1 s) passed at once.

--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -19,7 +19,7 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::relay::{self, EndpointResponse, Failure};
+use crate::relay::{self, Answers, EndpointResponse, Failure};
 use crate::state::{InFlight, State};
 use crate::{limit, reach, telemetry, timer};
 
@@ -100,7 +100,13 @@
             }
         };
         let sent = clock::now();
-        let exchange = relay::exchange(&mut connection, &message, &request.method, attempt_id);
+        let exchange = relay::exchange(
+            &mut connection,
+            &message,
+            &request.method,
+            attempt_id,
+            Answers::Any,
+        );
         let (mut head, framing) = timer::within(left, exchange)
             .await
             .ok_or(Failure::Timeout)?
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -168,6 +168,11 @@
     limit: Duration,
 ) -> Result<EndpointResponse, Failure> {
     let pooled = state.pool.borrow_mut().take(instance.address);
+    let answers = if pooled.is_some() {
+        Answers::Named
+    } else {
+        Answers::Any
+    };
     let mut connection = match pooled {
         Some(connection) => connection,
         None => connect(state, instance, limit).await?,
@@ -181,6 +186,7 @@
             &message,
             &request.method,
             attempt_id,
+            answers,
         ));
         let early = timer::within(limit.min(MAX_SILENCE), &mut exchange).await;
         if early.is_some() {
@@ -229,6 +235,16 @@
     }
 }
 
+/// Which responses may be those to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    /// Those that name the attempt, and failures that name none.
+    Any,
+    /// Those that name the attempt: the connection has carried other requests, and a faulty endpoint may send another
+    /// response to one of them late.
+    Named,
+}
+
 /// Sends a message and reads the head of the response.
 ///
 /// # Errors
@@ -239,12 +255,13 @@
     message: &[u8],
     method: &str,
     attempt_id: &str,
+    answers: Answers,
 ) -> Result<(Response, Framing), String> {
     connection
         .write(message)
         .await
         .map_err(|error| error.to_string())?;
-    read_response(connection, method, attempt_id).await
+    read_response(connection, method, attempt_id, answers).await
 }
 
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
@@ -252,6 +269,7 @@
     connection: &mut Connection,
     method: &str,
     attempt_id: &str,
+    answers: Answers,
 ) -> Result<(Response, Framing), String> {
     loop {
         let (head, framing) = connection
@@ -261,7 +279,7 @@
         let answered_attempt_id = header::Response::decode(&head).attempt_id;
         let is_match = match &answered_attempt_id {
             Some(answered_attempt_id) => answered_attempt_id == attempt_id,
-            None => head.status >= 400,
+            None => head.status >= 400 && answers == Answers::Any,
         };
         if is_match {
             return Ok((head, framing));
