--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -72,7 +72,8 @@
     loop {
         let limits = limits(&state);
         let closing = state.closing.listen();
-        let is_backlog = state.is_closing.get() && std::mem::take(&mut is_first);
+        // Only the first request of a connection may have waited in the backlog.
+        let is_backlog = state.is_closing.get() && is_first;
         if state.is_closing.get() && !is_backlog {
             return;
         }
