--- a/crates/endivespur_core/src/gateway/ownership.rs
+++ b/crates/endivespur_core/src/gateway/ownership.rs
@@ -125,11 +125,13 @@
         }
     }
 
+    /// Records that a VM has claimed an endpoint, if another one was the last to do so.
     fn record_holder(&mut self, now: Time, endpoint: &str, vm: &str) {
-        if self.turn_time.is_none() || self.holders.get(endpoint).is_some_and(|h| h.vm == vm) {
+        let known = self.holders.get(endpoint);
+        if self.turn_time.is_none() || known.is_some_and(|known| known.vm == vm) {
             return;
         }
-        let revision = self.holders.get(endpoint).map_or(0, |h| h.revision);
+        let revision = known.map_or(0, |known| known.revision);
         let holder = Holder {
             vm: vm.to_string(),
             revision,
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -91,10 +91,11 @@
 /// Revokes the lease, so that other VMs take the engines over at once.
 pub async fn revoke_lease(state: &State) {
     let id = state.lease.borrow_mut().id.take();
+    let Some(id) = id else {
+        return;
+    };
     telemetry::store_called("revoke", "lease");
-    if let Some(id) = id
-        && let Err(error) = state.store.revoke(id).await
-    {
+    if let Err(error) = state.store.revoke(id).await {
         warn!(event = "lease"; "not revoked: {error}");
     }
 }
