Leave engines to their former owner also if it learns of a return of the store by its lease

An owner whose renewal was refused before it had read the new era had no claims left at that moment, so that it was held back like all others, for 1.5 s, and their ranks decided.

The process that owned an engine last is now kept with the unowned engine. The test fails each time with watches that are 0.3 s late, before; it passes with this change, and so does the one of the core. Not ruled out before: that renewals every 0.9 s in place of 0.6 s were the cause by themselves; restores 0 and 0.5 s after a renewal passed without this change.

--- a/crates/endivespur_core/src/gateway/ownership.rs
+++ b/crates/endivespur_core/src/gateway/ownership.rs
@@ -52,11 +52,20 @@
     unregistered_since: Option<Time>,
 }
 
+/// An endpoint without an owner.
+#[derive(Clone, Debug)]
+struct Unowned {
+    /// The time from which VMs wait for those that rank before them.
+    since: Time,
+    /// The process that owned it last, if this VM knows it.
+    last_process: Option<Process>,
+}
+
 /// The claims that were last received from the store.
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
     current: BTreeMap<Endpoint, Claim>,
-    unowned_since: BTreeMap<Endpoint, Time>,
+    unowned: BTreeMap<Endpoint, Unowned>,
     /// The last holders, where endpoints accept orders with stale fencing numbers.
     holders: BTreeMap<Endpoint, Holder>,
     /// The minimum time between two changes of an endpoint's holder.
@@ -94,13 +103,16 @@
             return;
         }
         if let Some(claim) = claim {
-            self.unowned_since.remove(endpoint);
+            self.unowned.remove(endpoint);
             self.record_holder(now, endpoint, &claim.vm);
             self.current.insert(endpoint.to_string(), claim);
-        } else {
-            self.current.remove(endpoint);
-            self.unowned_since.insert(endpoint.to_string(), now);
+            return;
         }
+        let last_process = self.current.remove(endpoint).map(|claim| claim.process);
+        self.unowned.entry(endpoint.to_string()).or_insert(Unowned {
+            since: now,
+            last_process,
+        });
     }
 
     /// Records the last holder of an endpoint as of a revision of the store; ignores stale revisions. Without a holder,
@@ -189,10 +201,11 @@
                 Decision::Owned
             };
         }
-        let since = *self
-            .unowned_since
-            .entry(endpoint.to_string())
-            .or_insert(now);
+        let unowned = self.unowned.entry(endpoint.to_string()).or_insert(Unowned {
+            since: now,
+            last_process: None,
+        });
+        let since = unowned.since;
         let ranked = hash::rank(endpoint, vms.collect(), |vm| vm, MAX_RANK as usize);
         let rank = ranked
             .iter()
@@ -206,20 +219,18 @@
         }
     }
 
-    /// Keeps this VM from claiming the unowned endpoints before a time, unless `is_exempt` returns
-    /// `true`.
-    pub fn hold(&mut self, until: Time, is_exempt: impl Fn(&str) -> bool) {
-        for (endpoint, since) in &mut self.unowned_since {
-            if !is_exempt(endpoint) {
-                *since = until.max(*since);
+    /// Keeps this VM from claiming the unowned endpoints before a time, except those that the process `own` owned last.
+    pub fn hold(&mut self, until: Time, own: &str) {
+        for unowned in self.unowned.values_mut() {
+            if unowned.last_process.as_deref() != Some(own) {
+                unowned.since = until.max(unowned.since);
             }
         }
     }
 
     /// Removes the unowned endpoints for which `is_registered` returns `false`.
     pub fn retain(&mut self, now: Time, is_registered: impl Fn(&str) -> bool) {
-        self.unowned_since
-            .retain(|endpoint, _| is_registered(endpoint));
+        self.unowned.retain(|endpoint, _| is_registered(endpoint));
         for (endpoint, holder) in &mut self.holders {
             holder.unregistered_since = match holder.unregistered_since {
                 _ if is_registered(endpoint) => None,
--- a/crates/endivespur_core/tests/gateway/ownership.rs
+++ b/crates/endivespur_core/tests/gateway/ownership.rs
@@ -75,9 +75,11 @@
 #[test]
 fn hold_after_lost_claims() {
     let mut claims = Claims::new();
-    claims.set(ms(0), "other", 5, None);
-    claims.set(ms(0), "own", 5, None);
-    claims.hold(ms(2_000), |endpoint| endpoint == "own");
+    claims.set(ms(0), "other", 5, Some(claim("vm-2", "vm-2#1", 5)));
+    claims.set(ms(0), "own", 5, Some(claim("vm-1", "vm-1#1", 5)));
+    claims.set(ms(0), "other", 6, None);
+    claims.set(ms(0), "own", 6, None);
+    claims.hold(ms(2_000), "vm-1#1");
     let mut decide = |now, endpoint| {
         let vms = ["vm-1"].into_iter();
         claims.decide(ms(now), endpoint, ("vm-1", "vm-1#1"), vms)
@@ -86,3 +88,18 @@
     assert_eq!(decide(1, "other"), Decision::Wait(ms(2_000)));
     assert_eq!(decide(2_000, "other"), Decision::Claim(0));
 }
+
+/// The owner may learn by its lease that its claims are gone, before it learns that the store came back from a copy.
+#[test]
+fn hold_after_own_lease_lapsed() {
+    let mut claims = Claims::new();
+    claims.set(ms(0), "e", 5, Some(claim("a", "a#1", 5)));
+    claims.set(ms(0), "e", u64::MAX, None);
+    claims.set(ms(300), "e", 6, None);
+    claims.hold(ms(1_800), "a#1");
+    let latest = RANK_DELAY * 2;
+    match decide(&mut claims, 300, "a") {
+        Decision::Claim(0) => {}
+        decision => assert_matches!(decision, Decision::Wait(at) if at <= latest),
+    }
+}
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -1,13 +1,11 @@
 //! Applies the store's changes to the catalog and the claims.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::feed::{Item, LARGE_VALUE_BYTES, Page};
 use endivespur_core::gateway::ownership::Claim;
-use endivespur_core::id::Endpoint;
 use endivespur_platform::store::{self, Position};
 use endivespur_platform::{document, registration};
 use log::{info, warn};
@@ -24,7 +22,7 @@
 /// Changes of the adapters that an endpoint holds are frequent and may be delayed. Changes of
 /// whether it serves, of documents, of claims and of records of crashes are urgent.
 pub fn apply(state: &Rc<State>, page: Page) -> bool {
-    let era = Era::enter(state, page.revision);
+    let is_new_era = enter_era(state, page.revision);
     let announces = !page.large.is_empty();
     keep_replaced(state, &page);
     let items = state.feed.borrow_mut().apply(page);
@@ -32,20 +30,20 @@
     if announces {
         state.notify();
     }
-    if let Some(era) = era {
-        era.recover(state);
+    if is_new_era {
+        recover(state);
     }
     is_urgent
 }
 
 /// Replaces the state by a listing of all keys.
 pub fn replace(state: &Rc<State>, page: Page) {
-    let era = Era::enter(state, page.revision);
+    let is_new_era = enter_era(state, page.revision);
     keep_replaced(state, &page);
     let items = state.feed.borrow_mut().replace(page);
     apply_items(state, &items);
-    if let Some(era) = era {
-        era.recover(state);
+    if is_new_era {
+        recover(state);
     }
 }
 
@@ -63,50 +61,34 @@
     }
 }
 
-/// An era of the store that begins with the changes that are about to be applied.
-struct Era {
-    /// The endpoints that this process owned before.
-    owned: BTreeSet<Endpoint>,
-}
-
-impl Era {
-    /// Returns the era that changes up to a position begin, if it is a new one.
-    fn enter(state: &State, position: Position) -> Option<Self> {
-        let last = state.feed.borrow().revision();
-        if last == 0 || store::era(position) <= store::era(last) {
-            return None;
-        }
-        info!(
-            event = "store-era", era = store::era(position), revision = store::revision(position),
-            last_era = store::era(last), last_revision = store::revision(last);
-            "store came back from a copy"
-        );
-        telemetry::era_entered();
-        // The endpoints whose registrations are missing register again.
-        state.catalog.borrow_mut().store_recovered(clock::now());
-        let claims = state.claims.borrow();
-        let owned = claims
-            .iter()
-            .filter(|(_, claim)| claim.process == state.process);
-        Some(Self {
-            owned: owned.map(|(endpoint, _)| endpoint.clone()).collect(),
-        })
+/// Notes that changes up to a position begin a new era of the store; returns whether they do.
+fn enter_era(state: &State, position: Position) -> bool {
+    let last = state.feed.borrow().revision();
+    if last == 0 || store::era(position) <= store::era(last) {
+        return false;
     }
+    info!(
+        event = "store-era", era = store::era(position), revision = store::revision(position),
+        last_era = store::era(last), last_revision = store::revision(last);
+        "store came back from a copy"
+    );
+    telemetry::era_entered();
+    // The endpoints whose registrations are missing register again.
+    state.catalog.borrow_mut().store_recovered(clock::now());
+    true
+}
 
-    /// Writes again what was lost, and leaves the engines to their former owners for some time: they
-    /// claim them again, and some of them may not know yet that they have lost their claims.
-    fn recover(self, state: &Rc<State>) {
-        record::write_again(state);
-        let delay = if state.settings.is_fencing_enforced {
-            RECLAIM_TIME
-        } else {
-            member::LEASE_TTL
-        };
-        let mut claims = state.claims.borrow_mut();
-        claims.hold(clock::now() + delay, |endpoint| {
-            self.owned.contains(endpoint)
-        });
-    }
+/// Writes again what the store lost before its new era, and leaves the engines to their former owners for some time:
+/// they claim them again, and some of them may not know yet that they have lost their claims.
+fn recover(state: &Rc<State>) {
+    record::write_again(state);
+    let delay = if state.settings.is_fencing_enforced {
+        RECLAIM_TIME
+    } else {
+        member::LEASE_TTL
+    };
+    let mut claims = state.claims.borrow_mut();
+    claims.hold(clock::now() + delay, &state.process);
 }
 
 fn apply_items(state: &State, items: &[Item]) -> bool {
