Ask the spares of an adapter before requests wait at its homes until their deadline

In the logs of one zone 48 of 81 such streams run on four of the five engines that hold one popular adapter; these read prompts all the time, so that their streams take 4 to 14 s. A search let requests wait at the homes for up to their deadline before it asked a spare.

The order is now a function of the core: homes within 0.2 and 0.6 of the objective, then spares within 0.6, then any engine.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -1,5 +1,7 @@
 //! The order in which the endpoints of a service are tried.
 
+use std::time::Duration;
+
 use crate::gateway::endpoint::{Instance, Weights};
 use crate::hash;
 use crate::id::{Endpoint, Version};
@@ -10,6 +12,56 @@
 /// The number of further engines that are tried before a request is refused.
 pub const MAX_SPARES: usize = 4;
 
+/// The share of the objective that a request may wait behind other prompts before another engine that also holds its
+/// adapter is preferred.
+const SHORT_DELAY_SHARE: f64 = 0.2;
+/// The share of the objective that a request may wait for its adapter, or behind other prompts, before another engine
+/// fetches the adapter too; the rest is left for prefill.
+const LONG_DELAY_SHARE: f64 = 0.6;
+
+/// The engines that a pass asks, of those returned by [`rank_engines`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// The first [`MAX_HOMES`], in their order.
+    Homes,
+    /// The homes that replied to the first pass, the shortest delay first.
+    HomesByDelay,
+    /// The others, in their order.
+    Spares,
+    /// All that have replied, the shortest delay first.
+    AllByDelay,
+}
+
+/// One pass over the engines that may run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pass {
+    /// The engines that are asked.
+    pub group: Group,
+    /// The longest delay with which an engine is chosen.
+    pub max_delay: Duration,
+    /// Whether an engine is chosen only if the adapter is resident already.
+    pub only_resident: bool,
+}
+
+/// Returns the passes in which engines are asked, for a request that is wanted within `objective` and may wait for
+/// `max_wait`.
+///
+/// Spares fetch the adapter before requests wait at its homes for longer than their objective permits.
+pub fn passes(objective: Duration, max_wait: Duration) -> [Pass; 4] {
+    let pass = |group, max_delay: Duration, only_resident| Pass {
+        group,
+        max_delay: max_delay.min(max_wait),
+        only_resident,
+    };
+    let long_delay = objective.mul_f64(LONG_DELAY_SHARE);
+    [
+        pass(Group::Homes, objective.mul_f64(SHORT_DELAY_SHARE), true),
+        pass(Group::HomesByDelay, long_delay, false),
+        pass(Group::Spares, long_delay, false),
+        pass(Group::AllByDelay, max_wait, false),
+    ]
+}
+
 /// Returns the engines to try for an adapter: those whose registration lists it in at least
 /// `version`, engines in `zone` first, then its homes and the spares by rendezvous hashing.
 pub fn rank_engines<'a>(
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use endivespur_core::gateway::choice::{self, Candidate, MAX_HOMES, MAX_SPARES};
+use endivespur_core::gateway::choice::{self, Candidate, Group, MAX_HOMES, MAX_SPARES};
 use endivespur_core::gateway::endpoint::{Base, Instance};
 
 use crate::{BASE, ms, weights};
@@ -63,6 +63,21 @@
     assert_eq!(engines("x", 2, &all)[0], "new");
 }
 
+/// A popular adapter must spread before requests wait at its homes for longer than they may.
+#[test]
+fn passes_spares_before_waiting() {
+    let passes = choice::passes(ms(800), ms(5_000));
+    let spares = passes.iter().position(|pass| pass.group == Group::Spares);
+    let long = passes.iter().position(|pass| pass.max_delay > ms(800));
+    assert!(spares < long, "{passes:?}");
+}
+
+#[test]
+fn passes_short_wait() {
+    let passes = choice::passes(ms(800), ms(100));
+    assert!(passes.iter().all(|pass| pass.max_delay <= ms(100)));
+}
+
 fn candidate(endpoint: &str, running: usize, is_same_zone: bool) -> Candidate {
     Candidate {
         endpoint: endpoint.to_string(),
--- /dev/null
+++ b/crates/endivespur_core/tests/load/main.rs
@@ -0,0 +1,4 @@
+//! Who is served under heavy load, by an engine model in place of engines.
+
+mod model;
+mod popular;
--- /dev/null
+++ b/crates/endivespur_core/tests/load/model.rs
@@ -0,0 +1,132 @@
+//! An engine that reads prompts in chunks between the tokens of its streams, and the requests of a class.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use endivespur_core::gateway::endpoint::Weights;
+use endivespur_core::gateway::prefix::Part;
+
+/// The duration of a step without prompt tokens.
+const STEP_TIME: Duration = Duration::from_micros(5_050);
+/// The prompt tokens that an engine reads in a millisecond.
+const PROMPT_TOKENS_PER_MS: f64 = 40.8;
+/// The maximum number of prompt tokens read in one step.
+const CHUNK_TOKENS: u64 = 1_024;
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// The requests that arrive in a second.
+    pub rate: f64,
+    /// The prompt tokens that all its requests share.
+    pub shared_tokens: u64,
+    /// The other prompt tokens of a request.
+    pub own_tokens: u64,
+    /// The tokens of a response.
+    pub output_tokens: u64,
+    /// The time within which the first token is wanted.
+    pub objective: Duration,
+    /// The time after which the caller leaves.
+    pub deadline: Duration,
+}
+
+impl Class {
+    /// Returns the parts of the prompt of a request with this number.
+    pub fn parts(&self, number: u64) -> Vec<Part> {
+        vec![
+            Part {
+                id: format!("shared-{}", self.shared_tokens),
+                tokens: self.shared_tokens,
+            },
+            Part {
+                id: format!("own-{number}"),
+                tokens: self.own_tokens,
+            },
+        ]
+    }
+}
+
+/// A request at an engine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The owner's grant.
+    pub grant: u64,
+    /// The adapter.
+    pub weights: Weights,
+    /// When its caller wants the first token.
+    pub objective: Duration,
+    /// When its caller leaves.
+    pub deadline: Duration,
+    /// The prompt tokens that the engine has not read yet.
+    pub prompt_left: u64,
+    /// The tokens of the response that it has not written yet.
+    pub output_left: u64,
+    /// Whether its first token was late.
+    pub is_late: bool,
+}
+
+/// What happened in a step.
+#[derive(Debug, Default)]
+pub struct Events {
+    /// The runs whose responses began.
+    pub started: Vec<Run>,
+    /// The runs whose responses are complete.
+    pub completed: Vec<Run>,
+    /// The runs whose callers left.
+    pub given_up: Vec<Run>,
+}
+
+/// An engine that reads prompts in the order of their arrival.
+#[derive(Debug, Default)]
+pub struct Engine {
+    prompts: VecDeque<Run>,
+    streams: Vec<Run>,
+}
+
+impl Engine {
+    /// Creates an idle engine.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a request.
+    pub fn add(&mut self, run: Run) {
+        self.prompts.push_back(run);
+    }
+
+    /// Makes one step; returns its end and what happened until then.
+    pub fn step(&mut self, now: Duration) -> (Duration, Events) {
+        let mut events = Events::default();
+        let mut chunk = 0;
+        while chunk < CHUNK_TOKENS
+            && let Some(run) = self.prompts.front_mut()
+        {
+            let read = run.prompt_left.min(CHUNK_TOKENS - chunk);
+            run.prompt_left -= read;
+            chunk += read;
+            if run.prompt_left == 0 {
+                events.started.extend(self.prompts.pop_front());
+            }
+        }
+        let prompt_time = Duration::from_secs_f64(chunk as f64 / PROMPT_TOKENS_PER_MS / 1_000.0);
+        let end = now + STEP_TIME + prompt_time;
+        for run in &mut events.started {
+            run.is_late = end > run.objective;
+        }
+        self.streams.extend(events.started.iter().cloned());
+        for run in &mut self.streams {
+            run.output_left -= 1;
+        }
+        let is_complete = |run: &mut Run| run.output_left == 0;
+        events.completed = self.streams.extract_if(.., is_complete).collect();
+        events.given_up = self
+            .streams
+            .extract_if(.., |run| run.deadline <= end)
+            .collect();
+        let (left, kept) = self.prompts.drain(..).partition(|run| run.deadline <= end);
+        self.prompts = kept;
+        let left: VecDeque<Run> = left;
+        events.given_up.extend(left);
+        (end, events)
+    }
+}
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::gateway::choice;
+use endivespur_core::gateway::choice::{self, Group, Pass};
 use endivespur_core::gateway::endpoint::{Instance, Weights};
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::id::{Endpoint, Grant, Software, Version};
@@ -20,12 +20,6 @@
 use crate::peer;
 use crate::state::{InFlight, State};
 
-/// The share of the objective that a request may wait behind other prompts before another
-/// engine that also holds its adapter is preferred.
-const SHORT_DELAY_SHARE: f64 = 0.2;
-/// The share of the objective that a request may wait for its adapter, or behind other
-/// prompts, before another engine fetches the adapter too; the rest is left for prefill.
-const LONG_DELAY_SHARE: f64 = 0.6;
 /// The delay added to engines in another zone when they are compared for fetching an adapter:
 /// sending the prompts between zones is billed.
 const CROSS_ZONE_PENALTY: Duration = Duration::from_millis(40);
@@ -158,12 +152,7 @@
             weights: &weights,
             refusals: RefCell::new(BTreeMap::new()),
         };
-        let (preferred, fallbacks) = ranked.split_at(ranked.len().min(choice::MAX_HOMES));
-        let mut outcome = search.run(preferred).await;
-        if matches!(outcome, Outcome::Busy) && !fallbacks.is_empty() {
-            outcome = search.run(fallbacks).await;
-        }
-        match outcome {
+        match search.run(&ranked).await {
             // The engine may have started to drain while the request waited.
             Outcome::Permit(permit) if is_serving(state, &permit.instance) => return Ok(*permit),
             Outcome::Permit(_) => continue,
@@ -226,56 +215,55 @@
 }
 
 impl Search<'_> {
-    /// Requests a grant in three passes: with a short delay where the adapter is resident, then
-    /// with a longer delay or a fetch, then with any delay, shortest first. The first pass also
-    /// permits engines without a responsive owner, by their registrations.
-    async fn run(&self, engines: &[Rc<Instance>]) -> Outcome {
-        let objective = self.call.route.objective;
-        let short_delay = Some(objective.mul_f64(SHORT_DELAY_SHARE));
-        let long_delay = Some(objective.mul_f64(LONG_DELAY_SHARE));
+    /// Requests a grant in the passes of [`choice::passes`]. Engines that have not been asked yet are also permitted
+    /// without a responsive owner, by their registrations.
+    async fn run(&self, ranked: &[Rc<Instance>]) -> Outcome {
+        let (homes, spares) = ranked.split_at(ranked.len().min(choice::MAX_HOMES));
         let mut delays: Vec<(Duration, Rc<Instance>)> = Vec::new();
-        for engine in engines {
-            match self.request_grant(engine, short_delay, true).await {
-                Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
-                Some(Err(Reply::Busy(delay))) => {
-                    let is_same_zone = engine.zone == self.state.settings.zone;
-                    let penalty = if is_same_zone {
-                        Duration::ZERO
-                    } else {
-                        CROSS_ZONE_PENALTY
-                    };
-                    delays.push((delay + penalty, engine.clone()));
+        for pass in choice::passes(self.call.route.objective, self.max_wait()) {
+            let is_first = matches!(pass.group, Group::Homes | Group::Spares);
+            let engines: Vec<Rc<Instance>> = match pass.group {
+                Group::Homes => homes.to_vec(),
+                Group::Spares => spares.to_vec(),
+                Group::HomesByDelay | Group::AllByDelay => {
+                    delays.sort_by_key(|(delay, _)| *delay);
+                    delays.iter().map(|(_, engine)| engine.clone()).collect()
                 }
-                Some(Err(Reply::Late)) => return Outcome::Busy,
-                Some(Err(_)) | None => {
-                    if let Some(permit) = permit_without_owner(self.state, engine, self.weights) {
-                        return Outcome::Permit(Box::new(permit));
+            };
+            for engine in engines {
+                let reply = self.request_grant(&engine, pass).await;
+                match reply {
+                    Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
+                    Some(Err(Reply::Late)) => return Outcome::Busy,
+                    Some(Err(Reply::Busy(delay))) if is_first => {
+                        delays.push((delay + self.zone_penalty(&engine), engine));
+                    }
+                    Some(Err(_)) | None if is_first => {
+                        if let Some(permit) =
+                            permit_without_owner(self.state, &engine, self.weights)
+                        {
+                            return Outcome::Permit(Box::new(permit));
+                        }
                     }
+                    Some(Err(_)) | None => {}
                 }
             }
-        }
-        if delays.is_empty() {
-            return Outcome::NoOwner;
-        }
-        delays.sort_by_key(|(delay, _)| *delay);
-        for (_, engine) in &delays {
-            match self.request_grant(engine, long_delay, false).await {
-                Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
-                Some(Err(Reply::Late)) => return Outcome::Busy,
-                Some(Err(_)) | None => {}
-            }
-        }
-        for (_, engine) in &delays {
-            if let Some(Ok(permit)) = self
-                .request_grant(engine, Some(self.max_wait()), false)
-                .await
-            {
-                return Outcome::Permit(Box::new(permit));
+            if delays.is_empty() {
+                return Outcome::NoOwner;
             }
         }
         Outcome::Busy
     }
 
+    /// Returns what is added to the delay of an engine in another zone.
+    fn zone_penalty(&self, engine: &Instance) -> Duration {
+        if engine.zone == self.state.settings.zone {
+            Duration::ZERO
+        } else {
+            CROSS_ZONE_PENALTY
+        }
+    }
+
     /// Logs why no engine was found, and returns the reason.
     fn log_failure(&self, reason: &'static str) -> Unavailable {
         let refusals = self.refusals.borrow();
@@ -314,16 +302,15 @@
     async fn request_grant(
         &self,
         instance: &Rc<Instance>,
-        max_delay: Option<Duration>,
-        only_resident: bool,
+        pass: Pass,
     ) -> Option<Result<Permit, Reply>> {
         let fields = &self.call.fields;
         let request = Request {
             weights: self.weights.clone(),
             tokens: fields.prompt_tokens,
             parts: fields.parts.clone(),
-            max_delay,
-            only_resident,
+            max_delay: Some(pass.max_delay),
+            only_resident: pass.only_resident,
             due_in: self.call.objective_left().mul_f64(SEND_SHARE),
         };
         let state = self.state;
