Try more endpoints before all links are taken for cut

Traced with its log: three of five engines had crashed and were still registered; the survey connected to three, all of them down ones, no other gateway could tell more, and the request was refused as cut off although two engines had not been tried. Ruled out: the quarantine of the crashing request, which held, and the order in which engines are asked.

Before a survey concludes that without another gateway's word, it connects to 16 endpoints.

--- a/crates/endivespur_gateway/src/reach.rs
+++ b/crates/endivespur_gateway/src/reach.rs
@@ -21,6 +21,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The number of further endpoints that a survey connects to if the suspected one is not reached.
 const SURVEY_COUNT: usize = 3;
+/// The number of endpoints that a survey connects to before it takes all links for cut though no other gateway reaches
+/// an endpoint: most may have crashed, and stay registered for seconds.
+const WIDE_SURVEY_COUNT: usize = 16;
 /// The number of other gateways that are asked whether they reach an endpoint.
 const ASKED_COUNT: usize = 3;
 /// The time between two surveys while no endpoint is reached.
@@ -79,7 +82,7 @@
         Timer::after(CONFIRMATION_PAUSE).await;
         let is_reached = match endpoint {
             Some(endpoint) => probe(state, endpoint).await,
-            None => probe_sample(state).await,
+            None => probe_sample(state, SURVEY_COUNT).await,
         };
         if is_reached {
             return true;
@@ -120,6 +123,8 @@
         Survey::Reached
     } else if others_reach_any(state).await {
         Survey::CutOff
+    } else if probe_sample(state, WIDE_SURVEY_COUNT).await {
+        Survey::Reached
     } else {
         Survey::Unknown
     };
@@ -145,12 +150,12 @@
     {
         return true;
     }
-    probe_sample(state).await
+    probe_sample(state, SURVEY_COUNT).await
 }
 
 /// Returns whether one of a few endpoints is reached over a new connection.
-async fn probe_sample(state: &Rc<State>) -> bool {
-    let endpoints = sample(state);
+async fn probe_sample(state: &Rc<State>, count: usize) -> bool {
+    let endpoints = sample(state, count);
     let probes = endpoints.iter().map(|endpoint| probe(state, endpoint));
     join_all(probes).await.contains(&true)
 }
@@ -169,22 +174,17 @@
 }
 
 /// Returns a few endpoints, others with each survey.
-fn sample(state: &State) -> Vec<Rc<Instance>> {
+fn sample(state: &State, count: usize) -> Vec<Rc<Instance>> {
     let catalog = state.catalog.borrow();
     let serving = catalog.endpoints().filter(|endpoint| !endpoint.is_draining);
     let key = format!("{}{}", state.process, clock::now().as_nanos());
     let serving = serving.cloned().collect();
-    hash::rank(
-        &key,
-        serving,
-        |endpoint: &Rc<Instance>| &endpoint.id,
-        SURVEY_COUNT,
-    )
+    hash::rank(&key, serving, |endpoint: &Rc<Instance>| &endpoint.id, count)
 }
 
 /// Returns whether another gateway reaches an endpoint that this one does not.
 async fn others_reach_any(state: &Rc<State>) -> bool {
-    for endpoint in sample(state) {
+    for endpoint in sample(state, SURVEY_COUNT) {
         let is_reached = ask_others(state, &endpoint.id).await == Reach::Reached;
         // The endpoint may have come back since it was probed.
         if is_reached && !probe(state, &endpoint).await {
@@ -263,5 +263,5 @@
         return true;
     }
     suspect(state, endpoint);
-    probe_sample(state).await
+    probe_sample(state, SURVEY_COUNT).await
 }
