Ask for an expired lease each 0.8 s in place of 0.2 s

Once a lease has expired its engines have other owners, or the store is away for all: a failed call is repeated after 0.8 s, or as soon as the store's changes are received again. While the lease may still be kept it stays 0.2 s.

--- a/crates/endivespur_gateway/src/lease.rs
+++ b/crates/endivespur_gateway/src/lease.rs
@@ -37,6 +37,11 @@
         self.validity.suspended();
     }
 
+    /// Returns whether the store certainly keeps the lease.
+    pub fn is_valid(&self, now: Time) -> bool {
+        self.permits_orders(now, false)
+    }
+
     /// Returns whether orders may be sent to engines under this lease.
     pub fn permits_orders(&self, now: Time, is_fenced: bool) -> bool {
         self.id.is_some() && self.validity.permits_orders(now, is_fenced)
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -35,6 +35,9 @@
 const RENEW_PATIENCE: Duration = Duration::from_millis(300);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The pause after a failed call for a lease that has expired, or was never granted: the engines have other owners by
+/// then, or the store is away for all.
+const LAPSED_RETRY_PAUSE: Duration = Duration::from_millis(800);
 /// The maximum number of claims written in one call: a call holds at most 32 rows, and each claim
 /// takes an expected revision and a put.
 const MAX_CLAIMS_PER_CALL: usize = 16;
@@ -118,6 +121,7 @@
 async fn keep_lease(state: Rc<State>) {
     let mut is_failing = false;
     while !state.is_stopping.get() {
+        let regained = state.store_regained.listen();
         let sent = clock::now();
         let id = state.lease.borrow().id;
         let result = match id {
@@ -127,7 +131,7 @@
         match result {
             Ok(()) => {
                 is_failing = false;
-                Timer::after(RENEW_INTERVAL).await
+                Timer::after(RENEW_INTERVAL).await;
             }
             Err(message) => {
                 telemetry::store_failed("lease");
@@ -135,9 +139,15 @@
                     warn!(event = "lease"; "not renewed: {message}");
                 }
                 is_failing = true;
-                Timer::after(RETRY_PAUSE).await
+                let is_valid = state.lease.borrow().is_valid(clock::now());
+                let pause = if is_valid {
+                    RETRY_PAUSE
+                } else {
+                    LAPSED_RETRY_PAUSE
+                };
+                timer::within(pause, regained).await;
             }
-        };
+        }
     }
 }
 
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -95,6 +95,7 @@
     };
     let age_ms = clock::now().saturating_sub(since).as_millis() as u64;
     info!(event = "store-regained", age_ms; "receiving changes of the store again");
+    state.store_regained.notify(usize::MAX);
     true
 }
 
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -81,6 +81,8 @@
     pub claims: RefCell<Claims>,
     /// Signals a change of the catalog or the claims.
     pub changed: Event,
+    /// Signals that the store's changes are received again.
+    pub store_regained: Event,
     /// This VM's lease.
     pub lease: RefCell<Lease>,
     /// Since when this VM has received changes neither from the store nor from another gateway.
@@ -166,6 +168,7 @@
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(claims),
             changed: Event::new(),
+            store_regained: Event::new(),
             lease: RefCell::new(Lease::new()),
             store_lost_at: Cell::new(None),
             owned_engines: OwnedEngines::new(),
