Take only prompts that begin in time at an engine that has been busy for 2 s

An owner whose engine had a backlog of more than 0.3 s at all requests of 2 s grants only what begins within its objective; the others are refused at once. A request whose objective has passed is not bounded: it has waited already.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -32,6 +32,11 @@
 /// The range of the prefill slowdown. An engine beyond the upper limit is recognised by its failed
 /// requests instead.
 const SLOWDOWN_RANGE: (f64, f64) = (0.7, 12.0);
+/// The backlog above which an engine counts as busy.
+const BUSY_BACKLOG: Duration = Duration::from_millis(300);
+/// How long an engine may be busy before it only takes prompts that it can begin in time: a burst ends within this time,
+/// but if more arrives than the engine can serve, all would be late.
+const BURST_TIME: Duration = Duration::from_secs(2);
 /// How long a grant counts as in use if its release never arrives.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -104,11 +109,11 @@
     pub tokens: u64,
     /// The parts of the prompt, in order.
     pub parts: Vec<Part>,
-    /// The longest acceptable delay; `None` if every delay is.
+    /// The longest acceptable delay; `None` if every delay is. While the engine is overloaded, it is `due_in` at most.
     pub max_delay: Option<Duration>,
     /// Whether to grant only if the adapter is resident already.
     pub only_resident: bool,
-    /// The time left to send the prompt so that the request can still meet its objective.
+    /// The time left to send the prompt so that the request can still meet its objective; zero if that has passed.
     pub due_in: Duration,
 }
 
@@ -215,6 +220,8 @@
     pending_retry: Option<Order>,
     /// The prompts whose prefill has not finished.
     pending_prefills: BTreeMap<Grant, Prefill>,
+    /// Since when requests have found the engine busy; `None` if the last one did not.
+    busy_since: Option<Time>,
     /// The prefill work sent to the engine, in seconds.
     prefill_work: Counter,
     /// The observed duration of a prefill divided by the duration according to the data sheet.
@@ -251,6 +258,7 @@
             base_check_at: None,
             pending_retry: None,
             pending_prefills: BTreeMap::new(),
+            busy_since: None,
             prefill_work: Counter::default(),
             prefill_slowdown: 1.0,
             prefix_cache: Cache::new(class.memory_tokens),
@@ -294,7 +302,13 @@
     /// Answers a request for a grant.
     pub fn request(&mut self, now: Time, request: &Request) -> Decision {
         let delay = self.delay(now, &request.weights);
-        if request.max_delay.is_some_and(|max| delay > max) {
+        let max_delay = match request.max_delay {
+            Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
+                Some(max.min(request.due_in))
+            }
+            max => max,
+        };
+        if max_delay.is_some_and(|max| delay > max) {
             return Decision::Busy(delay + self.load_penalty(now));
         }
         if self.is_ready(&request.weights) {
@@ -306,6 +320,16 @@
         Decision::Wait
     }
 
+    /// Returns whether the engine has been busy for longer than a burst takes.
+    fn is_overloaded(&mut self, now: Time) -> bool {
+        if self.backlog(now) <= BUSY_BACKLOG {
+            self.busy_since = None;
+            return false;
+        }
+        let since = *self.busy_since.get_or_insert(now);
+        now.saturating_sub(since) > BURST_TIME
+    }
+
     /// Adds a request that waits for an adapter; [`Engine::remove_waiter`] removes it.
     pub fn add_waiter(&mut self, now: Time, request: &Request) {
         let demand = self
--- a/crates/endivespur_core/tests/load/main.rs
+++ b/crates/endivespur_core/tests/load/main.rs
@@ -1,4 +1,5 @@
 //! Who is served under heavy load, by an engine model in place of engines.
 
 mod model;
+mod overload;
 mod popular;
--- a/crates/endivespur_core/tests/load/model.rs
+++ b/crates/endivespur_core/tests/load/model.rs
@@ -18,6 +18,8 @@
 pub struct Class {
     /// The requests that arrive in a second.
     pub rate: f64,
+    /// How long five times as many arrive, from the fifth second on.
+    pub burst: Duration,
     /// The prompt tokens that all its requests share.
     pub shared_tokens: u64,
     /// The other prompt tokens of a request.
