--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -245,7 +245,7 @@
     [homes, homes_by_delay, waiting, spares]
 }
 
-/// The homes of an adapter would need a third more time than they have; its spares are idle.
+/// The homes of an adapter would need half as much time again as they have; its spares are idle.
 #[test]
 fn popular_beyond_its_homes() {
     for seed in 0..SEEDS {
