Leave streams that have begun to overloaded engines, and name the busy engines of a search once

Read as a newcomer: a resumed stream was bounded by the objective of its first event at an engine that has been busy for 2 s, although that had been met, so that it could be refused in the middle. Its deadline bounds it now; the test fails without that. Two groups of engines in a search were the same one, and the load model had a copy of the order: Group::Busy and Group::positions replace both.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -1,5 +1,6 @@
 //! The order in which the endpoints of a service are tried.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::gateway::endpoint::{Instance, Weights};
@@ -19,17 +20,18 @@
 /// fetches the adapter too; the rest is left for prefill.
 const LONG_DELAY_SHARE: f64 = 0.6;
 
+/// The share of the objective within which a prompt must be sent: prefill takes the rest.
+const SEND_SHARE: f64 = 0.7;
+
 /// The engines that a pass asks, of those returned by [`rank_engines`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
     /// The first [`MAX_HOMES`], in their order.
     Homes,
-    /// The homes that replied to the first pass, the shortest delay first.
-    HomesByDelay,
     /// The others, in their order.
     Spares,
-    /// All that have replied, the shortest delay first.
-    AllByDelay,
+    /// Those of earlier passes that were too busy, the shortest delay first.
+    Busy,
 }
 
 /// One pass over the engines that may run a request.
@@ -43,6 +45,22 @@
     pub only_resident: bool,
 }
 
+impl Group {
+    /// Returns the positions of its engines among `count` ranked ones, given the delays at those that were too busy.
+    pub fn positions(self, count: usize, busy: &BTreeMap<usize, Duration>) -> Vec<usize> {
+        let homes = count.min(MAX_HOMES);
+        match self {
+            Self::Homes => (0..homes).collect(),
+            Self::Spares => (homes..count).collect(),
+            Self::Busy => {
+                let mut positions: Vec<usize> = busy.keys().copied().collect();
+                positions.sort_by_key(|position| busy.get(position));
+                positions
+            }
+        }
+    }
+}
+
 /// Returns the passes in which engines are asked, for a request that is wanted within `objective` and may wait for
 /// `max_wait`.
 ///
@@ -56,12 +74,23 @@
     let long_delay = objective.mul_f64(LONG_DELAY_SHARE);
     [
         pass(Group::Homes, objective.mul_f64(SHORT_DELAY_SHARE), true),
-        pass(Group::HomesByDelay, long_delay, false),
+        pass(Group::Busy, long_delay, false),
         pass(Group::Spares, long_delay, false),
-        pass(Group::AllByDelay, max_wait, false),
+        pass(Group::Busy, max_wait, false),
     ]
 }
 
+/// Returns the time left to send a prompt, of a request with `objective_left` that may wait for `max_wait`.
+///
+/// A stream that has begun has met its objective, and is lost if it is refused: only its deadline counts.
+pub fn due_in(objective_left: Duration, max_wait: Duration, has_begun: bool) -> Duration {
+    if has_begun {
+        max_wait
+    } else {
+        objective_left.mul_f64(SEND_SHARE)
+    }
+}
+
 /// Returns the engines to try for an adapter: those whose registration lists it in at least
 /// `version`, engines in `zone` first, then its homes and the spares by rendezvous hashing.
 pub fn rank_engines<'a>(
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -72,6 +72,20 @@
     assert!(spares < long, "{passes:?}");
 }
 
+#[test]
+fn positions_fewer_engines_than_homes() {
+    let busy = BTreeMap::from([(0, ms(9)), (1, ms(5))]);
+    assert_eq!(Group::Homes.positions(2, &busy), [0, 1]);
+    assert!(Group::Spares.positions(2, &busy).is_empty());
+    assert_eq!(Group::Busy.positions(2, &busy), [1, 0]);
+}
+
+#[test]
+fn due_in_of_a_stream_that_has_begun() {
+    assert_eq!(choice::due_in(ms(1_000), ms(5_000), false), ms(700));
+    assert_eq!(choice::due_in(ms(0), ms(5_000), true), ms(5_000));
+}
+
 #[test]
 fn passes_short_wait() {
     let passes = choice::passes(ms(800), ms(100));
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -1,6 +1,7 @@
 //! Adapters on an engine: slots in use, orders that are lost or late, consecutive loads.
 
 use assert_matches::assert_matches;
+use endivespur_core::gateway::choice;
 use endivespur_core::gateway::placement::{Action, Answer, Decision, Order, Report, Step};
 
 use crate::{answer, engine, grant, ms, order, report, request, weights};
@@ -257,6 +258,24 @@
     assert_matches!(engine.request(ms(1300), &next), Decision::Granted(_));
 }
 
+/// A stream that is resumed is lost if it is refused, and would have been late already as a new request.
+#[test]
+fn request_resumed_at_an_overloaded_engine() {
+    let mut engine = engine(2, &["a"]);
+    let mut long = request("a");
+    long.tokens = 25_000;
+    long.max_delay = Some(ms(10_000));
+    for start in 0..5 {
+        engine.request(ms(start * 100), &long);
+    }
+    let mut fresh = request("a");
+    fresh.max_delay = Some(ms(5_000));
+    assert_matches!(engine.request(ms(3_500), &fresh), Decision::Busy(_));
+    let mut resumed = fresh.clone();
+    resumed.due_in = choice::due_in(ms(500), ms(5_000), true);
+    assert_matches!(engine.request(ms(3_500), &resumed), Decision::Granted(_));
+}
+
 #[test]
 fn request_slow_engine() {
     let mut engine = engine(2, &["a"]);
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -1,6 +1,6 @@
 //! A popular adapter: more requests name it than the engines that are tried first for it can serve.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use endivespur_core::gateway::choice::{self, Group, MAX_HOMES, MAX_SPARES, Pass};
@@ -16,8 +16,6 @@
 const LENGTH: Duration = Duration::from_secs(15);
 /// The share of the requests that may end at their deadline.
 pub const MAX_GIVEN_UP_SHARE: f64 = 0.015;
-/// The share of the objective within which a prompt must be sent.
-const SEND_SHARE: f64 = 0.7;
 /// The time of a burst, in seconds.
 const BURST_START: f64 = 5.0;
 /// How many times as many requests arrive in a burst.
@@ -125,11 +123,7 @@
             parts: class.parts(number as u64),
             max_delay: None,
             only_resident: false,
-            due_in: if policy.bounds_overload {
-                class.objective.mul_f64(SEND_SHARE)
-            } else {
-                class.deadline
-            },
+            due_in: choice::due_in(class.objective, class.deadline, !policy.bounds_overload),
         };
         let passes = (policy.passes)(class.objective, class.deadline);
         match search(&mut places, at, &request, &passes) {
@@ -147,24 +141,17 @@
     request: &Request,
     passes: &[Pass],
 ) -> Option<(usize, u64)> {
-    let mut delays: Vec<(Duration, usize)> = Vec::new();
+    let mut busy: BTreeMap<usize, Duration> = BTreeMap::new();
     for pass in passes {
-        let order: Vec<usize> = match pass.group {
-            Group::Homes => (0..MAX_HOMES).collect(),
-            Group::Spares => (MAX_HOMES..places.len()).collect(),
-            Group::HomesByDelay | Group::AllByDelay => {
-                delays.sort();
-                delays.iter().map(|(_, place)| *place).collect()
-            }
-        };
-        let is_first = matches!(pass.group, Group::Homes | Group::Spares);
-        for place in order {
+        for place in pass.group.positions(places.len(), &busy) {
             let mut request = request.clone();
             request.max_delay = Some(pass.max_delay);
             request.only_resident = pass.only_resident;
             match places[place].owner.request(now, &request) {
                 Decision::Granted(grant) => return Some((place, grant)),
-                Decision::Busy(delay) if is_first => delays.push((delay, place)),
+                Decision::Busy(delay) if pass.group != Group::Busy => {
+                    busy.insert(place, delay);
+                }
                 Decision::Busy(_) | Decision::Wait => {}
             }
         }
@@ -237,12 +224,8 @@
 
 /// The order in which requests waited at the homes until their deadline before a spare was asked.
 fn homes_until_the_deadline(objective: Duration, max_wait: Duration) -> [Pass; 4] {
-    let [homes, homes_by_delay, spares, all] = choice::passes(objective, max_wait);
-    let waiting = Pass {
-        group: Group::HomesByDelay,
-        ..all
-    };
-    [homes, homes_by_delay, waiting, spares]
+    let [homes, busy_homes, spares, any] = choice::passes(objective, max_wait);
+    [homes, busy_homes, any, spares]
 }
 
 /// The homes of an adapter would need half as much time again as they have; its spares are idle.
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -23,8 +23,6 @@
 /// The delay added to engines in another zone when they are compared for fetching an adapter:
 /// sending the prompts between zones is billed.
 const CROSS_ZONE_PENALTY: Duration = Duration::from_millis(40);
-/// The share of the objective within which a prompt must be sent: prefill takes the rest.
-const SEND_SHARE: f64 = 0.7;
 /// The time kept before the deadline to respond to a request that cannot be served.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// The pause before engines without an owner are tried again.
@@ -150,6 +148,7 @@
             state,
             call,
             weights: &weights,
+            has_begun: software.is_some() || call.fields.last_event_id.is_some(),
             refusals: RefCell::new(BTreeMap::new()),
         };
         match search.run(&ranked).await {
@@ -175,6 +174,8 @@
     state: &'a Rc<State>,
     call: &'a Call,
     weights: &'a Weights,
+    /// Whether its caller has got a part of the stream.
+    has_begun: bool,
     /// The last refusal for each engine, for the log.
     refusals: RefCell<BTreeMap<Endpoint, Refusal>>,
 }
@@ -215,32 +216,22 @@
 }
 
 impl Search<'_> {
-    /// Requests a grant in the passes of [`choice::passes`]. Engines that have not been asked yet are also permitted
-    /// without a responsive owner, by their registrations.
+    /// Requests a grant in the passes of [`choice::passes`].
     async fn run(&self, ranked: &[Rc<Instance>]) -> Outcome {
-        let (homes, spares) = ranked.split_at(ranked.len().min(choice::MAX_HOMES));
-        let mut delays: Vec<(Duration, Rc<Instance>)> = Vec::new();
+        let mut busy: BTreeMap<usize, Duration> = BTreeMap::new();
         for pass in choice::passes(self.call.route.objective, self.max_wait()) {
-            let is_first = matches!(pass.group, Group::Homes | Group::Spares);
-            let engines: Vec<Rc<Instance>> = match pass.group {
-                Group::Homes => homes.to_vec(),
-                Group::Spares => spares.to_vec(),
-                Group::HomesByDelay | Group::AllByDelay => {
-                    delays.sort_by_key(|(delay, _)| *delay);
-                    delays.iter().map(|(_, engine)| engine.clone()).collect()
-                }
-            };
-            for engine in engines {
-                let reply = self.request_grant(&engine, pass).await;
-                match reply {
+            for position in pass.group.positions(ranked.len(), &busy) {
+                let Some(engine) = ranked.get(position) else {
+                    continue;
+                };
+                match self.request_grant(engine, pass).await {
                     Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
                     Some(Err(Reply::Late)) => return Outcome::Busy,
-                    Some(Err(Reply::Busy(delay))) if is_first => {
-                        delays.push((delay + self.zone_penalty(&engine), engine));
+                    Some(Err(Reply::Busy(delay))) if pass.group != Group::Busy => {
+                        busy.insert(position, delay + self.zone_penalty(engine));
                     }
-                    Some(Err(_)) | None if is_first => {
-                        if let Some(permit) =
-                            permit_without_owner(self.state, &engine, self.weights)
+                    Some(Err(_)) | None if pass.group != Group::Busy => {
+                        if let Some(permit) = permit_without_owner(self.state, engine, self.weights)
                         {
                             return Outcome::Permit(Box::new(permit));
                         }
@@ -248,7 +239,7 @@
                     Some(Err(_)) | None => {}
                 }
             }
-            if delays.is_empty() {
+            if busy.is_empty() {
                 return Outcome::NoOwner;
             }
         }
@@ -305,16 +296,16 @@
         pass: Pass,
     ) -> Option<Result<Permit, Reply>> {
         let fields = &self.call.fields;
+        let wait = self.max_wait();
         let request = Request {
             weights: self.weights.clone(),
             tokens: fields.prompt_tokens,
             parts: fields.parts.clone(),
             max_delay: Some(pass.max_delay),
             only_resident: pass.only_resident,
-            due_in: self.call.objective_left().mul_f64(SEND_SHARE),
+            due_in: choice::due_in(self.call.objective_left(), wait, self.has_begun),
         };
         let state = self.state;
-        let wait = self.max_wait();
         let record = |refusal: Refusal| {
             let mut refusals = self.refusals.borrow_mut();
             refusals.insert(instance.id.clone(), refusal);
