Tell which configuration lacks a route, by what source it came, and the version at each scrape

A record of 404s for an acknowledged route could not tell which configuration a gateway had: the gauge of the version was renewed each 5 s (it showed version 8 for 49 gateways of which none answered such a 404), and no line named the version and the age of the view that decided a 404.

--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -126,7 +126,8 @@
                 let version = table.version;
                 let is_applied = state.catalog.borrow_mut().set_table(table);
                 info!(
-                    event = "configuration", version, revision = item.revision, outcome = is_applied;
+                    event = "configuration", version, revision = item.revision, outcome = is_applied,
+                    source:? = state.source.borrow().as_ref();
                     "configuration read"
                 );
             }
--- a/crates/endivespur_gateway/src/exposition.rs
+++ b/crates/endivespur_gateway/src/exposition.rs
@@ -15,7 +15,7 @@
 use crate::state::State;
 use crate::timer;
 
-/// The time between two updates of the gauges and histograms.
+/// The time between two updates of the histograms.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum size of a request's head.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -34,10 +34,12 @@
         }
     };
     info!(event = "metrics", address:% = address; "served");
-    state.spawn(update_gauges(state.clone(), handle.clone()));
+    state.spawn(run_upkeep(handle.clone()));
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => state.spawn(serve_connection(stream, handle.clone())),
+            Ok((stream, _)) => {
+                state.spawn(serve_connection(state.clone(), stream, handle.clone()));
+            }
             Err(error) => {
                 info!(event = "accept"; "{error}");
                 Timer::after(ACCEPT_PAUSE).await;
@@ -46,27 +48,32 @@
     }
 }
 
-async fn update_gauges(state: Rc<State>, handle: PrometheusHandle) {
+async fn run_upkeep(handle: PrometheusHandle) {
     loop {
         handle.run_upkeep();
-        {
-            let catalog = state.catalog.borrow();
-            let version = catalog.table().map_or(0, |table| table.version);
-            gauge!("endivespur_gateway_configuration_version").set(version as f64);
-            gauge!("endivespur_gateway_endpoints").set(catalog.endpoints().count() as f64);
-            gauge!("endivespur_gateway_peers").set(catalog.peers().count() as f64);
-        }
-        gauge!("endivespur_gateway_owned_engines").set(state.owned_engines.count() as f64);
-        gauge!("endivespur_gateway_open_requests").set(state.open_requests.get() as f64);
         Timer::after(UPKEEP_INTERVAL).await;
     }
 }
 
-async fn serve_connection(stream: TcpStream, handle: PrometheusHandle) {
+/// Sets the gauges to the current state.
+fn update_gauges(state: &State) {
+    {
+        let catalog = state.catalog.borrow();
+        let version = catalog.table().map_or(0, |table| table.version);
+        gauge!("endivespur_gateway_configuration_version").set(version as f64);
+        gauge!("endivespur_gateway_endpoints").set(catalog.endpoints().count() as f64);
+        gauge!("endivespur_gateway_peers").set(catalog.peers().count() as f64);
+    }
+    gauge!("endivespur_gateway_owned_engines").set(state.owned_engines.count() as f64);
+    gauge!("endivespur_gateway_open_requests").set(state.open_requests.get() as f64);
+}
+
+async fn serve_connection(state: Rc<State>, stream: TcpStream, handle: PrometheusHandle) {
     let mut connection = Connection::new(stream);
     while let Some(Ok(Some((request, _)))) =
         timer::within(IDLE_TIMEOUT, connection.read_request(MAX_HEAD_BYTES)).await
     {
+        update_gauges(&state);
         let body = handle.render();
         let mut head = Response::new(200);
         head.headers
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -222,7 +222,7 @@
         fields,
         started,
     };
-    let outcome = match route_request(table.as_deref(), received) {
+    let outcome = match route_request(state, table.as_deref(), received) {
         Err(outcome) => outcome,
         Ok(mut call) => {
             service.clone_from(&call.service);
@@ -340,7 +340,11 @@
 }
 
 /// Selects the route and the service of a request.
-fn route_request(table: Option<&Table>, received: Received) -> Result<Call, Outcome> {
+fn route_request(
+    state: &State,
+    table: Option<&Table>,
+    received: Received,
+) -> Result<Call, Outcome> {
     let Received {
         caller_address,
         head,
@@ -358,6 +362,7 @@
     let host = head.headers.get("host").unwrap_or_default();
     let route = table.route(host, &head.target).cloned();
     let Some(route) = route else {
+        log_missing_route(state, &fields.attempt_id, host, table.version);
         return Err(Outcome::unknown(404, "no-route"));
     };
     let Some(service) = route.service(hash::mix(&fields.attempt_id, 1)).cloned() else {
@@ -382,6 +387,19 @@
     })
 }
 
+/// Logs which configuration has no route for a request, and how recent this gateway's view of the store is.
+fn log_missing_route(state: &State, attempt_id: &str, host: &str, version: u64) {
+    let position = state.feed.borrow().cursor();
+    let age_ms = clock::now()
+        .saturating_sub(state.updated_at.get())
+        .as_millis() as u64;
+    info!(
+        event = "no-route", request = attempt_id, host, version, revision = position.revision,
+        small_revision = position.small_revision, age_ms, source:? = state.source.borrow().as_ref();
+        "the configuration has no such route"
+    );
+}
+
 async fn finish(
     caller: &mut Caller<'_>,
     attempt_id: &str,
