Test that followers which confirm their view are sent the configurations that are on their way

What callers saw: 404 for an acknowledged route at dozens of gateways until the next configuration. Cause: when a caller resumes a stream that nobody names, a follower polls the small keys of the store to confirm its view. Its model had no polls of followers; it has them now, and holds.

--- a/crates/endivespur_core/tests/gateway/feed.rs
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -286,6 +286,27 @@
     assert!(!source.has_urgent(feed.cursor()));
 }
 
+/// A follower that asked the store to confirm its view, in the time in which a new configuration was on its way from its
+/// source, was never sent that configuration: callers got 404 for its routes, while changes of endpoints arrived.
+#[test]
+fn since_configuration_behind_a_confirmation() {
+    let mut source = Feed::with_polled_prefixes(&["endpoint/"]);
+    source.replace(page(vec![item("config", 1), item("endpoint/a", 2)], 2));
+    let mut feed = source.clone();
+    let confirmation = Page {
+        items: vec![item("endpoint/b", 4)],
+        small_revision: 5,
+        ..Page::default()
+    };
+    feed.apply(confirmation);
+    source.apply(page(vec![item("config", 3), item("endpoint/b", 4)], 5));
+    assert!(source.has_urgent(feed.cursor()));
+    source.apply(page(vec![item("endpoint/c", 6)], 6));
+    follow(&mut feed, &source);
+    assert_eq!(feed.key_revision("config"), Some(3));
+    assert!(feed.contains("endpoint/c"));
+}
+
 /// An endpoint that ended while one gateway listed the store stayed at the followers of another one, which had
 /// received that listing and did not know that it hides removals.
 #[test]
--- a/crates/endivespur_core/tests/histories/feed.rs
+++ b/crates/endivespur_core/tests/histories/feed.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway polls the small values while the response to its watch is on its way. A configuration that was written
 //! meanwhile arrives with that response, behind the revision that the poll has reached. Its followers were never sent
-//! such a configuration.
+//! such a configuration. A follower that confirms its view polls the small values too, and was never sent it either.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -38,6 +38,8 @@
     Receive { gateway: usize },
     /// A gateway polls the small values.
     Poll { gateway: usize },
+    /// A gateway, a follower too, polls the small values after those that it knows, to confirm its view.
+    Confirm { gateway: usize },
     /// A gateway lists all keys.
     List { gateway: usize },
     /// A gateway asks another one for changes.
@@ -135,16 +137,23 @@
 
     fn poll(&mut self, store: &Store) {
         if self.response.is_some() {
-            let items = store.since(POLLED_PREFIX, self.polled);
+            self.poll_after(store, self.polled);
             self.polled = store.revision;
-            self.apply(Page {
-                items,
-                small_revision: store.revision,
-                ..Page::default()
-            });
         }
     }
 
+    fn confirm(&mut self, store: &Store) {
+        self.poll_after(store, self.feed.cursor().small_revision);
+    }
+
+    fn poll_after(&mut self, store: &Store, revision: u64) {
+        self.apply(Page {
+            items: store.since(POLLED_PREFIX, revision),
+            small_revision: store.revision,
+            ..Page::default()
+        });
+    }
+
     fn receive(&mut self) {
         if let Some(page) = self.response.take() {
             self.apply(page);
@@ -243,6 +252,7 @@
             Step::Watch { gateway } => self.gateways[gateway].watch(store),
             Step::Receive { gateway } => self.gateways[gateway].receive(),
             Step::Poll { gateway } => self.gateways[gateway].poll(store),
+            Step::Confirm { gateway } => self.gateways[gateway].confirm(store),
             Step::List { gateway } => self.gateways[gateway].list(store),
             Step::Follow { gateway, source } => self.follow(gateway, source),
             Step::Fetch { gateway, source } => self.fetch(gateway, source),
@@ -346,6 +356,7 @@
         3 => gateway.clone().prop_map(|gateway| Step::Watch { gateway }),
         3 => gateway.clone().prop_map(|gateway| Step::Receive { gateway }),
         4 => gateway.clone().prop_map(|gateway| Step::Poll { gateway }),
+        3 => gateway.clone().prop_map(|gateway| Step::Confirm { gateway }),
         1 => gateway.clone().prop_map(|gateway| Step::List { gateway }),
         6 => pair.clone().prop_map(|(gateway, source)| Step::Follow { gateway, source }),
         3 => pair.prop_map(|(gateway, source)| Step::Fetch { gateway, source }),
