Install the recorder of metrics only if they are served

A gateway without a port for metrics installed the recorder too: nothing read or maintained it, so that its histograms would keep every value. metrics_version_at_once failed beside other gateways of its process, in each of three runs: one of them had installed the recorder first. That memory grows was not measured; no deploy file of ours leaves the port out.

--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -97,7 +97,10 @@
         executor,
         &source::POLLED_PREFIXES,
     ));
-    if let Some((port, handle)) = metrics_port.zip(telemetry::install()) {
+    // Without a port nothing reads the recorder, and its histograms would grow without limit.
+    if let Some(port) = metrics_port
+        && let Some(handle) = telemetry::install()
+    {
         let address = SocketAddr::new(state.settings.caller_address.ip(), port);
         state.spawn(exposition::serve(state.clone(), address, handle));
     }
