Confirm a view with one call, which leaves the gateway's position as it is

A gateway confirmed its view by three polls, as a watcher polls beside a long response, and took their revision as its position of small changes. A confirmation needs registrations only: one call, and no position, since other keys were not read.

--- a/crates/endivespur_core/tests/gateway/feed.rs
+++ b/crates/endivespur_core/tests/gateway/feed.rs
@@ -307,6 +307,29 @@
     assert!(feed.contains("endpoint/c"));
 }
 
+/// A follower whose confirmation moved its position into what its source then listed could not be sent changes any more. It
+/// had to list the store itself, which may refuse it.
+#[test]
+fn since_listing_after_a_confirmation() {
+    let mut source = Feed::with_polled_prefixes(&["endpoint/"]);
+    source.replace(page(vec![item("config", 1), item("endpoint/a", 60)], 60));
+    let mut feed = source.clone();
+    let moved = Cursor {
+        revision: 60,
+        small_revision: 75,
+    };
+    feed.apply(Page {
+        items: vec![item("endpoint/b", 70)],
+        ..Page::default()
+    });
+    let endpoints = [item("endpoint/a", 60), item("endpoint/b", 70)];
+    let listed = endpoints.into_iter().chain([item("config", 80)]);
+    source.replace(page(listed.collect(), 90));
+    assert_matches!(source.since(moved, ALL), Change::Compacted);
+    follow(&mut feed, &source);
+    assert_eq!(feed.key_revision("config"), Some(80));
+}
+
 /// An endpoint that ended while one gateway listed the store stayed at the followers of another one, which had
 /// received that listing and did not know that it hides removals.
 #[test]
--- a/crates/endivespur_core/tests/histories/feed.rs
+++ b/crates/endivespur_core/tests/histories/feed.rs
@@ -38,8 +38,9 @@
     Receive { gateway: usize },
     /// A gateway polls the small values.
     Poll { gateway: usize },
-    /// A gateway, a follower too, polls the small values after those that it knows, to confirm its view.
-    Confirm { gateway: usize },
+    /// A gateway, a follower too, polls the small values after those that it knows, to confirm its view. Its position
+    /// moves if it is of commit 7765eb5 or an earlier one.
+    Confirm { gateway: usize, moves: bool },
     /// A gateway lists all keys.
     List { gateway: usize },
     /// A gateway asks another one for changes.
@@ -142,8 +143,16 @@
         }
     }
 
-    fn confirm(&mut self, store: &Store) {
-        self.poll_after(store, self.feed.cursor().small_revision);
+    fn confirm(&mut self, store: &Store, moves: bool) {
+        let after = self.feed.cursor().small_revision;
+        if moves {
+            self.poll_after(store, after);
+        } else {
+            self.apply(Page {
+                items: store.since(POLLED_PREFIX, after),
+                ..Page::default()
+            });
+        }
     }
 
     fn poll_after(&mut self, store: &Store, revision: u64) {
@@ -252,7 +261,7 @@
             Step::Watch { gateway } => self.gateways[gateway].watch(store),
             Step::Receive { gateway } => self.gateways[gateway].receive(),
             Step::Poll { gateway } => self.gateways[gateway].poll(store),
-            Step::Confirm { gateway } => self.gateways[gateway].confirm(store),
+            Step::Confirm { gateway, moves } => self.gateways[gateway].confirm(store, moves),
             Step::List { gateway } => self.gateways[gateway].list(store),
             Step::Follow { gateway, source } => self.follow(gateway, source),
             Step::Fetch { gateway, source } => self.fetch(gateway, source),
@@ -356,7 +365,8 @@
         3 => gateway.clone().prop_map(|gateway| Step::Watch { gateway }),
         3 => gateway.clone().prop_map(|gateway| Step::Receive { gateway }),
         4 => gateway.clone().prop_map(|gateway| Step::Poll { gateway }),
-        3 => gateway.clone().prop_map(|gateway| Step::Confirm { gateway }),
+        3 => (gateway.clone(), any::<bool>())
+            .prop_map(|(gateway, moves)| Step::Confirm { gateway, moves }),
         1 => gateway.clone().prop_map(|gateway| Step::List { gateway }),
         6 => pair.clone().prop_map(|(gateway, source)| Step::Follow { gateway, source }),
         3 => pair.prop_map(|(gateway, source)| Step::Fetch { gateway, source }),
--- a/crates/endivespur_gateway/src/confirm.rs
+++ b/crates/endivespur_gateway/src/confirm.rs
@@ -1,4 +1,4 @@
-//! Confirms with the store that this gateway knows all small changes.
+//! Confirms with the store that this gateway knows all registrations of endpoints.
 //!
 //! A gateway that was cut off or suspended cannot tell from its own view that something does *not* exist.
 
@@ -13,7 +13,7 @@
 /// How long the store may take to confirm a view; a gateway that is cut off should refuse without delay.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Returns whether this gateway knows all small changes that the store had accepted before the call.
+/// Returns whether this gateway knows all registrations that the store had accepted before the call.
 pub async fn confirm(state: &Rc<State>) -> bool {
     let confirmations = &state.confirmations;
     let number = confirmations.requested.get() + 1;
@@ -37,12 +37,8 @@
     loop {
         let number = confirmations.requested.get();
         let after = state.feed.borrow().cursor().small_revision;
-        let poll = timer::within(
-            TIMEOUT,
-            source::poll_small_changes(&state, after, "confirmation"),
-        )
-        .await;
-        let is_confirmed = poll.flatten().is_some();
+        let poll = timer::within(TIMEOUT, source::poll_registrations(&state, after)).await;
+        let is_confirmed = poll.unwrap_or(false);
         if !is_confirmed {
             info!(event = "view-unconfirmed", revision = after; "the store did not confirm the view");
         }
--- a/crates/endivespur_gateway/src/confirmations.rs
+++ b/crates/endivespur_gateway/src/confirmations.rs
@@ -1,4 +1,4 @@
-//! The requests to confirm that this gateway knows all small changes of the store.
+//! The requests to confirm that this gateway knows all registrations of endpoints.
 
 use std::cell::Cell;
 
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -146,7 +146,7 @@
     info!(event = "large-value", from = "store", revision; "receiving");
     let mut after = revision;
     loop {
-        if let Some(small_revision) = poll_small_changes(state, after, "large-value").await {
+        if let Some(small_revision) = poll_small_changes(state, after).await {
             record_response(state);
             after = small_revision;
         }
@@ -156,9 +156,9 @@
 
 /// Requests the small changes after a revision from the store, and applies them; returns the revision up to which
 /// they are known then, or `None` if the store does not send them.
-pub async fn poll_small_changes(state: &Rc<State>, after: u64, cause: &'static str) -> Option<u64> {
+async fn poll_small_changes(state: &Rc<State>, after: u64) -> Option<u64> {
     let polls = POLLED_PREFIXES.map(|prefix| {
-        telemetry::store_called("poll", cause);
+        telemetry::store_called("poll", "large-value");
         state.store.watch(prefix, after, Duration::ZERO)
     });
     match try_join_all(polls).await {
@@ -176,6 +176,34 @@
     }
 }
 
+/// Requests the changes of registrations after a revision from the store, and applies them; returns whether the store
+/// sent all of them.
+///
+/// The position of this gateway stays as it is, since changes of other keys are not requested.
+pub async fn poll_registrations(state: &Rc<State>, after: u64) -> bool {
+    telemetry::store_called("poll", "confirmation");
+    let prefix = registration::KEY_PREFIX;
+    match state.store.watch(prefix, after, Duration::ZERO).await {
+        Ok(Change::Changes(page)) => {
+            let items = page.items;
+            apply::apply(
+                state,
+                Page {
+                    items,
+                    ..Page::default()
+                },
+            );
+            true
+        }
+        Ok(Change::Compacted) => false,
+        Err(error) => {
+            telemetry::store_failed("poll");
+            debug!(event = "store-failed"; "{error}");
+            false
+        }
+    }
+}
+
 /// Merges the changes below several prefixes up to the lowest of their revisions; `None` if some are no longer kept.
 fn merge(changes: Vec<Change>) -> Option<Page> {
     let pages: Option<Vec<Page>> = changes
