Take changes from another watcher while the store's response is slow

Callers at the followers of a watcher with a slow connection to the store were answered 404 for a route of a new configuration for as long as the store's response to that watcher took, although watchers of other zones had the configuration.

Cause: while a long response to a watch is on its way, the watcher polls three prefixes of small keys each 0.2 s. Each poll renews the time of the store's last response, so that the watcher remains a source, for a configuration too, which no poll covers. The timeout of the watch starts again with each 16 KB.

Fix: 0.6 s after a response has proved to be long, the watcher asks other watchers, four at once, from all zones. From one that has received all that the store had when it was first asked, it takes the changes and the large values, and ends its own watch. It applies, and so announces, a large value only once it has it: its followers find it at their source and do not search for it or read it from the store. The polls go on meanwhile, and the watch may end first. A watcher that has received less does not end a watch, since its own may bring the same value. Large values are sent within the share of the link that they had before. No message between gateways changes.

--- a/crates/endivespur_core/src/gateway/source.rs
+++ b/crates/endivespur_core/src/gateway/source.rs
@@ -183,6 +183,15 @@
         self.rank(others.collect(), gateways)
     }
 
+    /// Returns the watchers to ask at once in a round, numbered from 0, by one that wants to know whether others have
+    /// received more than it has. Those of its zone are not preferred, since they may share what delays it.
+    pub fn watchers(&self, round: usize, gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
+        let mut others = watchers(gateways);
+        others.retain(|vm| *vm != self.vm);
+        let ranked = hash::rank(&self.vm, others, String::as_str, usize::MAX);
+        take_round(ranked, round)
+    }
+
     /// Returns the gateways to ask at once in a round of a search for a source, numbered from 0.
     ///
     /// The rounds begin with the watchers and come to all gateways, since one that cannot reach the store has a
@@ -192,13 +201,18 @@
         let others = gateways.keys().filter(|vm| **vm != self.vm).cloned();
         let (first, last): (Vec<Vm>, Vec<Vm>) = others.partition(|vm| watchers.contains(vm));
         let all = [self.rank(first, gateways), self.rank(last, gateways)].concat();
-        let rounds = all.len().div_ceil(CANDIDATES_PER_ROUND).max(1);
-        let skipped = round % rounds * CANDIDATES_PER_ROUND;
-        let round = all.into_iter().skip(skipped);
-        round.take(CANDIDATES_PER_ROUND).collect()
+        take_round(all, round)
     }
 }
 
+/// Returns the gateways of a round, numbered from 0; after the last ones the rounds begin again.
+fn take_round(vms: Vec<Vm>, round: usize) -> Vec<Vm> {
+    let rounds = vms.len().div_ceil(CANDIDATES_PER_ROUND).max(1);
+    let skipped = round % rounds * CANDIDATES_PER_ROUND;
+    let round = vms.into_iter().skip(skipped);
+    round.take(CANDIDATES_PER_ROUND).collect()
+}
+
 /// Returns the VMs that watch the store, given all live gateways: in each zone those with the fastest links.
 fn watchers(gateways: &BTreeMap<Vm, Gateway>) -> Vec<Vm> {
     let mut by_zone: BTreeMap<&Zone, Vec<&Vm>> = BTreeMap::new();
--- a/crates/endivespur_core/tests/gateway/source.rs
+++ b/crates/endivespur_core/tests/gateway/source.rs
@@ -243,3 +243,28 @@
     let max = followers.values().max().unwrap();
     assert!(*max <= 2 * MAX_VMS_PER_WATCHER, "one has {max}");
 }
+
+/// A gateway whose watch is slow asked only those of its zone, which may share what delays it, or never the one that has
+/// received more.
+#[test]
+fn watchers_of_all_rounds() {
+    let zones = site(200, 4);
+    let (watchers, _) = followers(&zones);
+    for vm in ["vm-0", "vm-1"] {
+        let selector = selector(vm, &zones);
+        let rounds = watchers.len().div_ceil(CANDIDATES_PER_ROUND);
+        let asked: Vec<Vec<Vm>> = (0..rounds)
+            .map(|round| selector.watchers(round, &zones))
+            .collect();
+        assert!(asked.iter().all(|vms| vms.len() <= CANDIDATES_PER_ROUND));
+        let asked: BTreeSet<Vm> = asked.into_iter().flatten().collect();
+        let mut others = watchers.clone();
+        others.remove(vm);
+        assert_eq!(asked, others);
+        let first = [0, 1]
+            .map(|round| selector.watchers(round, &zones))
+            .concat();
+        let first: BTreeSet<&str> = first.iter().map(|vm| zones[vm].zone.as_str()).collect();
+        assert!(first.len() > 1, "{first:?}");
+    }
+}
--- a/crates/endivespur_gateway/src/fetch.rs
+++ b/crates/endivespur_gateway/src/fetch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::feed::{Change, Item, Page};
 use endivespur_core::gateway::source::{Selector, Source};
 use endivespur_core::gateway::transfer::{Packed, Transfer};
@@ -53,15 +54,7 @@
             let Some(revision) = state.feed.borrow().missing().get(key).copied() else {
                 return;
             };
-            let Some((packed, bytes)) = receive(state, &vm, key, revision, transfer).await else {
-                continue;
-            };
-            if let Some(item) = unpack(state, key, packed, &bytes) {
-                info!(
-                    event = "large-value", key, revision = item.revision, from = vm.as_str(),
-                    bytes = item.value.as_deref().map_or(0, <[u8]>::len), packed_bytes = packed.size,
-                    took_ms = clock::now().saturating_sub(started).as_millis() as u64; "received"
-                );
+            if let Some(item) = receive(state, &vm, key, revision, transfer, started).await {
                 apply_item(state, item);
                 return;
             }
@@ -95,8 +88,28 @@
     source.iter().cloned().chain(others).collect()
 }
 
+/// Requests the pieces that are left of a value from a gateway; returns the value once it is complete. `started` is when
+/// the value was requested first.
+pub async fn receive(
+    state: &Rc<State>,
+    vm: &str,
+    key: &str,
+    revision: u64,
+    transfer: &mut Transfer,
+    started: Time,
+) -> Option<Item> {
+    let (packed, bytes) = receive_packed(state, vm, key, revision, transfer).await?;
+    let item = unpack(state, key, packed, &bytes)?;
+    info!(
+        event = "large-value", key, revision = item.revision, from = vm,
+        bytes = item.value.as_deref().map_or(0, <[u8]>::len), packed_bytes = packed.size,
+        took_ms = clock::now().saturating_sub(started).as_millis() as u64; "received"
+    );
+    Some(item)
+}
+
 /// Requests the pieces that are left of a value from a gateway; returns the packed value once it is complete.
-async fn receive(
+async fn receive_packed(
     state: &Rc<State>,
     vm: &str,
     key: &str,
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`serve`] handles the requests of callers.
 
 mod acquire;
+mod ahead;
 mod apply;
 mod assign;
 mod catalog;
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -15,7 +15,7 @@
 
 use crate::message::Update;
 use crate::state::State;
-use crate::{apply, grace, member, peer, telemetry};
+use crate::{ahead, apply, grace, member, peer, telemetry};
 
 /// The time without changes from a source above which a gateway's view of the store is logged as late.
 const LATE_VIEW: Duration = Duration::from_millis(1500);
@@ -103,16 +103,26 @@
 pub async fn watch(state: &Rc<State>, wait: Duration, cause: &'static str) -> Outcome {
     let revision = state.feed.borrow().revision();
     let change = if revision == 0 {
-        Ok(Change::Compacted)
+        Some(Ok(Change::Compacted))
     } else {
         telemetry::store_called("watch", cause);
         let progress = Progress::new();
         let watch = state
             .store
             .watch_with_progress(ALL_KEYS, revision, wait, &progress);
-        watch
-            .or(follow_small_changes(state, revision, &progress))
-            .await
+        let watch = async { Some(watch.await) };
+        let overtaken = async {
+            await_long_response(&progress).await;
+            info!(event = "large-value", from = "store", revision; "receiving");
+            let polls = follow_small_changes(state, revision);
+            ahead::receive(state, revision).or(polls).await;
+            None
+        };
+        watch.or(overtaken).await
+    };
+    let Some(change) = change else {
+        // The next watch requests what the store has changed since.
+        return Outcome::Changes(Duration::ZERO);
     };
     match change {
         Ok(Change::Compacted) => {
@@ -137,13 +147,15 @@
     }
 }
 
-/// Applies small changes after a revision while the response to a watch brings a large one, which may take seconds.
-/// Never returns.
-async fn follow_small_changes<T>(state: &Rc<State>, revision: u64, progress: &Progress) -> T {
+/// Waits until the response to a watch proves to be a long one, which may take seconds.
+async fn await_long_response(progress: &Progress) {
     progress.exceeds(LARGE_VALUE_BYTES).await;
     // Many small changes make a long response too, which arrives within this time.
     Timer::after(SMALL_POLL_INTERVAL).await;
-    info!(event = "large-value", from = "store", revision; "receiving");
+}
+
+/// Applies small changes after a revision while the response to a watch brings a large one. Never returns.
+async fn follow_small_changes<T>(state: &Rc<State>, revision: u64) -> T {
     let mut after = revision;
     loop {
         if let Some(small_revision) = poll_small_changes(state, after, "large-value").await {
