Limit how much a daemon reads before the head of a response is complete

What callers saw: an endpoint of a daemon that sent a head without an end of a line made the daemon keep all of it until the call's timeout, which is two minutes for a completion. The daemon ran out of memory, and the requests of other callers with it.

Cause: async-h1 limits a head to 8 KiB, but checks that only at the end of each line, and reads a line without a limit.

The client reads through the same limited stream as the server, with 16 KiB until the head is complete, and without that limit for the body, which the readers of bodies limit.

--- a/crates/endivespur_net/src/client.rs
+++ b/crates/endivespur_net/src/client.rs
@@ -11,6 +11,8 @@
 use smol::net::TcpStream;
 use snafu::{ResultExt, Snafu};
 
+use crate::stream::Stream;
+
 /// Why a call has no usable response.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -78,6 +80,10 @@
     Err(std::io::ErrorKind::TimedOut.into())
 }
 
+/// The maximum number of bytes that are read before the head of a response is complete: the 8 KiB to which `async-h1`
+/// limits a head, which it checks at the end of each line only, and one more read.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Sends a request on a new connection and returns the response, whose body is not read yet.
 ///
 /// Connecting and waiting for the response head take at most `timeout` each.
@@ -95,14 +101,15 @@
             address: request.url().to_string(),
         })?;
     let stream = connect(&address.to_string(), timeout).await?;
+    let stream = Stream::new(stream, MAX_HEAD_BYTES);
     let response = async {
-        let response =
-            async_h1::connect(stream, request)
-                .await
-                .map_err(|error| Error::Response {
-                    message: error.to_string(),
-                })?;
+        let response = async_h1::connect(stream.clone(), request)
+            .await
+            .map_err(|error| Error::Response {
+                message: error.to_string(),
+            })?;
         check_framing(&response)?;
+        stream.set_read_limit(usize::MAX);
         Ok(response)
     };
     let timed_out = async {
--- a/crates/endivespur_net/src/stream.rs
+++ b/crates/endivespur_net/src/stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that limits how many bytes may be read for one request.
+//! A TCP stream that limits how many bytes may be read for one message.
 
 use std::io;
 use std::pin::Pin;
@@ -51,7 +51,7 @@
     ) -> Poll<io::Result<usize>> {
         let remaining = self.read_remaining.load(Ordering::Relaxed);
         if remaining == 0 {
-            return Poll::Ready(Err(io::Error::other("the request is too large")));
+            return Poll::Ready(Err(io::Error::other("the message is too large")));
         }
         let limit = buf.len().min(remaining);
         let poll = Pin::new(&mut self.tcp).poll_read(cx, &mut buf[..limit]);
--- a/crates/endivespur_net/tests/response.rs
+++ b/crates/endivespur_net/tests/response.rs
@@ -124,3 +124,29 @@
     assert!(value.is_err());
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
+
+/// An endpoint that sends a head without an end of a line: the caller kept all of it until its timeout, which is two
+/// minutes for the head of a completion.
+#[test]
+fn response_head_without_end() {
+    let (sent, received) = std::sync::mpsc::channel();
+    let error = smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let block = [b'x'; 16 << 10];
+            let mut bytes = 0;
+            while stream.write_all(&block).await.is_ok() {
+                bytes += block.len();
+            }
+            sent.send(bytes).unwrap();
+        })
+        .detach();
+        let request = client::request(Method::Get, &address, "/").unwrap();
+        client::send(request, TIMEOUT).await.err().unwrap()
+    });
+    let bytes = received.recv_timeout(TIMEOUT).unwrap();
+    // The kernel takes some megabytes that nobody reads.
+    assert!(bytes < 32 << 20, "{bytes} bytes, {error}");
+}
