Reject lines of a chunked body over the limit however they arrive

An endpoint or a caller whose chunk-size or trailer line was longer than 4096 bytes was accepted if the end of the line arrived in the same segment as its beginning, and rejected otherwise: the limit was checked only while a line was incomplete. It is checked for complete lines too now, so that the result no longer depends on the segments.

--- a/crates/endivespur_http/src/body.rs
+++ b/crates/endivespur_http/src/body.rs
@@ -135,6 +135,9 @@
             Ok(None)
         };
     };
+    if end > MAX_LINE_BYTES {
+        return Err(Malformed);
+    }
     let line = bytes[..end].strip_suffix(b"\r").ok_or(Malformed)?;
     Ok(Some((line, end + 1)))
 }
