Bound the memory that decoded records of crashes take

An encoded value names the endpoint of a crash once, and each decoded record has a copy of the name: a message of less than 200 kB from the store or another gateway became 1000 records with names of 100 kB each, 100 MB, and the product grows with the square of the message's size. A value whose records would have names of more than 16 MiB together is rejected now, and logged as unreadable like other malformed ones. The encoding is the same; a gateway keeps at most 4096 records for one write, which stay below the limit with names of up to 4 kB.

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -29,6 +29,10 @@
 /// feature that crashes endpoints never completes.
 const COMPLETION_TIME: Duration = Duration::from_secs(3);
 
+/// The maximum size in bytes of all endpoints' names in decoded records: an encoded value names an endpoint once, but
+/// each record has a copy.
+const MAX_NAME_BYTES: usize = 16 << 20;
+
 /// The minimum time between two removals of expired records: each goes through all of them.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -108,6 +112,12 @@
 /// Returns a message if the bytes are no records.
 pub fn decode(bytes: &[u8]) -> Result<Vec<Record>, String> {
     let batches: Vec<Batch> = postcard::from_bytes(bytes).map_err(|error| error.to_string())?;
+    let sizes = batches
+        .iter()
+        .map(|batch| batch.crash.endpoint.len() * batch.features.len());
+    if sizes.sum::<usize>() > MAX_NAME_BYTES {
+        return Err("too large".to_string());
+    }
     let records = batches.into_iter().flat_map(|batch| {
         let Batch {
             crash,
