Bound the memory that a line of a stream takes

The reader of server-sent events checked the size of an event only at the end of each line: an engine that sent a line without an end made the daemon hold all of it. A line is read up to the size of the largest event, and 1 KiB for the field's name and spaces.

--- a/crates/endivespur_net/src/sse.rs
+++ b/crates/endivespur_net/src/sse.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 
-use futures_util::AsyncBufReadExt;
+use futures_util::{AsyncBufReadExt, AsyncReadExt};
 use http_types::Body;
 
 /// The maximum size of an event's data.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The maximum size of a line: the largest event in one line, with room for the field's name and spaces.
+const MAX_LINE_BYTES: u64 = MAX_EVENT_BYTES as u64 + 1024;
 
 /// Reads the events of a body.
 pub struct Reader {
@@ -28,9 +30,13 @@
         let mut data = String::new();
         loop {
             let mut line = String::new();
-            if self.body.read_line(&mut line).await? == 0 {
+            let mut body = AsyncReadExt::take(&mut self.body, MAX_LINE_BYTES);
+            if body.read_line(&mut line).await? == 0 {
                 return Ok(None);
             }
+            if body.limit() == 0 && !line.ends_with('\n') {
+                return Err(io::Error::other("an event is too large"));
+            }
             let line = line.trim_end_matches(['\r', '\n']);
             if line.is_empty() && !data.is_empty() {
                 return Ok(Some(data));
