Reject responses with a status below 100

A response with a status such as 007 was taken from an endpoint, and sent on as "HTTP/1.1 7 Status", which callers' clients cannot parse: a status has three digits. Such a head is malformed now, as other ones that cannot be parsed.

--- a/crates/endivespur_http/src/head.rs
+++ b/crates/endivespur_http/src/head.rs
@@ -235,6 +235,9 @@
             minor_version: parsed.version.unwrap_or_default(),
             headers: headers(parsed.headers)?,
         };
+        if response.status < 100 {
+            return Err(malformed("status below 100"));
+        }
         let has_no_body = method == "HEAD"
             || response.status < 200
             || response.status == 204
--- a/crates/endivespur_http/tests/head.rs
+++ b/crates/endivespur_http/tests/head.rs
@@ -89,6 +89,16 @@
     assert_eq!(size, whole.len());
 }
 
+/// A status below 100 was taken, and its encoding has no three digits, which is no head.
+#[test]
+fn parse_response_low_status() {
+    for status in ["000", "007", "099"] {
+        let bytes = format!("HTTP/1.1 {status} OK\r\n\r\n");
+        let result = Response::parse(bytes.as_bytes(), "GET");
+        assert_matches!(result, Err(Error::Malformed { .. }), "{status}");
+    }
+}
+
 #[test]
 fn parse_response_framings() {
     let framing = |bytes: &[u8], method: &str| Response::parse(bytes, method).unwrap().unwrap().1;
