Keep the origins of streams in the store while a service has several versions

Callers saw: after all gateways had lost power at one moment, while engines of two software versions served, streams that they took up again were refused (`stream-unknown`), nearly all of them.

Cause: which version began a stream was only in the memory of gateways.

Now a few gateways, the keepers, write it to the store while a service has had several versions in the last two minutes: by rendezvous hashing, one for 24 VMs, 2 to 16, each at most every 0.5 s, from a ring of small keys under a lease that outlasts the process. Gateways that list or watch the store learn the streams; the keys are dropped before the feed. An unknown stream stays refused. A VM's record says whether it can be a keeper: gateways of the release before are not handed streams, and ignore the field and the keys.

`software_after_many_gateways_lose_power` fails (6 of 16) if streams are not handed to keepers; `upgrade_older_gateways_are_no_keepers` (0 of 16) if older gateways count as keepers.

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod health;
 pub mod lease;
 pub mod limit;
+pub mod origins;
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
--- a/crates/endivespur_core/src/gateway/stream.rs
+++ b/crates/endivespur_core/src/gateway/stream.rs
@@ -69,6 +69,10 @@
     ages: VecDeque<(Time, Key)>,
     /// The streams whose origins other gateways do not hold yet.
     unshared: BTreeSet<Key>,
+    /// The streams of this gateway that were not handed to a keeper.
+    unkept: BTreeSet<Key>,
+    /// The streams that are not in the store as far as is known.
+    unstored: BTreeSet<Key>,
     /// When each software version of a service was last registered or unregistered.
     registered: BTreeMap<Service, BTreeMap<Software, Time>>,
     /// The time from which all versions are known that may have begun a stream which can be resumed; `None`
@@ -87,12 +91,30 @@
     /// Records that an engine writes the first event of a stream.
     pub fn began(&mut self, now: Time, key: Key, origin: Origin, endpoint: &str) {
         self.add(now, key, origin, Some(endpoint.to_string()));
-        self.unshared.insert(key);
+        self.spread(key);
     }
 
     /// Records the origin of a stream that another gateway knows.
     pub fn learned(&mut self, now: Time, key: Key, origin: Origin) {
-        self.add(now, key, origin, None);
+        if self.add(now, key, origin, None) {
+            self.unstored.insert(key);
+        }
+    }
+
+    /// Records the origin of a stream that is in the store.
+    pub fn stored(&mut self, now: Time, key: Key, origin: &Origin) {
+        self.add(now, key, origin.clone(), None);
+        let record = self.streams.get(&key);
+        if record.is_some_and(|record| record.origin == *origin) {
+            self.unstored.remove(&key);
+        }
+    }
+
+    /// Records that others are to learn of a stream.
+    fn spread(&mut self, key: Key) {
+        self.unshared.insert(key);
+        self.unkept.insert(key);
+        self.unstored.insert(key);
     }
 
     /// Records the origin of a stream that is resumed at this gateway, which shares it again: the gateway
@@ -100,19 +122,20 @@
     pub fn resumed(&mut self, now: Time, key: Key, origin: Origin) {
         if !self.streams.contains_key(&key) {
             self.add(now, key, origin, None);
-            self.unshared.insert(key);
+            self.spread(key);
         }
     }
 
-    /// Adds a record. If two attempts with the same id began streams at different versions, neither is
-    /// known.
-    fn add(&mut self, now: Time, key: Key, origin: Origin, endpoint: Option<Endpoint>) {
+    /// Adds a record; returns whether it changes what is known. If two attempts with the same id began streams at
+    /// different versions, neither is known.
+    fn add(&mut self, now: Time, key: Key, origin: Origin, endpoint: Option<Endpoint>) -> bool {
         self.expire(now);
         if let Some(record) = self.streams.get_mut(&key) {
-            if record.origin != origin {
+            let is_retracted = record.origin != origin && record.origin.is_known();
+            if is_retracted {
                 record.origin.software.clear();
             }
-            return;
+            return is_retracted;
         }
         let record = Record {
             origin,
@@ -121,6 +144,7 @@
         };
         self.streams.insert(key, record);
         self.ages.push_back((now, key));
+        true
     }
 
     fn expire(&mut self, now: Time) {
@@ -131,6 +155,8 @@
             self.ages.pop_front();
             self.streams.remove(&key);
             self.unshared.remove(&key);
+            self.unkept.remove(&key);
+            self.unstored.remove(&key);
         }
     }
 
@@ -143,8 +169,14 @@
 
     /// Returns the streams whose origins are to be shared with other gateways, once.
     pub fn take_unshared(&mut self) -> Batch {
+        let unshared = std::mem::take(&mut self.unshared);
+        self.batch(unshared)
+    }
+
+    /// Returns the streams with their origins.
+    fn batch(&self, keys: impl IntoIterator<Item = Key>) -> Batch {
         let mut batch = Batch::new();
-        for key in std::mem::take(&mut self.unshared) {
+        for key in keys {
             if let Some(record) = self.streams.get(&key) {
                 batch.entry(record.origin.clone()).or_default().push(key);
             }
@@ -152,6 +184,40 @@
         batch
     }
 
+    /// Returns the streams of this gateway in some services that a keeper is to write, once.
+    pub fn take_unkept(&mut self, services: &BTreeSet<Service>) -> Batch {
+        let streams = &self.streams;
+        let is_taken = |key: &Key| is_in(streams, *key, services);
+        let taken: Vec<Key> = self.unkept.extract_if(.., is_taken).collect();
+        self.batch(taken)
+    }
+
+    /// Returns the newest streams in some services that are not in the store, at most `max` and once. Older ones are
+    /// skipped.
+    pub fn take_unstored(&mut self, services: &BTreeSet<Service>, max: usize) -> Batch {
+        let streams = &self.streams;
+        let is_taken = |key: &Key| is_in(streams, *key, services);
+        let taken: BTreeSet<Key> = self.unstored.extract_if(.., is_taken).collect();
+        if taken.len() <= max {
+            return self.batch(taken);
+        }
+        let newest = self.ages.iter().rev().map(|(_, key)| *key);
+        self.batch(newest.filter(|key| taken.contains(key)).take(max))
+    }
+
+    /// Returns the services that have had several software versions recently, by the versions of their engines that
+    /// are `current`.
+    pub fn mixed_services(&mut self, now: Time, current: &BTreeSet<Origin>) -> BTreeSet<Service> {
+        let services: BTreeSet<Service> = self.registered.keys().cloned().collect();
+        let is_mixed = |service: &Service| {
+            let mut versions = self.recent_software(now, service);
+            let engines = current.iter().filter(|origin| origin.service == *service);
+            versions.extend(engines.map(|origin| origin.software.clone()));
+            versions.len() > 1
+        };
+        services.into_iter().filter(is_mixed).collect()
+    }
+
     /// Returns whether there are streams to be shared.
     pub fn has_unshared(&self) -> bool {
         !self.unshared.is_empty()
@@ -165,6 +231,8 @@
             if is_recent && record.endpoint.as_deref() == Some(endpoint) {
                 record.origin.software.clear();
                 self.unshared.insert(*key);
+                self.unkept.insert(*key);
+                self.unstored.insert(*key);
             }
         }
     }
@@ -222,3 +290,9 @@
         sole.filter(|_| current.is_empty())
     }
 }
+
+/// Returns whether a stream is one of some services.
+fn is_in(streams: &BTreeMap<Key, Record>, key: Key, services: &BTreeSet<Service>) -> bool {
+    let record = streams.get(&key);
+    record.is_some_and(|record| services.contains(&record.origin.service))
+}
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod health;
 mod limit;
+mod origins;
 mod ownership;
 mod placement;
 mod reach;
--- a/crates/endivespur_core/tests/gateway/stream.rs
+++ b/crates/endivespur_core/tests/gateway/stream.rs
@@ -132,3 +132,53 @@
     let later = RETENTION + ms(5);
     assert_eq!(sole(&mut tracker, later), Some("v2".to_string()));
 }
+
+/// Streams that began while a service had one version are kept once there are two, since they can still be resumed.
+/// Those of other services are not.
+#[test]
+fn kept_streams_of_mixed_services() {
+    let mut tracker = Tracker::new();
+    tracker.registered(ms(0), "s", "v1");
+    tracker.registered(ms(0), "t", "v1");
+    tracker.began(ms(0), KEY, origin("v1"), "e");
+    tracker.began(ms(0), KEY + 1, Origin::new("t", "v1"), "f");
+    let current = [origin("v1"), Origin::new("t", "v1")].into();
+    assert_eq!(tracker.mixed_services(ms(1), &current), versions(&[]));
+    tracker.registered(ms(2), "s", "v2");
+    let mixed = tracker.mixed_services(ms(3), &current);
+    assert_eq!(mixed, versions(&["s"]));
+    let expected = [(origin("v1"), vec![KEY])].into();
+    assert_eq!(tracker.take_unkept(&mixed), expected);
+    assert_eq!(tracker.take_unstored(&mixed, 9), expected);
+    assert!(tracker.take_unkept(&mixed).is_empty());
+    assert!(tracker.take_unstored(&mixed, 9).is_empty());
+    // The engines of the former version may have begun streams until a moment ago.
+    let after = RETENTION + ms(3);
+    let last = [origin("v2")].into();
+    assert_eq!(tracker.mixed_services(after, &last), versions(&[]));
+}
+
+/// What is in the store already was written again by each gateway that read it.
+#[test]
+fn kept_streams_of_other_gateways() {
+    let mixed = versions(&["s"]);
+    let mut tracker = Tracker::new();
+    tracker.learned(ms(0), 1, origin("v1"));
+    tracker.learned(ms(0), 2, origin("v1"));
+    tracker.stored(ms(1), 1, &origin("v1"));
+    tracker.stored(ms(1), 3, &origin("v1"));
+    assert_eq!(tracker.origin(ms(1), 3), Some(&origin("v1")));
+    let expected = [(origin("v1"), vec![2])].into();
+    assert_eq!(tracker.take_unstored(&mixed, 9), expected);
+    // The store names another version than the one that is known: neither is, and the store must learn that.
+    tracker.learned(ms(2), 3, origin("v2"));
+    let expected = [(origin(""), vec![3])].into();
+    assert_eq!(tracker.take_unstored(&mixed, 9), expected);
+    // No more than fit: the newest.
+    for key in 10..14 {
+        tracker.began(ms(key), key, origin("v1"), "e");
+    }
+    let newest = tracker.take_unstored(&mixed, 2);
+    assert_eq!(newest, [(origin("v1"), vec![13, 12])].into());
+    assert!(tracker.take_unstored(&mixed, 9).is_empty());
+}
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 
 use crate::state::State;
-use crate::{crash, member, record, software, stream, telemetry};
+use crate::{crash, member, origins, record, software, stream, telemetry};
 
 /// How long the owners that have lost their claims may take to claim their engines again: a renewal of
 /// the lease, a few calls, and the delays of their ranks.
@@ -21,8 +21,9 @@
 ///
 /// Changes of the adapters that an endpoint holds are frequent and may be delayed. Changes of
 /// whether it serves, of documents, of claims and of records of crashes are urgent.
-pub fn apply(state: &Rc<State>, page: Page) -> bool {
+pub fn apply(state: &Rc<State>, mut page: Page) -> bool {
     let is_new_era = enter_era(state, page.revision);
+    origins::take(state, &mut page.items);
     let announces = !page.large.is_empty();
     keep_replaced(state, &page);
     let items = state.feed.borrow_mut().apply(page);
@@ -37,8 +38,9 @@
 }
 
 /// Replaces the state by a listing of all keys.
-pub fn replace(state: &Rc<State>, page: Page) {
+pub fn replace(state: &Rc<State>, mut page: Page) {
     let is_new_era = enter_era(state, page.revision);
+    origins::take(state, &mut page.items);
     keep_replaced(state, &page);
     let items = state.feed.borrow_mut().replace(page);
     apply_items(state, &items);
@@ -82,6 +84,7 @@
 /// they claim them again, and some of them may not know yet that they have lost their claims.
 fn recover(state: &Rc<State>) {
     record::write_again(state);
+    origins::store_recovered(state);
     let delay = if state.settings.is_fencing_enforced {
         RECLAIM_TIME
     } else {
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -45,6 +45,9 @@
     /// The bytes a second that its link carries; that of the slowest VMs for an older release.
     #[serde(default = "default_link_rate")]
     pub link_rate: u64,
+    /// Whether it can keep the origins of streams in the store; not of an older release.
+    #[serde(default)]
+    pub keeps_streams: bool,
 }
 
 fn default_link_rate() -> u64 {
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod member;
 mod message;
 mod notice;
+mod origins;
 mod outbox;
 mod owned;
 mod owner;
--- a/crates/endivespur_gateway/src/streams.rs
+++ b/crates/endivespur_gateway/src/streams.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 
+use endivespur_core::gateway::origins::Ledger;
 use endivespur_core::gateway::stream::{Key, Tracker};
 use event_listener::Event;
 
@@ -11,6 +12,8 @@
 pub struct Streams {
     /// The streams that began recently.
     pub tracker: RefCell<Tracker>,
+    /// The streams that this gateway has written to the store, or is about to write, as a keeper.
+    pub ledger: RefCell<Ledger>,
     /// The streams that are being looked up.
     pub lookups: RefCell<BTreeSet<Key>>,
     /// The lookups that have not been sent yet.
