--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod member;
 mod message;
 mod notice;
+mod origins;
 mod outbox;
 mod owned;
 mod owner;
