Limit short calls of daemons

The time to read grew with the square of the bytes: each part was read to the end of one vector, whose spare room is cleared first, without a pause in which another task could run.

Short calls have one timeout and at most 4 MiB now. A list of VMs that is not read is logged.

--- a/crates/endivespur_net/src/body.rs
+++ b/crates/endivespur_net/src/body.rs
@@ -42,14 +42,16 @@
     loop {
         let start = bytes.len();
         let part = async {
-            let mut part = body.take(PROGRESS_BYTES);
-            part.read_to_end(&mut bytes).await
+            // Reading to the end of `bytes` itself would clear its spare room for each part.
+            let mut part = Vec::with_capacity(PROGRESS_BYTES as usize);
+            let read = body.take(PROGRESS_BYTES).read_to_end(&mut part).await;
+            read.map(|_| part)
         };
         let timed_out = async {
             smol::Timer::after(timeout).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        part.or(timed_out).await?;
+        bytes.extend(part.or(timed_out).await?);
         if bytes.len() > limit {
             return Err(io::Error::other("the body is too large"));
         }
--- a/crates/endivespur_net/src/client.rs
+++ b/crates/endivespur_net/src/client.rs
@@ -139,7 +139,8 @@
     })
 }
 
-/// Posts JSON and returns the JSON response.
+/// Posts JSON and returns the JSON response, which may list stored values: its body may take longer than `timeout` as long
+/// as it keeps coming.
 ///
 /// # Errors
 ///
@@ -154,10 +155,13 @@
     let mut request = request(Method::Post, address, path)?;
     request.set_body(value.to_string());
     request.insert_header("content-type", "application/json");
-    send_json(request, timeout).await
+    let mut response = send(request, timeout).await?;
+    let mut body = response.take_body();
+    let bytes = crate::body::read_within(&mut body, MAX_LISTING_BYTES, timeout).await;
+    decode(response.status(), bytes)
 }
 
-/// Gets a JSON response.
+/// Gets a short JSON response, within `timeout` for the whole call.
 ///
 /// # Errors
 ///
@@ -167,21 +171,31 @@
     path: &str,
     timeout: Duration,
 ) -> Result<serde_json::Value, Error> {
-    send_json(request(Method::Get, address, path)?, timeout).await
+    let request = request(Method::Get, address, path)?;
+    let received = async {
+        let mut response = send(request, timeout).await?;
+        let mut body = response.take_body();
+        let bytes = crate::body::read(&mut body, MAX_JSON_BYTES).await;
+        decode(response.status(), bytes)
+    };
+    let timed_out = async {
+        smol::Timer::after(timeout).await;
+        Err(Error::Response {
+            message: "timeout".to_string(),
+        })
+    };
+    received.or(timed_out).await
 }
 
-/// The maximum size of a JSON response.
-const MAX_JSON_BYTES: usize = 64 << 20;
+/// The maximum size in bytes of a short JSON response: a list of 7,000 VMs takes about 1 MB.
+const MAX_JSON_BYTES: usize = 4 << 20;
+/// The maximum size in bytes of a JSON response that lists stored values.
+const MAX_LISTING_BYTES: usize = 64 << 20;
 
-/// Sends a request and reads the JSON response; the body may take longer than `timeout` as long as it keeps coming.
-async fn send_json(request: Request, timeout: Duration) -> Result<serde_json::Value, Error> {
+/// Decodes the body of a JSON response.
+fn decode(status: StatusCode, body: std::io::Result<Vec<u8>>) -> Result<serde_json::Value, Error> {
     let failed = |message: String| Error::Response { message };
-    let mut response = send(request, timeout).await?;
-    let status = response.status();
-    let mut body = response.take_body();
-    let bytes = crate::body::read_within(&mut body, MAX_JSON_BYTES, timeout)
-        .await
-        .map_err(|error| failed(error.to_string()))?;
+    let bytes = body.map_err(|error| failed(error.to_string()))?;
     if status.is_client_error() || status.is_server_error() {
         return Err(failed(format!(
             "{status}: {}",
--- a/crates/endivespur_node/src/vms.rs
+++ b/crates/endivespur_node/src/vms.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use endivespur_net::client;
-use log::info;
+use log::{debug, info};
 
 use crate::adopt;
 use crate::node::{Node, sleep};
@@ -20,8 +20,9 @@
     };
     loop {
         let address = settings.address.to_string();
-        if let Ok(list) = client::get_json(&address, "/vms", TIMEOUT).await {
-            apply(&node, &list);
+        match client::get_json(&address, "/vms", TIMEOUT).await {
+            Ok(list) => apply(&node, &list),
+            Err(error) => debug!("vms: the list was not read: {error}"),
         }
         sleep(settings.interval).await;
     }
