Show two holders that give an engine orders in turn

A loses its link to an engine and gives the claim up, B claims it, loses its link as well, and A claims again: A, B and A give orders within 3 s, all in touch.

--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -99,6 +99,27 @@
             for lease in [lease for lease, (until, _) in self.leases.items() if until <= now]:
                 self.end_lease(lease)
 
+    async def start_view(self, links):
+        """Listens on another address, which names servers by the addresses in `links`: those of one gateway's links."""
+        async def serve(reader, writer):
+            await self.serve(reader, writer, links)
+
+        view = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1 << 22)
+        return view.sockets[0].getsockname()[1]
+
+    @staticmethod
+    def relink(answer, links):
+        def change(item):
+            name = item["key"].removeprefix("servers/")
+            if name not in links or "value" not in item:
+                return item
+            value = json.loads(base64.b64decode(item["value"]))
+            value["address"] = f"127.0.0.1:{links[name].port}"
+            return {**item, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+
+        return {name: [change(item) for item in value] if name in ("items", "events") else value
+                for name, value in answer.items()}
+
     def end_lease(self, lease):
         if self.leases.pop(lease, None) is None:
             return False
@@ -193,7 +214,7 @@
             except asyncio.TimeoutError:
                 pass
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, links=None):
         peer = writer.get_extra_info("peername")
         try:
             while (head := await read_head(reader)) is not None:
@@ -217,6 +238,8 @@
                     status, answer = await self.watch(query)
                 else:
                     status, answer = self.carry_out(method, path, query, body)
+                if links:
+                    answer = self.relink(answer, links)
                 writer.write(encode(status, [("Content-Type", "application/json")], json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -225,6 +248,50 @@
             writer.close()
 
 
+class Link:
+    """A gateway's link to a server: a proxy. While it is cut, connections are reset and new ones refused."""
+
+    def __init__(self, server):
+        self.server = server
+        self.port = None
+        self.listener = None
+        self.writers = set()
+        self.healed_at = 0.0
+        self.connected_at = 0.0
+
+    async def open(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port or 0)
+        self.port = self.listener.sockets[0].getsockname()[1]
+        self.healed_at = time.monotonic()
+
+    def cut(self):
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        try:
+            upstream, onward = await asyncio.open_connection("127.0.0.1", self.server.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.connected_at = time.monotonic()
+        self.writers |= {writer, onward}
+
+        async def pipe(source, sink):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except (ConnectionError, asyncio.CancelledError):
+                pass
+            finally:
+                sink.close()
+
+        await asyncio.gather(pipe(reader, onward), pipe(upstream, writer))
+        self.writers -= {writer, onward}
+
+
 class Crashed(Exception):
     """The engine has crashed."""
 
@@ -249,6 +316,7 @@
         self.sequence = 0
         self.fence = 0
         self.history = []
+        self.orders = []
         self.runs = []
         self.overloads = []
         self.cut = []
@@ -375,6 +443,7 @@
                 elif target == "/order":
                     document = json.loads(body)
                     status = self.order(document)
+                    self.orders.append((time.monotonic(), str(document.get("holder")).split("#")[0], status))
                     self.record.write(f"{self.name} order {document['op']} {document.get('adapter')} expected "
                                       f"{document.get('expected')} of {document.get('holder')} fence "
                                       f"{document.get('fence')}: {status}")
@@ -519,6 +588,8 @@
 [zones]
 z-a = "r"
 z-b = "r"
+z-c = "r"
+z-d = "r"
 [listen]
 front = "127.0.0.1:{self.front}"
 ready = "127.0.0.1:{self.ready}"
