--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -315,6 +315,7 @@
         self.users = {}
         self.sequence = 0
         self.fence = 0
+        self.port = None
         self.history = []
         self.orders = []
         self.runs = []
@@ -323,9 +324,13 @@
         self.is_up = True
         self.writers = set()
 
+    async def listen(self):
+        if self.port is None:
+            self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 22)
+            self.port = self.server.sockets[0].getsockname()[1]
+
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 22)
-        self.port = self.server.sockets[0].getsockname()[1]
+        await self.listen()
         self.note()
         self.beat_task = asyncio.create_task(self.beat())
 
