Log how many orders an engine's report counts beside those that its owner knows of

The log line of a report said only how many adapters it lists: whether a slot was freed by a report, and whether that report was older than the last orders, could not be told. The line now has the owner's own count of orders and its slots in use before and after the report. The decisions are unchanged.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -295,6 +295,11 @@
             })
     }
 
+    /// Returns the number of orders that the engine has accepted, as far as the owner knows.
+    pub fn orders(&self) -> u64 {
+        self.orders
+    }
+
     fn newest_of(&self, weights: &Weights) -> Version {
         self.newest.get(weights).copied().unwrap_or_default()
     }
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -144,13 +144,18 @@
     notice::record_of_call(state, instance, &fields);
     match result {
         Ok((report, started_ms)) if started_ms == 0 || started_ms == owned.started_ms => {
+            owned.is_unreachable.set(false);
+            let mut engine = owned.engine.borrow_mut();
+            let (known_orders, used_slots) = (engine.orders(), engine.used_slots());
+            engine.reconcile(clock::now(), &report);
             info!(
                 event = "report", endpoint = instance.id.as_str(), orders = report.orders,
+                known_orders,
                 adapters = report.bases.values().map(|base| base.adapters.len()).sum::<usize>(),
-                loading = report.loading.len(); "reconciled"
+                loading = report.loading.len(), slots_before = used_slots,
+                slots_after = engine.used_slots(); "reconciled"
             );
-            owned.is_unreachable.set(false);
-            owned.engine.borrow_mut().reconcile(clock::now(), &report);
+            drop(engine);
             owned.state_changed.notify(usize::MAX);
         }
         Ok((_, started_ms)) => {
