Read the report when an engine holds an adapter that its owner does not list

A load without a response is sent again. If the first one was carried out and the adapter came from the engine's cache (25 ms), the second is answered with 200, the order holds already. The owner did not record the adapter then, so that it sent the same order again at once, as fast as the engine answered, and the requests that waited for the adapter were never granted. Such an answer shows that the engine has counted an order which the owner has not: the owner now reads the report, which gives the count and the adapters.

The test fails on the code before (the next step is another order, not a wait).

--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -292,6 +292,9 @@
                     adapter.state = State::Resident;
                     // An adapter that was loaded without a version may be newer than recorded.
                     adapter.version = adapter.version.max(order.version.unwrap_or_default());
+                } else {
+                    // The engine holds it by an order that this record does not count.
+                    self.report_at = Some(now + REPORT_LAG);
                 }
                 self.cached_adapters.remove(&order.weights);
             }
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -197,6 +197,20 @@
     grant(&mut engine, ms(311), "c");
 }
 
+/// The order that loaded the adapter had no response: the same order is answered as applied already, and is not to be
+/// repeated without end.
+#[test]
+fn record_answer_load_that_was_carried_out_before() {
+    let mut engine = engine(2, &[]);
+    engine.add_waiter(ms(0), &request("a"));
+    answer(&mut engine, ms(0), Answer::NoResponse);
+    answer(&mut engine, ms(120), Answer::AlreadyApplied);
+    assert_matches!(engine.step(ms(121)), Step::Sleep(Some(_)));
+    assert_eq!(engine.step(ms(420)), Step::Report);
+    engine.reconcile(ms(420), &report(&[("a", 1)], 1));
+    grant(&mut engine, ms(420), "a");
+}
+
 #[test]
 fn step_one_fetch_at_a_time() {
     let mut engine = engine(8, &[]);
