Free an adapter's slot only by a report that counts the order which loaded it

Cause: the owner reads a report for the unloads that wait for a run. It took every adapter that the report does not list as loaded for unloaded. Reports are some hundred ms old, and the check is due at one time for all unloads, so that a report could date from before an adapter was loaded again, or from during its load. Callers that leave make this frequent: the grant ends, the unload is accepted, and the engine goes on with the run. A longer wait would only move the age at which it fails.

Change: each adapter has the number of orders by which it was loaded. A report frees a slot only if it counts these orders and lists the adapter neither as resident nor as being loaded; this holds at any age of the report. A report that counts more orders than the owner knows of replaces the whole record, count and adapters together.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -3,6 +3,12 @@
 //! The owner sends one order at a time. Each order carries the number of orders that the
 //! engine must have accepted before, so that an order which arrives late is rejected instead
 //! of loading more adapters than the engine has slots.
+//!
+//! This holds only if the owner's record lists every adapter that may occupy a slot at that number
+//! of orders. Between two orders an engine's slots only become free, so that the record may be
+//! derived in two ways: from one report, which gives the number and the adapters together, or from
+//! an order that the engine has counted. A report of unknown age frees the slot of an adapter only
+//! if it counts the order that loaded the adapter.
 
 mod estimate;
 mod order;
@@ -89,6 +95,15 @@
     pub is_loading_base: bool,
 }
 
+impl Report {
+    /// Returns whether an adapter occupies a slot.
+    fn lists(&self, weights: &Weights) -> bool {
+        let base = self.bases.get(&weights.base);
+        base.is_some_and(|base| base.adapters.contains_key(&weights.adapter))
+            || self.loading.contains_key(weights)
+    }
+}
+
 /// The owner's next step for an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -156,16 +171,20 @@
 struct Adapter {
     version: Version,
     state: State,
+    /// The number of orders that the engine had accepted, at most, when the adapter was last loaded.
+    /// A report that counts fewer may not list it yet.
+    loaded_by: u64,
     /// The open grants, with the time at which each expires.
     users: BTreeMap<Grant, Time>,
     popularity: Counter,
 }
 
 impl Adapter {
-    fn new(version: Version, state: State) -> Self {
+    fn new(version: Version, state: State, loaded_by: u64) -> Self {
         Self {
             version,
             state,
+            loaded_by,
             users: BTreeMap::new(),
             popularity: Counter::default(),
         }
@@ -414,9 +433,10 @@
     /// Applies the report that [`Step::Report`] requested.
     ///
     /// Replaces the whole view of the engine, unless the report was read for finished unloads
-    /// only. Open grants are kept for adapters that the report still lists.
+    /// only and counts no more orders than known. Open grants are kept for adapters that the report
+    /// still lists.
     pub fn reconcile(&mut self, now: Time, report: &Report) {
-        if self.report_purpose == Purpose::Unloads {
+        if self.report_purpose == Purpose::Unloads && report.orders <= self.orders {
             self.remove_unloaded(now, report);
             return;
         }
@@ -438,9 +458,10 @@
         for (weights, (version, state)) in adapters {
             let mut adapter = old
                 .remove(&weights)
-                .unwrap_or_else(|| Adapter::new(version, state));
+                .unwrap_or_else(|| Adapter::new(version, state, report.orders));
             adapter.version = version;
             adapter.state = state;
+            adapter.loaded_by = report.orders;
             self.adapters.insert(weights, adapter);
         }
         for weights in old.keys() {
@@ -455,20 +476,17 @@
         self.report_at = report.is_loading_base.then_some(now + REPORT_LAG);
     }
 
-    /// Removes the adapters whose unload has finished.
+    /// Removes the adapters whose unload has finished: those that the report does not list although
+    /// it counts the orders that loaded them.
     fn remove_unloaded(&mut self, now: Time, report: &Report) {
-        let holds = |weights: &Weights| {
-            let base = report.bases.get(&weights.base);
-            base.is_some_and(|base| base.adapters.contains_key(&weights.adapter))
-        };
         let unloading = self
             .adapters
             .iter()
             .filter(|(_, adapter)| adapter.state == State::Unloading);
-        let (waiting, done): (Vec<Weights>, Vec<Weights>) = unloading
-            .map(|(weights, _)| weights.clone())
-            .partition(holds);
-        for weights in done {
+        let (waiting, done): (Vec<_>, Vec<_>) = unloading
+            .map(|(weights, adapter)| (weights.clone(), adapter.loaded_by))
+            .partition(|(weights, loaded_by)| report.lists(weights) || report.orders < *loaded_by);
+        for (weights, _) in done {
             self.remove_adapter(now, &weights);
         }
         self.unload_check_at = (!waiting.is_empty()).then_some(now + REPORT_LAG);
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -249,12 +249,13 @@
                 let adapter = self
                     .adapters
                     .entry(order.weights.clone())
-                    .or_insert_with(|| Adapter::new(version, state));
+                    .or_insert_with(|| Adapter::new(version, state, self.orders));
                 if adapter.version != version {
                     self.prefix_cache.invalidate(&order.weights);
                 }
                 adapter.version = version;
                 adapter.state = state;
+                adapter.loaded_by = self.orders;
             }
             Action::Unload => {
                 if let Some(adapter) = self.adapters.get_mut(&order.weights) {
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -2,7 +2,7 @@
 
 use assert_matches::assert_matches;
 use endivespur_core::gateway::choice;
-use endivespur_core::gateway::placement::{Action, Answer, Decision, Order, Report, Step};
+use endivespur_core::gateway::placement::{Action, Answer, Decision, Engine, Order, Report, Step};
 
 use crate::{answer, engine, grant, ms, order, report, request, weights};
 
@@ -197,6 +197,56 @@
     grant(&mut engine, ms(311), "c");
 }
 
+/// Returns an engine whose two slots are in use: "a" waits to be unloaded since 0 ms, and "c", which was
+/// loaded by the third order, since 50 ms.
+fn unloading_after_a_load() -> Engine {
+    let mut engine = engine(2, &["a", "b"]);
+    engine.add_waiter(ms(0), &request("c"));
+    answer(&mut engine, ms(0), Answer::Accepted);
+    answer(&mut engine, ms(5), Answer::AlreadyApplied);
+    answer(&mut engine, ms(10), Answer::Accepted);
+    answer(&mut engine, ms(40), Answer::AlreadyApplied);
+    engine.remove_waiter(&weights("c"));
+    engine.add_waiter(ms(50), &request("d"));
+    let unload = answer(&mut engine, ms(50), Answer::Accepted);
+    assert_eq!(
+        (unload.action, unload.weights),
+        (Action::Unload, weights("c"))
+    );
+    assert_eq!(engine.step(ms(310)), Step::Report);
+    engine
+}
+
+/// The unload of "c" waits for a run whose caller has left. A report that is due for the earlier unload of "a"
+/// dates from before "c" was loaded and does not list it: the engine would be overloaded if its slot counted as free.
+#[test]
+fn reconcile_report_from_before_a_load() {
+    let mut engine = unloading_after_a_load();
+    engine.reconcile(ms(310), &report(&[("a", 1), ("b", 1)], 1));
+    assert_eq!(engine.used_slots(), 2);
+    assert_matches!(engine.step(ms(311)), Step::Sleep(Some(_)));
+}
+
+/// As above, with a report from when "c" was being loaded.
+#[test]
+fn reconcile_report_from_during_a_load() {
+    let mut engine = unloading_after_a_load();
+    let mut report = report(&[("a", 1)], 3);
+    report.loading.insert(weights("c"), 1);
+    engine.reconcile(ms(310), &report);
+    assert_eq!(engine.used_slots(), 2);
+    assert_matches!(engine.step(ms(311)), Step::Sleep(Some(_)));
+}
+
+/// A report that counts the load and lists the adapter no more frees the slot, however old it is.
+#[test]
+fn reconcile_report_from_after_an_unload() {
+    let mut engine = unloading_after_a_load();
+    engine.reconcile(ms(310), &report(&[("a", 1)], 4));
+    assert_eq!(engine.used_slots(), 1);
+    assert_eq!(order(&mut engine, ms(311)).weights, weights("d"));
+}
+
 /// The order that loaded the adapter had no response: the same order is answered as applied already, and is not to be
 /// repeated without end.
 #[test]
--- a/crates/endivespur_core/tests/histories/main.rs
+++ b/crates/endivespur_core/tests/histories/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod owner;
 mod ownership;
+mod placement;
 mod queue;
 mod route;
 mod schedule;
