Take an unload's answer for counted only if no other unload can have been accepted before

An unload that waits for runs is remembered when a report is applied, so that another adapter is unloaded meanwhile; after 10 s the engine's report counts again.

Evidence: three cases in tests/gateway/placement.rs, of which record_answer_unload_that_was_accepted_before fails on the code before.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -43,6 +43,9 @@
 /// How long an engine may be busy before it only takes prompts that it can begin in time: a burst ends within this time,
 /// but if more arrives than the engine can serve, all would be late.
 const BURST_TIME: Duration = Duration::from_secs(2);
+/// How long an unload may wait for running requests before the owner takes the engine's report for the
+/// adapter's state again.
+const UNLOAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a grant counts as in use if its release never arrives.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -152,8 +155,10 @@
         next_check: Time,
     },
     Resident,
-    /// The engine has accepted the unload.
-    Unloading,
+    /// The engine has accepted the unload, which waits for running requests.
+    Unloading {
+        since: Time,
+    },
 }
 
 /// Why a report is read.
@@ -174,6 +179,8 @@
     /// The number of orders that the engine had accepted, at most, when the adapter was last loaded.
     /// A report that counts fewer may not list it yet.
     loaded_by: u64,
+    /// Whether the engine may have accepted an unload of the adapter that this record does not show.
+    may_be_unloading: bool,
     /// The open grants, with the time at which each expires.
     users: BTreeMap<Grant, Time>,
     popularity: Counter,
@@ -185,10 +192,16 @@
             version,
             state,
             loaded_by,
+            may_be_unloading: false,
             users: BTreeMap::new(),
             popularity: Counter::default(),
         }
     }
+
+    /// Returns whether an unload that the engine has accepted may still wait for running requests.
+    fn is_unloading(&self, now: Time) -> bool {
+        matches!(self.state, State::Unloading { since } if now < since + UNLOAD_TIMEOUT)
+    }
 }
 
 /// The requests that wait for an adapter.
@@ -227,6 +240,9 @@
     unconfirmed: BTreeSet<Weights>,
     /// The number of orders that the engine has accepted.
     orders: u64,
+    /// Whether the engine has counted an order since the last report was applied, which may have been
+    /// older than the latest orders of a previous owner, or than one without a response.
+    is_count_confirmed: bool,
     /// When to read the report; no order is sent before.
     report_at: Option<Time>,
     /// When to read the report for unloads that wait for running requests.
@@ -271,6 +287,7 @@
             newest: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
             orders: 0,
+            is_count_confirmed: false,
             report_at: Some(now),
             unload_check_at: None,
             report_purpose: Purpose::State,
@@ -454,14 +471,24 @@
         for (weights, version) in &report.loading {
             adapters.insert(weights.clone(), (*version, loading));
         }
+        // Reports do not tell which adapters are being unloaded, and orders that this record does
+        // not count may be unloads.
+        let has_unknown_orders = report.orders > self.orders;
+        let has_orders = report.orders > 0;
         let mut old = std::mem::take(&mut self.adapters);
         for (weights, (version, state)) in adapters {
-            let mut adapter = old
-                .remove(&weights)
-                .unwrap_or_else(|| Adapter::new(version, state, report.orders));
+            let known = old.remove(&weights);
+            let may_be_unloading = has_unknown_orders
+                || known.as_ref().is_none_or(|known| {
+                    known.may_be_unloading || matches!(known.state, State::Unloading { .. })
+                });
+            let mut adapter = known.unwrap_or_else(|| Adapter::new(version, state, report.orders));
             adapter.version = version;
-            adapter.state = state;
+            adapter.may_be_unloading = may_be_unloading && has_orders && state == State::Resident;
             adapter.loaded_by = report.orders;
+            if state != State::Resident || !adapter.is_unloading(now) {
+                adapter.state = state;
+            }
             self.adapters.insert(weights, adapter);
         }
         for weights in old.keys() {
@@ -469,9 +496,15 @@
         }
         self.bases = report.bases.keys().cloned().collect();
         self.orders = report.orders;
+        self.is_count_confirmed = false;
         self.unconfirmed.clear();
         self.base_check_at = None;
-        self.unload_check_at = None;
+        let is_unloading = |adapter: &Adapter| adapter.is_unloading(now);
+        self.unload_check_at = self
+            .adapters
+            .values()
+            .any(is_unloading)
+            .then_some(now + REPORT_LAG);
         self.pending_retry = None;
         self.report_at = report.is_loading_base.then_some(now + REPORT_LAG);
     }
@@ -482,13 +515,25 @@
         let unloading = self
             .adapters
             .iter()
-            .filter(|(_, adapter)| adapter.state == State::Unloading);
-        let (waiting, done): (Vec<_>, Vec<_>) = unloading
-            .map(|(weights, adapter)| (weights.clone(), adapter.loaded_by))
-            .partition(|(weights, loaded_by)| report.lists(weights) || report.orders < *loaded_by);
-        for (weights, _) in done {
+            .filter(|(_, adapter)| matches!(adapter.state, State::Unloading { .. }));
+        let done: Vec<Weights> = unloading
+            .clone()
+            .filter(|(weights, adapter)| {
+                report.orders >= adapter.loaded_by && !report.lists(weights)
+            })
+            .map(|(weights, _)| weights.clone())
+            .collect();
+        let waiting = unloading.count() - done.len();
+        for weights in done {
             self.remove_adapter(now, &weights);
         }
-        self.unload_check_at = (!waiting.is_empty()).then_some(now + REPORT_LAG);
+        self.unload_check_at = (waiting > 0).then_some(now + REPORT_LAG);
+        let mut unloading = self.adapters.values();
+        let is_overdue = |adapter: &Adapter| {
+            matches!(adapter.state, State::Unloading { .. }) && !adapter.is_unloading(now)
+        };
+        if unloading.any(is_overdue) {
+            self.report_at = Some(now + REPORT_LAG);
+        }
     }
 }
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -156,7 +156,8 @@
             return Some(self.order(Action::Load, &demanded, newest));
         }
         let unloading = self.adapters.values();
-        let unloading = unloading.filter(|adapter| adapter.state == State::Unloading);
+        let unloading =
+            unloading.filter(|adapter| matches!(adapter.state, State::Unloading { .. }));
         if unloading.count() >= MAX_UNLOADING {
             return None;
         }
@@ -219,6 +220,9 @@
             Answer::Accepted if self.is_loading(&order.weights) => {
                 self.schedule_next_check(now, &order.weights);
             }
+            Answer::Accepted | Answer::AlreadyApplied if self.may_be_uncounted(order) => {
+                self.record_uncounted(now, order, answer);
+            }
             Answer::Accepted => self.record_accepted(now, order),
             Answer::AlreadyApplied => self.record_already_applied(now, order),
             // An earlier order without a response may have been carried out instead of this one:
@@ -231,8 +235,40 @@
         }
     }
 
+    /// Returns whether the engine may have answered an unload without counting it, since it had
+    /// accepted another unload of the adapter before, while its count is not known for certain.
+    ///
+    /// If the owner took the answer as counted, its count could equal the engine's although the
+    /// engine counted a load that the owner does not know of.
+    fn may_be_uncounted(&self, order: &Order) -> bool {
+        let adapter = self.adapters.get(&order.weights);
+        order.action == Action::Unload
+            && !self.is_count_confirmed
+            && adapter.is_some_and(|adapter| adapter.may_be_unloading)
+    }
+
+    /// Records the answer to an unload that may not have been counted: the next report gives the
+    /// count.
+    fn record_uncounted(&mut self, now: Time, order: &Order, answer: Answer) {
+        if answer == Answer::AlreadyApplied {
+            self.remove_adapter(now, &order.weights);
+        } else {
+            self.record_unloading(now, &order.weights);
+        }
+        self.report_at = Some(now + REPORT_LAG);
+    }
+
+    /// Records that the engine has accepted the unload of an adapter, which waits for its requests.
+    fn record_unloading(&mut self, now: Time, weights: &Weights) {
+        if let Some(adapter) = self.adapters.get_mut(weights) {
+            adapter.state = State::Unloading { since: now };
+        }
+        self.unload_check_at.get_or_insert(now + REPORT_LAG);
+    }
+
     pub(super) fn record_accepted(&mut self, now: Time, order: &Order) {
         self.orders = order.expected + 1;
+        self.is_count_confirmed = true;
         if order.weights.adapter.is_empty() {
             self.base_check_at = Some(now + REPORT_LAG);
             self.base_ordered = Some((order.weights.base.clone(), now));
@@ -256,12 +292,10 @@
                 adapter.version = version;
                 adapter.state = state;
                 adapter.loaded_by = self.orders;
+                adapter.may_be_unloading = false;
             }
             Action::Unload => {
-                if let Some(adapter) = self.adapters.get_mut(&order.weights) {
-                    adapter.state = State::Unloading;
-                }
-                self.unload_check_at.get_or_insert(now + REPORT_LAG);
+                self.record_unloading(now, &order.weights);
             }
         }
     }
@@ -301,6 +335,7 @@
             }
             Action::Unload => {
                 self.orders = order.expected + 1;
+                self.is_count_confirmed = true;
                 self.remove_adapter(now, &order.weights);
             }
         }
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -247,6 +247,54 @@
     assert_eq!(order(&mut engine, ms(311)).weights, weights("d"));
 }
 
+/// A new owner's first report dates from before the last load of the previous one, and "a" was being unloaded: the
+/// engine answers a second unload without counting it. If the owner counted it, its count would equal the engine's, and
+/// its next load would overload the engine.
+#[test]
+fn record_answer_unload_that_was_accepted_before() {
+    let mut engine = engine(2, &[]);
+    engine.reconcile(ms(0), &report(&[("a", 1), ("b", 1)], 3));
+    engine.add_waiter(ms(0), &request("c"));
+    let unload = answer(&mut engine, ms(0), Answer::AlreadyApplied);
+    assert_eq!((unload.action, unload.expected), (Action::Unload, 3));
+    assert_matches!(engine.step(ms(1)), Step::Sleep(Some(_)));
+    assert_eq!(engine.step(ms(300)), Step::Report);
+    engine.reconcile(ms(300), &report(&[("b", 1), ("z", 1)], 4));
+    assert_eq!(engine.used_slots(), 2);
+}
+
+/// As above, and the unload waits for a run of the previous owner: another adapter is unloaded meanwhile.
+#[test]
+fn record_answer_unload_that_waits_after_a_takeover() {
+    let mut engine = engine(2, &[]);
+    let held = report(&[("a", 1), ("b", 1)], 3);
+    engine.reconcile(ms(0), &held);
+    engine.add_waiter(ms(0), &request("c"));
+    let first = answer(&mut engine, ms(0), Answer::Accepted);
+    assert_eq!(engine.step(ms(300)), Step::Report);
+    engine.reconcile(ms(300), &report(&[("a", 1), ("b", 1)], 4));
+    let second = order(&mut engine, ms(300));
+    assert_eq!((second.action, second.expected), (Action::Unload, 4));
+    assert_ne!(first.weights, second.weights);
+}
+
+/// An answer may be wrong: an adapter that stays loaded after its unload was accepted can be unloaded again.
+#[test]
+fn reconcile_unload_that_does_not_end() {
+    let mut engine = engine(1, &["a"]);
+    engine.add_waiter(ms(0), &request("c"));
+    answer(&mut engine, ms(0), Answer::Accepted);
+    let mut now = 0;
+    while now < 10_600 {
+        if engine.step(ms(now)) == Step::Report {
+            engine.reconcile(ms(now), &report(&[("a", 1)], 1));
+        }
+        now += 50;
+    }
+    let again = order(&mut engine, ms(now));
+    assert_eq!((again.action, again.expected), (Action::Unload, 1));
+}
+
 /// The order that loaded the adapter had no response: the same order is answered as applied already, and is not to be
 /// repeated without end.
 #[test]
