Bound the numbers of tokens where they are decoded, and refuse prompts that fit into no engine

Cause: the number was believed as a u64 from the header field to the estimate of the prefill, which grows with the square of the prompt and left the range of a duration; the conversion panics (standard error: cannot convert float seconds to Duration). Numbers beyond u64 were taken for none, and sums of parts could wrap.

Change: numbers of tokens are u32 from the decoder on, of the header field and of other gateways' calls (the message is unchanged; older gateways still send any u64). Larger numbers count as the largest. A prompt that is larger than the memory of the engines of its service is refused at once with 503 and without Retry-After, since no engine can ever run it; an owner does not grant one for an older gateway either: its estimated prefill would make the engine look busy to all others for 20 s.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::clock;
 use crate::gateway::endpoint::{Instance, Weights};
 use crate::hash;
 use crate::id::{Endpoint, Version};
@@ -71,9 +72,13 @@
         max_delay: max_delay.min(max_wait),
         only_resident,
     };
-    let long_delay = objective.mul_f64(LONG_DELAY_SHARE);
+    let long_delay = clock::scale(objective, LONG_DELAY_SHARE);
     [
-        pass(Group::Homes, objective.mul_f64(SHORT_DELAY_SHARE), true),
+        pass(
+            Group::Homes,
+            clock::scale(objective, SHORT_DELAY_SHARE),
+            true,
+        ),
         pass(Group::Busy, long_delay, false),
         pass(Group::Spares, long_delay, false),
         pass(Group::Busy, max_wait, false),
@@ -87,7 +92,7 @@
     if has_begun {
         max_wait
     } else {
-        objective_left.mul_f64(SEND_SHARE)
+        clock::scale(objective_left, SEND_SHARE)
     }
 }
 
--- a/crates/endivespur_core/src/gateway/duration.rs
+++ b/crates/endivespur_core/src/gateway/duration.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::clock;
+
 /// The weight of the newest duration in the moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 /// The number of mean deviations above the mean that are expected: two cover an even spread whose mean is known.
@@ -49,6 +51,6 @@
     pub fn expected(&self, route: &str) -> Duration {
         let record = self.records.get(route);
         let seconds = record.map_or(0.0, |record| record.mean + DEVIATIONS * record.deviation);
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        clock::from_secs(seconds)
     }
 }
--- a/crates/endivespur_core/src/gateway/health.rs
+++ b/crates/endivespur_core/src/gateway/health.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::decay::Counter;
 use crate::id::Endpoint;
 
@@ -110,7 +110,7 @@
     /// Returns the moving average of an endpoint's latency; zero if unknown.
     pub fn latency(&self, endpoint: &str) -> Duration {
         let latency = self.records.get(endpoint).and_then(|record| record.latency);
-        Duration::from_secs_f64(latency.unwrap_or_default())
+        clock::from_secs(latency.unwrap_or_default())
     }
 
     /// Removes the endpoints for which `keep` returns `false`.
--- a/crates/endivespur_core/src/gateway/lease.rs
+++ b/crates/endivespur_core/src/gateway/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::clock::{self, Time};
 
 /// The share of a lease's duration that is relied on, because clocks run at different rates.
 const TRUSTED_SHARE: f64 = 0.9;
@@ -24,7 +24,7 @@
 
     /// Records that the lease was granted or renewed by a call sent at `sent`.
     pub fn renewed(&mut self, sent: Time, ttl: Duration) {
-        self.until = sent + ttl.mul_f64(TRUSTED_SHARE);
+        self.until = sent + clock::scale(ttl, TRUSTED_SHARE);
         self.is_unconfirmed = false;
     }
 
--- a/crates/endivespur_core/src/gateway/limit.rs
+++ b/crates/endivespur_core/src/gateway/limit.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::id::Endpoint;
 
 /// The lowest rate at which requests are sent: the endpoint says in its responses when it takes more.
@@ -59,7 +59,7 @@
         self.tokens = (self.tokens + elapsed * rate).min(capacity);
         self.updated_at = now;
         if self.tokens < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - self.tokens) / rate));
+            return Err(clock::from_secs((1.0 - self.tokens) / rate));
         }
         self.tokens -= 1.0;
         Ok(())
--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, State};
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::gateway::endpoint::Weights;
 
 /// The delay added for an engine without a free slot, on top of the wait for one.
@@ -44,12 +44,11 @@
             .values()
             .next()
             .map(|prefill| prefill.cost);
-        let done = done.min(
-            oldest_cost
-                .unwrap_or_default()
-                .mul_f64(self.prefill_slowdown),
-        );
-        cost.mul_f64(self.prefill_slowdown).saturating_sub(done)
+        let done = done.min(clock::scale(
+            oldest_cost.unwrap_or_default(),
+            self.prefill_slowdown,
+        ));
+        clock::scale(cost, self.prefill_slowdown).saturating_sub(done)
     }
 
     /// Returns the estimated time until the engine holds a base model.
@@ -125,14 +124,14 @@
         };
         let window = PREFILL_WORK_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         let share = self.prefill_work.at(now, PREFILL_WORK_HALF_LIFE) / window;
-        slots + BUSY_PREFILL_DELAY.mul_f64(share.min(2.0))
+        slots + clock::scale(BUSY_PREFILL_DELAY, share.min(2.0))
     }
 }
 
 /// Returns the duration of the prefill of a prompt whose first `cached` tokens are cached.
-pub(super) fn prefill_time(tokens: u64, cached: u64) -> Duration {
-    let uncached = tokens.saturating_sub(cached) as f64;
+pub(super) fn prefill_time(tokens: u32, cached: u64) -> Duration {
+    let uncached = u64::from(tokens).saturating_sub(cached) as f64;
     let pairs = uncached * (cached as f64 + uncached / 2.0) / 1e6;
     let ms = FIRST_TOKEN_MS + uncached / PREFILL_TOKENS_PER_MS + pairs * MS_PER_MILLION_PAIRS;
-    Duration::from_secs_f64(ms / 1000.0)
+    clock::from_secs(ms / 1000.0)
 }
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -124,7 +124,7 @@
     /// The base model or adapter that the request names.
     pub weights: Weights,
     /// The number of prompt tokens.
-    pub tokens: u64,
+    pub tokens: u32,
     /// The parts of the prompt, in order.
     pub parts: Vec<Part>,
     /// The longest acceptable delay; `None` if every delay is. While the engine is overloaded, it is `due_in` at most.
@@ -227,6 +227,8 @@
 #[derive(Debug)]
 pub struct Engine {
     slots: usize,
+    /// The number of tokens that fit into the engine's memory; 0 if it is not known.
+    memory_tokens: u64,
     bases: BTreeSet<String>,
     /// The base models that the engine can load, with the time that each load takes.
     loadable_bases: BTreeMap<String, Duration>,
@@ -279,6 +281,7 @@
     pub fn new(now: Time, class: &EngineClass) -> Self {
         Self {
             slots: class.adapter_slots,
+            memory_tokens: class.memory_tokens,
             bases: BTreeSet::new(),
             loadable_bases: class.bases.clone(),
             base_ordered: None,
@@ -341,7 +344,13 @@
     }
 
     /// Answers a request for a grant.
+    ///
+    /// A prompt that does not fit into the engine's memory is never granted: its estimated prefill
+    /// would make the engine look busy to all other requests.
     pub fn request(&mut self, now: Time, request: &Request) -> Decision {
+        if self.memory_tokens > 0 && u64::from(request.tokens) > self.memory_tokens {
+            return Decision::Busy(estimate::prefill_time(request.tokens, 0));
+        }
         let delay = self.delay(now, &request.weights);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
@@ -409,7 +418,7 @@
             is_alone: self.pending_prefills.is_empty(),
         };
         self.pending_prefills.insert(grant, prefill);
-        let work = prefill.cost.mul_f64(self.prefill_slowdown).as_secs_f64();
+        let work = prefill.cost.as_secs_f64() * self.prefill_slowdown;
         self.prefill_work.add(now, PREFILL_WORK_HALF_LIFE, work);
         if let Some(adapter) = self.adapters.get_mut(&request.weights) {
             adapter.users.insert(grant, now + GRANT_TIMEOUT);
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -6,7 +6,7 @@
     Action, Adapter, Answer, Engine, GRANT_TIMEOUT, Order, POPULARITY_HALF_LIFE, Purpose,
     REPORT_LAG, State, Step,
 };
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::gateway::endpoint::Weights;
 use crate::id::Version;
 
@@ -303,8 +303,8 @@
     pub(super) fn update_slot_wait(&mut self, now: Time, weights: &Weights) {
         if let Some(last) = self.last_queued_load {
             let elapsed = now.saturating_sub(last);
-            self.slot_wait =
-                self.slot_wait.mul_f64(1.0 - EWMA_WEIGHT) + elapsed.mul_f64(EWMA_WEIGHT);
+            self.slot_wait = clock::scale(self.slot_wait, 1.0 - EWMA_WEIGHT)
+                + clock::scale(elapsed, EWMA_WEIGHT);
         }
         let is_queued = self
             .demands
@@ -321,8 +321,8 @@
                         && !self.cached_adapters.contains_key(&order.weights)
                     {
                         let elapsed = now.saturating_sub(since);
-                        self.fetch_time = self.fetch_time.mul_f64(1.0 - EWMA_WEIGHT)
-                            + elapsed.mul_f64(EWMA_WEIGHT);
+                        self.fetch_time = clock::scale(self.fetch_time, 1.0 - EWMA_WEIGHT)
+                            + clock::scale(elapsed, EWMA_WEIGHT);
                     }
                     adapter.state = State::Resident;
                     // An adapter that was loaded without a version may be newer than recorded.
--- a/crates/endivespur_core/src/gateway/prefix.rs
+++ b/crates/endivespur_core/src/gateway/prefix.rs
@@ -11,7 +11,7 @@
     /// The part's name.
     pub id: String,
     /// The number of tokens.
-    pub tokens: u64,
+    pub tokens: u32,
 }
 
 /// The share of an engine's memory that is assumed to hold cached parts; running requests use the
@@ -23,7 +23,7 @@
 /// Evicts the least recently used parts.
 #[derive(Clone, Debug)]
 pub struct Cache {
-    parts: BTreeMap<(Weights, String), (u64, Time)>,
+    parts: BTreeMap<(Weights, String), (u32, Time)>,
     tokens: u64,
     limit: u64,
 }
@@ -43,7 +43,7 @@
         parts
             .iter()
             .take_while(|part| self.parts.contains_key(&(weights.clone(), part.id.clone())))
-            .map(|part| part.tokens)
+            .map(|part| u64::from(part.tokens))
             .sum()
     }
 
@@ -52,7 +52,7 @@
         for part in parts {
             let key = (weights.clone(), part.id.clone());
             if self.parts.insert(key, (part.tokens, now)).is_none() {
-                self.tokens += part.tokens;
+                self.tokens += u64::from(part.tokens);
             }
         }
         while self.tokens > self.limit {
@@ -64,7 +64,7 @@
             let Some((tokens, _)) = oldest.and_then(|key| self.parts.remove(&key)) else {
                 return;
             };
-            self.tokens = self.tokens.saturating_sub(tokens);
+            self.tokens = self.tokens.saturating_sub(u64::from(tokens));
         }
     }
 
@@ -73,7 +73,7 @@
         let mut freed = 0;
         self.parts.retain(|(other, _), (tokens, _)| {
             let keep = other != weights;
-            freed += if keep { 0 } else { *tokens };
+            freed += if keep { 0 } else { u64::from(*tokens) };
             keep
         });
         self.tokens = self.tokens.saturating_sub(freed);
--- a/crates/endivespur_core/src/gateway/transfer.rs
+++ b/crates/endivespur_core/src/gateway/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::clock::{self, Time};
 use crate::hash;
 
 /// The maximum size of a piece in bytes: at 10 Mbit/s, a VM sends one in 13 ms, which calls on other connections
@@ -95,7 +95,7 @@
     ///
     /// Returns the time until a piece can be reserved if the delay would be too long.
     pub fn reserve(&mut self, now: Time, bytes: usize) -> Result<Duration, Duration> {
-        let time = |bytes: f64| Duration::from_secs_f64(bytes / self.bytes_per_s);
+        let time = |bytes: f64| clock::from_secs(bytes / self.bytes_per_s);
         let burst = time(BURST_BYTES);
         let delay = self.free_at.saturating_sub(now + burst);
         if delay > MAX_DELAY {
--- a/crates/endivespur_core/src/lease.rs
+++ b/crates/endivespur_core/src/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Time;
+use crate::clock::{self, Time};
 
 /// The share of a lease's time to live that is used, because clocks run at different rates.
 const TRUSTED_TTL_SHARE: f64 = 0.9;
@@ -49,7 +49,7 @@
 
     /// Records that a renewal, sent at `sent`, was answered at `now`.
     pub fn renewed(&mut self, sent: Time, now: Time) {
-        self.valid_until = sent + self.ttl.mul_f64(TRUSTED_TTL_SHARE);
+        self.valid_until = sent + clock::scale(self.ttl, TRUSTED_TTL_SHARE);
         self.last_store_answer = now;
     }
 
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions under the loads and failures that they handle.
 
 mod choice;
+mod clock;
 mod crash;
 mod duration;
 mod feed;
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -3,8 +3,9 @@
 use assert_matches::assert_matches;
 use endivespur_core::gateway::choice;
 use endivespur_core::gateway::placement::{Action, Answer, Decision, Engine, Order, Report, Step};
+use endivespur_core::gateway::prefix::Part;
 
-use crate::{answer, engine, grant, ms, order, report, request, weights};
+use crate::{answer, class, engine, grant, ms, order, report, request, weights};
 
 #[test]
 fn step_before_the_report() {
@@ -370,6 +371,42 @@
     assert_matches!(engine.request(ms(1300), &next), Decision::Granted(_));
 }
 
+/// The estimated time of a prefill grows with the square of its tokens and ended the process when it left the range of
+/// a duration.
+#[test]
+fn request_largest_prompts() {
+    let mut unlimited = class(2);
+    unlimited.memory_tokens = 0;
+    let mut engine = Engine::new(ms(0), &unlimited);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    let mut largest = request("a");
+    largest.tokens = u32::MAX;
+    largest.parts = (0..4000)
+        .map(|number| Part {
+            id: format!("{number:x}"),
+            tokens: u32::MAX,
+        })
+        .collect();
+    for start in 0..5 {
+        assert_matches!(engine.request(ms(start), &largest), Decision::Granted(_));
+    }
+    let mut next = request("a");
+    next.max_delay = Some(ms(5_000));
+    assert_matches!(engine.request(ms(10), &next), Decision::Busy(_));
+    assert!(engine.delay(ms(10), &weights("b")) >= engine.backlog(ms(10)));
+}
+
+/// An older gateway passes on a prompt that fits into no engine. Granted, it would make the engine busy for all others.
+#[test]
+fn request_larger_than_the_memory() {
+    let mut engine = engine(2, &["a"]);
+    let mut large = request("a");
+    large.tokens = 280_001;
+    assert_matches!(engine.request(ms(0), &large), Decision::Busy(delay) if delay > ms(5000));
+    assert_eq!(engine.backlog(ms(0)), ms(0));
+    grant(&mut engine, ms(0), "a");
+}
+
 /// A stream that is resumed is lost if it is refused, and would have been late already as a new request.
 #[test]
 fn request_resumed_at_an_overloaded_engine() {
--- a/crates/endivespur_core/tests/histories/placement.rs
+++ b/crates/endivespur_core/tests/histories/placement.rs
@@ -152,9 +152,10 @@
     /// Returns the report as of `age` ago.
     fn report_of_age(&self, now: Duration, age: Duration) -> Report {
         let at = now.saturating_sub(age);
-        let known = self.snapshots.iter().rev();
-        let found = known.clone().find(|(time, _)| *time <= at);
-        let (_, report) = found.or(known.last()).expect("recorded at the start");
+        let found = self.snapshots.iter().rev().find(|(time, _)| *time <= at);
+        let (_, report) = found
+            .or(self.snapshots.first())
+            .expect("recorded at the start");
         report.clone()
     }
 
--- a/crates/endivespur_core/tests/load/model.rs
+++ b/crates/endivespur_core/tests/load/model.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use endivespur_core::clock;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::prefix::Part;
 
@@ -21,9 +22,9 @@
     /// How long five times as many arrive, from the fifth second on.
     pub burst: Duration,
     /// The prompt tokens that all its requests share.
-    pub shared_tokens: u64,
+    pub shared_tokens: u32,
     /// The other prompt tokens of a request.
-    pub own_tokens: u64,
+    pub own_tokens: u32,
     /// The tokens of a response.
     pub output_tokens: u64,
     /// The time within which the first token is wanted.
@@ -110,7 +111,7 @@
                 events.started.extend(self.prompts.pop_front());
             }
         }
-        let prompt_time = Duration::from_secs_f64(chunk as f64 / PROMPT_TOKENS_PER_MS / 1_000.0);
+        let prompt_time = clock::from_secs(chunk as f64 / PROMPT_TOKENS_PER_MS / 1_000.0);
         let end = now + STEP_TIME + prompt_time;
         for run in &mut events.started {
             run.is_late = end > run.objective;
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use endivespur_core::clock;
 use endivespur_core::gateway::choice::{self, Group, MAX_HOMES, MAX_SPARES, Pass};
 use endivespur_core::gateway::endpoint::{Base, Weights};
 use endivespur_core::gateway::placement::{Decision, Engine, Report, Request};
@@ -50,7 +51,7 @@
     /// The end of its current step.
     now: Duration,
     /// The shared parts of prompts that it has read, by their size.
-    cached: BTreeSet<u64>,
+    cached: BTreeSet<u32>,
 }
 
 impl Place {
@@ -72,7 +73,7 @@
             weights: weights.clone(),
             objective: at + class.objective,
             deadline: at + class.deadline,
-            prompt_left: shared_tokens + class.own_tokens,
+            prompt_left: u64::from(shared_tokens + class.own_tokens),
             output_left: class.output_tokens,
             is_late: false,
         });
@@ -172,7 +173,7 @@
             };
             let gap = -random.random::<f64>().max(f64::MIN_POSITIVE).ln();
             at += gap / class.rate / factor;
-            arrivals.push((Duration::from_secs_f64(at), class));
+            arrivals.push((clock::from_secs(at), class));
         }
     }
     arrivals.sort_by_key(|(at, _)| *at);
--- a/crates/endivespur_dev/src/bench/trace.rs
+++ b/crates/endivespur_dev/src/bench/trace.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use endivespur_core::clock;
 use endivespur_core::config::Class;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -157,7 +158,7 @@
     let mut now = 0.0;
     let mut shifts = 1;
     while now < TRACE_LENGTH.as_secs_f64() {
-        let at = Duration::from_secs_f64(now);
+        let at = clock::from_secs(now);
         if pattern.disturbance == Disturbance::PopularityShifts && now > f64::from(shifts) * 300.0 {
             shift_popularity(&mut rng, &mut adapter_by_rank);
             shifts += 1;
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -171,6 +171,15 @@
         }
     }
 
+    /// Creates a refusal of a request that no endpoint can run, now or later.
+    pub fn unservable(reason: &str) -> Self {
+        Self::Generated {
+            status: 503,
+            retry_after: None,
+            reason: reason.to_string(),
+        }
+    }
+
     /// Creates a failure after which it is unknown whether the request ran.
     pub fn unknown(status: u16, reason: &str) -> Self {
         Self::Generated {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -6,7 +6,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Instance;
-use endivespur_core::gateway::table::RetryPolicy;
+use endivespur_core::gateway::table::{EngineClass, RetryPolicy};
 use endivespur_core::id::{Endpoint, Software};
 use endivespur_http::head::Framing;
 use endivespur_platform::header::{self, Dispatch};
@@ -92,6 +92,20 @@
     stream: Stream,
 }
 
+/// Checks that a request's prompt fits into the memory of an engine of its service.
+///
+/// # Errors
+///
+/// Returns the refusal if it does not: no engine can ever run it.
+pub fn check_size(call: &Call, class: &EngineClass) -> Result<(), Outcome> {
+    // A service may not state the memory of its engines.
+    let is_known = class.memory_tokens > 0;
+    if is_known && u64::from(call.fields.prompt_tokens) > class.memory_tokens {
+        return Err(Outcome::unservable("prompt-exceeds-memory"));
+    }
+    Ok(())
+}
+
 /// Handles a request to a model engine.
 pub async fn handle(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Outcome {
     let mut progress = Progress {
--- a/crates/endivespur_gateway/src/limit.rs
+++ b/crates/endivespur_gateway/src/limit.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::clock::Time;
+use endivespur_core::clock::{Time, scale};
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::gateway::limit::{Decision, Limit, Rate, Tracker};
 use endivespur_core::hash;
@@ -122,7 +122,7 @@
 /// callers must not all come back at the same time.
 pub fn refuse(call: &Call, wait: Duration) -> Outcome {
     let unit = hash::mix(&call.fields.attempt_id, 0) as f64 / u64::MAX as f64;
-    Outcome::refused("limited", wait.mul_f64(1.0 + MAX_SPREAD_SHARE * unit))
+    Outcome::refused("limited", scale(wait, 1.0 + MAX_SPREAD_SHARE * unit))
 }
 
 /// Acquires a token for an endpoint, if it has a limit.
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -33,7 +33,7 @@
     to.set_endpoint(endpoint);
     to.set_base(&request.weights.base);
     to.set_adapter(&request.weights.adapter);
-    to.set_tokens(request.tokens);
+    to.set_tokens(u64::from(request.tokens));
     to.set_bounded(request.max_delay.is_some());
     let max_delay = request.max_delay.unwrap_or_default();
     to.set_max_backlog_ms(max_delay.as_millis() as u32);
@@ -44,7 +44,7 @@
     for (index, part) in request.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
         to.set_id(&part.id);
-        to.set_tokens(part.tokens);
+        to.set_tokens(u64::from(part.tokens));
     }
 }
 
@@ -60,14 +60,14 @@
         .map(|part| {
             Ok(Part {
                 id: part.get_id()?.to_string()?,
-                tokens: part.get_tokens(),
+                tokens: read_tokens(part.get_tokens()),
             })
         })
         .collect();
     let max_delay = Duration::from_millis(u64::from(from.get_max_backlog_ms()));
     let request = Request {
         weights: Weights::new(from.get_base()?.to_str()?, from.get_adapter()?.to_str()?),
-        tokens: from.get_tokens(),
+        tokens: read_tokens(from.get_tokens()),
         parts: parts?,
         max_delay: from.get_bounded().then_some(max_delay),
         only_resident: from.get_only_resident(),
@@ -77,6 +77,12 @@
     Ok((from.get_endpoint()?.to_string()?, request, wait))
 }
 
+/// Reads a number of tokens, which older gateways pass on as a caller named it: as when it is decoded, larger numbers
+/// than `u32::MAX` count as that.
+fn read_tokens(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
 /// Reads the reply to a request for a grant.
 ///
 /// # Errors
--- a/crates/endivespur_gateway/src/room.rs
+++ b/crates/endivespur_gateway/src/room.rs
@@ -137,7 +137,8 @@
     let Some(class) = group.and_then(|group| group.engine.as_ref()) else {
         return slots;
     };
-    let tokens = call.fields.prompt_tokens + call.fields.max_output_tokens;
+    let prompt = u64::from(call.fields.prompt_tokens);
+    let tokens = prompt + u64::from(call.fields.max_output_tokens);
     let memory = tokens as f64 / class.memory_tokens.max(1) as f64;
     slots.max(memory)
 }
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -228,10 +228,11 @@
             service.clone_from(&call.service);
             state.deposit_retry(&call.service);
             let is_stopping = state.is_stopping.get();
-            let is_engine = table
+            let class = table
                 .as_deref()
                 .and_then(|table| table.services.get(&call.service))
-                .is_some_and(|group| group.engine.is_some());
+                .and_then(|group| group.engine.as_ref());
+            let is_engine = class.is_some();
             let response = async {
                 if is_stopping && let Err(refusal) = limit_to_grace(state, &mut call) {
                     return refusal;
@@ -239,6 +240,11 @@
                 if let Err(refusal) = reach::admit(state) {
                     return refusal;
                 }
+                if let Some(class) = class
+                    && let Err(refusal) = generate::check_size(&call, class)
+                {
+                    return refusal;
+                }
                 if is_engine && let Err(refusal) = resume::pin(state, &mut call).await {
                     return refusal;
                 }
--- a/crates/endivespur_gateway/src/source.rs
+++ b/crates/endivespur_gateway/src/source.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
-use endivespur_core::clock::Time;
+use endivespur_core::clock::{Time, scale};
 use endivespur_core::gateway::feed::{Change, Item, LARGE_VALUE_BYTES, Page};
 use endivespur_core::gateway::source::Source;
 use endivespur_platform::{Progress, document, registration, store};
@@ -327,6 +327,6 @@
 /// Returns for how long changes that are not urgent are batched.
 pub fn batch_time(state: &State, share: f64) -> Duration {
     let vms = state.catalog.borrow().peers().count() as u32;
-    let max = state.settings.max_drain_delay.mul_f64(share);
+    let max = scale(state.settings.max_drain_delay, share);
     (BATCH_TIME_PER_VM * vms).max(BATCH_TIME).min(max)
 }
