Keep waits of 2^32 ms and more long in messages between gateways and between nodes

Durations were cut to 32 bits of milliseconds in messages: a caller's wait of 2^32 + 5 ms became 5 ms at the gateway or node that was asked.

--- a/crates/endivespur_core/src/clock.rs
+++ b/crates/endivespur_core/src/clock.rs
@@ -24,3 +24,8 @@
 pub fn scale(duration: Duration, factor: f64) -> Duration {
     from_secs(duration.as_secs_f64() * factor)
 }
+
+/// Returns the whole milliseconds of a duration for a message, the largest number if there are more.
+pub fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/endivespur_core/tests/gateway/clock.rs
+++ b/crates/endivespur_core/tests/gateway/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use endivespur_core::clock::{from_secs, scale};
+use endivespur_core::clock::{from_secs, millis, scale};
 
 /// The conversions of the standard library panic on these numbers.
 #[test]
@@ -26,3 +26,10 @@
     assert_eq!(scale(Duration::from_secs(1), -0.5), Duration::ZERO);
     assert_eq!(scale(Duration::from_secs(4), 0.25), Duration::from_secs(1));
 }
+
+/// A caller's wait of 2^32 ms and more became a short one at the gateway that was asked.
+#[test]
+fn millis_out_of_range() {
+    assert_eq!(millis(Duration::from_millis((1 << 32) + 5)), u32::MAX);
+    assert_eq!(millis(Duration::from_micros(1999)), 1);
+}
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use capnp::struct_list;
+use endivespur_core::clock::millis;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::feed::{Change, Item, Page};
 use endivespur_core::gateway::limit::Decision;
@@ -36,10 +37,10 @@
     to.set_tokens(u64::from(request.tokens));
     to.set_bounded(request.max_delay.is_some());
     let max_delay = request.max_delay.unwrap_or_default();
-    to.set_max_backlog_ms(max_delay.as_millis() as u32);
-    to.set_wait_ms(wait.as_millis() as u32);
+    to.set_max_backlog_ms(millis(max_delay));
+    to.set_wait_ms(millis(wait));
     to.set_only_resident(request.only_resident);
-    to.set_due_ms(request.due_in.as_millis() as u32);
+    to.set_due_ms(millis(request.due_in));
     let mut parts = to.init_parts(request.parts.len() as u32);
     for (index, part) in request.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -101,7 +102,7 @@
 pub fn write_decision(mut to: token_reply::Builder<'_>, decision: Decision) {
     match decision {
         Decision::Granted => to.set_granted(()),
-        Decision::Wait(wait) => to.set_wait_ms(wait.as_millis() as u32),
+        Decision::Wait(wait) => to.set_wait_ms(millis(wait)),
         Decision::Unlimited => to.set_unlimited(()),
     }
 }
@@ -141,7 +142,7 @@
 pub fn write_room(mut to: room_reply::Builder<'_>, reply: Result<Hold, Duration>) {
     match reply {
         Ok(hold) => to.set_held(hold),
-        Err(wait) => to.set_wait_ms(wait.as_millis() as u32),
+        Err(wait) => to.set_wait_ms(millis(wait)),
     }
 }
 
@@ -198,7 +199,7 @@
         Update::Changes(Change::Changes(page), grace) => {
             let mut to = to.init_changes();
             to.set_revision(page.revision);
-            to.set_settling_ms(grace.as_millis() as u32);
+            to.set_settling_ms(millis(*grace));
             let mut large = to.reborrow().init_large(page.large.len() as u32);
             for (index, (key, _)) in page.large.iter().enumerate() {
                 large.set(index as u32, key);
@@ -245,7 +246,7 @@
             let mut to = to.init_changes();
             to.set_revision(page.revision);
             to.set_small_revision(page.small_revision);
-            to.set_grace_ms(grace.as_millis() as u32);
+            to.set_grace_ms(millis(*grace));
             to.set_gap_start(page.gap.start);
             to.set_gap_end(page.gap.end);
             let mut large = to.reborrow().init_large(page.large.len() as u32);
@@ -321,7 +322,7 @@
             to.set_size(packed.size as u32);
             to.set_bytes(bytes);
         }
-        Answer::Busy(wait) => to.set_busy_ms(wait.as_millis() as u32),
+        Answer::Busy(wait) => to.set_busy_ms(millis(*wait)),
         Answer::Missing => to.set_missing(()),
     }
 }
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -6,6 +6,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_core::clock::millis;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::feed::{Change, Cursor};
 use endivespur_core::gateway::limit::{Decision, Rate};
@@ -191,7 +192,7 @@
             let mut to = request.get();
             to.set_after(after.revision);
             to.set_after_small(after.small_revision);
-            to.set_wait_ms(wait.as_millis() as u32);
+            to.set_wait_ms(millis(wait));
             let response = request.send().promise.await;
             let update = response
                 .and_then(|response| message::read_update(response.get()?.get_update()?).map(Some));
@@ -205,7 +206,7 @@
     let send = async |client: gateway::Client| {
         let mut request = client.follow_request();
         request.get().set_after(complete);
-        request.get().set_wait_ms(wait.as_millis() as u32);
+        request.get().set_wait_ms(millis(wait));
         let response = request.send().promise.await?;
         message::read_news(response.get()?.get_news()?)
     };
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -6,6 +6,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_clock as clock;
+use endivespur_core::clock::millis;
 use endivespur_core::gateway::endpoint::Weights;
 use endivespur_core::gateway::feed::Cursor;
 use endivespur_core::gateway::limit::Limit;
@@ -78,7 +79,7 @@
         let mut to = results.get().init_reply();
         match reply {
             Reply::Granted(grant) => to.set_granted(grant),
-            Reply::Busy(backlog) => to.set_busy_ms(backlog.as_millis() as u32),
+            Reply::Busy(backlog) => to.set_busy_ms(millis(backlog)),
             Reply::NotOwner => to.set_not_owner(()),
             Reply::Late => to.set_late(()),
         }
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -5,6 +5,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
+use endivespur_core::clock::millis;
 use endivespur_core::config::Class;
 use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::id::Model;
@@ -138,7 +139,7 @@
         let backlog = self.node.scheduler.borrow().backlog();
         let mut list = results.get().init_backlog_ms(backlog.len() as u32);
         for (index, wait) in backlog.values().enumerate() {
-            list.set(index as u32, wait.as_millis() as u32);
+            list.set(index as u32, millis(*wait));
         }
         Ok(())
     }
@@ -240,7 +241,7 @@
         mut results: wire::PromiseResults,
     ) -> Result<(), capnp::Error> {
         let time = self.node.lease.borrow_mut().promise(clock::now());
-        results.get().set_ms(time.as_millis() as u32);
+        results.get().set_ms(millis(time));
         results
             .get()
             .set_revision(self.node.config.borrow().revision);
@@ -290,7 +291,7 @@
     }
     to.set_class(request.class as u8);
     to.set_cost(request.cost);
-    to.set_wait_ms(wait.as_millis() as u32);
+    to.set_wait_ms(millis(wait));
     to.set_alone(request.alone);
     to.set_patient(request.wait_if_busy);
     to.set_id(request.ticket);
@@ -329,7 +330,7 @@
         Err(refusal) => {
             let mut to = to.init_refusal();
             to.set_reason(refusal.reason.name());
-            to.set_retry_ms(refusal.retry_after.as_millis() as u32);
+            to.set_retry_ms(millis(refusal.retry_after));
         }
     }
 }
@@ -373,8 +374,8 @@
         to.set_organisation(&demand.organisation);
         to.set_class(demand.class as u8);
         to.set_waiting(demand.waiting as u32);
-        to.set_age_ms(now.saturating_sub(demand.since).as_millis() as u32);
-        to.set_left_ms(demand.deadline.saturating_sub(now).as_millis() as u32);
+        to.set_age_ms(millis(now.saturating_sub(demand.since)));
+        to.set_left_ms(millis(demand.deadline.saturating_sub(now)));
     }
 }
 
