Keep the slot of an adapter whose load had no response at a daemon's endpoint

The next load could then go beyond the slots until the engine's list, a second later, showed the adapter. Such an adapter is now unloaded first, and its slot is free once the engine has answered that; 404, not held, is an answer.

Evidence: load_unanswered_keeps_slot; the method is new, so that the test was not run on the code before, where loaded with a failure removed the slot.

--- a/crates/endivespur_core/src/owner/load.rs
+++ b/crates/endivespur_core/src/owner/load.rs
@@ -190,6 +190,18 @@
         })
     }
 
+    /// Records that an order to load has no response, and unloads the adapter.
+    ///
+    /// The engine may hold it, or still be loading it, so that its slot stays in use until the engine has
+    /// answered the unload.
+    pub fn load_unanswered(&mut self, name: &Name) -> Vec<Action> {
+        let Some(slot) = self.slots.get_mut(name) else {
+            return Vec::new();
+        };
+        slot.phase = Phase::Unloading;
+        vec![Action::Unload(name.clone())]
+    }
+
     /// Records the outcome of an unload, and starts the load that waited for it.
     pub fn unloaded(
         &mut self,
--- a/crates/endivespur_core/tests/histories/owner.rs
+++ b/crates/endivespur_core/tests/histories/owner.rs
@@ -370,6 +370,36 @@
     );
 }
 
+/// The engine may hold an adapter whose load had no response. Its slot counted as free, so that the engine could be
+/// ordered to load more adapters than it has slots.
+#[test]
+fn load_unanswered_keeps_slot() {
+    let full = Authority::Full;
+    let mut owner = Owner::new(spec(), FENCE, BTreeSet::new());
+    let at = |ms| Duration::from_millis(ms);
+    owner.listed(at(0), full, at(0), &[]);
+    let names: Vec<Name> = (0..=SLOTS)
+        .map(|number| Name {
+            model: Model::new(&format!("x{number}"), 1),
+            fence: FENCE,
+        })
+        .collect();
+    for number in 0..=SLOTS {
+        let ticket = number as u64 + 1;
+        owner.request(at(1), full, request(ticket, number, at(1), false));
+    }
+    for name in &names[..SLOTS] {
+        owner.start_permitted_load(at(2), full, &name.model);
+    }
+    let actions = owner.load_unanswered(&names[0]);
+    assert_eq!(actions, [Action::Unload(names[0].clone())]);
+    let last = &names[SLOTS].model;
+    assert_eq!(owner.start_permitted_load(at(3), full, last), []);
+    owner.unloaded(at(4), full, &names[0], true);
+    let actions = owner.start_permitted_load(at(5), full, last);
+    assert_eq!(actions, [Action::Load(names[SLOTS].clone())]);
+}
+
 #[test]
 fn request_load_past_deadline_refused_at_once() {
     let now = Duration::from_secs(1);
--- a/crates/endivespur_node/src/engine.rs
+++ b/crates/endivespur_node/src/engine.rs
@@ -35,6 +35,22 @@
         .map(|target| target.address.clone())
 }
 
+/// Why an order was not carried out, or may not have been.
+enum Failure {
+    /// It was not sent, or the engine rejected it; with the reason or the status.
+    Rejected(String),
+    /// The engine may have carried it out, or may still do so; with the cause.
+    NoResponse(String),
+}
+
+impl Failure {
+    fn message(&self) -> &str {
+        match self {
+            Self::Rejected(message) | Self::NoResponse(message) => message,
+        }
+    }
+}
+
 /// Sends an order with a fencing number, right after a last check of the lease.
 async fn order(
     node: &Node,
@@ -42,22 +58,25 @@
     path: &str,
     value: &Value,
     fence: u64,
-) -> Result<(), String> {
-    let address = address(node, endpoint).ok_or("the endpoint is not configured")?;
-    let mut request = client::request(Method::Post, &address, path).map_err(|e| e.to_string())?;
+) -> Result<(), Failure> {
+    let rejected = |message: &str| Failure::Rejected(message.to_string());
+    let address =
+        address(node, endpoint).ok_or_else(|| rejected("the endpoint is not configured"))?;
+    let mut request = client::request(Method::Post, &address, path)
+        .map_err(|error| Failure::Rejected(error.to_string()))?;
     request.set_body(value.to_string());
     request.insert_header("content-type", "application/json");
     request.insert_header("endivespur-fence", fence.to_string());
     if node.authority() != Authority::Full {
-        return Err("the lease has lapsed".to_string());
+        return Err(rejected("the lease has lapsed"));
     }
     let response = client::send(request, ORDER_TIMEOUT)
         .await
-        .map_err(|e| e.to_string())?;
+        .map_err(|error| Failure::NoResponse(error.to_string()))?;
     if response.status().is_success() {
         return Ok(());
     }
-    Err(response.status().to_string())
+    Err(Failure::Rejected(response.status().to_string()))
 }
 
 /// Loads an adapter, and reports the outcome to the owner and the end to the scheduler.
@@ -74,14 +93,17 @@
         name.fence,
     )
     .await;
-    if let Err(message) = &result {
+    if let Err(failure) = &result {
         warn!(
             event = "order", endpoint, action = "load", adapter = name.to_string(),
-            outcome = "failed"; "{message}"
+            outcome = "failed"; "{}", failure.message()
         );
     }
     metrics::counter!("endivespur_loads_total", "ok" => result.is_ok().to_string()).increment(1);
     host::change(&node, &endpoint, |owner, now, authority| {
+        if matches!(result, Err(Failure::NoResponse(_))) {
+            return owner.load_unanswered(&name);
+        }
         owner.loaded(now, authority, &name, result.is_ok())
     });
     loads::load_ended(&node, &endpoint, &name.model).await;
@@ -100,12 +122,12 @@
     let gone = match &result {
         Ok(()) => true,
         // The engine was restarted and no longer has the adapter.
-        Err(message) => message == "404",
+        Err(failure) => failure.message() == "404",
     };
-    if let Err(message) = &result {
+    if let Err(failure) = &result {
         warn!(
             event = "order", endpoint, action = "unload", adapter = name.to_string(),
-            outcome = "failed"; "{message}"
+            outcome = "failed"; "{}", failure.message()
         );
     }
     host::change(&node, &endpoint, |owner, now, authority| {
