Answer the requests in flight and stop when a gateway's task panics

The panic is now caught at its task, which is dropped; the gateway then stops as on SIGTERM: its lease is revoked, so that no engine gets orders from state that may be half changed, others' requests are answered, and the process ends with a failure. Panics on other threads, and those of daemons with settings, end the process as before.

--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod state;
 mod stream;
 mod streams;
+pub mod task;
 mod telemetry;
 mod timer;
 mod update;
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -15,6 +15,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::state::State;
+use crate::task::Tasks;
 use crate::{
     exposition, fetch, follow, forward, member, origins, owner, readiness, record, rpc, serve,
     software, source, stream, telemetry, timer,
@@ -39,6 +40,9 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// A task panicked, and the gateway stopped.
+    #[snafu(display("a task panicked"))]
+    Panicked,
     /// Signals cannot be received.
     #[snafu(display("signals: {source}"))]
     Signals {
@@ -57,7 +61,7 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if it cannot start.
+/// Returns an [`Error`] if it cannot start, or has stopped since a task panicked.
 pub async fn run(
     executor: Rc<LocalExecutor<'static>>,
     settings: Settings,
@@ -70,7 +74,7 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if it cannot start.
+/// Returns an [`Error`] if it cannot start, or has stopped since a task panicked.
 pub async fn run_until(
     executor: Rc<LocalExecutor<'static>>,
     settings: Settings,
@@ -91,10 +95,11 @@
         event = "start", vm = settings.vm.as_str(), process = process.as_str(),
         first = settings.is_first_start; "started"
     );
+    let tasks = Tasks::new(executor);
     let state = Rc::new(State::new(
         settings,
         process,
-        executor,
+        tasks.clone(),
         &source::POLLED_PREFIXES,
     ));
     // Without a port nothing reads the recorder, and its histograms would grow without limit.
@@ -127,9 +132,18 @@
             }
         }
     };
-    signalled.or(stop).await;
+    let asked = async {
+        signalled.or(stop).await;
+        Ok(())
+    };
+    // The requests in flight are answered; engines get no more orders from state that may be half changed.
+    let panicked = async {
+        tasks.panicked().await;
+        PanickedSnafu.fail()
+    };
+    let result = asked.or(panicked).await;
     drain(&state).await;
-    Ok(())
+    result
 }
 
 /// Checks that the changed settings are valid; they take effect at the next start.
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -25,7 +25,7 @@
 use endivespur_platform::settings::Settings;
 use endivespur_platform::store::Store;
 use event_listener::Event;
-use smol::{LocalExecutor, Timer};
+use smol::Timer;
 
 use crate::catalog::Catalog;
 use crate::checks::Checks;
@@ -35,6 +35,7 @@
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
 use crate::streams::Streams;
+use crate::task::Tasks;
 use crate::telemetry;
 use crate::values::Values;
 
@@ -56,7 +57,7 @@
     /// The name of this process: its VM and start time.
     pub process: Process,
     /// Runs the tasks.
-    pub executor: Rc<LocalExecutor<'static>>,
+    pub tasks: Tasks,
     /// The client of the platform's store.
     pub store: Store,
     /// The client for orders and reports of engines.
@@ -144,7 +145,7 @@
     pub fn new(
         settings: Settings,
         process: Process,
-        executor: Rc<LocalExecutor<'static>>,
+        tasks: Tasks,
         polled_prefixes: &[&str],
     ) -> Self {
         let store = Store::new(Client::new(), settings.store_address);
@@ -155,7 +156,7 @@
         };
         Self {
             process,
-            executor,
+            tasks,
             store,
             engines: Client::new(),
             catalog: RefCell::new(Catalog::new()),
@@ -201,7 +202,7 @@
 
     /// Spawns a detached task.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(task).detach();
+        self.tasks.spawn(task);
     }
 
     /// Keeps an idle connection to an endpoint for another request.
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::thread::ThreadId;
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
@@ -81,7 +82,7 @@
         println!("{path}: no findings");
         return ExitCode::SUCCESS;
     }
-    abort_on_panic();
+    abort_on_panic(None);
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(
         executor
@@ -90,12 +91,15 @@
     )
 }
 
-/// Aborts the process when a task panics, because the other tasks would continue without it.
-fn abort_on_panic() {
+/// Aborts the process when a thread panics, because the other tasks would continue without it. The tasks of the thread
+/// `supervised` are stopped by the gateway instead.
+fn abort_on_panic(supervised: Option<ThreadId>) {
     let default_hook = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         default_hook(info);
-        std::process::abort();
+        if supervised != Some(std::thread::current().id()) {
+            std::process::abort();
+        }
     }));
 }
 
@@ -112,11 +116,12 @@
         println!("no findings");
         return ExitCode::SUCCESS;
     }
-    abort_on_panic();
+    abort_on_panic(Some(std::thread::current().id()));
     let executor = Rc::new(LocalExecutor::new());
     let gateway = endivespur_gateway::run(executor.clone(), settings, metrics_port);
     match smol::block_on(executor.run(gateway)) {
         Ok(()) => ExitCode::SUCCESS,
+        Err(endivespur_gateway::Error::Panicked) => ExitCode::FAILURE,
         Err(error) => {
             error!(event = "start"; "{error}");
             ExitCode::FAILURE
