Stop an engine's count of orders at the largest number

A report that counts 2^64 - 1 orders wrapped the next count to 0 in a release build, and panicked where sums are checked.

--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -267,7 +267,7 @@
     }
 
     pub(super) fn record_accepted(&mut self, now: Time, order: &Order) {
-        self.orders = order.expected + 1;
+        self.orders = order.expected.saturating_add(1);
         self.is_count_confirmed = true;
         if order.weights.adapter.is_empty() {
             self.base_check_at = Some(now + REPORT_LAG);
@@ -334,7 +334,7 @@
                 self.cached_adapters.remove(&order.weights);
             }
             Action::Unload => {
-                self.orders = order.expected + 1;
+                self.orders = order.expected.saturating_add(1);
                 self.is_count_confirmed = true;
                 self.remove_adapter(now, &order.weights);
             }
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -396,6 +396,16 @@
     assert!(engine.delay(ms(10), &weights("b")) >= engine.backlog(ms(10)));
 }
 
+/// A count of orders that no engine reaches ended the process where sums are checked, and started again from 0 elsewhere.
+#[test]
+fn reconcile_largest_count_of_orders() {
+    let mut engine = engine(2, &[]);
+    engine.reconcile(ms(0), &report(&[], u64::MAX));
+    engine.add_waiter(ms(0), &request("a"));
+    let load = answer(&mut engine, ms(0), Answer::Accepted);
+    assert_eq!((load.expected, engine.orders()), (u64::MAX, u64::MAX));
+}
+
 /// An older gateway passes on a prompt that fits into no engine. Granted, it would make the engine busy for all others.
 #[test]
 fn request_larger_than_the_memory() {
