Bound the parts of prompts that are told apart and remembered, and forget each at constant cost

Cause: the estimate of an engine's cache was bounded in tokens only, and searched through all parts for each one that it forgot. Change: a least-recently-used map (the crate lru), whose keys are digests, holds at most 2,048 parts an engine; of a prompt 256 parts are told apart, from the decoders of the header field and of other gateways' calls on. A part that comes again with another length is counted once. The first parts of a prompt are forgotten last.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -410,8 +410,7 @@
         let cached = self
             .prefix_cache
             .cached_tokens(&request.weights, &request.parts);
-        self.prefix_cache
-            .record(now, &request.weights, &request.parts);
+        self.prefix_cache.record(&request.weights, &request.parts);
         let prefill = Prefill {
             sent: now,
             cost: estimate::prefill_time(request.tokens, cached),
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod origins;
 mod ownership;
 mod placement;
+mod prefix;
 mod reach;
 mod room;
 mod source;
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -8,7 +8,7 @@
 use endivespur_core::gateway::feed::{Change, Item, Page};
 use endivespur_core::gateway::limit::Decision;
 use endivespur_core::gateway::placement::Request;
-use endivespur_core::gateway::prefix::Part;
+use endivespur_core::gateway::prefix::{MAX_PROMPT_PARTS, Part};
 use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::room::Hold;
 use endivespur_core::gateway::stream::{Batch, Origin};
@@ -58,6 +58,7 @@
     let parts: Result<Vec<Part>, capnp::Error> = from
         .get_parts()?
         .iter()
+        .take(MAX_PROMPT_PARTS)
         .map(|part| {
             Ok(Part {
                 id: part.get_id()?.to_string()?,
