Check API keys and tell endpoints the team

Cause: a configuration with teams was decoded, but every request ran, and the caller's Authorization field and any X-Endivespur-Tenant reached the endpoints.

Change: header::Request decodes the credentials, and core::gateway::team decides whose request it is. serve checks it when the head is read, before the body, and again when the call is made; plain and generate check it right before each send. header::forward takes the identity as an argument of its own, so that no path to an endpoint can leave it out: it removes the key and sets the team, unless the configuration has no teams. Call has the field team, and a team's priority replaces that of the route. Teams keep hashes of the keys. After an early 401 the connection is kept only if the whole body had arrived; otherwise the rest is discarded for at most 0.5 s, so that the response is not lost to a reset.

--- a/crates/endivespur_core/src/gateway/table.rs
+++ b/crates/endivespur_core/src/gateway/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::gateway::team::Teams;
+use crate::gateway::team::{Credentials, Denial, Identity, Teams};
 use crate::id::Service;
 
 /// How often a request may run, and whether its response is a stream.
@@ -195,4 +195,24 @@
             .iter()
             .find(|route| path.starts_with(&route.prefix))
     }
+
+    /// Returns whose request it is that has these credentials.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it is not authorised. A request without a route needs credentials too: routes are not
+    /// shown to strangers.
+    pub fn identify(
+        &self,
+        host: &str,
+        target: &str,
+        credentials: Credentials,
+    ) -> Result<Identity, Denial> {
+        let Some(teams) = &self.teams else {
+            return Ok(Identity::Unchecked);
+        };
+        let route = self.route(host, target);
+        let allows_anonymous = route.is_some_and(|route| route.allows_anonymous);
+        teams.identify(credentials, allows_anonymous)
+    }
 }
--- a/crates/endivespur_core/src/gateway/team.rs
+++ b/crates/endivespur_core/src/gateway/team.rs
@@ -1,6 +1,7 @@
 //! The teams of callers, their API keys and their quotas.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use sha2::{Digest, Sha256};
 
@@ -10,6 +11,97 @@
 /// offline with certainty.
 const DIGEST_BYTES: usize = 6;
 
+/// The hash of an API key. Keys are compared by it, so that the time of a comparison tells nothing about a key, and
+/// nothing that holds or prints it can reveal the key.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// Hashes the text of a key.
+    pub fn new(text: &str) -> Self {
+        Self(Sha256::digest(text.as_bytes()).into())
+    }
+
+    /// Returns the digest by which the key is named in logs and to operators, in hexadecimal.
+    pub fn digest(&self) -> String {
+        let bytes = self.0.iter().take(DIGEST_BYTES);
+        let number = bytes.fold(0, |number, byte| number << 8 | u64::from(*byte));
+        format!("{number:0width$x}", width = 2 * DIGEST_BYTES)
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.digest())
+    }
+}
+
+/// The credentials of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Credentials {
+    /// There are none.
+    #[default]
+    Missing,
+    /// There are several.
+    Doubled,
+    /// They are not an API key.
+    Malformed,
+    /// An API key, which may not be valid.
+    Key(Key),
+    /// A text that is an API key only if a team holds it: it has other characters than keys usually have.
+    Unusual(Key),
+}
+
+/// Whose request it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Identity {
+    /// The configuration has no teams, and credentials have no meaning for the gateway.
+    #[default]
+    Unchecked,
+    /// The request has no credentials, and its route needs none.
+    Anonymous,
+    /// The request of a team.
+    Team(id::Team),
+}
+
+impl Identity {
+    /// Returns the team, if there is one.
+    pub fn team(&self) -> Option<&id::Team> {
+        match self {
+            Self::Team(team) => Some(team),
+            Self::Unchecked | Self::Anonymous => None,
+        }
+    }
+}
+
+/// Why a request is not authorised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// It has no credentials.
+    Missing,
+    /// Its credentials are not an API key.
+    Malformed,
+    /// No team holds its key.
+    Unknown,
+    /// It has several credentials.
+    Doubled,
+    /// It was authorised when it arrived, and is no longer.
+    Revoked,
+}
+
+impl Denial {
+    /// Returns its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Malformed => "malformed",
+            Self::Unknown => "unknown",
+            Self::Doubled => "doubled",
+            Self::Revoked => "revoked",
+        }
+    }
+}
+
 /// What the requests of a team count by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unit {
@@ -59,7 +151,7 @@
 pub struct Teams {
     teams: BTreeMap<id::Team, Team>,
     /// The teams by API key.
-    keys: BTreeMap<String, id::Team>,
+    keys: BTreeMap<Key, id::Team>,
 }
 
 impl Teams {
@@ -71,7 +163,9 @@
     /// Adds a team with its API keys. A team without keys has no callers.
     pub fn with_team(mut self, name: &str, team: Team, keys: Vec<String>) -> Self {
         self.teams.insert(name.to_string(), team);
-        let keys = keys.into_iter().map(|key| (key, name.to_string()));
+        let keys = keys
+            .into_iter()
+            .map(|key| (Key::new(&key), name.to_string()));
         self.keys.extend(keys);
         self
     }
@@ -83,7 +177,32 @@
 
     /// Returns the name of the team that holds an API key.
     pub fn holder(&self, key: &str) -> Option<&id::Team> {
-        self.keys.get(key)
+        self.keys.get(&Key::new(key))
+    }
+
+    /// Returns whose request it is that has these credentials.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it is not authorised. Invalid credentials are none on an anonymous route either: their
+    /// sender takes itself for a member of a team.
+    pub fn identify(
+        &self,
+        credentials: Credentials,
+        allows_anonymous: bool,
+    ) -> Result<Identity, Denial> {
+        match credentials {
+            Credentials::Missing if allows_anonymous => Ok(Identity::Anonymous),
+            Credentials::Missing => Err(Denial::Missing),
+            Credentials::Doubled => Err(Denial::Doubled),
+            Credentials::Malformed => Err(Denial::Malformed),
+            Credentials::Key(key) => self.identify_holder(key).ok_or(Denial::Unknown),
+            Credentials::Unusual(key) => self.identify_holder(key).ok_or(Denial::Malformed),
+        }
+    }
+
+    fn identify_holder(&self, key: Key) -> Option<Identity> {
+        self.keys.get(&key).cloned().map(Identity::Team)
     }
 
     /// Iterates over the teams by name.
@@ -93,13 +212,11 @@
 
     /// Iterates over the digests of the API keys and the teams that hold them.
     pub fn digests(&self) -> impl Iterator<Item = (String, &id::Team)> {
-        self.keys.iter().map(|(key, team)| (digest(key), team))
+        self.keys.iter().map(|(key, team)| (key.digest(), team))
     }
 }
 
 /// Returns the digest by which an API key is named in logs and to operators, in hexadecimal.
 pub fn digest(key: &str) -> String {
-    let hash = Sha256::digest(key.as_bytes());
-    let bytes = hash.iter().take(DIGEST_BYTES);
-    bytes.map(|byte| format!("{byte:02x}")).collect()
+    Key::new(key).digest()
 }
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A caller's request, its outcome, and the connection on which the response is sent.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -11,8 +11,9 @@
 use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
+use endivespur_core::gateway::team::Identity;
 use endivespur_core::hash;
-use endivespur_core::id::{Service, Software};
+use endivespur_core::id::{Service, Software, Team};
 use endivespur_http::body::{LAST_CHUNK, encode_chunk};
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
@@ -43,6 +44,11 @@
     pub route: Route,
     /// The service that handles it.
     pub service: Service,
+    /// The team that the request belongs to, when its head was read; `None` if it is anonymous, or the configuration
+    /// has no teams.
+    pub team: Option<Team>,
+    /// Whose request it is by the last check.
+    pub identity: RefCell<Identity>,
     /// The software version that engines must have, if the request resumes a stream.
     pub software: Option<Software>,
     /// The time at which its head was read.
@@ -90,7 +96,7 @@
     /// Returns the request to be sent to an endpoint.
     pub fn endpoint_request(&self, dispatch: &header::Dispatch) -> Request {
         let mut request = Request::new(&self.head.method, &self.head.target);
-        request.headers = header::forward(&self.head.headers, dispatch);
+        request.headers = header::forward(&self.head.headers, dispatch, &self.identity.borrow());
         let has_body = !self.body.is_empty() || self.head.method != "GET";
         if has_body {
             let length = self.body.len().to_string();
@@ -180,6 +186,15 @@
         }
     }
 
+    /// Creates a refusal of a request that is not authorised.
+    pub fn unauthorized() -> Self {
+        Self::Generated {
+            status: 401,
+            retry_after: None,
+            reason: "unauthorized".to_string(),
+        }
+    }
+
     /// Creates a failure after which it is unknown whether the request ran.
     pub fn unknown(status: u16, reason: &str) -> Self {
         Self::Generated {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -18,7 +18,7 @@
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::room::Held;
 use crate::state::State;
-use crate::{limit, link, stream, telemetry, timer};
+use crate::{authorize, limit, link, stream, telemetry, timer};
 
 /// The delay after which a caller retries when no engine was found: the time in which a new owner
 /// takes over.
@@ -151,7 +151,9 @@
                 continue;
             }
         };
-        if let Err(refusal) = crash::check_before_send(state, call) {
+        let check = authorize::check_before_send(state, call)
+            .and_then(|()| crash::check_before_send(state, call));
+        if let Err(refusal) = check {
             if progress.runs == 0 {
                 return refusal;
             }
@@ -306,6 +308,7 @@
     telemetry::engine_granted(waited);
     info!(
         event = "granted", request = call.fields.attempt_id.as_str(),
+        team = call.team.as_deref().unwrap_or_default(),
         endpoint = permit.instance.id.as_str(), software = permit.instance.software.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(location, _)| location), version = permit.version,
         offer = attempt_number, tokens = call.fields.prompt_tokens, parts = call.part_ids(),
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -18,7 +18,7 @@
 use crate::relay::{Failure, log_failed_attempt};
 use crate::room::Held;
 use crate::state::{InFlight, State};
-use crate::{limit, link, timer};
+use crate::{authorize, limit, link, timer};
 
 /// The maximum size of a response, which is read completely before it is relayed.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -60,7 +60,9 @@
             }
             Err(_) => break,
         };
-        if let Err(refusal) = crash::check_before_send(state, call) {
+        let check = authorize::check_before_send(state, call)
+            .and_then(|()| crash::check_before_send(state, call));
+        if let Err(refusal) = check {
             if runs == 0 {
                 return refusal;
             }
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves the connections of callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{crash, generate, plain, reach, resume, telemetry, timer};
+use crate::{authorize, crash, generate, plain, reach, resume, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -34,6 +34,8 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long the request of a connection that was not yet accepted when the VM closes is waited for.
 const BACKLOG_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long the rest of a refused request is discarded before its connection is closed.
+const DRAIN_LIMIT: Duration = Duration::from_millis(500);
 /// The maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -135,10 +137,18 @@
         Some(Err(error)) => return Err(error),
     };
     let started = clock::now();
+    let fields = header::Request::decode(&head.headers);
+    let _open = OpenRequest::new(state);
+    let table = state.catalog.borrow().table();
+    if let Some(table) = table
+        && let Err(refusal) = authorize::admit(&table, &head, &fields)
+    {
+        telemetry::request_finished("", &refusal, clock::now().saturating_sub(started));
+        return refuse_early(state, connection, &head, framing, &refusal, started).await;
+    }
     if head.headers.has_token("expect", "100-continue") {
         connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let _open = OpenRequest::new(state);
     let stopping = async {
         state.must_answer().await;
         Err(503)
@@ -147,7 +157,31 @@
         Ok(body) => body,
         Err(status) => return reject(connection, status).await,
     };
-    respond(state, connection, head, body, started).await
+    respond(state, connection, head, fields, body, started).await
+}
+
+/// Refuses a request whose body may not have arrived yet. What is left of it must not be read as the next request.
+async fn refuse_early(
+    state: &State,
+    connection: &mut Connection,
+    head: &Request,
+    framing: Framing,
+    refusal: &Outcome,
+    started: Time,
+) -> Result<Disposition, connection::Error> {
+    let body_limit = limits(state).body_bytes;
+    let body = connection.read_full_body(framing, body_limit);
+    let is_complete = matches!(future::poll_once(body).await, Some(Ok(Some(_))));
+    let attempt_id = header::Request::decode(&head.headers).attempt_id;
+    let mut caller = Caller::new(connection, head, state.is_stopping.get() || !is_complete);
+    finish(&mut caller, &attempt_id, "", refusal, started).await?;
+    if !caller.should_close {
+        return Ok(Disposition::KeepOpen);
+    }
+    if !is_complete {
+        timer::within(DRAIN_LIMIT, connection.drain(body_limit)).await;
+    }
+    Ok(Disposition::Close)
 }
 
 /// Counts a caller's request as open until dropped.
@@ -199,11 +233,11 @@
     state: &Rc<State>,
     connection: &mut Connection,
     head: Request,
+    fields: header::Request,
     body: Vec<u8>,
     started: Time,
 ) -> Result<Disposition, connection::Error> {
     let stream = connection.stream();
-    let fields = header::Request::decode(&head.headers);
     let attempt_id = fields.attempt_id.clone();
     let mut caller = Caller::new(connection, &head, state.is_stopping.get());
     let limit = fields
@@ -212,6 +246,7 @@
         .min(CONFIGURATION_TIMEOUT);
     let table = timer::within(limit, wait_for_configuration(state)).await;
     let mut service = String::new();
+    let mut team = String::new();
     let caller_address = stream.peer_addr().ok().map(|address| address.ip());
     let features = exchange::features(caller_address, &head, &body, &fields.parts);
     let received = Received {
@@ -226,6 +261,7 @@
         Err(outcome) => outcome,
         Ok(mut call) => {
             service.clone_from(&call.service);
+            team = call.team.clone().unwrap_or_default();
             state.deposit_retry(&call.service);
             let is_stopping = state.is_stopping.get();
             let class = table
@@ -286,7 +322,7 @@
         outcome => outcome,
     };
     telemetry::request_finished(&service, &outcome, clock::now().saturating_sub(started));
-    finish(&mut caller, &attempt_id, &outcome, started).await?;
+    finish(&mut caller, &attempt_id, &team, &outcome, started).await?;
     let should_keep_open = !caller.should_close && !matches!(outcome, Outcome::Aborted(_));
     Ok(if should_keep_open {
         Disposition::KeepOpen
@@ -365,15 +401,24 @@
             UNCONFIGURED_RETRY_AFTER,
         ));
     };
+    // The configuration may have arrived, or changed, while the body was read.
+    let identity = authorize::admit(table, &head, &fields)?;
+    let team = identity.team().cloned();
     let host = head.headers.get("host").unwrap_or_default();
     let route = table.route(host, &head.target).cloned();
-    let Some(route) = route else {
+    let Some(mut route) = route else {
         log_missing_route(state, &fields.attempt_id, host, table.version);
         return Err(Outcome::unknown(404, "no-route"));
     };
     let Some(service) = route.service(hash::mix(&fields.attempt_id, 1)).cloned() else {
         return Err(Outcome::refused("no-service", UNCONFIGURED_RETRY_AFTER));
     };
+    let settings = team
+        .as_ref()
+        .and_then(|team| table.teams.as_ref()?.get(team));
+    if let Some(priority) = settings.and_then(|settings| settings.priority) {
+        route.priority = priority;
+    }
     let limit = fields
         .timeout
         .map_or(route.timeout, |left| left.min(route.timeout));
@@ -386,6 +431,8 @@
         is_trial: Cell::new(false),
         fields,
         service,
+        team,
+        identity: RefCell::new(identity),
         software: None,
         started,
         deadline: started + limit,
@@ -409,6 +456,7 @@
 async fn finish(
     caller: &mut Caller<'_>,
     attempt_id: &str,
+    team: &str,
     outcome: &Outcome,
     started: Time,
 ) -> Result<(), connection::Error> {
@@ -421,7 +469,7 @@
         } => {
             info!(
                 event = "answered", request = attempt_id, status = *status, outcome = "own",
-                reason = reason.as_str(), took_ms; "answered"
+                reason = reason.as_str(), team, took_ms; "answered"
             );
             let head = header::gateway_response(*status, attempt_id, *retry_after);
             caller.send_response(&head, b"").await?;
@@ -429,14 +477,14 @@
         Outcome::Relayed(status) => {
             info!(
                 event = "answered", request = attempt_id, status = *status,
-                outcome = "relayed", took_ms; "answered"
+                outcome = "relayed", team, took_ms; "answered"
             );
         }
         Outcome::Aborted(reason) => {
             caller.abort();
             info!(
                 event = "answered", request = attempt_id, outcome = "broken",
-                reason = reason.as_str(), took_ms; "response aborted"
+                reason = reason.as_str(), team, took_ms; "response aborted"
             );
         }
     }
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -46,6 +46,11 @@
         .record(took.as_secs_f64());
 }
 
+/// Counts a request that is not authorised.
+pub fn request_unauthorized(reason: &'static str) {
+    counter!("endivespur_gateway_unauthorized_total", "reason" => reason).increment(1);
+}
+
 /// Records the wait for an engine's grant.
 pub fn engine_granted(waited: Duration) {
     histogram!("endivespur_gateway_grant_wait_seconds").record(waited.as_secs_f64());
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -1,7 +1,7 @@
 //! A connection with its read buffer.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use smol::Timer;
@@ -232,6 +232,22 @@
         }
         Ok(Some(body))
     }
+
+    /// Ends the stream to the peer, and discards what the peer still sends, at most `limit` bytes: a connection that is
+    /// closed with unread bytes is reset, and the peer may lose the response.
+    pub async fn drain(&mut self, limit: usize) {
+        self.buffer.clear();
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut discarded = 0;
+        while discarded < limit
+            && let Ok(count @ 1..) = self.fill().await
+        {
+            discarded += count;
+            self.buffer.clear();
+        }
+    }
 }
 
 /// Returns once the peer has closed the stream.
--- a/crates/endivespur_http/src/head.rs
+++ b/crates/endivespur_http/src/head.rs
@@ -268,6 +268,7 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
