Choose plain endpoints by the load that they report

Each gateway ranked the endpoints of a plain service by its own requests in flight and kept to its zone until half of the slots were in use by its own count. With 84 gateways that count is nearly always 0: the queue of one endpoint overflowed in a burst, or while it was slow, and the others idled.

The running and waiting counts of responses now count by their age, together with the requests that this gateway has sent since, and with the time of work measured without the wait for a slot. An endpoint of the same zone is preferred while half of its slots are free and it is hardly slower than the others; else the better one of two that the request's hash draws. Services whose endpoints report no load are ranked as before.

The gateway tests balance, limit, rest, retry, brittle and serve_ and the core's gateway and load tests pass.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -5,6 +5,7 @@
 
 use crate::clock;
 use crate::gateway::endpoint::{Instance, Weights};
+use crate::gateway::load::Load;
 use crate::hash;
 use crate::id::{Endpoint, Version};
 
@@ -134,12 +135,25 @@
     pub is_avoided: bool,
     /// The moving average of its latency in seconds.
     pub latency: f64,
+    /// The load that it reports, if it does.
+    pub load: Option<Load>,
 }
 
 /// Sorts the endpoints of a plain service, the best first; `hash` breaks ties.
 ///
+/// Endpoints that report their load are ranked by it, the others by what this VM knows of its own requests.
+pub fn rank_endpoints(candidates: Vec<Candidate>, hash: u64) -> Vec<Endpoint> {
+    let ranked = if candidates.iter().any(|candidate| candidate.load.is_some()) {
+        rank_by_load(candidates, hash)
+    } else {
+        rank_by_own_requests(candidates, hash)
+    };
+    let endpoints = ranked.into_iter().map(|candidate| candidate.endpoint);
+    endpoints.collect()
+}
+
 /// An endpoint in the same zone is preferred until half of its slots are used.
-pub fn rank_endpoints(mut candidates: Vec<Candidate>, hash: u64) -> Vec<Endpoint> {
+fn rank_by_own_requests(mut candidates: Vec<Candidate>, hash: u64) -> Vec<Candidate> {
     let key = |candidate: &Candidate| {
         let share = candidate.running as f64 / candidate.slots.max(1) as f64;
         let busy = share >= 0.5;
@@ -160,7 +174,60 @@
             .then(a.4.cmp(&b.4))
     });
     candidates
+}
+
+/// How much longer than elsewhere a request may be expected to take at an endpoint in the same zone that is preferred.
+const SAME_ZONE_FACTOR: f64 = 1.5;
+/// The time in seconds that is added to each estimated time of work, so that the differences of short ones do not
+/// count.
+const MIN_WORK: f64 = 0.005;
+
+/// An endpoint of the same zone is preferred while half of its slots are free and it is hardly slower than the others.
+/// Else the better one of two comes first that are drawn by the hash: if all gateways chose the best by figures of the
+/// same age, they would all choose the same endpoint until the next ones arrive.
+fn rank_by_load(candidates: Vec<Candidate>, hash: u64) -> Vec<Candidate> {
+    let loads = candidates.iter().filter_map(|candidate| candidate.load);
+    let weights: f64 = loads.clone().map(|load| load.work_weight).sum();
+    let works = loads.clone().map(|load| load.work * load.work_weight);
+    let usual_work = works.sum::<f64>() / weights.max(f64::MIN_POSITIVE);
+    let usual_requests =
+        loads.clone().map(|load| load.requests).sum::<f64>() / loads.count().max(1) as f64;
+    let cost = |candidate: &Candidate| {
+        let load = candidate.load.unwrap_or(Load {
+            requests: usual_requests.max(candidate.running as f64),
+            work: 0.0,
+            work_weight: 0.0,
+        });
+        let work = load.work_weight * load.work + (1.0 - load.work_weight) * usual_work;
+        let share = load.requests / candidate.slots.max(1) as f64;
+        // The square sends less to an endpoint that fills up before its queue does.
+        ((work + MIN_WORK) * (1.0 + share).powi(2), share)
+    };
+    let mut ranked: Vec<(f64, f64, Candidate)> = candidates
+        .into_iter()
+        .map(|candidate| {
+            let (cost, share) = cost(&candidate);
+            (cost, share, candidate)
+        })
+        .collect();
+    ranked.sort_by_key(|(_, _, candidate)| {
+        (candidate.is_avoided, hash::mix(&candidate.endpoint, hash))
+    });
+    let sound = ranked.iter().filter(|ranked| !ranked.2.is_avoided).count();
+    let least = ranked[..sound]
+        .iter()
+        .map(|(cost, ..)| *cost)
+        .fold(f64::INFINITY, f64::min);
+    let near = ranked[..sound].iter().position(|(cost, share, candidate)| {
+        candidate.is_same_zone && *share < 0.5 && *cost <= least * SAME_ZONE_FACTOR
+    });
+    if let Some(near) = near {
+        ranked[..=near].rotate_right(1);
+    } else if sound > 1 && ranked[1].0 < ranked[0].0 {
+        ranked.swap(0, 1);
+    }
+    ranked
         .into_iter()
-        .map(|candidate| candidate.endpoint)
+        .map(|(_, _, candidate)| candidate)
         .collect()
 }
--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! - [`health`]: which endpoints are avoided.
 //! - [`lease`]: how long orders may be sent under a lease.
 //! - [`limit`]: the request rates that endpoints ask for.
+//! - [`load`]: the load that endpoints report.
 //! - [`crash`]: which requests are refused because they crash endpoints.
 //! - [`feed`]: the local copy of the store's keys.
 //! - [`room`]: the room of brittle endpoints.
@@ -26,6 +27,7 @@
 pub mod health;
 pub mod lease;
 pub mod limit;
+pub mod load;
 pub mod origins;
 pub mod ownership;
 pub mod placement;
--- a/crates/endivespur_core/tests/gateway/choice.rs
+++ b/crates/endivespur_core/tests/gateway/choice.rs
@@ -100,6 +100,7 @@
         is_same_zone,
         is_avoided: false,
         latency: 0.03,
+        load: None,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod health;
 mod limit;
+mod load;
 mod origins;
 mod ownership;
 mod placement;
--- a/crates/endivespur_core/tests/load/main.rs
+++ b/crates/endivespur_core/tests/load/main.rs
@@ -2,4 +2,5 @@
 
 mod model;
 mod overload;
+mod plain;
 mod popular;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -356,6 +356,8 @@
         claims.retain(now, |endpoint| catalog.endpoint(endpoint).is_some());
         let mut limits = state.limits.borrow_mut();
         limits.retain(|endpoint| catalog.endpoint(endpoint).is_some());
+        let mut loads = state.loads.borrow_mut();
+        loads.retain(|endpoint| catalog.endpoint(endpoint).is_some());
         let mut rooms = state.rooms.borrow_mut();
         rooms.retain(|endpoint| catalog.endpoint(endpoint).is_some());
         let mut reach = state.reach.borrow_mut();
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -7,11 +7,12 @@
 use endivespur_clock as clock;
 use endivespur_core::gateway::choice::{self, Candidate};
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::load::Report;
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
 use endivespur_core::id::Endpoint;
 use endivespur_http::head::{Framing, Response};
-use endivespur_platform::header::Dispatch;
+use endivespur_platform::header::{self, Dispatch};
 
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
@@ -82,6 +83,10 @@
                     .health
                     .borrow_mut()
                     .record_success(clock::now(), &instance.id, took);
+                state
+                    .loads
+                    .borrow_mut()
+                    .record_time(clock::now(), &instance.id, took);
                 return relay_response(caller, &head, &body).await;
             }
             Attempt::Complete(head, body, _) => {
@@ -167,18 +172,23 @@
     let now = clock::now();
     let catalog = state.catalog.borrow();
     let health = state.health.borrow();
+    let loads = state.loads.borrow();
     let in_flight = state.in_flight.borrow();
     let serving = catalog.serving(&call.service);
     let candidates = serving
         .iter()
         .filter(|instance| !tried.contains(&instance.id))
-        .map(|instance| Candidate {
-            endpoint: instance.id.clone(),
-            running: in_flight.get(&instance.id).copied().unwrap_or_default(),
-            slots: instance.slots,
-            is_same_zone: instance.zone == state.settings.zone,
-            is_avoided: health.is_avoided(now, &instance.id),
-            latency: health.latency(&instance.id).as_secs_f64(),
+        .map(|instance| {
+            let running = in_flight.get(&instance.id).copied().unwrap_or_default();
+            Candidate {
+                endpoint: instance.id.clone(),
+                running,
+                slots: instance.slots,
+                is_same_zone: instance.zone == state.settings.zone,
+                is_avoided: health.is_avoided(now, &instance.id),
+                latency: health.latency(&instance.id).as_secs_f64(),
+                load: loads.estimate(now, &instance.id, running),
+            }
         })
         .collect();
     let seed = hash::mix(&call.fields.attempt_id, 0);
@@ -238,6 +248,7 @@
         Err(Failure::Lost(reason)) => return Attempt::Unknown(reason),
         Err(Failure::Timeout) => return Attempt::Timeout,
     };
+    record_load(state, instance, &response.fields);
     if response.fields.is_not_executed {
         let status = response.head.status;
         if status == 503
@@ -261,3 +272,20 @@
         Some(Err(error)) => Attempt::Unknown(error.to_string()),
     }
 }
+
+/// Records the load that a response of an endpoint reports, if it does.
+fn record_load(state: &State, instance: &Instance, fields: &header::Response) {
+    let Some((running, waiting)) = fields.load else {
+        return;
+    };
+    let in_flight = state.in_flight.borrow().get(&instance.id).copied();
+    let report = Report {
+        running,
+        waiting,
+        slots: instance.slots,
+        // The request that this is the response to is counted too.
+        in_flight: in_flight.unwrap_or_default().saturating_sub(1),
+    };
+    let mut loads = state.loads.borrow_mut();
+    loads.record(clock::now(), &instance.id, report);
+}
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -13,6 +13,7 @@
 use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health;
 use endivespur_core::gateway::limit;
+use endivespur_core::gateway::load;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::gateway::reach;
 use endivespur_core::gateway::room;
@@ -104,6 +105,8 @@
     pub forwarded: Cell<usize>,
     /// The recent failures and latencies of endpoints.
     pub health: RefCell<health::Tracker>,
+    /// The load that endpoints of plain services report.
+    pub loads: RefCell<load::Tracker>,
     /// The brittle services, and the room that this gateway gives out.
     pub rooms: RefCell<room::Tracker>,
     /// The limits that endpoints have named.
@@ -180,6 +183,7 @@
             is_published_cut_off: Cell::new(false),
             forwarded: Cell::new(0),
             health: RefCell::new(health::Tracker::new()),
+            loads: RefCell::new(load::Tracker::new()),
             rooms: RefCell::new(room::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
             streams: Streams::new(),
