Use what engines say of their momentary speed in the estimated delay

Cause: engines of some services are 2.5 to 4.5 times slower for moments of a few hundred milliseconds and say so in a fourth figure of their load, which the gateway ignored: prompts were sent to a slow engine as to any other.

Change: the figure is decoded, and the gateway that reads a response passes it to the engine's owner with `began`, or with `release` if the response did not begin. The observed prefill time is divided by it before it is learned. A gateway of an older release sends 0, which says nothing. Without a figure the estimate is the same as before.

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod origins;
 pub mod ownership;
+pub mod pace;
 pub mod placement;
 pub mod prefix;
 pub mod reach;
--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, State};
+use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, Request, State};
 use crate::clock::{self, Time};
 use crate::gateway::endpoint::Weights;
 
@@ -16,6 +16,8 @@
 const BUSY_PREFILL_DELAY: Duration = Duration::from_millis(300);
 /// The assumed duration of a load of an adapter that the engine caches.
 const RELOAD_TIME: Duration = Duration::from_millis(25);
+/// The excess over the usual time below which an engine does not count as slow.
+const MIN_EXCESS: f64 = 0.02;
 /// The prefill rate of an engine, by the engines' data sheet.
 const PREFILL_TOKENS_PER_MS: f64 = 40.8;
 /// The attention time for a million pairs of prompt tokens, by the data sheet.
@@ -26,6 +28,26 @@
 impl Engine {
     /// Returns the estimated time until all pending prefills are finished.
     pub fn backlog(&self, now: Time) -> Duration {
+        self.slowness.stretch(now, self.pending_work(now))
+    }
+
+    /// Returns how much longer than usual the prefill of a request is expected to take, since the engine is slow now.
+    pub(super) fn prefill_excess(&self, now: Time, request: &Request) -> Duration {
+        if self.slowness(now) < 1.0 + MIN_EXCESS {
+            return Duration::ZERO;
+        }
+        let cached = self
+            .prefix_cache
+            .cached_tokens(&request.weights, &request.parts);
+        let usual = prefill_time(request.tokens, cached);
+        let usual = clock::scale(usual, self.prefill_slowdown);
+        let ahead = self.pending_work(now);
+        let end = self.slowness.stretch(now, ahead + usual);
+        end.saturating_sub(self.slowness.stretch(now, ahead) + usual)
+    }
+
+    /// Returns how long the pending prefills would take at the engine's usual speed.
+    fn pending_work(&self, now: Time) -> Duration {
         let cost: Duration = self
             .pending_prefills
             .values()
@@ -44,6 +66,7 @@
             .values()
             .next()
             .map(|prefill| prefill.cost);
+        let done = clock::scale(done, 1.0 / self.slowness(now));
         let done = done.min(clock::scale(
             oldest_cost.unwrap_or_default(),
             self.prefill_slowdown,
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -19,6 +19,7 @@
 use crate::clock::Time;
 use crate::decay::Counter;
 use crate::gateway::endpoint::{Base, Weights};
+use crate::gateway::pace::Slowness;
 use crate::gateway::prefix::{Cache, Part};
 use crate::gateway::table::EngineClass;
 use crate::id::{Grant, Version};
@@ -263,6 +264,7 @@
     prefill_work: Counter,
     /// The observed duration of a prefill divided by the duration according to the data sheet.
     prefill_slowdown: f64,
+    slowness: Slowness,
     prefix_cache: Cache,
     next_grant: Grant,
     /// The unloaded adapters that the engine probably still caches outside its slots, with the
@@ -300,6 +302,7 @@
             busy_since: None,
             prefill_work: Counter::default(),
             prefill_slowdown: 1.0,
+            slowness: Slowness::default(),
             prefix_cache: Cache::new(class.memory_tokens),
             next_grant: 1,
             cached_adapters: BTreeMap::new(),
@@ -351,7 +354,7 @@
         if self.memory_tokens > 0 && u64::from(request.tokens) > self.memory_tokens {
             return Decision::Busy(estimate::prefill_time(request.tokens, 0));
         }
-        let delay = self.delay(now, &request.weights);
+        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, request);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
                 Some(max.min(request.due_in))
@@ -426,6 +429,16 @@
         grant
     }
 
+    /// Records how long work takes at the engine now, in percent of the usual time; 0 says nothing.
+    pub fn record_slowdown(&mut self, now: Time, percent: u32) {
+        self.slowness.record(now, percent);
+    }
+
+    /// Returns how long work takes at the engine now, compared with its usual time.
+    pub fn slowness(&self, now: Time) -> f64 {
+        self.slowness.factor(now)
+    }
+
     /// Records that the response to a granted request has started: its prefill is finished.
     pub fn response_started(&mut self, now: Time, grant: Grant) {
         let Some(prefill) = self.pending_prefills.remove(&grant) else {
@@ -433,7 +446,8 @@
         };
         if prefill.is_alone {
             let elapsed = now.saturating_sub(prefill.sent).as_secs_f64();
-            let ratio = elapsed / prefill.cost.as_secs_f64();
+            let usual = prefill.cost.as_secs_f64() * self.slowness(now);
+            let ratio = elapsed / usual;
             let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
             self.prefill_slowdown += SLOWDOWN_EWMA_WEIGHT * (ratio - self.prefill_slowdown);
         }
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod limit;
 mod origins;
 mod ownership;
+mod pace;
 mod placement;
 mod prefix;
 mod reach;
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -494,3 +494,21 @@
     let order: Order = order(&mut engine, ms(21_000));
     assert_eq!(order.action, Action::Unload);
 }
+
+/// The estimate of a slow engine was that of a fast one, so that prompts were sent there although others were faster.
+#[test]
+fn request_slow_moment() {
+    let mut engine = engine(2, &["a"]);
+    let mut long = request("a");
+    long.tokens = 9_000;
+    assert_matches!(engine.request(ms(0), &long), Decision::Granted(_));
+    let usual = engine.backlog(ms(0));
+    engine.record_slowdown(ms(0), 400);
+    assert!(engine.backlog(ms(0)) > usual * 2);
+    let mut bounded = long.clone();
+    bounded.max_delay = Some(usual + ms(100));
+    assert_matches!(engine.request(ms(0), &bounded), Decision::Busy(_));
+    engine.record_slowdown(ms(1), 100);
+    assert!(engine.backlog(ms(1)) <= usual);
+    assert_matches!(engine.request(ms(1), &bounded), Decision::Granted(_));
+}
--- a/crates/endivespur_core/tests/load/model.rs
+++ b/crates/endivespur_core/tests/load/model.rs
@@ -13,6 +13,8 @@
 const PROMPT_TOKENS_PER_MS: f64 = 40.8;
 /// The maximum number of prompt tokens read in one step.
 const CHUNK_TOKENS: u64 = 1_024;
+/// That of engines which differ in pace.
+const LARGE_CHUNK_TOKENS: u64 = 2_048;
 
 /// A class of requests.
 #[derive(Clone, Debug)]
@@ -49,6 +51,9 @@
     }
 }
 
+/// The tokens of one event of a stream.
+const TOKENS_PER_EVENT: u64 = 8;
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -66,6 +71,27 @@
     pub output_left: u64,
     /// Whether its first token was late.
     pub is_late: bool,
+    /// The tokens that it has written since its last event.
+    pub pending_tokens: u64,
+    /// The time of its last event.
+    pub last_event: Option<Duration>,
+    /// The longest pause between two of its events.
+    pub longest_pause: Duration,
+}
+
+impl Run {
+    /// Writes a token at a time.
+    fn write(&mut self, now: Duration) {
+        self.output_left -= 1;
+        self.pending_tokens += 1;
+        if self.pending_tokens < TOKENS_PER_EVENT && self.output_left > 0 {
+            return;
+        }
+        self.pending_tokens = 0;
+        let pause = now.saturating_sub(self.last_event.unwrap_or(now));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_event = Some(now);
+    }
 }
 
 /// What happened in a step.
@@ -79,17 +105,52 @@
     pub given_up: Vec<Run>,
 }
 
+/// A time in which an engine is slower than usual.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// Its start.
+    pub start: Duration,
+    /// Its end.
+    pub end: Duration,
+    /// How many times as long work takes.
+    pub factor: f64,
+}
+
 /// An engine that reads prompts in the order of their arrival.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Engine {
     prompts: VecDeque<Run>,
     streams: Vec<Run>,
+    pace: f64,
+    moments: Vec<Moment>,
+    chunk_tokens: u64,
 }
 
 impl Engine {
     /// Creates an idle engine.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            prompts: VecDeque::new(),
+            streams: Vec::new(),
+            pace: 1.0,
+            moments: Vec::new(),
+            chunk_tokens: CHUNK_TOKENS,
+        }
+    }
+
+    /// Sets its usual pace, as a share of the others' one, and the times in which it is slower.
+    pub fn with_pace(mut self, pace: f64, moments: Vec<Moment>) -> Self {
+        self.pace = pace;
+        self.moments = moments;
+        self.chunk_tokens = LARGE_CHUNK_TOKENS;
+        self
+    }
+
+    /// Returns how many times as long as usual work takes at a time.
+    pub fn slowness(&self, now: Duration) -> f64 {
+        let moments = self.moments.iter();
+        let current = moments.filter(|moment| (moment.start..moment.end).contains(&now));
+        current.map(|moment| moment.factor).fold(1.0, f64::max)
     }
 
     /// Adds a request.
@@ -101,10 +162,10 @@
     pub fn step(&mut self, now: Duration) -> (Duration, Events) {
         let mut events = Events::default();
         let mut chunk = 0;
-        while chunk < CHUNK_TOKENS
+        while chunk < self.chunk_tokens
             && let Some(run) = self.prompts.front_mut()
         {
-            let read = run.prompt_left.min(CHUNK_TOKENS - chunk);
+            let read = run.prompt_left.min(self.chunk_tokens - chunk);
             run.prompt_left -= read;
             chunk += read;
             if run.prompt_left == 0 {
@@ -112,13 +173,13 @@
             }
         }
         let prompt_time = clock::from_secs(chunk as f64 / PROMPT_TOKENS_PER_MS / 1_000.0);
-        let end = now + STEP_TIME + prompt_time;
+        let end = now + clock::scale(STEP_TIME + prompt_time, self.slowness(now) / self.pace);
         for run in &mut events.started {
             run.is_late = end > run.objective;
         }
         self.streams.extend(events.started.iter().cloned());
         for run in &mut self.streams {
-            run.output_left -= 1;
+            run.write(end);
         }
         let is_complete = |run: &mut Run| run.output_left == 0;
         events.completed = self.streams.extract_if(.., is_complete).collect();
--- /dev/null
+++ b/crates/endivespur_core/tests/load/pace.rs
@@ -0,0 +1,40 @@
+//! Engines that differ in pace and are slow for moments.
+
+use crate::fleet::{Fleet, Outcome, Policy, play};
+use crate::model::Class;
+use crate::popular::{SEEDS, classes};
+
+/// Engines of the paces that were observed.
+const FLEET: Fleet = Fleet {
+    engines: 20,
+    adapters: 60,
+    paces: (0.55, 1.2),
+    has_moments: true,
+};
+
+/// Returns the sum of the outcomes of all seeds.
+fn play_all(fleet: Fleet, classes: &[Class], policy: Policy) -> Outcome {
+    let mut sum = Outcome::default();
+    for seed in 0..SEEDS {
+        let outcome = play(seed, fleet, classes, policy);
+        sum.in_time += outcome.in_time;
+        sum.late += outcome.late;
+        sum.paused += outcome.paused;
+        sum.refused += outcome.refused;
+        sum.given_up += outcome.given_up;
+        sum.fetches += outcome.fetches;
+        sum.busiest += outcome.busiest;
+    }
+    sum
+}
+
+/// Without the engines' figures, prompts are sent to engines that are slow at the moment, while others are not.
+#[test]
+fn slow_moments() {
+    let policy = |tells_slowdown| Policy { tells_slowdown };
+    let before = play_all(FLEET, &classes(20.0), policy(false));
+    let after = play_all(FLEET, &classes(20.0), policy(true));
+    println!("slow moments: {before:?} {after:?}");
+    assert!(after.paused < before.paused, "{before:?} {after:?}");
+    assert!(after.in_time > before.in_time, "{before:?} {after:?}");
+}
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -14,7 +14,7 @@
 use crate::model::{self, Class, Run};
 
 /// How long requests arrive.
-const LENGTH: Duration = Duration::from_secs(15);
+pub const LENGTH: Duration = Duration::from_secs(15);
 /// The share of the requests that may end at their deadline.
 pub const MAX_GIVEN_UP_SHARE: f64 = 0.015;
 /// The time of a burst, in seconds.
@@ -76,6 +76,9 @@
             prompt_left: u64::from(shared_tokens + class.own_tokens),
             output_left: class.output_tokens,
             is_late: false,
+            pending_tokens: 0,
+            last_event: None,
+            longest_pause: Duration::ZERO,
         });
     }
 
@@ -160,7 +163,7 @@
     None
 }
 
-fn arrivals<'a>(random: &mut ChaCha8Rng, classes: &'a [Class]) -> Vec<(Duration, &'a Class)> {
+pub fn arrivals<'a>(random: &mut ChaCha8Rng, classes: &'a [Class]) -> Vec<(Duration, &'a Class)> {
     let mut arrivals = Vec::new();
     for class in classes {
         let mut at = 0.0;
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -16,7 +16,7 @@
 
 use crate::exchange::Call;
 use crate::limit::{self, Token};
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
 use crate::peer;
 use crate::state::{InFlight, State};
 
@@ -55,24 +55,28 @@
     pub token: Option<Token>,
     /// Whether the engine responded that it lacks the adapter.
     pub is_adapter_missing: bool,
+    /// How long work takes at the engine now, in percent of the usual time, until the owner has been told; 0 if it is not
+    /// known.
+    pub slowdown: u32,
     _in_flight: InFlight,
 }
 
 impl Permit {
     /// Notifies the owner that the response has started.
-    pub fn response_started(&self) {
+    pub fn response_started(&mut self) {
+        let slowdown = std::mem::take(&mut self.slowdown);
         let Some((location, grant)) = self.grant else {
             return;
         };
         let Location::Peer(address) = location else {
             self.state
                 .owned_engines
-                .response_started(&self.instance.id, grant);
+                .response_started(&self.instance.id, grant, slowdown);
             return;
         };
         let (state, id) = (self.state.clone(), self.instance.id.clone());
         self.state.spawn(async move {
-            peer::response_started(&state, address, &id, grant).await;
+            peer::response_started(&state, address, &id, grant, slowdown).await;
         });
     }
 }
@@ -82,16 +86,20 @@
         let Some((location, grant)) = self.grant else {
             return;
         };
-        let (id, is_adapter_missing) = (self.instance.id.clone(), self.is_adapter_missing);
+        let id = self.instance.id.clone();
+        let ended = Ended {
+            is_adapter_missing: self.is_adapter_missing,
+            slowdown: self.slowdown,
+        };
         let Location::Peer(address) = location else {
             self.state
                 .owned_engines
-                .release(&id, &self.weights, grant, is_adapter_missing);
+                .release(&id, &self.weights, grant, ended);
             return;
         };
         let (state, weights) = (self.state.clone(), self.weights.clone());
         self.state.spawn(async move {
-            peer::release(&state, address, &id, &weights, grant, is_adapter_missing).await;
+            peer::release(&state, address, &id, &weights, grant, ended).await;
         });
     }
 }
@@ -428,6 +436,7 @@
         token: None,
         version: None,
         is_adapter_missing: false,
+        slowdown: 0,
         _in_flight: InFlight::new(state, &instance.id),
     }
 }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -207,6 +207,11 @@
     let mut run = Run::new(state, call, &instance);
     let now = clock::now();
     let sent = send(state, call, &permit, progress.stream.last_event_id, caller).await;
+    if let Ok(response) = &sent
+        && response.fields.is_signed
+    {
+        permit.slowdown = response.fields.slowdown.unwrap_or_default();
+    }
     let failure = match sent {
         Ok(response) if response.fields.is_not_executed => {
             run.ended();
--- a/crates/endivespur_gateway/src/notice.rs
+++ b/crates/endivespur_gateway/src/notice.rs
@@ -22,6 +22,12 @@
 ///
 /// Limits and brittleness are named in responses to requests only: their absence means nothing here.
 pub fn record_of_call(state: &State, instance: &Instance, fields: &Response) {
+    if let (Some(slowdown), true) = (fields.slowdown, fields.is_signed)
+        && let Some(owned) = state.owned_engines.get(&instance.id)
+    {
+        let mut engine = owned.engine.borrow_mut();
+        engine.record_slowdown(clock::now(), slowdown);
+    }
     if let Some(rest) = fields.rest {
         limit::record_rest(state, instance, rest);
     }
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -55,6 +55,15 @@
     Late,
 }
 
+/// What a gateway tells an engine's owner of a granted request that has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Whether the engine lacked the adapter.
+    pub is_adapter_missing: bool,
+    /// How long work takes at the engine now, in percent of the usual time; 0 if it is not known.
+    pub slowdown: u32,
+}
+
 impl OwnedEngines {
     /// Creates an empty set.
     pub fn new() -> Self {
@@ -100,30 +109,27 @@
         self.engines.borrow().get(endpoint).cloned()
     }
 
-    /// Records that the response to a granted request has started.
-    pub fn response_started(&self, endpoint: &str, grant: Grant) {
+    /// Records that the response to a granted request has started, and how long work takes at the engine now, in percent
+    /// of the usual time; 0 if that is not known.
+    pub fn response_started(&self, endpoint: &str, grant: Grant, slowdown: u32) {
         if let Some(owned) = self.get(endpoint) {
-            owned
-                .engine
-                .borrow_mut()
-                .response_started(clock::now(), grant);
+            let now = clock::now();
+            let mut engine = owned.engine.borrow_mut();
+            engine.record_slowdown(now, slowdown);
+            engine.response_started(now, grant);
             owned.state_changed.notify(usize::MAX);
         }
     }
 
-    /// Records that a granted request has ended, and whether the engine lacked the adapter.
-    pub fn release(
-        &self,
-        endpoint: &str,
-        weights: &Weights,
-        grant: Grant,
-        is_adapter_missing: bool,
-    ) {
+    /// Records that a granted request has ended.
+    pub fn release(&self, endpoint: &str, weights: &Weights, grant: Grant, ended: Ended) {
         if let Some(owned) = self.get(endpoint) {
+            let now = clock::now();
             let mut engine = owned.engine.borrow_mut();
+            engine.record_slowdown(now, ended.slowdown);
             engine.release(weights, grant);
-            if is_adapter_missing {
-                engine.mark_missing(clock::now(), weights);
+            if ended.is_adapter_missing {
+                engine.mark_missing(now, weights);
             }
             owned.target_changed.notify(usize::MAX);
         }
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -22,7 +22,7 @@
 use smol::net::TcpStream;
 
 use crate::message::{self, Update};
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
 use crate::state::State;
 use crate::timer;
 use crate::values::Answer;
@@ -287,11 +287,13 @@
     address: SocketAddr,
     endpoint: &str,
     grant: Grant,
+    slowdown: u32,
 ) {
     let send = async |client: gateway::Client| {
         let mut request = client.began_request();
         request.get().set_endpoint(endpoint);
         request.get().set_grant(grant);
+        request.get().set_slowdown(slowdown);
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
@@ -467,7 +469,7 @@
     endpoint: &str,
     weights: &Weights,
     grant: Grant,
-    is_adapter_missing: bool,
+    ended: Ended,
 ) {
     let send = async |client: gateway::Client| {
         let mut request = client.release_request();
@@ -476,7 +478,8 @@
         to.set_base(&weights.base);
         to.set_adapter(&weights.adapter);
         to.set_grant(grant);
-        to.set_missing(is_adapter_missing);
+        to.set_missing(ended.is_adapter_missing);
+        to.set_slowdown(ended.slowdown);
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -19,7 +19,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::message;
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
 use crate::reach;
 use crate::record;
 use crate::state::State;
@@ -93,9 +93,11 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = params.get_endpoint()?.to_str()?;
-        self.state
-            .owned_engines
-            .response_started(endpoint, params.get_grant());
+        self.state.owned_engines.response_started(
+            endpoint,
+            params.get_grant(),
+            params.get_slowdown(),
+        );
         Ok(())
     }
 
@@ -263,7 +265,10 @@
             params.get_endpoint()?.to_str()?,
             &weights,
             params.get_grant(),
-            params.get_missing(),
+            Ended {
+                is_adapter_missing: params.get_missing(),
+                slowdown: params.get_slowdown(),
+            },
         );
         Ok(())
     }
