--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod load;
 pub mod origins;
 pub mod ownership;
+pub mod pace;
 pub mod placement;
 pub mod prefix;
 pub mod reach;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod origins;
 mod ownership;
+mod pace;
 mod placement;
 mod prefix;
 mod reach;
