--- a/crates/endivespur_core/src/gateway/team.rs
+++ b/crates/endivespur_core/src/gateway/team.rs
@@ -210,9 +210,14 @@
         self.teams.iter()
     }
 
-    /// Iterates over the digests of the API keys and the teams that hold them.
-    pub fn digests(&self) -> impl Iterator<Item = (String, &id::Team)> {
-        self.keys.iter().map(|(key, team)| (key.digest(), team))
+    /// Returns the digests of the API keys of each team.
+    pub fn digests(&self) -> BTreeMap<id::Team, Vec<String>> {
+        let teams = self.teams.keys().map(|team| (team.clone(), Vec::new()));
+        let mut digests: BTreeMap<id::Team, Vec<String>> = teams.collect();
+        for (key, team) in &self.keys {
+            digests.entry(team.clone()).or_default().push(key.digest());
+        }
+        digests
     }
 }
 
--- a/crates/endivespur_core/src/lib.rs
+++ b/crates/endivespur_core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod schedule;
 pub mod slot;
 pub mod suspect;
+pub mod throttle;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -16,6 +16,8 @@
 mod source;
 mod stream;
 mod table;
+mod team;
+mod throttle;
 mod transfer;
 mod version;
 
--- /dev/null
+++ b/crates/endivespur_core/tests/gateway/team.rs
@@ -0,0 +1,45 @@
+//! Whose request it is, by its credentials.
+
+use endivespur_core::gateway::team::{Credentials, Denial, Identity, Key, Team, Teams, digest};
+
+/// Invalid credentials passed as none, or the routes of anonymous callers refused those of teams.
+#[test]
+fn team_identify() {
+    let keys = |keys: &[&str]| keys.iter().map(ToString::to_string).collect();
+    let teams = Teams::new()
+        .with_team("hymns", Team::default(), keys(&["k-1", "k 2"]))
+        .with_team("psalms", Team::default(), Vec::new());
+    let hymns = Identity::Team("hymns".to_string());
+    for is_open in [false, true] {
+        let identify = |credentials| teams.identify(credentials, is_open);
+        let key = |text| Credentials::Key(Key::new(text));
+        let unusual = |text| Credentials::Unusual(Key::new(text));
+        assert_eq!(identify(key("k-1")), Ok(hymns.clone()));
+        assert_eq!(identify(unusual("k 2")), Ok(hymns.clone()));
+        assert_eq!(identify(key("k-2")), Err(Denial::Unknown));
+        assert_eq!(identify(key("")), Err(Denial::Unknown));
+        assert_eq!(identify(unusual("k 3")), Err(Denial::Malformed));
+        assert_eq!(identify(Credentials::Malformed), Err(Denial::Malformed));
+        assert_eq!(identify(Credentials::Doubled), Err(Denial::Doubled));
+    }
+    assert_eq!(
+        teams.identify(Credentials::Missing, true),
+        Ok(Identity::Anonymous)
+    );
+    assert_eq!(
+        teams.identify(Credentials::Missing, false),
+        Err(Denial::Missing)
+    );
+    assert_eq!(
+        Teams::new().identify(Credentials::Missing, true),
+        Ok(Identity::Anonymous)
+    );
+    assert_eq!(teams.digests()["psalms"], Vec::<String>::new());
+    assert_eq!(teams.digests()["hymns"].len(), 2);
+}
+
+/// Operators compare digests with those of other tools: the first 12 digits of the SHA-256 hash.
+#[test]
+fn team_digest() {
+    assert_eq!(digest("abc"), "ba7816bf8f01");
+}
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -6,6 +6,8 @@
 use endivespur_clock as clock;
 use endivespur_core::gateway::feed::{Item, LARGE_VALUE_BYTES, Page};
 use endivespur_core::gateway::ownership::Claim;
+use endivespur_core::gateway::table::Table;
+use endivespur_core::gateway::team::Teams;
 use endivespur_platform::store::{self, Position};
 use endivespur_platform::{document, registration};
 use log::{info, warn};
@@ -127,12 +129,17 @@
         match document::decode(value) {
             Ok(table) => {
                 let version = table.version;
+                let last = state.catalog.borrow().table();
                 let is_applied = state.catalog.borrow_mut().set_table(table);
                 info!(
                     event = "configuration", version, revision = item.revision, outcome = is_applied,
                     source:? = state.source.borrow().as_ref();
                     "configuration read"
                 );
+                if is_applied {
+                    log_teams(state, last.as_deref());
+                    state.configured.notify(usize::MAX);
+                }
             }
             Err(error) => {
                 warn!(event = "configuration", revision = item.revision, outcome = false; "rejected: {error}");
@@ -153,6 +160,25 @@
     }
 }
 
+/// Logs the teams that a configuration adds, removes or gives other keys, so that the digest of a key leads to its team.
+fn log_teams(state: &State, last: Option<&Table>) {
+    let digests = |table: Option<&Table>| {
+        let teams = table.and_then(|table| table.teams.as_ref());
+        teams.map(Teams::digests).unwrap_or_default()
+    };
+    let current = state.catalog.borrow().table();
+    let (last, current) = (digests(last), digests(current.as_deref()));
+    let removed = last.keys().filter(|team| !current.contains_key(*team));
+    for team in removed {
+        info!(event = "team", team, present = false; "team removed");
+    }
+    for (team, keys) in &current {
+        if last.get(team) != Some(keys) {
+            info!(event = "team", team, present = true, keys = keys.join(","); "keys of a team");
+        }
+    }
+}
+
 /// Applies a registration; returns whether it changes which endpoints serve.
 fn apply_registration(state: &State, item: &Item) -> bool {
     let now = clock::now();
--- a/crates/endivespur_gateway/src/authorize.rs
+++ b/crates/endivespur_gateway/src/authorize.rs
@@ -1,6 +1,7 @@
-//! Checks the API keys of callers against the configuration in force: when the head of a request is read, and right
-//! before each send.
+//! Checks the API keys of callers against the configuration in force: when the head of a request is read, while it
+//! waits, and right before each send.
 
+use endivespur_clock as clock;
 use endivespur_core::gateway::table::Table;
 use endivespur_core::gateway::team::{Credentials, Denial, Identity};
 use endivespur_http::head::Request;
@@ -16,8 +17,27 @@
 /// # Errors
 ///
 /// Returns the refusal if it is not authorised.
-pub fn admit(table: &Table, head: &Request, fields: &header::Request) -> Result<Identity, Outcome> {
-    identify(table, head, fields).map_err(|denial| refuse(fields, denial))
+pub fn admit(
+    state: &State,
+    table: &Table,
+    head: &Request,
+    fields: &header::Request,
+) -> Result<Identity, Outcome> {
+    identify(table, head, fields).map_err(|denial| refuse(state, fields, denial))
+}
+
+/// Decides again whose request it is that was admitted before its body was read.
+///
+/// # Errors
+///
+/// Returns the refusal if it is no longer authorised.
+pub fn admit_again(
+    state: &State,
+    table: &Table,
+    head: &Request,
+    fields: &header::Request,
+) -> Result<Identity, Outcome> {
+    identify(table, head, fields).map_err(|_| refuse(state, fields, Denial::Revoked))
 }
 
 /// Checks again, right before a request is sent, that it is authorised, and whose it is: its key may have been removed
@@ -30,14 +50,24 @@
     let Some(table) = state.catalog.borrow().table() else {
         return Ok(());
     };
-    match identify(&table, &call.head, &call.fields) {
-        // The key is kept from endpoints also if the configuration with teams has just been replaced by one without.
-        Ok(Identity::Unchecked) => Ok(()),
-        Ok(identity) => {
-            call.identity.replace(identity);
-            Ok(())
+    let identity = admit_again(state, &table, &call.head, &call.fields)?;
+    // The key is kept from endpoints also if the configuration with teams has just been replaced by one without.
+    if identity != Identity::Unchecked {
+        call.identity.replace(identity);
+    }
+    Ok(())
+}
+
+/// Returns the refusal of a request once it is no longer authorised, unless it may have run.
+pub async fn revoked(state: &State, call: &Call) -> Outcome {
+    loop {
+        let listener = state.configured.listen();
+        if !call.may_have_run.get()
+            && let Err(refusal) = check_before_send(state, call)
+        {
+            return refusal;
         }
-        Err(_) => Err(refuse(&call.fields, Denial::Revoked)),
+        listener.await;
     }
 }
 
@@ -46,19 +76,19 @@
     table.identify(host, &head.target, fields.credentials)
 }
 
-fn refuse(fields: &header::Request, denial: Denial) -> Outcome {
+fn refuse(state: &State, fields: &header::Request, denial: Denial) -> Outcome {
     let reason = denial.name();
     telemetry::request_unauthorized(reason);
-    let digest = match fields.credentials {
-        Credentials::Key(key) => key.digest(),
-        Credentials::Missing
-        | Credentials::Doubled
-        | Credentials::Malformed
-        | Credentials::Unusual(_) => String::new(),
-    };
-    info!(
-        event = "unauthorized", request = fields.attempt_id.as_str(), reason, digest;
-        "not authorised"
-    );
+    let admitted = state.unauthorized_lines.borrow_mut().admit(clock::now());
+    if let Some(skipped) = admitted {
+        let digest = match fields.credentials {
+            Credentials::Key(key) | Credentials::Unusual(key) => key.digest(),
+            Credentials::Missing | Credentials::Doubled | Credentials::Malformed => String::new(),
+        };
+        info!(
+            event = "unauthorized", request = fields.attempt_id.as_str(), reason, digest, skipped;
+            "not authorised"
+        );
+    }
     Outcome::unauthorized()
 }
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -208,6 +208,11 @@
     request
         .headers
         .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
+    let table = state.catalog.borrow().table();
+    if table.is_some_and(|table| table.teams.is_some()) {
+        // A gateway of an older release, or with an older configuration, passes on the key of its caller.
+        header::remove_credentials(&mut request.headers);
+    }
     let instance = state.catalog.borrow().endpoint(&endpoint);
     let is_available = state.forwarded.get() < MAX_FORWARDED
         && !state.reach.borrow().is_unreached(&endpoint)
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -140,8 +140,9 @@
     let fields = header::Request::decode(&head.headers);
     let _open = OpenRequest::new(state);
     let table = state.catalog.borrow().table();
+    let is_admitted = table.is_some();
     if let Some(table) = table
-        && let Err(refusal) = authorize::admit(&table, &head, &fields)
+        && let Err(refusal) = authorize::admit(state, &table, &head, &fields)
     {
         telemetry::request_finished("", &refusal, clock::now().saturating_sub(started));
         return refuse_early(state, connection, &head, framing, &refusal, started).await;
@@ -157,7 +158,18 @@
         Ok(body) => body,
         Err(status) => return reject(connection, status).await,
     };
-    respond(state, connection, head, fields, body, started).await
+    let caller_address = connection.stream().peer_addr().ok();
+    let caller_address = caller_address.map(|address| address.ip());
+    let received = Received {
+        features: exchange::features(caller_address, &head, &body, &fields.parts),
+        caller_address,
+        head,
+        is_admitted,
+        body,
+        fields,
+        started,
+    };
+    respond(state, connection, received).await
 }
 
 /// Refuses a request whose body may not have arrived yet. What is left of it must not be read as the next request.
@@ -232,31 +244,17 @@
 async fn respond(
     state: &Rc<State>,
     connection: &mut Connection,
-    head: Request,
-    fields: header::Request,
-    body: Vec<u8>,
-    started: Time,
+    received: Received,
 ) -> Result<Disposition, connection::Error> {
     let stream = connection.stream();
-    let attempt_id = fields.attempt_id.clone();
-    let mut caller = Caller::new(connection, &head, state.is_stopping.get());
-    let limit = fields
-        .timeout
-        .unwrap_or(CONFIGURATION_TIMEOUT)
-        .min(CONFIGURATION_TIMEOUT);
+    let started = received.started;
+    let attempt_id = received.fields.attempt_id.clone();
+    let mut caller = Caller::new(connection, &received.head, state.is_stopping.get());
+    let timeout = received.fields.timeout.unwrap_or(CONFIGURATION_TIMEOUT);
+    let limit = timeout.min(CONFIGURATION_TIMEOUT);
     let table = timer::within(limit, wait_for_configuration(state)).await;
     let mut service = String::new();
     let mut team = String::new();
-    let caller_address = stream.peer_addr().ok().map(|address| address.ip());
-    let features = exchange::features(caller_address, &head, &body, &fields.parts);
-    let received = Received {
-        caller_address,
-        head,
-        body,
-        features,
-        fields,
-        started,
-    };
     let outcome = match route_request(state, table.as_deref(), received) {
         Err(outcome) => outcome,
         Ok(mut call) => {
@@ -287,11 +285,14 @@
                 if let Err(refusal) = crash::admit(state, &call).await {
                     return refusal;
                 }
-                if is_engine {
-                    generate::handle(state, &call, &mut caller).await
-                } else {
-                    plain::handle(state, &call, &mut caller).await
-                }
+                let run = async {
+                    if is_engine {
+                        generate::handle(state, &call, &mut caller).await
+                    } else {
+                        plain::handle(state, &call, &mut caller).await
+                    }
+                };
+                run.or(authorize::revoked(state, &call)).await
             };
             let response = async { End::Answered(response.await) };
             let disconnected = async {
@@ -374,6 +375,8 @@
     /// The address that it came from.
     caller_address: Option<IpAddr>,
     head: Request,
+    /// Whether it was authorised by the configuration that was in force when its head was read.
+    is_admitted: bool,
     body: Vec<u8>,
     features: Rc<[Feature]>,
     fields: header::Request,
@@ -390,6 +393,7 @@
     let Received {
         caller_address,
         head,
+        is_admitted,
         body,
         features,
         fields,
@@ -402,7 +406,11 @@
         ));
     };
     // The configuration may have arrived, or changed, while the body was read.
-    let identity = authorize::admit(table, &head, &fields)?;
+    let identity = if is_admitted {
+        authorize::admit_again(state, table, &head, &fields)?
+    } else {
+        authorize::admit(state, table, &head, &fields)?
+    };
     let team = identity.team().cloned();
     let host = head.headers.get("host").unwrap_or_default();
     let route = table.route(host, &head.target).cloned();
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -19,6 +19,7 @@
 use endivespur_core::gateway::source::Source;
 use endivespur_core::id::{Endpoint, Process};
 use endivespur_core::retry::Budget;
+use endivespur_core::throttle::Throttle;
 use endivespur_http::connection::Connection;
 use endivespur_http::pool::Pool;
 use endivespur_platform::Client;
@@ -43,6 +44,8 @@
 pub const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// The maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
+/// The maximum number of refusals for want of a valid API key that are logged in a second: anyone can cause them.
+const MAX_UNAUTHORIZED_LINES: usize = 20;
 /// The share of the permitted retries that this VM uses, because callers are spread unevenly over
 /// the VMs.
 const RETRY_SHARE: f64 = 0.6;
@@ -82,6 +85,10 @@
     pub claims: RefCell<Claims>,
     /// Signals a change of the catalog or the claims.
     pub changed: Event,
+    /// Signals that another configuration is in force.
+    pub configured: Event,
+    /// Bounds the log lines of requests that are not authorised.
+    pub unauthorized_lines: RefCell<Throttle>,
     /// Signals that the store's changes are received again.
     pub store_regained: Event,
     /// This VM's lease.
@@ -169,6 +176,8 @@
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(claims),
             changed: Event::new(),
+            configured: Event::new(),
+            unauthorized_lines: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
             store_regained: Event::new(),
             lease: RefCell::new(Lease::new()),
             store_lost_at: Cell::new(None),
