--- a/crates/endivespur_core/src/gateway/table.rs
+++ b/crates/endivespur_core/src/gateway/table.rs
@@ -211,8 +211,11 @@
         let Some(teams) = &self.teams else {
             return Ok(Identity::Unchecked);
         };
-        let route = self.route(host, target);
-        let allows_anonymous = route.is_some_and(|route| route.allows_anonymous);
+        // The route is looked up again with each check, but matters only without credentials.
+        let allows_anonymous = credentials == Credentials::Missing
+            && self
+                .route(host, target)
+                .is_some_and(|route| route.allows_anonymous);
         teams.identify(credentials, allows_anonymous)
     }
 }
