Hedge slow requests to plain services that may be repeated

A request whose endpoint is slow waits for it until its deadline, although another endpoint may run it too. The first good answer is taken; the other run is dropped with its connection. A failed run ends the request only if the other one has failed too.

The core decides when (a histogram of two windows of 30 s) and whether: a share of the requests, no refusals in the last 2 s, fewer than half of the endpoints with waiting requests, a free slot at the second one. A hedge counts as an endpoint against the route's limit and takes one from the retry budget, a token or room where the endpoint asks for it, and none is sent for a trial of a quarantined feature. While one run is open the request counts as one that may have run, whatever the other one ended with. A run that was cancelled after the usual time counts with the time that it took, and as a timeout: else a silent endpoint would be chosen again and again.

--- a/crates/endivespur_core/src/gateway/load.rs
+++ b/crates/endivespur_core/src/gateway/load.rs
@@ -18,6 +18,8 @@
 /// The age at which the measured time of work weighs half. An endpoint that was slow is tried again after a few of
 /// these.
 const WORK_HALF_LIFE: Duration = Duration::from_secs(1);
+/// The age up to which a report of waiting requests counts.
+const WAITING_TIME: Duration = Duration::from_secs(1);
 /// The weight of the earlier times of work beside a new one, if they are recent.
 const MAX_KEPT_WORK: f64 = 0.7;
 /// The most requests for each slot that a report is believed to count.
@@ -133,6 +135,14 @@
         })
     }
 
+    /// Returns whether an endpoint has reported recently that requests wait for its slots.
+    pub fn is_waiting(&self, now: Time, endpoint: &str) -> bool {
+        self.records.get(endpoint).is_some_and(|record| {
+            let age = now.saturating_sub(record.reported_at);
+            record.report.waiting > 0 && age < WAITING_TIME
+        })
+    }
+
     /// Removes the endpoints for which `keep` returns `false`.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.records.retain(|endpoint, _| keep(endpoint));
--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - [`prefix`]: which prompt parts an engine caches.
 //! - [`choice`]: the order in which endpoints are tried.
 //! - [`health`]: which endpoints are avoided.
+//! - [`hedge`]: when a second endpoint is asked, and which answer is taken.
 //! - [`lease`]: how long orders may be sent under a lease.
 //! - [`limit`]: the request rates that endpoints ask for.
 //! - [`load`]: the load that endpoints report.
@@ -25,6 +26,7 @@
 pub mod endpoint;
 pub mod feed;
 pub mod health;
+pub mod hedge;
 pub mod lease;
 pub mod limit;
 pub mod load;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod duration;
 mod feed;
 mod health;
+mod hedge;
 mod limit;
 mod load;
 mod origins;
--- a/crates/endivespur_core/tests/histories/main.rs
+++ b/crates/endivespur_core/tests/histories/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod feed;
+mod hedge;
 mod order;
 mod owner;
 mod ownership;
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// Returns whether a feature of a request is quarantined, without refusing the request.
+pub fn is_quarantined(state: &State, call: &Call) -> bool {
+    find_quarantined(state, call).is_some()
+}
+
 fn find_quarantined(state: &State, call: &Call) -> Option<Feature> {
     record::log_quarantine(state);
     state.crashes.borrow().find_quarantined(&call.features)
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod generate;
 mod grace;
+mod hedge;
 mod lease;
 mod limit;
 mod link;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -358,6 +358,8 @@
         limits.retain(|endpoint| catalog.endpoint(endpoint).is_some());
         let mut loads = state.loads.borrow_mut();
         loads.retain(|endpoint| catalog.endpoint(endpoint).is_some());
+        let mut hedges = state.hedges.borrow_mut();
+        hedges.retain(|service| table.services.contains_key(service));
         let mut rooms = state.rooms.borrow_mut();
         rooms.retain(|endpoint| catalog.endpoint(endpoint).is_some());
         let mut reach = state.reach.borrow_mut();
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -7,6 +7,7 @@
 use endivespur_clock as clock;
 use endivespur_core::gateway::choice::{self, Candidate};
 use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::hedge::End;
 use endivespur_core::gateway::load::Report;
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
@@ -16,6 +17,7 @@
 
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
+use crate::hedge::{self, Ended};
 use crate::relay::{Failure, log_failed_attempt};
 use crate::room::Held;
 use crate::state::{InFlight, State};
@@ -29,7 +31,7 @@
 const ATTEMPT_LIMIT: usize = 3;
 
 /// The outcome of one attempt at one endpoint.
-enum Attempt {
+pub enum Attempt {
     /// The endpoint's complete response, and its framing.
     Complete(Response, Vec<u8>, Framing),
     /// The endpoint was not reached.
@@ -42,98 +44,146 @@
     Timeout,
 }
 
+impl Attempt {
+    /// Returns how it ends one of the runs of a request.
+    pub fn end(&self) -> End {
+        match self {
+            Self::Complete(head, ..) if head.status < 500 => End::Good,
+            Self::NotSent(_) | Self::NotRun(_) => End::NotRun,
+            Self::Complete(..) | Self::Unknown(_) | Self::Timeout => End::Failed,
+        }
+    }
+}
+
+/// The progress of a request over all attempts.
+struct Progress {
+    /// The attempts that ran, or may have run.
+    runs: u32,
+    /// The attempts that reached an endpoint; each beyond the first is charged to the retry budget.
+    deliveries: u32,
+    /// The last complete response that says that the request failed.
+    failed: Option<(Response, Vec<u8>)>,
+    last: Outcome,
+}
+
 /// Handles a request to a plain service.
 pub async fn handle(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Outcome {
     let mut tried = BTreeSet::new();
-    let mut runs = 0;
-    let mut deliveries = 0;
-    let mut failed: Option<(Response, Vec<u8>)> = None;
-    let mut last = Outcome::refused("no-endpoint", RETRY_AFTER);
+    let mut progress = Progress {
+        runs: 0,
+        deliveries: 0,
+        failed: None,
+        last: Outcome::refused("no-endpoint", RETRY_AFTER),
+    };
+    let hedge_delay = hedge::delay(state, call);
     for _ in 0..ATTEMPT_LIMIT {
-        if call.time_left().is_zero() || (deliveries > 0 && !state.withdraw_retry(&call.service)) {
+        let is_retry = progress.deliveries > 0;
+        if call.time_left().is_zero() || (is_retry && !state.withdraw_retry(&call.service)) {
             break;
         }
         let (instance, room) = match acquire_endpoint(state, call, &tried).await {
             Ok(acquired) => acquired,
-            Err(Some(wait)) if deliveries == 0 => {
-                last = limit::refuse(call, wait);
+            Err(Some(wait)) if !is_retry => {
+                progress.last = limit::refuse(call, wait);
                 break;
             }
             Err(_) => break,
         };
         if let Err(refusal) = crash::check_before_send(state, call) {
-            if runs == 0 {
+            if progress.runs == 0 {
                 return refusal;
             }
             break;
         }
         tried.insert(instance.id.clone());
-        let now = clock::now();
-        let attempt = attempt(state, call, &instance, room).await;
-        if !matches!(attempt, Attempt::NotSent(_)) {
-            deliveries += 1;
-        }
-        if matches!(attempt, Attempt::Unknown(_) | Attempt::Timeout) {
-            call.is_trial.set(false);
-        }
-        match attempt {
-            Attempt::Complete(head, body, _) if head.status < 500 => {
-                let took = clock::now().saturating_sub(now);
-                state
-                    .health
-                    .borrow_mut()
-                    .record_success(clock::now(), &instance.id, took);
-                state
-                    .loads
-                    .borrow_mut()
-                    .record_time(clock::now(), &instance.id, took);
+        // Both runs count against the route's limit.
+        let may_hedge = progress.runs + 2 <= call.route.max_endpoints;
+        let delay = hedge_delay.filter(|_| may_hedge);
+        let mut has_run = false;
+        for ended in hedge::race(state, call, &instance, room, &mut tried, delay).await {
+            has_run |= ended.attempt.end() != End::NotRun;
+            if let Some((head, body)) = record(state, call, &mut progress, ended) {
                 return relay_response(caller, &head, &body).await;
             }
-            Attempt::Complete(head, body, _) => {
-                let reason = format!("status {}", head.status);
-                log_failed_attempt(call, &instance, "failed", &reason);
-                state
-                    .health
-                    .borrow_mut()
-                    .record_failure(clock::now(), &instance.id);
-                runs += 1;
-                failed = Some((head, body));
-            }
-            Attempt::NotSent(reason) | Attempt::NotRun(reason) => {
-                log_failed_attempt(call, &instance, "not-run", &reason);
-                last = Outcome::refused(&reason, RETRY_AFTER);
-                continue;
-            }
-            Attempt::Unknown(reason) => {
-                log_failed_attempt(call, &instance, "unknown", &reason);
-                state
-                    .health
-                    .borrow_mut()
-                    .record_failure(clock::now(), &instance.id);
-                runs += 1;
-                last = Outcome::unknown(502, &reason);
-            }
-            Attempt::Timeout => {
-                log_failed_attempt(call, &instance, "late", "no answer in time");
-                state
-                    .health
-                    .borrow_mut()
-                    .record_timeout(clock::now(), &instance.id);
-                last = Outcome::unknown(504, "late");
-                runs += 1;
-            }
         }
-        if call.route.retry_policy != RetryPolicy::Idempotent || runs >= call.route.max_endpoints {
+        let may_repeat = call.route.retry_policy == RetryPolicy::Idempotent;
+        if has_run && (!may_repeat || progress.runs >= call.route.max_endpoints) {
             break;
         }
     }
-    if let Some((head, body)) = failed {
+    if let Some((head, body)) = progress.failed {
         return relay_response(caller, &head, &body).await;
     }
+    if progress.runs == 0 {
+        let mut hedges = state.hedges.borrow_mut();
+        hedges.record_refusal(clock::now(), &call.service);
+    }
     match limit::service_wait(state, &call.service) {
-        Some(wait) if runs == 0 => limit::refuse(call, wait),
-        _ => last,
+        Some(wait) if progress.runs == 0 => limit::refuse(call, wait),
+        _ => progress.last,
+    }
+}
+
+/// Records the end of an attempt; returns the response if it is to be relayed.
+fn record(
+    state: &State,
+    call: &Call,
+    progress: &mut Progress,
+    ended: Ended,
+) -> Option<(Response, Vec<u8>)> {
+    let Ended {
+        instance,
+        took,
+        attempt,
+    } = ended;
+    let now = clock::now();
+    if !matches!(attempt, Attempt::NotSent(_)) {
+        progress.deliveries += 1;
+    }
+    if matches!(attempt, Attempt::Unknown(_) | Attempt::Timeout) {
+        call.is_trial.set(false);
+    }
+    if attempt.end() == End::Failed {
+        progress.runs += 1;
+    }
+    let mut health = state.health.borrow_mut();
+    match attempt {
+        Attempt::Complete(head, body, _) if head.status < 500 => {
+            health.record_success(now, &instance.id, took);
+            let mut loads = state.loads.borrow_mut();
+            loads.record_time(now, &instance.id, took);
+            let mut hedges = state.hedges.borrow_mut();
+            hedges.record_latency(now, &call.service, took);
+            return Some((head, body));
+        }
+        Attempt::Complete(head, body, _) => {
+            let reason = format!("status {}", head.status);
+            log_failed_attempt(call, &instance, "failed", &reason);
+            health.record_failure(now, &instance.id);
+            progress.failed = Some((head, body));
+        }
+        Attempt::NotSent(reason) => {
+            log_failed_attempt(call, &instance, "not-run", &reason);
+            progress.last = Outcome::refused(&reason, RETRY_AFTER);
+        }
+        Attempt::NotRun(reason) => {
+            log_failed_attempt(call, &instance, "not-run", &reason);
+            let mut hedges = state.hedges.borrow_mut();
+            hedges.record_refusal(now, &call.service);
+            progress.last = Outcome::refused(&reason, RETRY_AFTER);
+        }
+        Attempt::Unknown(reason) => {
+            log_failed_attempt(call, &instance, "unknown", &reason);
+            health.record_failure(now, &instance.id);
+            progress.last = Outcome::unknown(502, &reason);
+        }
+        Attempt::Timeout => {
+            log_failed_attempt(call, &instance, "late", "no answer in time");
+            health.record_timeout(now, &instance.id);
+            progress.last = Outcome::unknown(504, "late");
+        }
     }
+    None
 }
 
 async fn relay_response(caller: &mut Caller<'_>, head: &Response, body: &[u8]) -> Outcome {
@@ -149,7 +199,7 @@
 ///
 /// Returns an error if there is no endpoint, with the time until the next token or room if there
 /// are only endpoints with a limit or brittle ones.
-async fn acquire_endpoint(
+pub async fn acquire_endpoint(
     state: &Rc<State>,
     call: &Call,
     tried: &BTreeSet<Endpoint>,
@@ -168,7 +218,12 @@
     Err(next_token)
 }
 
-fn choose_endpoint(state: &State, call: &Call, tried: &BTreeSet<Endpoint>) -> Option<Rc<Instance>> {
+/// Returns the endpoint of a request's service that is ranked first, of those that were not tried.
+pub fn choose_endpoint(
+    state: &State,
+    call: &Call,
+    tried: &BTreeSet<Endpoint>,
+) -> Option<Rc<Instance>> {
     let now = clock::now();
     let catalog = state.catalog.borrow();
     let health = state.health.borrow();
@@ -198,18 +253,16 @@
     catalog.endpoint(&best)
 }
 
-async fn attempt(
+/// Sends the request to one endpoint, and records how its run ended for the detection of crashes. If the future is
+/// dropped, the run is cancelled and its connection closed.
+pub async fn attempt(
     state: &Rc<State>,
     call: &Call,
     instance: &Rc<Instance>,
     room: Option<Held>,
 ) -> Attempt {
     let run = Run::new(state, call, instance);
-    let may_have_run = call.may_have_run.replace(true);
     let attempt = send(state, call, instance, room).await;
-    if matches!(attempt, Attempt::NotSent(_) | Attempt::NotRun(_)) {
-        call.may_have_run.set(may_have_run);
-    }
     match &attempt {
         Attempt::Complete(head, _, framing) => run.responded(head.status, *framing),
         Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -12,6 +12,7 @@
 use endivespur_core::gateway::duration;
 use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health;
+use endivespur_core::gateway::hedge;
 use endivespur_core::gateway::limit;
 use endivespur_core::gateway::load;
 use endivespur_core::gateway::ownership::Claims;
@@ -107,6 +108,8 @@
     pub health: RefCell<health::Tracker>,
     /// The load that endpoints of plain services report.
     pub loads: RefCell<load::Tracker>,
+    /// The latencies of plain services, and the share of hedged requests.
+    pub hedges: RefCell<hedge::Tracker>,
     /// The brittle services, and the room that this gateway gives out.
     pub rooms: RefCell<room::Tracker>,
     /// The limits that endpoints have named.
@@ -184,6 +187,7 @@
             forwarded: Cell::new(0),
             health: RefCell::new(health::Tracker::new()),
             loads: RefCell::new(load::Tracker::new()),
+            hedges: RefCell::new(hedge::Tracker::new(settings.hedge_share)),
             rooms: RefCell::new(room::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
             streams: Streams::new(),
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -100,6 +100,11 @@
         .increment(1);
 }
 
+/// Counts a second run that was sent beside a slow first one, or denied.
+pub fn hedged(outcome: &'static str) {
+    counter!("endivespur_gateway_hedges_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an era of the store after the first one.
 pub fn era_entered() {
     counter!("endivespur_gateway_store_eras_total").increment(1);
--- a/crates/endivespurd/src/main.rs
+++ b/crates/endivespurd/src/main.rs
@@ -8,6 +8,7 @@
 
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, crate_version, value_parser};
+use endivespur_core::gateway::hedge::MAX_SHARE;
 use endivespur_log::Backlog;
 use endivespur_node::settings::{self, Finding, Settings};
 use endivespur_node::{Error, start};
@@ -52,6 +53,23 @@
                 .requires("platform")
                 .help("Serves metrics at /metrics on this port of the VM's address"),
         )
+        .arg(
+            Arg::new("hedge-share")
+                .long("hedge-share")
+                .value_name("SHARE")
+                .value_parser(parse_hedge_share)
+                .requires("platform")
+                .help("Permits this share of extra requests, 0 to 0.2, to hedge slow ones; 0 if absent"),
+        )
+}
+
+fn parse_hedge_share(text: &str) -> Result<f64, String> {
+    let share: f64 = text.parse().map_err(|_| "no number".to_string())?;
+    if (0.0..=MAX_SHARE).contains(&share) {
+        Ok(share)
+    } else {
+        Err(format!("must be from 0 to {MAX_SHARE}"))
+    }
 }
 
 fn main() -> ExitCode {
@@ -60,7 +78,9 @@
     let code = if matches.get_flag("platform") {
         backlog.release();
         let port = matches.get_one::<u16>("metrics-port").copied();
-        run_gateway(matches.get_flag("check"), port)
+        let hedge_share = matches.get_one::<f64>("hedge-share").copied();
+        let hedge_share = hedge_share.unwrap_or_default();
+        run_gateway(matches.get_flag("check"), port, hedge_share)
     } else {
         run_daemon(&matches, &backlog)
     };
@@ -104,8 +124,8 @@
 }
 
 /// Runs a gateway on the platform, which passes the path of the settings file in the environment.
-fn run_gateway(check_only: bool, metrics_port: Option<u16>) -> ExitCode {
-    let settings = match endivespur_platform::settings::read() {
+fn run_gateway(check_only: bool, metrics_port: Option<u16>, hedge_share: f64) -> ExitCode {
+    let mut settings = match endivespur_platform::settings::read() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -116,6 +136,7 @@
         println!("no findings");
         return ExitCode::SUCCESS;
     }
+    settings.hedge_share = hedge_share;
     abort_on_panic(Some(std::thread::current().id()));
     let executor = Rc::new(LocalExecutor::new());
     let gateway = endivespur_gateway::run(executor.clone(), settings, metrics_port);
