--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod generate;
 mod grace;
+mod hedge;
 mod lease;
 mod limit;
 mod link;
