Predict the pauses that a prompt causes, and prefer engines where they are short

Owners granted prompts without regard to the streams that run there.

Change: requests for grants carry the longest pause that meets the objective, the output tokens and the time left; the release carries the longest pause that the gateway saw. `placement::pause` predicts the longest pause of the streams of an engine while a new prompt is read, and that of its own stream beside the prompts before it. The expected number of responses made late counts as 400 ms of delay each, so that the search goes on to other engines; the last question of a search disregards it. An engine that would have to fetch the adapter counts 200 ms more when they are compared, as the weight store is shared. A gateway of an older release sends 0 in the new fields: its requests have no pause objective.

--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -47,7 +47,7 @@
     }
 
     /// Returns how long the pending prefills would take at the engine's usual speed.
-    fn pending_work(&self, now: Time) -> Duration {
+    pub(super) fn pending_work(&self, now: Time) -> Duration {
         let cost: Duration = self
             .pending_prefills
             .values()
@@ -151,6 +151,11 @@
     }
 }
 
+/// Returns how long an engine reads prompt tokens.
+pub(super) fn read_time(tokens: u32) -> Duration {
+    clock::from_secs(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1000.0)
+}
+
 /// Returns the duration of the prefill of a prompt whose first `cached` tokens are cached.
 pub(super) fn prefill_time(tokens: u32, cached: u64) -> Duration {
     let uncached = u64::from(tokens).saturating_sub(cached) as f64;
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -12,6 +12,7 @@
 
 mod estimate;
 mod order;
+mod pause;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -24,6 +25,9 @@
 use crate::gateway::table::EngineClass;
 use crate::id::{Grant, Version};
 
+pub use pause::Forecast;
+use pause::Stream;
+
 /// The assumed duration of a fetch from the weight store until one has been observed.
 const INITIAL_FETCH_TIME: Duration = Duration::from_millis(250);
 /// The assumed time until a full engine has a free slot, until it has been observed.
@@ -134,6 +138,14 @@
     pub only_resident: bool,
     /// The time left to send the prompt so that the request can still meet its objective; zero if that has passed.
     pub due_in: Duration,
+    /// The longest pause between two events that meets the objective; `None` if any does.
+    pub max_pause: Option<Duration>,
+    /// The maximum number of output tokens; 0 if it is not known.
+    pub output_tokens: u32,
+    /// The time left until the response must be complete; `None` if it is not known.
+    pub end_in: Option<Duration>,
+    /// Whether no other engine will be asked, so that the pauses that it causes no longer matter.
+    pub is_last: bool,
 }
 
 /// The answer to a request for a grant.
@@ -265,6 +277,10 @@
     /// The observed duration of a prefill divided by the duration according to the data sheet.
     prefill_slowdown: f64,
     slowness: Slowness,
+    /// The granted requests with an objective for their pauses.
+    streams: BTreeMap<Grant, Stream>,
+    /// The tokens of one event of a stream; 0 if that is not known.
+    tokens_per_event: u32,
     prefix_cache: Cache,
     next_grant: Grant,
     /// The unloaded adapters that the engine probably still caches outside its slots, with the
@@ -303,6 +319,8 @@
             prefill_work: Counter::default(),
             prefill_slowdown: 1.0,
             slowness: Slowness::default(),
+            streams: BTreeMap::new(),
+            tokens_per_event: class.tokens_per_event,
             prefix_cache: Cache::new(class.memory_tokens),
             next_grant: 1,
             cached_adapters: BTreeMap::new(),
@@ -361,14 +379,20 @@
             }
             max => max,
         };
-        if max_delay.is_some_and(|max| delay > max) {
-            return Decision::Busy(delay + self.load_penalty(now));
-        }
-        if self.is_ready(&request.weights) {
-            return Decision::Granted(self.grant(now, request));
+        let forecast = self.forecast(now, request);
+        let harm = if request.is_last {
+            Duration::ZERO
+        } else {
+            forecast.delay()
+        };
+        let is_busy = max_delay.is_some_and(|max| delay + harm > max);
+        let is_ready = self.is_ready(&request.weights);
+        if is_busy || (request.only_resident && !is_ready) {
+            let fetch = self.fetch_penalty(request);
+            return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
         }
-        if request.only_resident {
-            return Decision::Busy(delay + self.load_penalty(now));
+        if is_ready {
+            return Decision::Granted(self.grant(now, request, forecast));
         }
         Decision::Wait
     }
@@ -407,7 +431,7 @@
         }
     }
 
-    fn grant(&mut self, now: Time, request: &Request) -> Grant {
+    fn grant(&mut self, now: Time, request: &Request, forecast: Forecast) -> Grant {
         let grant = self.next_grant;
         self.next_grant += 1;
         let cached = self
@@ -420,6 +444,7 @@
             is_alone: self.pending_prefills.is_empty(),
         };
         self.pending_prefills.insert(grant, prefill);
+        self.record_pauses(grant, request, forecast, now + GRANT_TIMEOUT);
         let work = prefill.cost.as_secs_f64() * self.prefill_slowdown;
         self.prefill_work.add(now, PREFILL_WORK_HALF_LIFE, work);
         if let Some(adapter) = self.adapters.get_mut(&request.weights) {
@@ -456,6 +481,7 @@
     /// Records the end of a granted request.
     pub fn release(&mut self, weights: &Weights, grant: Grant) {
         self.pending_prefills.remove(&grant);
+        self.streams.remove(&grant);
         if let Some(adapter) = self.adapters.get_mut(weights) {
             adapter.users.remove(&grant);
         }
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -78,6 +78,7 @@
         for adapter in self.adapters.values_mut() {
             adapter.users.retain(|_, until| now < *until);
         }
+        self.streams.retain(|_, stream| now < stream.until);
         self.pending_prefills
             .retain(|_, prefill| now < prefill.sent + GRANT_TIMEOUT);
     }
--- /dev/null
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -0,0 +1,133 @@
+//! Predicts the pauses in streams that prompts cause: an engine reads a chunk of the pending prompts between every two
+//! tokens of its streams.
+//!
+//! A response is late as a whole once one of its pauses is too long. The harm of a prompt is therefore the number of
+//! streams that it is expected to make late, and a stream that other prompts already make late does not count again.
+
+use std::time::Duration;
+
+use super::{Engine, Request, estimate};
+use crate::clock::{self, Time};
+
+/// The duration of a step without prompt tokens, until it has been measured.
+const INITIAL_STEP_TIME: Duration = Duration::from_millis(5);
+/// The prompt tokens that an engine is assumed to read in one step, the larger of the sizes that engines are known to use.
+const CHUNK_TOKENS: u32 = 2_048;
+/// The range of a predicted pause, as a share of the longest one that meets the objective, in which the chance that it is
+/// too long rises from none to certainty. The slowness of the engine at that time is not known better.
+const RISK_RANGE: (f64, f64) = (0.7, 1.3);
+/// The delay that counts as much as one response that is made late.
+const LATE_DELAY: Duration = Duration::from_millis(400);
+/// The delay that counts as much as the cost of a fetch to others, beyond its duration: all engines share the weight
+/// store's bandwidth.
+const FETCH_DELAY: Duration = Duration::from_millis(200);
+
+/// The pauses of a granted request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stream {
+    /// The longest pause that meets its objective.
+    max_pause: Duration,
+    /// The longest pause that was predicted for it.
+    predicted: Duration,
+    /// When the grant expires if its release never arrives.
+    pub(super) until: Time,
+}
+
+impl Stream {
+    /// Returns the chance that a pause of this length makes the stream late, beyond those predicted before.
+    fn harm(&self, pause: Duration) -> f64 {
+        (risk(pause, self.max_pause) - risk(self.predicted, self.max_pause)).max(0.0)
+    }
+}
+
+/// Returns the chance that a predicted pause turns out longer than the longest one that meets the objective.
+fn risk(pause: Duration, max_pause: Duration) -> f64 {
+    let share = pause.as_secs_f64() / max_pause.as_secs_f64();
+    ((share - RISK_RANGE.0) / (RISK_RANGE.1 - RISK_RANGE.0)).clamp(0.0, 1.0)
+}
+
+/// The pauses that a request is expected to cause and to suffer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Forecast {
+    /// The longest pause of the engine's streams while its prompt is being read.
+    pub caused: Duration,
+    /// The longest pause of its own stream while the prompts before it are being read.
+    pub own: Duration,
+    /// The number of responses that these pauses are expected to make late.
+    pub harm: f64,
+}
+
+impl Forecast {
+    /// Returns the delay that counts as much as the harm.
+    pub fn delay(&self) -> Duration {
+        clock::scale(LATE_DELAY, self.harm)
+    }
+}
+
+impl Engine {
+    /// Predicts the pauses that a request is expected to cause and to suffer if it is granted now.
+    pub fn forecast(&self, now: Time, request: &Request) -> Forecast {
+        if self.streams.is_empty() && request.max_pause.is_none() {
+            return Forecast::default();
+        }
+        let cached = self
+            .prefix_cache
+            .cached_tokens(&request.weights, &request.parts);
+        let usual = estimate::prefill_time(request.tokens, cached);
+        let usual = clock::scale(usual, self.prefill_slowdown);
+        let ahead = self.pending_work(now);
+        let caused = self.pause(now, ahead + usual);
+        let own = self.pause(now, ahead);
+        let others: f64 = self
+            .streams
+            .values()
+            .map(|stream| stream.harm(caused))
+            .sum();
+        let own_harm = request.max_pause.map_or(0.0, |max| risk(own, max));
+        Forecast {
+            caused,
+            own,
+            harm: others + own_harm,
+        }
+    }
+
+    /// Returns the delay added for an adapter that the engine does not hold when engines are compared, for a request that
+    /// pauses may send elsewhere.
+    pub(super) fn fetch_penalty(&self, request: &Request) -> Duration {
+        if request.max_pause.is_none() || self.is_ready(&request.weights) {
+            return Duration::ZERO;
+        }
+        FETCH_DELAY
+    }
+
+    /// Returns the expected time between two events of a stream while the last part of pending prompts is being read.
+    fn pause(&self, now: Time, prompts: Duration) -> Duration {
+        let steps = self.tokens_per_event.max(1);
+        let chunk = clock::scale(estimate::read_time(CHUNK_TOKENS), self.prefill_slowdown);
+        let event = INITIAL_STEP_TIME * steps;
+        let end = self.slowness.stretch(now, prompts + event);
+        let start = prompts.saturating_sub(chunk * steps);
+        end.saturating_sub(self.slowness.stretch(now, start))
+    }
+
+    /// Records the pauses that a granted request causes and suffers.
+    pub(super) fn record_pauses(
+        &mut self,
+        grant: u64,
+        request: &Request,
+        forecast: Forecast,
+        until: Time,
+    ) {
+        for stream in self.streams.values_mut() {
+            stream.predicted = stream.predicted.max(forecast.caused);
+        }
+        if let Some(max_pause) = request.max_pause {
+            let stream = Stream {
+                max_pause,
+                predicted: forecast.own,
+                until,
+            };
+            self.streams.insert(grant, stream);
+        }
+    }
+}
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -80,6 +80,10 @@
         max_delay: None,
         only_resident: false,
         due_in: ms(500),
+        max_pause: None,
+        output_tokens: 0,
+        end_in: None,
+        is_last: false,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -2,7 +2,9 @@
 
 use assert_matches::assert_matches;
 use endivespur_core::gateway::choice;
-use endivespur_core::gateway::placement::{Action, Answer, Decision, Engine, Order, Report, Step};
+use endivespur_core::gateway::placement::{
+    Action, Answer, Decision, Engine, Order, Report, Request, Step,
+};
 use endivespur_core::gateway::prefix::Part;
 
 use crate::{answer, class, engine, grant, ms, order, report, request, weights};
@@ -512,3 +514,60 @@
     assert!(engine.backlog(ms(1)) <= usual);
     assert_matches!(engine.request(ms(1), &bounded), Decision::Granted(_));
 }
+
+/// Returns a request for a stream whose pauses may take `max_pause`.
+fn stream(tokens: u32, max_pause: u64) -> Request {
+    let mut stream = request("a");
+    (stream.tokens, stream.max_pause) = (tokens, Some(ms(max_pause)));
+    stream.max_delay = Some(ms(150));
+    stream.only_resident = true;
+    stream
+}
+
+/// A long prompt held up the streams of an engine, although other engines that hold its adapter had none.
+#[test]
+fn request_harms_streams() {
+    let mut engine = engine(2, &["a"]);
+    let Decision::Granted(grant) = engine.request(ms(0), &stream(400, 40)) else {
+        panic!("an idle engine refused a short prompt");
+    };
+    engine.response_started(ms(30), grant);
+    let mut long = stream(9_000, 40);
+    assert_matches!(engine.request(ms(50), &long), Decision::Busy(delay) if delay >= ms(400));
+    let mut short = stream(200, 40);
+    short.max_delay = Some(ms(10));
+    assert_matches!(engine.request(ms(50), &short), Decision::Granted(_));
+    long.is_last = true;
+    assert_matches!(engine.request(ms(100), &long), Decision::Granted(_));
+    // The second prompt's stream and the new one are harmed, but not the first, which is late already.
+    let harm = engine.forecast(ms(150), &long).harm;
+    assert!((1.9..2.1).contains(&harm), "{harm}");
+}
+
+/// A stream was sent to an engine that was slow at the moment, where its own pauses were too long.
+#[test]
+fn request_own_pauses() {
+    let mut engine = engine(2, &["a"]);
+    let next = stream(100, 10);
+    let Decision::Granted(grant) = engine.request(ms(0), &next) else {
+        panic!("an idle engine refused a short prompt");
+    };
+    engine.release(&weights("a"), grant);
+    engine.record_slowdown(ms(0), 450);
+    assert_matches!(engine.request(ms(0), &next), Decision::Busy(_));
+    assert_matches!(engine.request(ms(2_000), &next), Decision::Granted(_));
+}
+
+/// Requests of gateways of older releases name no pause, and were placed by their delay alone.
+#[test]
+fn request_without_pause_objective() {
+    let mut engine = engine(2, &["a"]);
+    let mut older = stream(9_000, 1);
+    older.max_pause = None;
+    older.max_delay = Some(ms(500));
+    for _ in 0..2 {
+        assert_matches!(engine.request(ms(0), &older), Decision::Granted(_));
+    }
+    let forecast = engine.forecast(ms(0), &older);
+    assert_eq!(forecast.delay(), ms(0));
+}
--- a/crates/endivespur_core/tests/histories/placement.rs
+++ b/crates/endivespur_core/tests/histories/placement.rs
@@ -268,6 +268,10 @@
         max_delay: None,
         only_resident: false,
         due_in: Duration::from_millis(500),
+        max_pause: None,
+        output_tokens: 0,
+        end_in: None,
+        is_last: false,
     }
 }
 
--- a/crates/endivespur_core/tests/load/fleet.rs
+++ b/crates/endivespur_core/tests/load/fleet.rs
@@ -43,6 +43,8 @@
 pub struct Policy {
     /// Whether they pass on how long work takes at an engine now.
     pub tells_slowdown: bool,
+    /// Whether they pass on the longest pauses that meet the objectives.
+    pub tells_pauses: bool,
 }
 
 /// What became of the requests.
@@ -62,6 +64,8 @@
     pub fetches: usize,
     /// The requests of the busiest engine.
     pub busiest: usize,
+    /// The requests for grants.
+    pub asks: usize,
 }
 
 /// An engine, its owner's view of it, and its registration.
@@ -182,13 +186,18 @@
             max_delay: None,
             only_resident: false,
             due_in: choice::due_in(class.objective, class.deadline, false),
+            max_pause: policy.tells_pauses.then_some(MAX_PAUSE),
+            output_tokens: class.output_tokens as u32,
+            end_in: policy.tells_pauses.then_some(class.deadline),
+            is_last: false,
         };
-        let chosen = search(&mut places, at, &request, class);
+        let chosen = search(&mut places, at, &request, class, &mut outcome);
         match chosen {
             Some((place, Some(grant))) => places[place].add(at, grant, &request.weights, class),
             Some((place, None)) => {
                 places[place].owner.add_waiter(at, &request);
-                let class = class.clone();
+                let (class, mut request) = (class.clone(), request);
+                request.is_last = true;
                 waiters.push(Waiter {
                     place,
                     request,
@@ -227,6 +236,7 @@
     now: Duration,
     request: &Request,
     class: &Class,
+    outcome: &mut Outcome,
 ) -> Option<(usize, Option<u64>)> {
     let instances: Vec<Instance> = places.iter().map(|place| place.instance.clone()).collect();
     let ranked = choice::rank_engines(&request.weights, 1, "za", instances.iter().collect());
@@ -240,6 +250,8 @@
             let mut request = request.clone();
             request.max_delay = Some(pass.max_delay);
             request.only_resident = pass.only_resident;
+            request.is_last = pass.max_delay >= class.deadline;
+            outcome.asks += 1;
             match places[ranked[position]].owner.request(now, &request) {
                 Decision::Granted(grant) => return Some((ranked[position], Some(grant))),
                 Decision::Wait => return Some((ranked[position], None)),
--- a/crates/endivespur_core/tests/load/pace.rs
+++ b/crates/endivespur_core/tests/load/pace.rs
@@ -23,6 +23,7 @@
         sum.refused += outcome.refused;
         sum.given_up += outcome.given_up;
         sum.fetches += outcome.fetches;
+        sum.asks += outcome.asks;
         sum.busiest += outcome.busiest;
     }
     sum
@@ -31,10 +32,27 @@
 /// Without the engines' figures, prompts are sent to engines that are slow at the moment, while others are not.
 #[test]
 fn slow_moments() {
-    let policy = |tells_slowdown| Policy { tells_slowdown };
+    let policy = |tells_slowdown| Policy {
+        tells_slowdown,
+        tells_pauses: false,
+    };
     let before = play_all(FLEET, &classes(20.0), policy(false));
     let after = play_all(FLEET, &classes(20.0), policy(true));
     println!("slow moments: {before:?} {after:?}");
     assert!(after.paused < before.paused, "{before:?} {after:?}");
     assert!(after.in_time > before.in_time, "{before:?} {after:?}");
 }
+
+/// Prompts were read beside streams that they held up, while other engines that hold the adapter had none.
+#[test]
+fn long_prompts_beside_streams() {
+    let policy = |tells_pauses| Policy {
+        tells_slowdown: true,
+        tells_pauses,
+    };
+    let before = play_all(FLEET, &classes(20.0), policy(false));
+    let after = play_all(FLEET, &classes(20.0), policy(true));
+    println!("long prompts: {before:?} {after:?}");
+    assert!(after.paused < before.paused, "{before:?} {after:?}");
+    assert!(after.in_time > before.in_time, "{before:?} {after:?}");
+}
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -128,6 +128,10 @@
             max_delay: None,
             only_resident: false,
             due_in: choice::due_in(class.objective, class.deadline, !policy.bounds_overload),
+            max_pause: None,
+            output_tokens: 0,
+            end_in: None,
+            is_last: false,
         };
         let passes = (policy.passes)(class.objective, class.deadline);
         match search(&mut places, at, &request, &passes) {
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -58,6 +58,8 @@
     /// How long work takes at the engine now, in percent of the usual time, until the owner has been told; 0 if it is not
     /// known.
     pub slowdown: u32,
+    /// The longest pause between two events of its stream; zero if it is not known.
+    pub longest_pause: Duration,
     _in_flight: InFlight,
 }
 
@@ -90,6 +92,7 @@
         let ended = Ended {
             is_adapter_missing: self.is_adapter_missing,
             slowdown: self.slowdown,
+            longest_pause: self.longest_pause,
         };
         let Location::Peer(address) = location else {
             self.state
@@ -296,6 +299,12 @@
             .saturating_sub(RESPONSE_MARGIN)
     }
 
+    /// Returns the longest pause between two events that meets the objective; `None` if the response is no stream.
+    fn max_pause(&self) -> Option<Duration> {
+        let (route, is_stream) = (&self.call.route, self.call.route.retry_policy.is_stream());
+        (is_stream && !route.max_pause.is_zero()).then_some(route.max_pause)
+    }
+
     /// Requests a grant from an engine's owner, and first a token if the engine has a limit; returns
     /// `None` if it has no owner, or one that does not reply.
     async fn request_grant(
@@ -312,6 +321,10 @@
             max_delay: Some(pass.max_delay),
             only_resident: pass.only_resident,
             due_in: choice::due_in(self.call.objective_left(), wait, self.has_begun),
+            max_pause: self.max_pause(),
+            output_tokens: fields.max_output_tokens,
+            end_in: Some(self.call.time_left()),
+            is_last: pass.max_delay >= wait,
         };
         let state = self.state;
         let record = |refusal: Refusal| {
@@ -437,6 +450,7 @@
         version: None,
         is_adapter_missing: false,
         slowdown: 0,
+        longest_pause: Duration::ZERO,
         _in_flight: InFlight::new(state, &instance.id),
     }
 }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -57,10 +57,39 @@
     is_resumed: bool,
     /// The bytes of an incomplete event.
     partial: Vec<u8>,
+    /// The time that the current engine has taken since its last event.
+    waited: Duration,
+    /// Whether the current engine has written an event.
+    has_event: bool,
+    /// The longest time that the current engine took between two events.
+    longest_pause: Duration,
     /// The software version that wrote its first event; only that version may resume it.
     software: Option<Software>,
 }
 
+impl Stream {
+    /// Begins the part that another engine writes.
+    fn begin(&mut self, is_resumed: bool) {
+        self.partial.clear();
+        self.is_resumed = is_resumed;
+        self.waited = Duration::ZERO;
+        self.has_event = false;
+        self.longest_pause = Duration::ZERO;
+    }
+
+    /// Records the time that the engine took, if events are complete.
+    fn record_pause(&mut self, is_complete: bool) {
+        if !is_complete {
+            return;
+        }
+        let waited = std::mem::take(&mut self.waited);
+        if self.has_event {
+            self.longest_pause = self.longest_pause.max(waited);
+        }
+        self.has_event = true;
+    }
+}
+
 /// The outcome of relaying one engine's response.
 enum Transfer {
     Complete,
@@ -117,6 +146,9 @@
             step: Step::Unknown,
             is_resumed: false,
             partial: Vec::new(),
+            waited: Duration::ZERO,
+            has_event: false,
+            longest_pause: Duration::ZERO,
             software: call.software.clone(),
         },
     };
@@ -247,7 +279,10 @@
                     health.record_success(clock::now(), &instance.id, took);
                 }
                 let stream = &mut progress.stream;
-                match relay_response(state, call, caller, &instance, &mut response, stream).await {
+                let transfer =
+                    relay_response(state, call, caller, &instance, &mut response, stream).await;
+                permit.longest_pause = stream.longest_pause;
+                match transfer {
                     Transfer::Complete => {
                         let status = response.head.status;
                         let framing = response.framing;
@@ -367,10 +402,13 @@
                 return Transfer::Aborted(error.to_string());
             }
         }
-        stream.partial.clear();
-        stream.is_resumed = is_resumed;
+        stream.begin(is_resumed);
         loop {
-            let bytes = match response.next_chunk(state).await {
+            let asked = clock::now();
+            let next = response.next_chunk(state).await;
+            // Without the time in which a slow caller holds up the stream.
+            stream.waited += clock::now().saturating_sub(asked);
+            let bytes = match next {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(error) => return Transfer::Interrupted(error.to_string()),
@@ -383,6 +421,7 @@
                 if stream.partial.len() > MAX_EVENT_BYTES {
                     return Transfer::Interrupted("event too long".to_string());
                 }
+                stream.record_pause(!events.is_empty());
                 if !events.is_empty() && stream.software.is_none() {
                     stream.software = Some(instance.software.clone());
                     stream::began(state, call, instance);
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -41,6 +41,9 @@
     to.set_wait_ms(millis(wait));
     to.set_only_resident(request.only_resident);
     to.set_due_ms(millis(request.due_in));
+    to.set_max_pause_ms(millis(request.max_pause.unwrap_or_default()));
+    to.set_output_tokens(u64::from(request.output_tokens));
+    to.set_end_ms(millis(request.end_in.unwrap_or_default()));
     let mut parts = to.init_parts(request.parts.len() as u32);
     for (index, part) in request.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -67,6 +70,7 @@
         })
         .collect();
     let max_delay = Duration::from_millis(u64::from(from.get_max_backlog_ms()));
+    let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     let request = Request {
         weights: Weights::new(from.get_base()?.to_str()?, from.get_adapter()?.to_str()?),
         tokens: read_tokens(from.get_tokens()),
@@ -74,8 +78,11 @@
         max_delay: from.get_bounded().then_some(max_delay),
         only_resident: from.get_only_resident(),
         due_in: Duration::from_millis(u64::from(from.get_due_ms())),
+        max_pause: read_time(from.get_max_pause_ms()),
+        output_tokens: read_tokens(from.get_output_tokens()),
+        end_in: read_time(from.get_end_ms()),
+        is_last: !from.get_bounded() || max_delay >= wait,
     };
-    let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     Ok((from.get_endpoint()?.to_string()?, request, wait))
 }
 
@@ -85,6 +92,11 @@
     u32::try_from(number).unwrap_or(u32::MAX)
 }
 
+/// Reads a time that is 0 if the sender does not know it, as gateways of older releases send.
+fn read_time(ms: u32) -> Option<Duration> {
+    (ms > 0).then(|| Duration::from_millis(u64::from(ms)))
+}
+
 /// Reads the reply to a request for a grant.
 ///
 /// # Errors
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -62,6 +62,8 @@
     pub is_adapter_missing: bool,
     /// How long work takes at the engine now, in percent of the usual time; 0 if it is not known.
     pub slowdown: u32,
+    /// The longest pause between two events of its stream; zero if it is not known.
+    pub longest_pause: Duration,
 }
 
 impl OwnedEngines {
@@ -142,10 +144,11 @@
         };
         let deadline = clock::now() + wait;
         let mut waiter: Option<Waiter> = None;
+        let mut request = request.clone();
         loop {
             let listener = owned.state_changed.listen();
             let now = clock::now();
-            match owned.engine.borrow_mut().request(now, request) {
+            match owned.engine.borrow_mut().request(now, &request) {
                 Decision::Granted(grant) => return Reply::Granted(grant),
                 // A request that already waits here is not sent elsewhere, where its wait would
                 // start over.
@@ -164,7 +167,9 @@
             if now >= deadline {
                 return Reply::Late;
             }
-            waiter.get_or_insert_with(|| Waiter::new(&owned, request));
+            waiter.get_or_insert_with(|| Waiter::new(&owned, &request));
+            // It stays here, and no end of a stream would wake it.
+            request.is_last = true;
             if timer::within(deadline.saturating_sub(now), listener)
                 .await
                 .is_none()
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -480,6 +480,7 @@
         to.set_grant(grant);
         to.set_missing(ended.is_adapter_missing);
         to.set_slowdown(ended.slowdown);
+        to.set_longest_pause_ms(millis(ended.longest_pause));
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -268,6 +268,7 @@
             Ended {
                 is_adapter_missing: params.get_missing(),
                 slowdown: params.get_slowdown(),
+                longest_pause: Duration::from_millis(u64::from(params.get_longest_pause_ms())),
             },
         );
         Ok(())
