Decide how much of their quotas teams may use

Cause: the configuration names quotas of teams, and nothing counts use over all gateways.

Change: core::gateway::quota divides a team's quota into up to 16 shards, each kept by the gateway that rendezvous hashing selects. A keeper lends from a bucket, for 0.3 s; a new one lends a shard only after 3.5 s, when no predecessor with an older view can. A gateway whose view is old lends only while it reaches most of the others, and takes nothing over while most of the known ones are lost. The wallet of a borrower decides about requests, estimates demand, and holds an allowance for the time without keepers.

--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! - [`ownership`]: which VM sends orders to an endpoint.
 //! - [`placement`]: which adapters an engine holds.
 //! - [`prefix`]: which prompt parts an engine caches.
+//! - [`quota`]: how much of their quotas teams may use.
 //! - [`choice`]: the order in which endpoints are tried.
 //! - [`health`]: which endpoints are avoided.
 //! - [`lease`]: how long orders may be sent under a lease.
@@ -30,6 +31,7 @@
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
+pub mod quota;
 pub mod reach;
 pub mod room;
 pub mod source;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod ownership;
 mod placement;
 mod prefix;
+mod quota;
 mod reach;
 mod room;
 mod source;
