Refuse requests of teams over their quotas

Cause: nothing checked the quotas of teams.

Change: endivespur_gateway::quota admits a request of a team with a quota before anything is placed for it, borrows from the keepers of the quota's shards (borrow, giveBack), and answers 429 with Retry-After otherwise. What a request was charged that did not run is returned. VM records say that a gateway keeps quotas, so that those of older builds are no keepers; Unimplemented counts as no reply. Keepers that had too little for a large request are still asked for smaller ones.

--- a/crates/endivespur_core/src/gateway/quota/contact.rs
+++ b/crates/endivespur_core/src/gateway/quota/contact.rs
@@ -19,8 +19,8 @@
 /// The maximum number of gateways that are probed. A wrong majority among as many requires that nearly half of all
 /// gateways are cut off together.
 const MAX_PROBED: usize = 96;
-/// The number of gateways that are probed at a time, every 100 ms: all within the time between the two ages.
-const PROBES: usize = 16;
+/// The number of gateways that are probed at each check, every 50 ms: all within the time between the two ages.
+const PROBES: usize = 8;
 
 /// The links to other gateways, as far as they were probed.
 #[derive(Clone, Debug, Default)]
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -67,6 +67,11 @@
         self.teams.is_empty()
     }
 
+    /// Returns whether any gateway is known, as this one itself some time after its start.
+    pub fn knows_gateways(&self) -> bool {
+        !self.vms.is_empty()
+    }
+
     /// Returns the version of the configuration whose quotas are in force here.
     pub fn version(&self) -> Option<u64> {
         self.version
@@ -238,15 +243,12 @@
         }
     }
 
-    /// Removes what was borrowed for a team and ends soon; returns it to be given back to its lenders.
-    pub fn expire(&mut self, now: Time, team: &str) -> Vec<Part> {
-        let entry = self.teams.get_mut(team);
-        entry.map_or_else(Vec::new, |entry| entry.wallet.expire(now))
-    }
-
-    /// Returns the time at which something that was borrowed for a team is next to be given back.
-    pub fn next_expiry(&self, team: &str) -> Option<Time> {
-        self.teams.get(team)?.wallet.next_expiry()
+    /// Removes what was borrowed and ends soon; returns it by team, to be given back to its lenders.
+    pub fn expire(&mut self, now: Time) -> Vec<(Team, Vec<Part>)> {
+        let entries = self.teams.iter_mut();
+        let ended = entries.map(|(team, entry)| (team, entry.wallet.expire(now)));
+        let ended = ended.filter(|(_, parts)| !parts.is_empty());
+        ended.map(|(team, parts)| (team.clone(), parts)).collect()
     }
 
     /// Returns what was used of a team's quota in about the last window.
--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -12,11 +12,13 @@
 const DEMAND_TIME: Duration = Duration::from_millis(500);
 /// The delay before a keeper that did not reply, or lends nothing, is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// The delay until a gateway that knows no keepers yet may know one.
+const UNKNOWN_DELAY: Duration = Duration::from_millis(20);
 /// The least delay before a keeper that had too little is asked again.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The number of keepers with too little that are asked for one request: the others have no more then.
 const MAX_REFUSALS: usize = 4;
-/// How long before their end loans are given back.
+/// How long before their end loans are given back; more than the time between two checks.
 const GIVE_BACK_TIME: Duration = Duration::from_millis(60);
 /// The gateways that are assumed to share the allowance without keepers at least: after a start, records may be missing.
 const MIN_GATEWAYS: usize = 6;
@@ -89,8 +91,9 @@
     demand: (f64, Time),
     /// What the gateway may use without keepers.
     fallback: (f64, Time),
-    /// Until when each keeper is not asked, and whether it replied.
-    blocked: BTreeMap<Vm, (Time, bool)>,
+    /// Until when each keeper is not asked, and from which amount on if it has too little; `None` if it did not reply, or
+    /// lends nothing.
+    blocked: BTreeMap<Vm, (Time, Option<u64>)>,
     /// The shard whose keeper is asked next.
     next: usize,
     /// Until when requests of at least an amount are refused.
@@ -143,7 +146,7 @@
             return self.refuse(now, amount, clock::from_secs(amount as f64 / terms.rate));
         }
         if inquiry.refusals < MAX_REFUSALS
-            && let Some(lender) = self.choose(now, keepers)
+            && let Some(lender) = self.choose(now, keepers, amount)
         {
             return Step::Borrow {
                 lender,
@@ -188,13 +191,16 @@
             }
             Some(Loan::Wait(wait)) => {
                 let until = now + wait.max(MIN_RETRY_DELAY);
-                self.blocked.insert(lender.to_string(), (until, true));
+                let blocked = self.blocked.get(lender).and_then(|(_, least)| *least);
+                let least = blocked.map_or(inquiry.amount, |least| least.min(inquiry.amount));
+                self.blocked
+                    .insert(lender.to_string(), (until, Some(least)));
                 inquiry.refusals += 1;
                 let least = inquiry.least_wait.map_or(wait, |least| least.min(wait));
                 inquiry.least_wait = Some(least);
             }
             Some(Loan::Unknown) | None => {
-                let blocked = (now + RETRY_DELAY, false);
+                let blocked = (now + RETRY_DELAY, None);
                 self.blocked.insert(lender.to_string(), blocked);
             }
         }
@@ -224,12 +230,6 @@
         ended
     }
 
-    /// Returns the time at which the next part is to be given back.
-    pub fn next_expiry(&self) -> Option<Time> {
-        let ends = self.parts.iter().map(|part| part.valid_until);
-        ends.min().map(|end| end.saturating_sub(GIVE_BACK_TIME))
-    }
-
     /// Returns what was used in the last window, and possibly somewhat earlier.
     pub fn used(&mut self, now: Time, terms: &Terms) -> u64 {
         self.turn_window(now, terms);
@@ -294,7 +294,11 @@
         let elapsed = now.saturating_sub(at).as_secs_f64();
         let filled = elapsed * capacity / terms.window.as_secs_f64().max(0.001);
         self.fallback = ((level + filled).min(capacity), now);
-        let lacks = |vm: &Vm| self.blocked.get(vm).is_some_and(|(_, replied)| !replied);
+        let lacks = |vm: &Vm| {
+            self.blocked
+                .get(vm)
+                .is_some_and(|(_, least)| least.is_none())
+        };
         let is_lacking = keepers.is_empty() || keepers.iter().any(lacks);
         if !is_lacking || self.fallback.0 < amount as f64 {
             return None;
@@ -308,13 +312,14 @@
         })
     }
 
-    /// Returns the next keeper that may have something to lend.
-    fn choose(&mut self, now: Time, keepers: &[Vm]) -> Option<Vm> {
+    /// Returns the next keeper that may have something to lend for a request.
+    fn choose(&mut self, now: Time, keepers: &[Vm], amount: u64) -> Option<Vm> {
         self.blocked.retain(|_, (until, _)| now < *until);
         let count = keepers.len();
         let offset = (0..count).find(|offset| {
             let vm = &keepers[(self.next + offset) % count];
-            !self.blocked.contains_key(vm)
+            let blocked = self.blocked.get(vm);
+            !blocked.is_some_and(|(_, least)| least.is_none_or(|least| least <= amount))
         })?;
         let shard = (self.next + offset) % count;
         self.next = shard + 1;
@@ -330,6 +335,9 @@
 
     /// Returns the time until a keeper may have something to lend.
     fn wait(&self, now: Time, keepers: &[Vm], inquiry: &Inquiry) -> Duration {
+        if keepers.is_empty() {
+            return UNKNOWN_DELAY;
+        }
         let times = keepers.iter().filter_map(|vm| self.blocked.get(vm));
         let times = times.map(|(until, _)| until.saturating_sub(now));
         let wait = times.min().unwrap_or(RETRY_DELAY);
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -169,11 +169,11 @@
     }
 
     fn probe(&mut self, index: usize) {
-        if !self.now.as_millis().is_multiple_of(100) {
+        if !self.now.as_millis().is_multiple_of(50) {
             return;
         }
         let node = &mut self.nodes[index];
-        let view_age = self.now - node.updated_at;
+        let view_age = self.now.saturating_sub(node.updated_at);
         let probed = node.tracker.as_mut().unwrap().check(self.now, view_age);
         for vm in probed {
             if self.reaches(index, number(&vm)) {
@@ -185,8 +185,9 @@
 
     fn expire(&mut self, index: usize) {
         let tracker = self.nodes[index].tracker.as_mut().unwrap();
-        let parts = tracker.expire(self.now, TEAM);
-        self.give_back(index, parts);
+        for (_, parts) in tracker.expire(self.now) {
+            self.give_back(index, parts);
+        }
     }
 
     fn give_back(&mut self, index: usize, parts: Vec<Part>) {
@@ -205,7 +206,7 @@
             return None;
         }
         let node = &mut self.nodes[to];
-        let view_age = self.now - node.updated_at;
+        let view_age = self.now.saturating_sub(node.updated_at);
         let tracker = node.tracker.as_mut().unwrap();
         let loan = tracker.lend(self.now, view_age, TEAM, needed, wanted);
         (!self.rng.random_bool(self.loss)).then_some(loan)
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -48,6 +48,9 @@
     /// Whether it can keep the origins of streams in the store; not of an older release.
     #[serde(default)]
     pub keeps_streams: bool,
+    /// Whether it can keep quotas of teams; not of an older release.
+    #[serde(default)]
+    pub keeps_quotas: bool,
 }
 
 fn default_link_rate() -> u64 {
@@ -255,7 +258,7 @@
     }
 
     /// Iterates over the gateways, this one included.
-    pub fn peers(&self) -> impl Iterator<Item = (&Vm, &Peer)> {
+    pub fn peers(&self) -> impl Iterator<Item = (&Vm, &Peer)> + Clone {
         self.peers.iter()
     }
 }
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -195,6 +195,15 @@
         }
     }
 
+    /// Creates the refusal of a request over its team's quota: it has not run, and the caller may retry.
+    pub fn over_quota(retry_after: Duration) -> Self {
+        Self::Generated {
+            status: 429,
+            retry_after: Some(retry_after),
+            reason: "quota".to_string(),
+        }
+    }
+
     /// Creates a failure after which it is unknown whether the request ran.
     pub fn unknown(status: u16, reason: &str) -> Self {
         Self::Generated {
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod peer;
 mod peers;
 mod plain;
+mod quota;
 mod reach;
 mod readiness;
 mod record;
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -221,6 +221,7 @@
         is_cut_off,
         link_rate: state.settings.link_rate,
         keeps_streams: true,
+        keeps_quotas: true,
     };
     let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
     Ok((format!("{VM_KEY_PREFIX}{}", state.settings.vm), value))
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -9,12 +9,13 @@
 use endivespur_core::gateway::limit::Decision;
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::gateway::prefix::{MAX_PROMPT_PARTS, Part};
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::room::Hold;
 use endivespur_core::gateway::stream::{Batch, Origin};
 use endivespur_core::gateway::transfer::Packed;
 use endivespur_wire::gateway_capnp::{
-    self, ask, item, news, reply, room_reply, streams, token_reply, update, value_reply,
+    self, ask, item, loan, news, reply, room_reply, streams, token_reply, update, value_reply,
 };
 
 use crate::owned::Reply;
@@ -121,6 +122,33 @@
     })
 }
 
+/// Writes the reply to a request for an amount of a quota.
+pub fn write_loan(mut to: loan::Builder<'_>, loan: Loan) {
+    match loan {
+        Loan::Amount(amount, validity) => {
+            to.set_amount(amount);
+            to.set_valid_ms(millis(validity));
+        }
+        // A wait of a part of a millisecond is none for the borrower.
+        Loan::Wait(wait) => to.set_wait_ms(millis(wait).saturating_add(1)),
+        Loan::Unknown => to.set_unknown(()),
+    }
+}
+
+/// Reads the reply to a request for an amount of a quota.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed.
+pub fn read_loan(from: loan::Reader<'_>) -> Result<Loan, capnp::Error> {
+    let validity = Duration::from_millis(u64::from(from.get_valid_ms()));
+    Ok(match from.which()? {
+        loan::Which::Amount(amount) => Loan::Amount(amount, validity),
+        loan::Which::WaitMs(wait) => Loan::Wait(Duration::from_millis(u64::from(wait))),
+        loan::Which::Unknown(()) => Loan::Unknown,
+    })
+}
+
 /// Encodes what a gateway says about its link to an endpoint.
 pub fn encode_reach(reach: Reach) -> gateway_capnp::Reach {
     match reach {
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -11,6 +11,7 @@
 use endivespur_core::gateway::feed::{Change, Cursor};
 use endivespur_core::gateway::limit::{Decision, Rate};
 use endivespur_core::gateway::placement::Request;
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::room::{self, Hold};
 use endivespur_core::gateway::stream::{Batch, Key};
@@ -385,6 +386,61 @@
     notify(state, address, send).await;
 }
 
+/// A request for an amount of a team's quota.
+pub struct Borrowing<'a> {
+    /// The team.
+    pub team: &'a str,
+    /// The version of the configuration that this gateway knows.
+    pub version: u64,
+    /// The least amount.
+    pub needed: u64,
+    /// The greatest amount.
+    pub wanted: u64,
+    /// What this gateway has used in the window of the quota.
+    pub used: u64,
+}
+
+/// Borrows an amount of a team's quota from the gateway at an address; returns `None` without a reply, as from a gateway
+/// of an older release.
+pub async fn borrow(
+    state: &Rc<State>,
+    address: SocketAddr,
+    borrowing: &Borrowing<'_>,
+) -> Option<Loan> {
+    if state.peers.is_unresponsive(address) {
+        return None;
+    }
+    let send = async |client: gateway::Client| {
+        let mut request = client.borrow_request();
+        let mut to = request.get();
+        to.set_team(borrowing.team);
+        to.set_version(borrowing.version);
+        to.set_needed(borrowing.needed);
+        to.set_wanted(borrowing.wanted);
+        to.set_used(borrowing.used);
+        let response = request.send().promise.await;
+        let loan =
+            response.and_then(|response| message::read_loan(response.get()?.get_loan()?).map(Some));
+        unless_unimplemented(loan, None)
+    };
+    request(state, address, REPLY_SLACK, send).await.ok()?
+}
+
+/// Gives an amount of a team's quota that was not used back to the gateway at an address.
+///
+/// If this is lost, the amount is lost too, as if it had been used.
+pub async fn give_back(state: &Rc<State>, address: SocketAddr, team: &str, amount: u64) {
+    let send = async |client: gateway::Client| {
+        let mut request = client.give_back_request();
+        let mut to = request.get();
+        to.set_team(team);
+        to.set_amount(amount);
+        let response = request.send().promise.await;
+        unless_unimplemented(response.map(drop), ())
+    };
+    notify(state, address, send).await;
+}
+
 /// Notifies the gateway at an address that an endpoint no longer names a limit.
 ///
 /// If this is lost, gateways keep to the limit until they have a response of the endpoint themselves.
--- /dev/null
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -0,0 +1,368 @@
+//! Keeps teams to their quotas, together with the other gateways.
+//!
+//! A request of a team with a quota is admitted before anything is placed for it. This gateway lends the shards of
+//! quotas that it keeps, and borrows from the keepers of the others.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::clock::Time;
+use endivespur_core::gateway::quota::Excess;
+use endivespur_core::gateway::quota::keeper::Loan;
+use endivespur_core::gateway::quota::tracker::Tracker;
+use endivespur_core::gateway::quota::wallet::{Inquiry, Part, Step};
+use endivespur_core::id::{Team, Vm};
+use endivespur_platform::settings::Settings;
+use log::info;
+use smol::Timer;
+use smol::lock::Mutex;
+
+use crate::exchange::{Call, Outcome};
+use crate::peer::{self, Borrowing};
+use crate::state::State;
+use crate::{telemetry, timer};
+
+/// How long a request waits for an amount rather than being refused: a new keeper's bucket fills within that time.
+const MAX_WAIT: Duration = Duration::from_millis(150);
+/// The same while no gateway is known: after its start, a gateway writes its own record within this time.
+const MAX_START_WAIT: Duration = Duration::from_millis(700);
+/// The time between two checks of the loans and of the view of the other gateways.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// For how long a team must not be refused before that is logged as the end of its refusals.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// The unit in which responses state the time to retry, which is rounded up.
+const RETRY_UNIT: Duration = Duration::from_millis(10);
+
+/// The refusals of one team at this gateway.
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    since: Time,
+    last: Time,
+    count: u64,
+}
+
+/// The quotas of teams.
+pub struct Quotas {
+    /// The decisions.
+    pub tracker: RefCell<Tracker>,
+    /// Held by the request of each team that borrows: the others use what it gets.
+    borrowing: RefCell<BTreeMap<Team, Rc<Mutex<()>>>>,
+    refusals: RefCell<BTreeMap<Team, Refusals>>,
+}
+
+impl Quotas {
+    /// Creates the quotas of a gateway that starts now, before there is a configuration.
+    pub fn new(settings: &Settings) -> Self {
+        let excess = Excess {
+            window: settings.quota_window,
+            ratio: settings.quota_excess_ratio,
+            tokens: settings.quota_excess,
+        };
+        let tracker = Tracker::new(clock::now(), &settings.vm, excess, settings.is_first_start);
+        Self {
+            tracker: RefCell::new(tracker),
+            borrowing: RefCell::new(BTreeMap::new()),
+            refusals: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    fn lock(&self, team: &str) -> Rc<Mutex<()>> {
+        let mut borrowing = self.borrowing.borrow_mut();
+        borrowing.entry(team.to_string()).or_default().clone()
+    }
+
+    /// Records a refusal, and logs the first one.
+    fn refused(&self, now: Time, team: &str, amount: u64, wait: Duration) {
+        let mut all = self.refusals.borrow_mut();
+        let refusals = all.entry(team.to_string()).or_insert_with(|| {
+            info!(
+                event = "quota", team, state = "refused", amount, wait_ms = wait.as_millis() as u64;
+                "over the quota"
+            );
+            Refusals {
+                since: now,
+                last: now,
+                count: 0,
+            }
+        });
+        refusals.last = now;
+        refusals.count += 1;
+    }
+
+    /// Logs the teams that are no longer refused.
+    fn check_refusals(&self, now: Time) {
+        self.refusals.borrow_mut().retain(|team, refusals| {
+            let is_refused = now < refusals.last + REFUSAL_TIME;
+            if !is_refused {
+                let lasted = refusals.last.saturating_sub(refusals.since);
+                info!(
+                    event = "quota", team = team.as_str(), state = "admitted", refused = refusals.count,
+                    lasted_ms = lasted.as_millis() as u64; "no longer over the quota"
+                );
+            }
+            is_refused
+        });
+    }
+}
+
+/// What a request was charged. Dropped unspent, it is returned.
+pub struct Charge {
+    state: Rc<State>,
+    team: Team,
+    parts: Vec<Part>,
+}
+
+impl Charge {
+    /// Records that the request has run, or may have.
+    pub fn spend(mut self) {
+        self.parts.clear();
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        let parts = std::mem::take(&mut self.parts);
+        if parts.is_empty() {
+            return;
+        }
+        telemetry::quota_decided("returned");
+        let ended = {
+            let mut tracker = self.state.quotas.tracker.borrow_mut();
+            tracker.put_back(clock::now(), &self.team, parts)
+        };
+        give_back(&self.state, &self.team, ended);
+    }
+}
+
+/// Starts the task that follows the configuration and the other gateways. Without quotas it does nothing.
+pub fn start(state: &Rc<State>) {
+    state.spawn(follow(state.clone()));
+}
+
+async fn follow(state: Rc<State>) {
+    loop {
+        let changed = state.changed.listen();
+        synchronize(&state);
+        if state.quotas.tracker.borrow().is_empty() {
+            changed.await;
+            continue;
+        }
+        check(&state);
+        timer::within(CHECK_INTERVAL, changed).await;
+        // Changes may come by the hundred; the checks need not.
+        Timer::after(CHECK_INTERVAL / 5).await;
+    }
+}
+
+/// Takes over the configuration in force, and the known gateways if there are quotas.
+fn synchronize(state: &State) {
+    let now = clock::now();
+    let catalog = state.catalog.borrow();
+    let Some(table) = catalog.table() else {
+        return;
+    };
+    let mut tracker = state.quotas.tracker.borrow_mut();
+    let is_new = tracker.version() != Some(table.version);
+    if is_new {
+        tracker.configure(now, table.version, table.teams.as_ref());
+    }
+    if !tracker.is_empty() {
+        let peers = catalog.peers().filter(|(_, peer)| peer.keeps_quotas);
+        tracker.assign(now, peers.map(|(vm, _)| vm));
+    }
+}
+
+/// Gives loans back that end soon, and probes other gateways if there has been no news of them.
+fn check(state: &Rc<State>) {
+    let now = clock::now();
+    state.quotas.check_refusals(now);
+    let (ended, probed) = {
+        let mut tracker = state.quotas.tracker.borrow_mut();
+        (
+            tracker.expire(now),
+            tracker.check(now, view_age(state, now)),
+        )
+    };
+    for (team, parts) in ended {
+        give_back(state, &team, parts);
+    }
+    for vm in probed {
+        let state = state.clone();
+        state.clone().spawn(async move { probe(&state, &vm).await });
+    }
+}
+
+fn view_age(state: &State, now: Time) -> Duration {
+    now.saturating_sub(state.updated_at.get())
+}
+
+/// Finds out whether another gateway replies.
+async fn probe(state: &Rc<State>, vm: &Vm) {
+    let sent = clock::now();
+    if ask(state, vm, "", 0, 0).await.is_some() {
+        let mut tracker = state.quotas.tracker.borrow_mut();
+        tracker.probe_replied(vm, sent);
+    }
+}
+
+/// Gives back what was not used to those that have lent it.
+fn give_back(state: &Rc<State>, team: &str, parts: Vec<Part>) {
+    let mut amounts: BTreeMap<Vm, u64> = BTreeMap::new();
+    for part in parts {
+        if let Some(lender) = part.lender {
+            *amounts.entry(lender).or_default() += part.amount;
+        }
+    }
+    for (lender, amount) in amounts {
+        if lender == state.settings.vm {
+            let mut tracker = state.quotas.tracker.borrow_mut();
+            tracker.give_back(clock::now(), team, amount);
+            continue;
+        }
+        let address = state
+            .catalog
+            .borrow()
+            .peer(&lender)
+            .map(|peer| peer.address);
+        if let Some(address) = address {
+            let (task_state, team) = (state.clone(), team.to_string());
+            state.spawn(async move {
+                peer::give_back(&task_state, address, &team, amount).await;
+            });
+        }
+    }
+}
+
+/// Lends an amount of a team's quota to another gateway.
+pub fn lend(state: &State, team: &str, needed: u64, wanted: u64) -> Loan {
+    let now = clock::now();
+    let mut tracker = state.quotas.tracker.borrow_mut();
+    tracker.lend(now, view_age(state, now), team, needed, wanted)
+}
+
+/// Asks a keeper for an amount; returns `None` without a reply.
+async fn ask(state: &Rc<State>, lender: &Vm, team: &str, needed: u64, wanted: u64) -> Option<Loan> {
+    if *lender == state.settings.vm {
+        return Some(lend(state, team, needed, wanted));
+    }
+    let address = state.catalog.borrow().peer(lender)?.address;
+    let (version, used) = {
+        let mut tracker = state.quotas.tracker.borrow_mut();
+        (
+            tracker.version().unwrap_or_default(),
+            tracker.used(clock::now(), team),
+        )
+    };
+    let borrowing = Borrowing {
+        team,
+        version,
+        needed,
+        wanted,
+        used,
+    };
+    peer::borrow(state, address, &borrowing).await
+}
+
+/// Admits a request if its team's quota permits it; returns what it was charged, `None` without a quota.
+///
+/// # Errors
+///
+/// Returns the refusal of a request over the quota.
+pub async fn admit(state: &Rc<State>, call: &Call) -> Result<Option<Charge>, Outcome> {
+    let Some(team) = &call.team else {
+        return Ok(None);
+    };
+    let table = state.catalog.borrow().table();
+    let teams = table.as_ref().and_then(|table| table.teams.as_ref());
+    let Some(quota) = teams.and_then(|teams| teams.get(team)?.quota) else {
+        return Ok(None);
+    };
+    let now = clock::now();
+    let amount = quota.unit.amount(call.fields.token_usage);
+    // The configuration may have arrived just now.
+    let version = state.quotas.tracker.borrow().version();
+    if version != table.as_ref().map(|table| table.version) {
+        synchronize(state);
+    }
+    state
+        .quotas
+        .tracker
+        .borrow_mut()
+        .demanded(now, team, amount);
+    let max_wait = if state.quotas.tracker.borrow().knows_gateways() {
+        MAX_WAIT
+    } else {
+        MAX_START_WAIT
+    };
+    let mut inquiry = Inquiry::new(amount, now + max_wait.min(call.time_left()));
+    loop {
+        match step(state, team, &inquiry) {
+            None => return Ok(None),
+            Some(Step::Admit(parts)) => return Ok(Some(charge(state, team, parts))),
+            Some(Step::Refuse(wait)) => return Err(refuse(state, team, amount, wait)),
+            Some(Step::Wait(wait)) => {
+                Timer::after(wait).await;
+                inquiry = inquiry.again();
+            }
+            Some(Step::Borrow { .. }) => {
+                let lock = state.quotas.lock(team);
+                let _guard = lock.lock().await;
+                // Another request may have borrowed enough meanwhile.
+                if let Some(Step::Borrow {
+                    lender,
+                    needed,
+                    wanted,
+                }) = step(state, team, &inquiry)
+                {
+                    borrow(state, team, &mut inquiry, &lender, needed, wanted).await;
+                }
+            }
+        }
+    }
+}
+
+fn step(state: &State, team: &str, inquiry: &Inquiry) -> Option<Step> {
+    let mut tracker = state.quotas.tracker.borrow_mut();
+    tracker.step(clock::now(), team, inquiry)
+}
+
+async fn borrow(
+    state: &Rc<State>,
+    team: &str,
+    inquiry: &mut Inquiry,
+    lender: &Vm,
+    needed: u64,
+    wanted: u64,
+) {
+    let sent = clock::now();
+    let loan = ask(state, lender, team, needed, wanted).await;
+    telemetry::quota_borrowed(match loan {
+        Some(Loan::Amount(..)) => "lent",
+        Some(Loan::Wait(_)) => "exhausted",
+        Some(Loan::Unknown) => "unknown",
+        None => "no-reply",
+    });
+    let mut tracker = state.quotas.tracker.borrow_mut();
+    tracker.replied(clock::now(), team, inquiry, lender, sent, loan);
+}
+
+fn charge(state: &Rc<State>, team: &str, parts: Vec<Part>) -> Charge {
+    let is_fallback = parts.iter().any(|part| part.lender.is_none());
+    telemetry::quota_decided(if is_fallback { "fallback" } else { "admitted" });
+    Charge {
+        state: state.clone(),
+        team: team.to_string(),
+        parts,
+    }
+}
+
+fn refuse(state: &State, team: &str, amount: u64, wait: Duration) -> Outcome {
+    telemetry::quota_decided("refused");
+    state.quotas.refused(clock::now(), team, amount, wait);
+    let units = wait.as_millis().div_ceil(RETRY_UNIT.as_millis()).max(1);
+    let retry_after = RETRY_UNIT * u32::try_from(units).unwrap_or(u32::MAX);
+    Outcome::over_quota(retry_after)
+}
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -20,6 +20,7 @@
 
 use crate::message;
 use crate::owned::Reply;
+use crate::quota;
 use crate::reach;
 use crate::record;
 use crate::state::State;
@@ -174,6 +175,30 @@
         Ok(())
     }
 
+    async fn borrow(
+        self: Rc<Self>,
+        params: gateway::BorrowParams,
+        mut results: gateway::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = params.get_team()?.to_str()?;
+        let loan = quota::lend(&self.state, team, params.get_needed(), params.get_wanted());
+        message::write_loan(results.get().init_loan(), loan);
+        Ok(())
+    }
+
+    async fn give_back(
+        self: Rc<Self>,
+        params: gateway::GiveBackParams,
+        _: gateway::GiveBackResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = params.get_team()?.to_str()?;
+        let mut quotas = self.state.quotas.tracker.borrow_mut();
+        quotas.give_back(clock::now(), team, params.get_amount());
+        Ok(())
+    }
+
     async fn streams_began(
         self: Rc<Self>,
         params: gateway::StreamsBeganParams,
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -20,7 +20,7 @@
 
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{authorize, crash, generate, plain, reach, resume, telemetry, timer};
+use crate::{authorize, crash, generate, plain, quota, reach, resume, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -269,6 +269,7 @@
                 .and_then(|table| table.services.get(&call.service))
                 .and_then(|group| group.engine.as_ref());
             let is_engine = class.is_some();
+            let mut charge = None;
             let response = async {
                 if is_stopping && let Err(refusal) = limit_to_grace(state, &mut call) {
                     return refusal;
@@ -281,6 +282,10 @@
                 {
                     return refusal;
                 }
+                match quota::admit(state, &call).await {
+                    Ok(charged) => charge = charged,
+                    Err(refusal) => return refusal,
+                }
                 if is_engine && let Err(refusal) = resume::pin(state, &mut call).await {
                     return refusal;
                 }
@@ -302,19 +307,13 @@
                 state.must_answer().await;
                 End::Stopped
             };
-            match response.or(disconnected).or(stopped).await {
-                End::Answered(outcome) => {
-                    if call.may_have_run.get() {
-                        let took = clock::now().saturating_sub(started);
-                        let mut durations = state.durations.borrow_mut();
-                        durations.record(&call.route.name, took);
-                    }
-                    outcome
-                }
-                End::CallerLeft => Outcome::Aborted("caller left".to_string()),
-                End::Stopped if call.may_have_run.get() => Outcome::unknown(504, "stopped"),
-                End::Stopped => Outcome::refused("stopped", STOPPING_RETRY_AFTER),
+            let end = response.or(disconnected).or(stopped).await;
+            if call.may_have_run.get()
+                && let Some(charge) = charge
+            {
+                charge.spend();
             }
+            conclude(state, &call, end)
         }
     };
     let outcome = match outcome {
@@ -339,6 +338,23 @@
     Stopped,
 }
 
+/// Returns the outcome of a request whose handling has ended.
+fn conclude(state: &State, call: &Call, end: End) -> Outcome {
+    match end {
+        End::Answered(outcome) => {
+            if call.may_have_run.get() {
+                let took = clock::now().saturating_sub(call.started);
+                let mut durations = state.durations.borrow_mut();
+                durations.record(&call.route.name, took);
+            }
+            outcome
+        }
+        End::CallerLeft => Outcome::Aborted("caller left".to_string()),
+        End::Stopped if call.may_have_run.get() => Outcome::unknown(504, "stopped"),
+        End::Stopped => Outcome::refused("stopped", STOPPING_RETRY_AFTER),
+    }
+}
+
 /// Limits a request to the time that is left until the process stops.
 ///
 /// # Errors
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -34,6 +34,7 @@
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
+use crate::quota::Quotas;
 use crate::streams::Streams;
 use crate::task::Tasks;
 use crate::telemetry;
@@ -108,6 +109,8 @@
     pub rooms: RefCell<room::Tracker>,
     /// The limits that endpoints have named.
     pub limits: RefCell<limit::Tracker>,
+    /// The quotas of teams.
+    pub quotas: Quotas,
     /// The streams that began recently.
     pub streams: Streams,
     /// The requests that crashed endpoints.
@@ -182,6 +185,7 @@
             health: RefCell::new(health::Tracker::new()),
             rooms: RefCell::new(room::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
+            quotas: Quotas::new(&settings),
             streams: Streams::new(),
             crashes: RefCell::new(crash::Tracker::new()),
             checks: Checks::new(),
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -26,7 +26,9 @@
 /// Records the outcome and latency of a caller's request.
 pub fn request_finished(service: &str, request_outcome: &Outcome, took: Duration) {
     let (outcome, reason) = match request_outcome {
-        Outcome::Generated { status, reason, .. } if *status == 503 => ("refused", reason.as_str()),
+        Outcome::Generated { status, reason, .. } if matches!(*status, 429 | 503) => {
+            ("refused", reason.as_str())
+        }
         Outcome::Generated { reason, .. } => ("failed", reason.as_str()),
         Outcome::Relayed(status) if *status < 500 => ("relayed", ""),
         Outcome::Relayed(_) => ("relayed-failure", ""),
@@ -76,6 +78,16 @@
     counter!("endivespur_gateway_tokens_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a decision by a team's quota: `admitted`, `refused`, `fallback` or `returned`.
+pub fn quota_decided(outcome: &'static str) {
+    counter!("endivespur_gateway_quota_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a request for a loan of a team's quota: `lent`, `exhausted`, `unknown` or `no-reply`.
+pub fn quota_borrowed(outcome: &'static str) {
+    counter!("endivespur_gateway_quota_loans_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request for the store's changes to a source, the store or another gateway.
 pub fn source_asked(outcome: &'static str) {
     counter!("endivespur_gateway_sources_total", "outcome" => outcome).increment(1);
