--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod placement;
 mod prefix;
+mod quota;
 mod reach;
 mod room;
 mod source;
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod peer;
 mod peers;
 mod plain;
+mod quota;
 mod reach;
 mod readiness;
 mod record;
