Let only fresh views begin lending again, and bound the time in which keepers are asked

A gateway that reaches no keeper asked up to 16 of them, 60 to 140 ms each, before it refused.

Change: replies of a majority keep a view valid, and do not restore it. Keepers are asked for 0.3 s for one request. Views are relied on for 1.4 s, so that new keepers settle within 3 s. The model checks that no shard is lent by two gateways.

--- a/crates/endivespur_core/src/gateway/quota/contact.rs
+++ b/crates/endivespur_core/src/gateway/quota/contact.rs
@@ -11,16 +11,16 @@
 use crate::id::Vm;
 
 /// The age of a view up to which it is relied on without further evidence.
-pub const MAX_VIEW_AGE: Duration = Duration::from_millis(1_800);
+pub const MAX_VIEW_AGE: Duration = Duration::from_millis(1_400);
 /// The age of a view from which gateways are probed.
-const PROBE_AGE: Duration = Duration::from_secs(1);
+const PROBE_AGE: Duration = Duration::from_millis(900);
 /// How long a reply proves a link; no longer than a view may be old.
 const REPLY_TIME: Duration = MAX_VIEW_AGE;
 /// The maximum number of gateways that are probed. A wrong majority among as many requires that nearly half of all
 /// gateways are cut off together.
 const MAX_PROBED: usize = 96;
 /// The number of gateways that are probed at each check, every 50 ms: all within the time between the two ages.
-const PROBES: usize = 8;
+const PROBES: usize = 12;
 
 /// The links to other gateways, as far as they were probed.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +28,8 @@
     replies: BTreeMap<Vm, Time>,
     next: usize,
     checked_at: Option<Time>,
+    /// Whether the view was not valid at the last check.
+    is_broken: bool,
 }
 
 impl Contact {
@@ -55,16 +57,21 @@
         places.map(|place| sample[place].clone()).collect()
     }
 
-    /// Returns whether a view of this age, with these other gateways, has been valid since the last check. It may not
-    /// have been if the last check was long ago: the process may have been suspended.
+    /// Returns whether a view of this age, with these other gateways, has been valid since the last check.
+    ///
+    /// It may not have been if the last check was long ago: the process may have been suspended. Replies do not make it
+    /// valid again: those that reply may have had newer views meanwhile.
     pub fn check(&mut self, now: Time, view_age: Duration, others: &[Vm]) -> bool {
         let last = self.checked_at.replace(now);
-        if last.is_some_and(|last| now.saturating_sub(last) >= MAX_VIEW_AGE) {
-            return false;
-        }
-        if view_age < MAX_VIEW_AGE {
-            return true;
-        }
+        let was_suspended = last.is_some_and(|last| now.saturating_sub(last) >= MAX_VIEW_AGE);
+        let is_fresh = view_age < MAX_VIEW_AGE;
+        let is_valid =
+            !was_suspended && (is_fresh || !self.is_broken && self.has_majority(now, others));
+        self.is_broken = !is_valid;
+        is_valid
+    }
+
+    fn has_majority(&self, now: Time, others: &[Vm]) -> bool {
         let sample = sample(others);
         let replied = sample.iter().filter(|vm| {
             let sent = self.replies.get(vm.as_str());
--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -18,6 +18,8 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The number of keepers with too little that are asked for one request: the others have no more then.
 const MAX_REFUSALS: usize = 4;
+/// How long keepers are asked for one request: three that do not reply within 80 ms each, and a fourth.
+const MAX_ASK_TIME: Duration = Duration::from_millis(300);
 /// How long before their end loans are given back; more than the time between two checks.
 const GIVE_BACK_TIME: Duration = Duration::from_millis(60);
 /// The gateways that are assumed to share the allowance without keepers at least: after a start, records may be missing.
@@ -35,11 +37,13 @@
 }
 
 /// The progress of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Inquiry {
     amount: u64,
     /// Until when the request may wait for an amount.
     wait_until: Time,
+    /// Until when keepers are asked for it: those that do not reply cost time.
+    ask_until: Time,
     /// The keepers that had too little.
     refusals: usize,
     /// The longest time until one of them has as much as was needed.
@@ -47,11 +51,12 @@
 }
 
 impl Inquiry {
-    /// Begins the decision about a request that counts as `amount` and may wait until `wait_until`.
-    pub fn new(amount: u64, wait_until: Time) -> Self {
+    /// Begins the decision about a request that counts as `amount` and may wait for `wait`.
+    pub fn new(now: Time, amount: u64, wait: Duration) -> Self {
         Self {
             amount,
-            wait_until,
+            wait_until: now + wait,
+            ask_until: now + MAX_ASK_TIME,
             refusals: 0,
             least_wait: None,
         }
@@ -59,7 +64,11 @@
 
     /// Begins the decision again after a wait.
     pub fn again(&self) -> Self {
-        Self::new(self.amount, self.wait_until)
+        Self {
+            refusals: 0,
+            least_wait: None,
+            ..*self
+        }
     }
 }
 
@@ -146,6 +155,7 @@
             return self.refuse(now, amount, clock::from_secs(amount as f64 / terms.rate));
         }
         if inquiry.refusals < MAX_REFUSALS
+            && now < inquiry.ask_until
             && let Some(lender) = self.choose(now, keepers, amount)
         {
             return Step::Borrow {
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::quota::Excess;
-use endivespur_core::gateway::quota::keeper::Loan;
+use endivespur_core::gateway::quota::keeper::{Keeper, Loan, Start};
 use endivespur_core::gateway::quota::tracker::Tracker;
 use endivespur_core::gateway::quota::wallet::{Inquiry, Part, Step};
+use endivespur_core::gateway::quota::{Excess, MAX_SHARDS, Terms};
 use endivespur_core::gateway::team::{Quota, Team, Teams, Unit};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +20,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// How long a request may wait for an amount.
 const MAX_WAIT: Duration = Duration::from_millis(150);
+/// The number of gateways up to which each is checked at each tick.
+const MAX_CHECKED: usize = 9;
 const EXCESS: Excess = Excess {
     window: Duration::from_secs(8),
     ratio: 0.1,
@@ -169,7 +171,8 @@
     }
 
     fn probe(&mut self, index: usize) {
-        if !self.now.as_millis().is_multiple_of(50) {
+        let is_due = self.now.as_millis().is_multiple_of(50);
+        if !is_due && self.nodes.len() > MAX_CHECKED {
             return;
         }
         let node = &mut self.nodes[index];
@@ -217,7 +220,7 @@
         let node = &mut self.nodes[index];
         let tracker = node.tracker.as_mut().unwrap();
         tracker.demanded(self.now, TEAM, amount);
-        node.waiting.push(Inquiry::new(amount, self.now + MAX_WAIT));
+        node.waiting.push(Inquiry::new(self.now, amount, MAX_WAIT));
         node.amounts.push(amount);
     }
 
@@ -288,6 +291,9 @@
         let mut due = 0.0;
         while self.now < end {
             self.step();
+            if self.nodes.len() <= MAX_CHECKED && self.now > ms(8_000) {
+                self.assert_one_keeper();
+            }
             due += rate * TICK.as_secs_f64();
             while due > 0.0 {
                 let amount = match self.rng.random_range(0..10) {
@@ -304,6 +310,14 @@
         }
     }
 
+    /// Checks that no shard is lent by two gateways at a time.
+    fn assert_one_keeper(&self) {
+        let running = (0..self.nodes.len()).filter(|node| self.runs(*node));
+        let trackers = running.filter_map(|node| self.nodes[node].tracker.as_ref());
+        let weight: f64 = trackers.map(|tracker| tracker.weight(self.now, TEAM)).sum();
+        assert!(weight < 1.001, "{weight} lent at {:?}", self.now);
+    }
+
     /// Checks every window from `from` on.
     fn assert_bound(&self, from: Time, rate: f64, context: &str) {
         let (mut sum, mut first) = (0, 0);
@@ -401,6 +415,23 @@
     }
 }
 
+/// A bucket that filled up while its loans were still to be used permitted both at once.
+#[test]
+fn quota_loans_count_until_they_end() {
+    let terms = Terms::new(&quota(RATE), &EXCESS);
+    let mut keeper = Keeper::new(ms(0));
+    keeper.assign(ms(0), &terms, &[true; MAX_SHARDS], Start::Full);
+    let mut loans: Vec<(Time, u64)> = Vec::new();
+    for now in (0..4_000).step_by(7).map(ms) {
+        if let Loan::Amount(amount, validity) = keeper.lend(now, &terms, 5_000, 50_000) {
+            loans.push((now + validity, amount));
+        }
+        loans.retain(|(end, _)| now < *end);
+        let lent: u64 = loans.iter().map(|(_, amount)| amount).sum();
+        assert!(lent as f64 <= terms.capacity, "{lent} at {now:?}");
+    }
+}
+
 /// After a lowered limit had three seconds to spread, every window must keep to it.
 #[test]
 fn quota_bound_after_a_lowered_limit() {
@@ -499,7 +530,7 @@
         tracker.configure(ms(0), 1, Some(&teams));
         let mut admitted: BTreeMap<u64, u64> = BTreeMap::new();
         for now in (0..16_000).step_by(10) {
-            let mut inquiry = Inquiry::new(1, ms(now));
+            let mut inquiry = Inquiry::new(ms(now), 1, ms(0));
             loop {
                 match tracker.step(ms(now), TEAM, &inquiry).unwrap() {
                     Step::Admit(_) => {
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -297,7 +297,7 @@
     } else {
         MAX_START_WAIT
     };
-    let mut inquiry = Inquiry::new(amount, now + max_wait.min(call.time_left()));
+    let mut inquiry = Inquiry::new(now, amount, max_wait.min(call.time_left()));
     loop {
         match step(state, team, &inquiry) {
             None => return Ok(None),
