--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -17,6 +17,8 @@
 mod source;
 mod stream;
 mod table;
+mod team;
+mod throttle;
 mod transfer;
 mod version;
 
