--- a/crates/endivespur_gateway/src/hedge.rs
+++ b/crates/endivespur_gateway/src/hedge.rs
@@ -17,8 +17,8 @@
 use log::info;
 use smol::future::FutureExt;
 
+use crate::attempt::{self, Attempt};
 use crate::exchange::Call;
-use crate::plain::{self, Attempt};
 use crate::room::Held;
 use crate::state::State;
 use crate::{crash, telemetry, timer};
@@ -78,7 +78,7 @@
         attempt,
     };
     // Pinned on the heap, so that the losing run can be dropped before the answer is relayed.
-    let mut first = Box::pin(plain::attempt(state, call, instance, room));
+    let mut first = Box::pin(attempt::run(state, call, instance, room));
     // A hedge that would have less time than most requests take is of no use.
     let delay = delay.filter(|delay| call.time_left() > *delay * 2);
     let early = match delay {
@@ -114,7 +114,7 @@
     tried.insert(second.id.clone());
     let mut hedge = Hedge::new(call, &second.id);
     let hedge_sent = clock::now();
-    let mut other = Some(Box::pin(plain::attempt(state, call, &second, room)));
+    let mut other = Some(Box::pin(attempt::run(state, call, &second, room)));
     let mut first = Some(first);
     let mut all = Vec::new();
     loop {
@@ -172,7 +172,7 @@
     call: &Call,
     tried: &BTreeSet<Endpoint>,
 ) -> Result<(Rc<Instance>, Option<Held>), &'static str> {
-    let best = plain::choose_endpoint(state, call, tried).ok_or("no-endpoint")?;
+    let best = attempt::choose_endpoint(state, call, tried).ok_or("no-endpoint")?;
     let now = clock::now();
     if state.health.borrow().is_avoided(now, &best.id) {
         return Err("no-endpoint");
@@ -184,7 +184,7 @@
         .borrow_mut()
         .withdraw(now, &call.service, waiting)
         .map_err(Denial::name)?;
-    let acquired = plain::acquire_endpoint(state, call, tried).await;
+    let acquired = attempt::acquire_endpoint(state, call, tried).await;
     let (instance, room) = acquired.map_err(|_| "limited")?;
     if instance.id != best.id && is_full(state, &instance) {
         return Err(Denial::Overload.name());
