Choose the plain endpoint of least cost instead of the better one of two

Two endpoints drawn by hash were compared, so that gateways do not all choose the same one by the same figures. In the model each gateway has figures of its own, and the draw only sent more requests to a slow endpoint.

Run: core tests gateway and load; gateway tests balance, hedge, limit, rest and retry: all passed.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -182,9 +182,8 @@
 /// count.
 const MIN_WORK: f64 = 0.005;
 
-/// An endpoint of the same zone is preferred while half of its slots are free and it is hardly slower than the others.
-/// Else the better one of two comes first that are drawn by the hash: if all gateways chose the best by figures of the
-/// same age, they would all choose the same endpoint until the next ones arrive.
+/// An endpoint of the same zone is preferred while half of its slots are free and it is hardly slower than the others,
+/// the cheapest one if there are several; else the endpoint with the least cost.
 fn rank_by_load(candidates: Vec<Candidate>, hash: u64) -> Vec<Candidate> {
     let loads = candidates.iter().filter_map(|candidate| candidate.load);
     let weights: f64 = loads.clone().map(|load| load.work_weight).sum();
@@ -210,21 +209,21 @@
             (cost, share, candidate)
         })
         .collect();
-    ranked.sort_by_key(|(_, _, candidate)| {
-        (candidate.is_avoided, hash::mix(&candidate.endpoint, hash))
+    ranked.sort_by(|(cost, _, candidate), (other_cost, _, other)| {
+        (candidate.is_avoided.cmp(&other.is_avoided))
+            .then(cost.total_cmp(other_cost))
+            .then_with(|| {
+                let hash_of = |candidate: &Candidate| hash::mix(&candidate.endpoint, hash);
+                hash_of(candidate).cmp(&hash_of(other))
+            })
     });
     let sound = ranked.iter().filter(|ranked| !ranked.2.is_avoided).count();
-    let least = ranked[..sound]
-        .iter()
-        .map(|(cost, ..)| *cost)
-        .fold(f64::INFINITY, f64::min);
+    let least = ranked.first().map_or(0.0, |(cost, ..)| *cost);
     let near = ranked[..sound].iter().position(|(cost, share, candidate)| {
         candidate.is_same_zone && *share < 0.5 && *cost <= least * SAME_ZONE_FACTOR
     });
     if let Some(near) = near {
         ranked[..=near].rotate_right(1);
-    } else if sound > 1 && ranked[1].0 < ranked[0].0 {
-        ranked.swap(0, 1);
     }
     ranked
         .into_iter()
