--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod ahead;
 mod apply;
 mod assign;
+mod attempt;
 mod authorize;
 mod catalog;
 mod checks;
