Refuse requests that cannot end before their deadline

Cause: a request was begun at an engine that could not end it before its caller left, so that the engine's work was wasted.

Change: an owner refuses a request whose delay, prefill and half of the expected output, at the engine's pace, take longer than the time left, wherever it is asked; the caller gets a 503 with a time to retry. While only engines with the adapter are asked, those that can write all of the expected output are preferred. Callers may accept far more output than comes, so that the share of it that responses of the engine had is learned from their durations, from nothing on; responses that their deadline may have cut off do not count. Streams that have begun send no time left, nor do gateways of older releases, and are never refused for it. A request that waits for its adapter is checked again with the time that is left then.

--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -35,6 +35,25 @@
         end.saturating_sub(self.slowness.stretch(now, ahead) + usual)
     }
 
+    /// Returns whether a request that begins after `delay` can end in time if its response has this share of the expected
+    /// output.
+    pub(super) fn can_end(
+        &self,
+        now: Time,
+        request: &Request,
+        delay: Duration,
+        share: f64,
+    ) -> bool {
+        let Some(end_in) = request.end_in else {
+            return true;
+        };
+        let figures = self.pace(now);
+        let prefill = figures.prefill_time(self.uncached_tokens(request));
+        let tokens = f64::from(request.output_tokens) * self.output_share;
+        let output = clock::scale(figures.step_time(), tokens);
+        delay + prefill + clock::scale(output, share) <= end_in
+    }
+
     /// Returns the number of prompt tokens of a request that are probably not cached.
     pub(super) fn uncached_tokens(&self, request: &Request) -> u64 {
         let cached = self
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -38,6 +38,11 @@
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 /// The half-life of the sum of prefill work.
 const PREFILL_WORK_HALF_LIFE: Duration = Duration::from_secs(3);
+/// The share of the expected output that a response certainly has: a request is only refused if it misses its deadline
+/// clearly.
+const CERTAIN_SHARE: f64 = 0.5;
+/// The weight of the newest sample in the moving average of the share of the accepted output that is written.
+const OUTPUT_SHARE_WEIGHT: f64 = 0.15;
 /// The slowness above which the pauses of a stream tell nothing of an engine's usual pace.
 const MAX_USUAL_SLOWNESS: f64 = 1.3;
 /// The backlog above which an engine counts as busy.
@@ -139,7 +144,7 @@
     pub max_pause: Option<Duration>,
     /// The maximum number of output tokens; 0 if it is not known.
     pub output_tokens: u32,
-    /// The time left until the response must be complete; `None` if it is not known.
+    /// The time left until the response must be complete; `None` if it is not known, or if the stream has begun.
     pub end_in: Option<Duration>,
     /// Whether no other engine will be asked, so that the pauses that it causes no longer matter.
     pub is_last: bool,
@@ -273,6 +278,9 @@
     busy_since: Option<Time>,
     /// The prefill work sent to the engine, in seconds.
     prefill_work: Counter,
+    /// The share of the output tokens that callers accept which responses had, by their durations. Callers may name far
+    /// more than comes, so that it is 0 until it has been observed.
+    output_share: f64,
     /// The usual pace of the engine, as observed.
     pace: Pace,
     /// How long work takes now, compared with that.
@@ -317,6 +325,7 @@
             pending_prefills: BTreeMap::new(),
             busy_since: None,
             prefill_work: Counter::default(),
+            output_share: 0.0,
             pace: Pace::new(now, None),
             slowness: Slowness::default(),
             streams: BTreeMap::new(),
@@ -400,6 +409,11 @@
             }
             max => max,
         };
+        if let Some(end_in) = request.end_in
+            && !self.can_end(now, request, delay, CERTAIN_SHARE)
+        {
+            return Decision::Busy(delay.max(end_in) + self.load_penalty(now));
+        }
         let forecast = self.forecast(now, request);
         let harm = if request.is_last {
             Duration::ZERO
@@ -407,7 +421,9 @@
             forecast.delay()
         };
         let harm = harm + self.stream_penalty(request);
-        let is_busy = max_delay.is_some_and(|max| delay + harm > max);
+        // Among engines with its adapter, one that can write all of the output is preferred.
+        let is_busy = max_delay.is_some_and(|max| delay + harm > max)
+            || (request.only_resident && !self.can_end(now, request, delay, 1.0));
         let is_ready = self.is_ready(&request.weights);
         if is_busy || (request.only_resident && !is_ready) {
             let fetch = self.fetch_penalty(request);
@@ -465,7 +481,7 @@
             is_alone: self.pending_prefills.is_empty(),
         };
         self.pending_prefills.insert(grant, prefill);
-        self.record_pauses(grant, request, forecast, now + GRANT_TIMEOUT);
+        self.record_pauses(now, grant, request, forecast);
         let work = prefill.cost.as_secs_f64();
         self.prefill_work.add(now, PREFILL_WORK_HALF_LIFE, work);
         if let Some(adapter) = self.adapters.get_mut(&request.weights) {
@@ -490,6 +506,9 @@
         let Some(prefill) = self.pending_prefills.remove(&grant) else {
             return;
         };
+        if let Some(stream) = self.streams.get_mut(&grant) {
+            stream.started = Some(now);
+        }
         if prefill.is_alone {
             let took = now.saturating_sub(prefill.sent);
             let slowness = self.slowness(now);
@@ -498,12 +517,18 @@
         }
     }
 
-    /// Records the longest pause between two events of the stream of a granted request that has ended.
-    pub fn record_pause(&mut self, now: Time, grant: Grant, longest: Duration) {
-        let is_usual = self.slowness(now) < MAX_USUAL_SLOWNESS;
-        let is_alone = self.streams.get(&grant).is_some_and(Stream::is_alone);
-        if is_usual && is_alone && !longest.is_zero() {
-            let slowness = self.slowness(now);
+    /// Records the end of the stream of a granted request, and the longest pause between two of its events; zero if that is
+    /// not known.
+    pub fn record_end(&mut self, now: Time, grant: Grant, longest: Duration) {
+        let Some(stream) = self.streams.get(&grant).copied() else {
+            return;
+        };
+        let slowness = self.slowness(now);
+        if let Some(share) = stream.output_share(now, self.pace(now).step_time()) {
+            self.output_share += OUTPUT_SHARE_WEIGHT * (share - self.output_share);
+        }
+        let is_usual = slowness < MAX_USUAL_SLOWNESS && self.tokens_per_event > 0;
+        if is_usual && stream.is_alone && !longest.is_zero() {
             self.pace
                 .record_pause(now, self.tokens_per_event, longest, slowness);
         }
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -6,8 +6,9 @@
 
 use std::time::Duration;
 
-use super::{Engine, Request};
+use super::{Engine, GRANT_TIMEOUT, Request};
 use crate::clock::{self, Time};
+use crate::id::Grant;
 
 /// The prompt tokens that an engine is assumed to read in one step, the larger of the sizes that engines are known to use.
 const CHUNK_TOKENS: u32 = 2_048;
@@ -22,6 +23,8 @@
 /// The delay that counts as much as one more stream on an engine, which later prompts may make late. At 20 ms, a
 /// quarter more requests for grants were sent, and 1 in 70 more responses were in time.
 const STREAM_DELAY: Duration = Duration::from_millis(10);
+/// How long before its deadline a stream that ends may have been cut off by it.
+const END_MARGIN: Duration = Duration::from_millis(100);
 
 /// The pauses of a granted request.
 #[derive(Clone, Copy, Debug)]
@@ -31,15 +34,27 @@
     /// The longest pause that was predicted for it.
     predicted: Duration,
     /// Whether no other prompt is known to have been read since it was granted.
-    is_alone: bool,
+    pub(super) is_alone: bool,
+    /// When its response began.
+    pub(super) started: Option<Time>,
+    /// The maximum number of output tokens; 0 if it is not known.
+    output_tokens: u32,
+    /// When its response must be complete.
+    end: Option<Time>,
     /// When the grant expires if its release never arrives.
     pub(super) until: Time,
 }
 
 impl Stream {
-    /// Returns whether no other prompt is known to have been read since the stream was granted.
-    pub(super) fn is_alone(&self) -> bool {
-        self.is_alone
+    /// Returns the share of the output tokens that its caller accepts which a stream that ends now has written, if its
+    /// engine needed the usual time for each; `None` if it is not known or if the deadline may have cut it off.
+    pub(super) fn output_share(&self, now: Time, step: Duration) -> Option<f64> {
+        if self.end.is_some_and(|end| now + END_MARGIN >= end) {
+            return None;
+        }
+        let all = step.as_secs_f64() * f64::from(self.output_tokens);
+        let took = now.saturating_sub(self.started?).as_secs_f64();
+        (all > 0.0).then(|| (took / all).min(1.0))
     }
 
     /// Returns the chance that a pause of this length makes the stream late, beyond those predicted before.
@@ -127,10 +142,10 @@
     /// Records the pauses that a granted request causes and suffers.
     pub(super) fn record_pauses(
         &mut self,
-        grant: u64,
+        now: Time,
+        grant: Grant,
         request: &Request,
         forecast: Forecast,
-        until: Time,
     ) {
         for stream in self.streams.values_mut() {
             stream.predicted = stream.predicted.max(forecast.caused);
@@ -141,7 +156,10 @@
                 max_pause,
                 predicted: forecast.own,
                 is_alone: self.pending_prefills.len() == 1,
-                until,
+                started: None,
+                output_tokens: request.output_tokens,
+                end: request.end_in.map(|end_in| now + end_in),
+                until: now + GRANT_TIMEOUT,
             };
             self.streams.insert(grant, stream);
         }
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -1,5 +1,7 @@
 //! Adapters on an engine: slots in use, orders that are lost or late, consecutive loads.
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
 use endivespur_core::gateway::choice;
 use endivespur_core::gateway::placement::{
@@ -571,3 +573,54 @@
     let forecast = engine.forecast(ms(0), &older);
     assert_eq!(forecast.delay(), ms(0));
 }
+
+/// A request that could not end in time was begun all the same, and its caller left before.
+#[test]
+fn request_cannot_end() {
+    let mut engine = engine(2, &["a"]);
+    let mut prompt = request("a");
+    (prompt.tokens, prompt.end_in, prompt.is_last) = (20_000, Some(ms(400)), true);
+    assert_matches!(engine.request(ms(0), &prompt), Decision::Busy(_));
+    prompt.end_in = None;
+    assert_matches!(engine.request(ms(0), &prompt), Decision::Granted(_));
+}
+
+/// Runs streams one after the other, of which each takes `took`; returns the time at their end.
+fn run_streams(engine: &mut Engine, request: &Request, took: Duration) -> Duration {
+    let mut now = ms(0);
+    for _ in 0..60 {
+        let Decision::Granted(grant) = engine.request(now, request) else {
+            panic!("an idle engine refused a request");
+        };
+        engine.response_started(now + ms(20), grant);
+        now += ms(20) + took;
+        engine.record_end(now, grant, ms(0));
+        engine.release(&request.weights, grant);
+    }
+    now
+}
+
+/// Callers may accept far more output than comes: only what responses had before counts, and a clear miss.
+#[test]
+fn request_cannot_write_its_output() {
+    let mut long = stream(100, 10_000);
+    long.output_tokens = 1_000;
+    let mut known = engine(2, &["a"]);
+    let now = run_streams(&mut known, &long, ms(5_000));
+    (long.is_last, long.only_resident, long.end_in) = (true, false, Some(ms(1_000)));
+    assert_matches!(known.request(now, &long), Decision::Busy(_));
+    // Engines are only preferred for all of the expected output.
+    long.end_in = Some(ms(3_500));
+    long.only_resident = true;
+    assert_matches!(known.request(now, &long), Decision::Busy(_));
+    long.only_resident = false;
+    assert_matches!(known.request(now, &long), Decision::Granted(_));
+    // A stream that has begun goes on, and gateways of older releases name no time.
+    long.end_in = None;
+    assert_matches!(known.request(now, &long), Decision::Granted(_));
+    let mut short = stream(100, 10_000);
+    (short.output_tokens, short.end_in) = (u32::MAX, Some(ms(1_000)));
+    let mut other = engine(2, &["a"]);
+    let now = run_streams(&mut other, &short, ms(500));
+    assert_matches!(other.request(now, &short), Decision::Granted(_));
+}
--- a/crates/endivespur_core/tests/load/fleet.rs
+++ b/crates/endivespur_core/tests/load/fleet.rs
@@ -45,6 +45,8 @@
     pub tells_slowdown: bool,
     /// Whether they pass on the longest pauses that meet the objectives.
     pub tells_pauses: bool,
+    /// Whether they pass on the time left.
+    pub tells_end: bool,
 }
 
 /// What became of the requests.
@@ -96,7 +98,7 @@
         }
         for run in events.completed.iter().chain(&events.given_up) {
             if policy.tells_pauses {
-                self.owner.record_pause(end, run.grant, run.longest_pause);
+                self.owner.record_end(end, run.grant, run.longest_pause);
             }
             self.owner.release(&run.weights, run.grant);
         }
@@ -199,7 +201,7 @@
             due_in: choice::due_in(class.objective, class.deadline, false),
             max_pause: policy.tells_pauses.then_some(MAX_PAUSE),
             output_tokens: class.output_tokens as u32,
-            end_in: policy.tells_pauses.then_some(class.deadline),
+            end_in: policy.tells_end.then_some(class.deadline),
             is_last: false,
         };
         let chosen = search(&mut places, at, &request, class, &mut outcome);
--- a/crates/endivespur_core/tests/load/pace.rs
+++ b/crates/endivespur_core/tests/load/pace.rs
@@ -1,5 +1,7 @@
 //! Engines that differ in pace and are slow for moments.
 
+use std::time::Duration;
+
 use crate::fleet::{Fleet, Outcome, Policy, play};
 use crate::model::Class;
 use crate::popular::{SEEDS, classes};
@@ -36,6 +38,7 @@
     let policy = |tells_slowdown| Policy {
         tells_slowdown,
         tells_pauses: false,
+        tells_end: false,
     };
     let before = play_all(FLEET, &classes(20.0), policy(false));
     let after = play_all(FLEET, &classes(20.0), policy(true));
@@ -50,6 +53,7 @@
     let policy = |tells_pauses| Policy {
         tells_slowdown: true,
         tells_pauses,
+        tells_end: true,
     };
     let before = play_all(FLEET, &classes(20.0), policy(false));
     let after = play_all(FLEET, &classes(20.0), policy(true));
@@ -64,6 +68,7 @@
     let policy = |tells_pauses| Policy {
         tells_slowdown: true,
         tells_pauses,
+        tells_end: true,
     };
     let before = play_all(FLEET, &classes(20.0), policy(false));
     let after = play_all(FLEET, &classes(20.0), policy(true));
@@ -85,6 +90,7 @@
     let policy = |tells_pauses| Policy {
         tells_slowdown: true,
         tells_pauses,
+        tells_end: true,
     };
     let before = play_all(equal, &classes(20.0), policy(false));
     let after = play_all(equal, &classes(20.0), policy(true));
@@ -99,6 +105,7 @@
     let policy = Policy {
         tells_slowdown: true,
         tells_pauses: true,
+        tells_end: true,
     };
     for (paces, rate) in [((0.25, 0.5), 8.0), ((1.6, 3.0), 40.0)] {
         let fleet = Fleet { paces, ..FLEET };
@@ -108,3 +115,28 @@
         assert!(outcome.misjudged * 5 <= engines, "{paces:?} {outcome:?}");
     }
 }
+
+/// Streams were begun at engines that are too slow to end them before their callers leave.
+#[test]
+fn deadlines_beyond_slow_engines() {
+    let fleet = Fleet {
+        paces: (0.25, 1.2),
+        has_moments: false,
+        ..FLEET
+    };
+    let mut classes = classes(24.0);
+    classes[1].deadline = Duration::from_millis(2_200);
+    let policy = |tells_end| Policy {
+        tells_slowdown: true,
+        tells_pauses: true,
+        tells_end,
+    };
+    let before = play_all(fleet, &classes, policy(false));
+    let after = play_all(fleet, &classes, policy(true));
+    println!("deadlines: {before:?} {after:?}");
+    assert!(
+        after.given_up * 4 < before.given_up * 3,
+        "{before:?} {after:?}"
+    );
+    assert!(after.in_time >= before.in_time, "{before:?} {after:?}");
+}
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -323,7 +323,7 @@
             due_in: choice::due_in(self.call.objective_left(), wait, self.has_begun),
             max_pause: self.max_pause(),
             output_tokens: fields.max_output_tokens,
-            end_in: Some(self.call.time_left()),
+            end_in: (!self.has_begun).then(|| self.call.time_left()),
             is_last: pass.max_delay >= wait,
         };
         let state = self.state;
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -129,7 +129,7 @@
             let now = clock::now();
             let mut engine = owned.engine.borrow_mut();
             engine.record_slowdown(now, ended.slowdown);
-            engine.record_pause(now, grant, ended.longest_pause);
+            engine.record_end(now, grant, ended.longest_pause);
             engine.release(weights, grant);
             if ended.is_adapter_missing {
                 engine.mark_missing(now, weights);
@@ -143,12 +143,14 @@
         let Some(owned) = self.get(endpoint) else {
             return Reply::NotOwner;
         };
-        let deadline = clock::now() + wait;
+        let asked = clock::now();
+        let deadline = asked + wait;
         let mut waiter: Option<Waiter> = None;
-        let mut request = request.clone();
+        let (mut request, end_in) = (request.clone(), request.end_in);
         loop {
             let listener = owned.state_changed.listen();
             let now = clock::now();
+            request.end_in = end_in.map(|end_in| (asked + end_in).saturating_sub(now));
             match owned.engine.borrow_mut().request(now, &request) {
                 Decision::Granted(grant) => return Reply::Granted(grant),
                 // A request that already waits here is not sent elsewhere, where its wait would
