--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -287,6 +287,8 @@
     slowness: Slowness,
     /// The granted requests with an objective for their pauses.
     streams: BTreeMap<Grant, Stream>,
+    /// The pauses that were predicted for the last granted request.
+    last_forecast: Forecast,
     /// The tokens of one event of a stream; 0 if that is not known.
     tokens_per_event: u32,
     prefix_cache: Cache,
@@ -329,6 +331,7 @@
             pace: Pace::new(now, None),
             slowness: Slowness::default(),
             streams: BTreeMap::new(),
+            last_forecast: Forecast::default(),
             tokens_per_event: class.tokens_per_event,
             prefix_cache: Cache::new(class.memory_tokens),
             next_grant: 1,
@@ -355,6 +358,11 @@
         self.pace.observed(now)
     }
 
+    /// Returns the pauses that were predicted for the last granted request.
+    pub fn last_forecast(&self) -> Forecast {
+        self.last_forecast
+    }
+
     /// Returns the number of granted requests with an objective for their pauses.
     pub fn stream_count(&self) -> usize {
         self.streams.len()
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -147,6 +147,7 @@
         request: &Request,
         forecast: Forecast,
     ) {
+        self.last_forecast = forecast;
         for stream in self.streams.values_mut() {
             stream.predicted = stream.predicted.max(forecast.caused);
             stream.is_alone = false;
--- a/crates/endivespur_gateway/src/exposition.rs
+++ b/crates/endivespur_gateway/src/exposition.rs
@@ -65,6 +65,9 @@
         gauge!("endivespur_gateway_peers").set(catalog.peers().count() as f64);
     }
     gauge!("endivespur_gateway_owned_engines").set(state.owned_engines.count() as f64);
+    let (rate, slowest) = state.owned_engines.pace();
+    gauge!("endivespur_gateway_owned_tokens_per_second").set(rate);
+    gauge!("endivespur_gateway_slowest_engine_ratio").set(slowest);
     gauge!("endivespur_gateway_open_requests").set(state.open_requests.get() as f64);
 }
 
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -282,6 +282,7 @@
                 let transfer =
                     relay_response(state, call, caller, &instance, &mut response, stream).await;
                 permit.longest_pause = stream.longest_pause;
+                telemetry::pause_recorded("observed", stream.longest_pause);
                 match transfer {
                     Transfer::Complete => {
                         let status = response.head.status;
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -12,7 +12,7 @@
 use endivespur_core::id::{Endpoint, Fence, Grant, Version};
 use event_listener::Event;
 
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// The estimated delay at an engine that does not respond to its owner: until its registration
 /// ends.
@@ -101,6 +101,18 @@
         owned.state_changed.notify(usize::MAX);
     }
 
+    /// Returns the prompt tokens that the owned engines usually read in a second, together, and how long work takes now at
+    /// the slowest one compared with its usual time.
+    pub fn pace(&self) -> (f64, f64) {
+        let now = clock::now();
+        let engines = self.engines.borrow();
+        engines.values().fold((0.0, 0.0), |(rate, slowest), owned| {
+            let engine = owned.engine.borrow();
+            let rate: f64 = rate + 1.0 / engine.pace(now).per_token;
+            (rate, f64::max(slowest, engine.slowness(now)))
+        })
+    }
+
     /// Returns the number of owned engines.
     pub fn count(&self) -> usize {
         self.engines.borrow().len()
@@ -151,8 +163,13 @@
             let listener = owned.state_changed.listen();
             let now = clock::now();
             request.end_in = end_in.map(|end_in| (asked + end_in).saturating_sub(now));
-            match owned.engine.borrow_mut().request(now, &request) {
-                Decision::Granted(grant) => return Reply::Granted(grant),
+            let decision = owned.engine.borrow_mut().request(now, &request);
+            match decision {
+                Decision::Granted(grant) => {
+                    let forecast = owned.engine.borrow().last_forecast();
+                    telemetry::pause_recorded("predicted", forecast.caused);
+                    return Reply::Granted(grant);
+                }
                 // A request that already waits here is not sent elsewhere, where its wait would
                 // start over.
                 Decision::Busy(delay) if waiter.is_none() || now + delay > deadline => {
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -28,6 +28,11 @@
 /// The longest pause of an idle owner before it checks whether it still owns the engine.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
+/// The shortest time between two lines of the log with the pace of an engine.
+const PACE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// The share by which the time per prompt token must change for the next line.
+const LOGGED_CHANGE: f64 = 0.1;
+
 /// Starts the task that runs an owner for each claimed engine.
 pub fn start(state: &Rc<State>) {
     state.spawn(supervise(state.clone()));
@@ -89,6 +94,30 @@
     state.spawn(run(state.clone(), endpoint, owned));
 }
 
+/// Logs the usual pace of an engine when it has changed since it was `logged`, and the figures of this moment.
+fn log_pace(endpoint: &str, owned: &OwnedEngine, logged: &mut (Time, Option<Figures>)) {
+    let now = clock::now();
+    let engine = owned.engine.borrow();
+    let Some(pace) = engine.observed_pace(now) else {
+        return;
+    };
+    let has_changed = logged.1.is_none_or(|last| {
+        let ratio = pace.per_token / last.per_token;
+        (ratio - 1.0).abs() > LOGGED_CHANGE
+    });
+    if !has_changed || now < logged.0 + PACE_LOG_INTERVAL {
+        return;
+    }
+    *logged = (now, Some(pace));
+    let forecast = engine.last_forecast();
+    info!(
+        event = "pace", endpoint, tokens_per_s = (1.0 / pace.per_token) as u64,
+        first_token_us = (pace.first_token * 1e6) as u64, step_us = (pace.step * 1e6) as u64,
+        slowdown = (engine.slowness(now) * 100.0) as u64, streams = engine.stream_count(),
+        pause_ms = forecast.caused.as_millis() as u64, harm = forecast.harm; "usual pace"
+    );
+}
+
 /// Returns the mean pace of the other engines of a service that this VM owns, as far as it was observed.
 fn usual_pace(state: &State, instance: &Instance) -> Option<Figures> {
     let now = clock::now();
@@ -103,7 +132,9 @@
 
 /// Sends one engine its orders until the engine stops serving or the claim ends.
 async fn run(state: Rc<State>, endpoint: Endpoint, owned: Rc<OwnedEngine>) {
+    let mut logged = (Time::ZERO, None);
     loop {
+        log_pace(&endpoint, &owned, &mut logged);
         let is_current = state
             .owned_engines
             .get(&endpoint)
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -125,3 +125,11 @@
 pub fn store_failed(call: &'static str) {
     counter!("endivespur_gateway_store_failures_total", "call" => call).increment(1);
 }
+
+/// Records the longest pause of a stream: the one `observed` by the gateway that passed it on, or that which an engine's
+/// owner `predicted` for the engine's streams when it granted a prompt.
+pub fn pause_recorded(kind: &'static str, pause: Duration) {
+    if !pause.is_zero() {
+        histogram!("endivespur_gateway_pause_seconds", "kind" => kind).record(pause.as_secs_f64());
+    }
+}
