Take pauses into account only at engines that report how fast they work

Change: the harm of pauses, the balance over streams and the refusal of what cannot end apply to engines that have sent a fourth figure of load.

--- a/crates/endivespur_core/src/gateway/pace.rs
+++ b/crates/endivespur_core/src/gateway/pace.rs
@@ -16,6 +16,7 @@
     /// The excess over the usual time; 0.5 if work takes half as long again.
     excess: f64,
     at: Time,
+    is_reported: bool,
 }
 
 impl Slowness {
@@ -27,6 +28,12 @@
         let factor = f64::from(percent) / 100.0;
         self.excess = factor.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1) - 1.0;
         self.at = now;
+        self.is_reported = true;
+    }
+
+    /// Returns whether the engine has ever said how fast it works.
+    pub fn is_reported(&self) -> bool {
+        self.is_reported
     }
 
     /// Returns the expected factor at `now`: 1 without a recent figure.
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -417,24 +417,30 @@
             }
             max => max,
         };
-        if let Some(end_in) = request.end_in
+        // Engines of an even pace are shared best by the adapters that they hold: on those with few slots, requests that
+        // pauses send elsewhere cost more in fetches than they gain.
+        let is_uneven = self.slowness.is_reported();
+        if let Some(end_in) = request.end_in.filter(|_| is_uneven)
             && !self.can_end(now, request, delay, CERTAIN_SHARE)
         {
             return Decision::Busy(delay.max(end_in) + self.load_penalty(now));
         }
         let forecast = self.forecast(now, request);
-        let harm = if request.is_last {
-            Duration::ZERO
-        } else {
-            forecast.delay()
+        let harm = match (is_uneven, request.is_last) {
+            (false, _) => Duration::ZERO,
+            (true, true) => self.stream_penalty(request),
+            (true, false) => forecast.delay() + self.stream_penalty(request),
         };
-        let harm = harm + self.stream_penalty(request);
         // Among engines with its adapter, one that can write all of the output is preferred.
         let is_busy = max_delay.is_some_and(|max| delay + harm > max)
-            || (request.only_resident && !self.can_end(now, request, delay, 1.0));
+            || (is_uneven && request.only_resident && !self.can_end(now, request, delay, 1.0));
         let is_ready = self.is_ready(&request.weights);
         if is_busy || (request.only_resident && !is_ready) {
-            let fetch = self.fetch_penalty(request);
+            let fetch = if is_uneven {
+                self.fetch_penalty(request)
+            } else {
+                Duration::ZERO
+            };
             return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
         }
         if is_ready {
