Begin lending shards only with recent news of the other gateways

The members were revised 16 times a second, which takes time in large fleets.

Change: the end of settling is postponed until the view is at most 0.3 s old; settling takes 3.2 s. The members are revised when the known gateways change, and each 0.25 s.

--- a/crates/endivespur_core/src/gateway/quota/keeper.rs
+++ b/crates/endivespur_core/src/gateway/quota/keeper.rs
@@ -13,6 +13,11 @@
 /// The part of the capacity that is lent instead of a larger need: the borrower gets the rest from other keepers.
 const MAX_NEED_SHARE: f64 = 0.5;
 
+/// The age that a view may have when lending begins, and by how much it is postponed otherwise: more than the time
+/// between two checks.
+const SETTLED_VIEW_AGE: Duration = Duration::from_millis(300);
+const POSTPONEMENT: Duration = Duration::from_millis(200);
+
 /// The answer to a borrower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loan {
@@ -84,6 +89,19 @@
         self.limit(now, terms);
     }
 
+    /// Postpones the lending of shards that is about to begin while there is no recent news: others may have had their
+    /// last news before these shards moved, and go on lending while the store is away. Called several times a second.
+    pub fn postpone(&mut self, now: Time, view_age: Duration) {
+        if view_age <= SETTLED_VIEW_AGE {
+            return;
+        }
+        for from in self.lends_from.iter_mut().flatten() {
+            if *from > now {
+                *from = (*from).max(now + POSTPONEMENT);
+            }
+        }
+    }
+
     /// Returns whether this gateway keeps a shard.
     pub fn is_assigned(&self) -> bool {
         self.lends_from.iter().any(Option::is_some)
--- a/crates/endivespur_core/src/gateway/quota/mod.rs
+++ b/crates/endivespur_core/src/gateway/quota/mod.rs
@@ -26,7 +26,8 @@
 const AHEAD: Duration = Duration::from_millis(200);
 /// How long a new keeper of a shard does not lend: a predecessor with an old view may lend for
 /// [`contact::MAX_VIEW_AGE`], from a source that may be 1.3 s old, and its last loans are valid for [`VALIDITY`].
-pub const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// The rest is the age that a view may have at the end ([`keeper::Keeper::postpone`]).
+pub const SETTLE_TIME: Duration = Duration::from_millis(3_200);
 /// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet.
 const LOAN_SHARE: f64 = 0.5;
 /// The time of the rate by which the buckets hold more than the burst at most. Loans of the last [`VALIDITY`] count as
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -13,6 +13,9 @@
 use crate::hash;
 use crate::id::{Team, Vm};
 
+/// The time between two revisions of the members if the known gateways do not change: it takes time in large fleets.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(250);
+
 /// One team with a quota.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -40,6 +43,7 @@
     /// Whether the known gateways may be relied on.
     is_valid: bool,
     members: Members,
+    members_revised_at: Time,
     /// Whether shards of lost gateways may be taken over.
     has_majority: bool,
 }
@@ -58,6 +62,7 @@
             contact: Contact::new(),
             is_valid: true,
             members: Members::new(now),
+            members_revised_at: now,
             has_majority: true,
         }
     }
@@ -116,10 +121,15 @@
         self.vms = vms.cloned().collect();
         let others = self.vms.iter().filter(|vm| **vm != self.vm);
         self.others = others.cloned().collect();
-        self.has_majority = self.members.revise(now, &self.vms);
+        self.revise_members(now);
         self.assign_teams(now);
     }
 
+    fn revise_members(&mut self, now: Time) {
+        self.has_majority = self.members.revise(now, &self.vms);
+        self.members_revised_at = now;
+    }
+
     fn assign_teams(&mut self, now: Time) {
         let start = self.start(now);
         let names: Vec<Team> = self.teams.keys().cloned().collect();
@@ -151,10 +161,12 @@
     /// Checks whether the known gateways may still be relied on, given the age of this view; returns the gateways that
     /// are to be probed. Called several times a second.
     pub fn check(&mut self, now: Time, view_age: Duration) -> Vec<Vm> {
-        let had_majority = self.has_majority;
-        self.has_majority = self.members.revise(now, &self.vms);
-        if had_majority != self.has_majority {
-            self.assign_teams(now);
+        if now >= self.members_revised_at + MEMBERS_INTERVAL {
+            let had_majority = self.has_majority;
+            self.revise_members(now);
+            if had_majority != self.has_majority {
+                self.assign_teams(now);
+            }
         }
         self.validate(now, view_age);
         self.contact.probes(view_age, &self.others)
@@ -162,6 +174,9 @@
 
     /// Stops lending if the known gateways may not be relied on: a successor may lend the same shards.
     fn validate(&mut self, now: Time, view_age: Duration) {
+        for entry in self.teams.values_mut() {
+            entry.keeper.postpone(now, view_age);
+        }
         let is_valid = self.contact.check(now, view_age, &self.others);
         if is_valid != self.is_valid {
             self.is_valid = is_valid;
