Look up the cached part of a prompt once for each request for a grant

Cause: a request looked up the parts of its prompt up to five times, for each of the predictions.

Change: the expected prefill time is computed once and passed on; the decisions are the same.

Tests of the core (gateway 192, load 9) pass.

--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -24,34 +24,32 @@
         self.slowness.stretch(now, self.pending_work(now))
     }
 
-    /// Returns how much longer than usual the prefill of a request is expected to take, since the engine is slow now.
-    pub(super) fn prefill_excess(&self, now: Time, request: &Request) -> Duration {
+    /// Returns how much longer than its usual time a prefill is expected to take, since the engine is slow now.
+    pub(super) fn prefill_excess(&self, now: Time, usual: Duration) -> Duration {
         if self.slowness(now) < 1.0 + MIN_EXCESS {
             return Duration::ZERO;
         }
-        let usual = self.pace(now).prefill_time(self.uncached_tokens(request));
         let ahead = self.pending_work(now);
         let end = self.slowness.stretch(now, ahead + usual);
         end.saturating_sub(self.slowness.stretch(now, ahead) + usual)
     }
 
-    /// Returns whether a request that begins after `delay` can end in time if its response has this share of the expected
-    /// output.
+    /// Returns whether a request with its first token in `first_token` can end in time if its response has this share of the
+    /// expected output.
     pub(super) fn can_end(
         &self,
         now: Time,
         request: &Request,
-        delay: Duration,
+        first_token: Duration,
         share: f64,
     ) -> bool {
         let Some(end_in) = request.end_in else {
             return true;
         };
         let figures = self.pace(now);
-        let prefill = figures.prefill_time(self.uncached_tokens(request));
         let tokens = f64::from(request.output_tokens) * self.output_share;
         let output = clock::scale(figures.step_time(), tokens);
-        delay + prefill + clock::scale(output, share) <= end_in
+        first_token + clock::scale(output, share) <= end_in
     }
 
     /// Returns the number of prompt tokens of a request that are probably not cached.
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -410,7 +410,9 @@
         if self.memory_tokens > 0 && u64::from(request.tokens) > self.memory_tokens {
             return Decision::Busy(self.pace(now).prefill_time(u64::from(request.tokens)));
         }
-        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, request);
+        let tokens = self.uncached_tokens(request);
+        let prefill = self.pace(now).prefill_time(tokens);
+        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, prefill);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
                 Some(max.min(request.due_in))
@@ -418,11 +420,11 @@
             max => max,
         };
         if let Some(end_in) = request.end_in
-            && !self.can_end(now, request, delay, CERTAIN_SHARE)
+            && !self.can_end(now, request, delay + prefill, CERTAIN_SHARE)
         {
             return Decision::Busy(delay.max(end_in) + self.load_penalty(now));
         }
-        let forecast = self.forecast(now, request);
+        let forecast = self.forecast_prefill(now, request, prefill);
         let harm = if request.is_last {
             Duration::ZERO
         } else {
@@ -431,14 +433,14 @@
         let harm = harm + self.stream_penalty(request);
         // Among engines with its adapter, one that can write all of the output is preferred.
         let is_busy = max_delay.is_some_and(|max| delay + harm > max)
-            || (request.only_resident && !self.can_end(now, request, delay, 1.0));
+            || (request.only_resident && !self.can_end(now, request, delay + prefill, 1.0));
         let is_ready = self.is_ready(&request.weights);
         if is_busy || (request.only_resident && !is_ready) {
             let fetch = self.fetch_penalty(request);
             return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
         }
         if is_ready {
-            return Decision::Granted(self.grant(now, request, forecast));
+            return Decision::Granted(self.grant(now, request, tokens, forecast));
         }
         Decision::Wait
     }
@@ -477,10 +479,9 @@
         }
     }
 
-    fn grant(&mut self, now: Time, request: &Request, forecast: Forecast) -> Grant {
+    fn grant(&mut self, now: Time, request: &Request, tokens: u64, forecast: Forecast) -> Grant {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let tokens = self.uncached_tokens(request);
         self.prefix_cache.record(&request.weights, &request.parts);
         let prefill = Prefill {
             sent: now,
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -90,10 +90,20 @@
 impl Engine {
     /// Predicts the pauses that a request is expected to cause and to suffer if it is granted now.
     pub fn forecast(&self, now: Time, request: &Request) -> Forecast {
+        let tokens = self.uncached_tokens(request);
+        self.forecast_prefill(now, request, self.pace(now).prefill_time(tokens))
+    }
+
+    /// Returns [`Engine::forecast`] of a request whose prefill usually takes `usual`.
+    pub(super) fn forecast_prefill(
+        &self,
+        now: Time,
+        request: &Request,
+        usual: Duration,
+    ) -> Forecast {
         if self.streams.is_empty() && request.max_pause.is_none() {
             return Forecast::default();
         }
-        let usual = self.pace(now).prefill_time(self.uncached_tokens(request));
         let ahead = self.pending_work(now);
         let caused = self.pause(now, ahead + usual);
         let own = self.pause(now, ahead);
