Disregard pauses that no placement avoids

Cause: where events usually take longer than the route's objective for pauses, each engine counted the new stream as late, and all refused it until the last question of the search.

Change: the new stream counts only for what exceeds the usual time of an event, by the figures assumed for the service.

Result: without the change the new test fails at the first request.

--- a/crates/endivespur_core/src/gateway/pace.rs
+++ b/crates/endivespur_core/src/gateway/pace.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns the figures that were assumed before the engine was observed.
+    pub fn prior(&self) -> Figures {
+        self.prior
+    }
+
     /// Returns the figures if they are the engine's own.
     pub fn observed(&self, now: Time) -> Option<Figures> {
         self.is_observed.then(|| self.figures(now))
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -112,7 +112,11 @@
             .values()
             .map(|stream| stream.harm(caused))
             .sum();
-        let own_harm = request.max_pause.map_or(0.0, |max| risk(own, max));
+        // Where the usual time of an event is too long already, no engine is better, and asking others has no use.
+        let usual_event = self.pace.prior().step_time() * self.tokens_per_event.max(1);
+        let own_harm = request.max_pause.map_or(0.0, |max| {
+            (risk(own, max) - risk(usual_event, max)).max(0.0)
+        });
         Forecast {
             caused,
             own,
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -624,3 +624,20 @@
     let now = run_streams(&mut other, &short, ms(500));
     assert_matches!(other.request(now, &short), Decision::Granted(_));
 }
+
+/// Where events usually take longer than the objective for pauses, every engine refused requests until the last question.
+#[test]
+fn request_objective_below_the_usual_event() {
+    let mut known = class(2);
+    known.tokens_per_event = 8;
+    let mut engine = Engine::new(ms(0), &known);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    for start in 0..4 {
+        let now = ms(start * 100);
+        let next = stream(100, 30);
+        let Decision::Granted(grant) = engine.request(now, &next) else {
+            panic!("refused at {now:?}");
+        };
+        engine.response_started(now + ms(20), grant);
+    }
+}
