--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -410,7 +410,9 @@
         if self.memory_tokens > 0 && u64::from(request.tokens) > self.memory_tokens {
             return Decision::Busy(self.pace(now).prefill_time(u64::from(request.tokens)));
         }
-        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, request);
+        let tokens = self.uncached_tokens(request);
+        let prefill = self.pace(now).prefill_time(tokens);
+        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, prefill);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
                 Some(max.min(request.due_in))
@@ -421,11 +423,11 @@
         // pauses send elsewhere cost more in fetches than they gain.
         let is_uneven = self.slowness.is_reported();
         if let Some(end_in) = request.end_in.filter(|_| is_uneven)
-            && !self.can_end(now, request, delay, CERTAIN_SHARE)
+            && !self.can_end(now, request, delay + prefill, CERTAIN_SHARE)
         {
             return Decision::Busy(delay.max(end_in) + self.load_penalty(now));
         }
-        let forecast = self.forecast(now, request);
+        let forecast = self.forecast_prefill(now, request, prefill);
         let harm = match (is_uneven, request.is_last) {
             (false, _) => Duration::ZERO,
             (true, true) => self.stream_penalty(request),
@@ -433,7 +435,9 @@
         };
         // Among engines with its adapter, one that can write all of the output is preferred.
         let is_busy = max_delay.is_some_and(|max| delay + harm > max)
-            || (is_uneven && request.only_resident && !self.can_end(now, request, delay, 1.0));
+            || (is_uneven
+                && request.only_resident
+                && !self.can_end(now, request, delay + prefill, 1.0));
         let is_ready = self.is_ready(&request.weights);
         if is_busy || (request.only_resident && !is_ready) {
             let fetch = if is_uneven {
@@ -444,7 +448,7 @@
             return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
         }
         if is_ready {
-            return Decision::Granted(self.grant(now, request, forecast));
+            return Decision::Granted(self.grant(now, request, tokens, forecast));
         }
         Decision::Wait
     }
@@ -483,10 +487,9 @@
         }
     }
 
-    fn grant(&mut self, now: Time, request: &Request, forecast: Forecast) -> Grant {
+    fn grant(&mut self, now: Time, request: &Request, tokens: u64, forecast: Forecast) -> Grant {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let tokens = self.uncached_tokens(request);
         self.prefix_cache.record(&request.weights, &request.parts);
         let prefill = Prefill {
             sent: now,
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -90,10 +90,20 @@
 impl Engine {
     /// Predicts the pauses that a request is expected to cause and to suffer if it is granted now.
     pub fn forecast(&self, now: Time, request: &Request) -> Forecast {
+        let tokens = self.uncached_tokens(request);
+        self.forecast_prefill(now, request, self.pace(now).prefill_time(tokens))
+    }
+
+    /// Returns [`Engine::forecast`] of a request whose prefill usually takes `usual`.
+    pub(super) fn forecast_prefill(
+        &self,
+        now: Time,
+        request: &Request,
+        usual: Duration,
+    ) -> Forecast {
         if self.streams.is_empty() && request.max_pause.is_none() {
             return Forecast::default();
         }
-        let usual = self.pace(now).prefill_time(self.uncached_tokens(request));
         let ahead = self.pending_work(now);
         let caused = self.pause(now, ahead + usual);
         let own = self.pause(now, ahead);
@@ -102,7 +112,11 @@
             .values()
             .map(|stream| stream.harm(caused))
             .sum();
-        let own_harm = request.max_pause.map_or(0.0, |max| risk(own, max));
+        // Where the usual time of an event is too long already, no engine is better, and asking others has no use.
+        let usual_event = self.pace.prior().step_time() * self.tokens_per_event.max(1);
+        let own_harm = request.max_pause.map_or(0.0, |max| {
+            (risk(own, max) - risk(usual_event, max)).max(0.0)
+        });
         Forecast {
             caused,
             own,
--- a/crates/endivespur_core/src/gateway/quota/keeper.rs
+++ b/crates/endivespur_core/src/gateway/quota/keeper.rs
@@ -34,7 +34,7 @@
 pub enum Start {
     /// At once, from a full bucket: nobody has lent anything before.
     Full,
-    /// At once, from an empty bucket: the quota has changed.
+    /// At once, from an empty bucket: the quota has changed, or the former process of this gateway lent the same shards.
     Empty,
     /// After [`SETTLE_TIME`], from an empty bucket: another gateway may lend the same shards.
     Settling,
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -33,6 +33,9 @@
     excess: Excess,
     /// Until when the whole system starts for the first time.
     first_start_end: Option<Time>,
+    /// Whether the shards that this gateway keeps at first are lent at once: nobody has taken them over from its former
+    /// process.
+    resumes: bool,
     /// The version of the configuration, once there is one.
     version: Option<u64>,
     teams: BTreeMap<Team, Entry>,
@@ -55,6 +58,7 @@
             vm: vm.to_string(),
             excess,
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
+            resumes: false,
             version: None,
             teams: BTreeMap::new(),
             vms: Vec::new(),
@@ -67,6 +71,14 @@
         }
     }
 
+    /// Records that the record of this gateway's former process had not ended when this one started. Others take shards
+    /// over only some time after a record has ended, and the former process lends no more.
+    ///
+    /// Without this, no gateway would lend for [`SETTLE_TIME`] after all had been restarted at once.
+    pub fn resume(&mut self) {
+        self.resumes = self.vms.is_empty();
+    }
+
     /// Returns whether no team has a quota.
     pub fn is_empty(&self) -> bool {
         self.teams.is_empty()
@@ -118,11 +130,16 @@
         if vms.clone().eq(&self.vms) {
             return;
         }
+        let resumes = self.vms.is_empty() && self.resumes;
         self.vms = vms.cloned().collect();
         let others = self.vms.iter().filter(|vm| **vm != self.vm);
         self.others = others.cloned().collect();
         self.revise_members(now);
-        self.assign_teams(now);
+        if resumes {
+            self.assign_teams(now, Start::Empty);
+        } else {
+            self.assign_teams(now, self.start(now));
+        }
     }
 
     fn revise_members(&mut self, now: Time) {
@@ -130,8 +147,7 @@
         self.members_revised_at = now;
     }
 
-    fn assign_teams(&mut self, now: Time) {
-        let start = self.start(now);
+    fn assign_teams(&mut self, now: Time, start: Start) {
         let names: Vec<Team> = self.teams.keys().cloned().collect();
         for name in names {
             self.assign_team(now, &name, start);
@@ -165,7 +181,7 @@
             let had_majority = self.has_majority;
             self.revise_members(now);
             if had_majority != self.has_majority {
-                self.assign_teams(now);
+                self.assign_teams(now, self.start(now));
             }
         }
         self.validate(now, view_age);
@@ -180,7 +196,7 @@
         let is_valid = self.contact.check(now, view_age, &self.others);
         if is_valid != self.is_valid {
             self.is_valid = is_valid;
-            self.assign_teams(now);
+            self.assign_teams(now, self.start(now));
         }
     }
 
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -100,7 +100,10 @@
     }
 
     fn start(&mut self, node: usize, is_first_start: bool) {
-        let tracker = Tracker::new(self.now, &name(node), EXCESS, is_first_start);
+        let mut tracker = Tracker::new(self.now, &name(node), EXCESS, is_first_start);
+        if self.history.last().unwrap().1.contains(&name(node)) {
+            tracker.resume();
+        }
         self.nodes[node] = Node {
             tracker: Some(tracker),
             group: self.nodes[node].group,
@@ -475,6 +478,24 @@
     }
 }
 
+/// After a restart of all gateways at once, nobody lent for more than three seconds, and callers were refused until then.
+#[test]
+fn quota_after_a_restart_of_all() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, 84, true);
+        world.warm_up();
+        for node in 0..84 {
+            world.start(node, false);
+        }
+        world.run(ms(6_000), RATE / 1.8, None);
+        let (sent, refused) = (world.sent.len() as u64, world.refused);
+        assert!(
+            refused * 500 < sent,
+            "seed {seed}: {refused} refused of {sent}"
+        );
+    }
+}
+
 /// While the store is away, all gateways reach each other, and nobody may be refused.
 #[test]
 fn quota_while_the_store_is_away() {
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -165,6 +165,10 @@
         return;
     };
     let mut tracker = state.quotas.tracker.borrow_mut();
+    let own_record = catalog.peer(&state.settings.vm);
+    if own_record.is_some_and(|peer| peer.keeps_quotas && peer.process != state.process) {
+        tracker.resume();
+    }
     let is_new = tracker.version() != Some(table.version);
     if is_new {
         tracker.configure(now, table.version, table.teams.as_ref());
