Decide who gives way when a gateway's memory is used up

Cause: nothing bounds what a gateway holds for others.

Change: core::gateway::budget counts the bytes of bodies and answers against a limit derived from the VM's memory. When it is used up, senders that stall or are slow give way, then the largest, then the newest; complete requests, and answers whose readers read, never. Connections beyond a share of the descriptors close the one that is idle for the longest time.

--- /dev/null
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -0,0 +1,346 @@
+//! The memory and the connections that a gateway holds for others, and who gives way when they are used up.
+//!
+//! Senders that stall or are slow give way before those that send, then the largest, then the newest. A complete
+//! request and an answer that is received are never given up: an endpoint may have run, or run, the request. An answer
+//! gives way only while its reader is slow.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Time;
+
+/// Identifies a transfer or a connection until it ends.
+pub type Id = u64;
+
+/// The time over which the progress of a transfer is measured.
+pub const PROGRESS_TIME: Duration = Duration::from_secs(1);
+/// The bytes in [`PROGRESS_TIME`] below which a transfer counts as slow when memory is needed: a caller on a mobile
+/// link sends a few times as many.
+pub const PROGRESS_BYTES: u64 = 16 * 1024;
+/// The time without a byte after which a transfer counts as slow: longer than a lost packet delays one that sends.
+const STALL_TIME: Duration = Duration::from_millis(500);
+
+/// The budget if the memory of the VM is not known.
+const DEFAULT_MEMORY: u64 = 64 << 20;
+/// The share of the VM's memory that may be held for others: the process needs memory of its own, and the allocator up
+/// to twice what is held.
+const MEMORY_SHARE: u64 = 4;
+/// The least budget: two bodies of the maximum size of the known deployments.
+const MIN_MEMORY: u64 = 2 * (4 << 20);
+/// The descriptors of the smallest VMs, which are assumed if they are not known.
+const DEFAULT_DESCRIPTORS: u64 = 3075;
+/// One descriptor in so many may belong to a caller's connection: each request may need another one to an endpoint.
+const CALLER_SHARE: u64 = 3;
+/// One descriptor in so many may belong to the connection of a gateway whose request is forwarded.
+const FORWARD_SHARE: u64 = 8;
+/// The memory that a connection is assumed to hold: a head, or a small body.
+const CONNECTION_BYTES: u64 = 16 * 1024;
+
+/// The limits of what is held for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The bytes of bodies and answers.
+    pub memory: u64,
+    /// The open connections of callers.
+    pub callers: usize,
+    /// The open connections of gateways whose requests are forwarded.
+    pub forwards: usize,
+}
+
+impl Limits {
+    /// Derives the limits from the memory and the descriptors of the VM, if they are known.
+    pub fn new(memory: Option<u64>, descriptors: Option<u64>) -> Self {
+        let memory = memory.map_or(DEFAULT_MEMORY, |memory| {
+            (memory / MEMORY_SHARE).max(MIN_MEMORY.min(memory / 2))
+        });
+        let descriptors = descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+        let by_memory = memory / CONNECTION_BYTES;
+        let connections = |share: u64| (descriptors / share).min(by_memory).max(1) as usize;
+        Self {
+            memory,
+            callers: connections(CALLER_SHARE),
+            forwards: connections(FORWARD_SHARE),
+        }
+    }
+}
+
+/// What a transfer holds memory for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A body that arrives.
+    Receiving,
+    /// A complete request, or an answer that arrives from an endpoint.
+    Kept,
+    /// An answer that is written to its reader.
+    Sending,
+}
+
+/// The bytes that passed in a window of time.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    since: Time,
+    bytes: u64,
+    /// When the last bytes passed.
+    last: Time,
+    /// Whether the window before was slow.
+    was_slow: bool,
+}
+
+impl Progress {
+    fn new(now: Time) -> Self {
+        Self {
+            since: now,
+            bytes: 0,
+            last: now,
+            was_slow: false,
+        }
+    }
+
+    fn advance(&mut self, now: Time, bytes: u64) {
+        let elapsed = now.saturating_sub(self.since);
+        if elapsed >= PROGRESS_TIME {
+            self.was_slow = self.is_below(elapsed);
+            self.since = now;
+            self.bytes = 0;
+        }
+        self.bytes += bytes;
+        self.last = now;
+    }
+
+    fn is_below(&self, elapsed: Duration) -> bool {
+        (self.bytes as f64) < PROGRESS_BYTES as f64 * elapsed.as_secs_f64()
+    }
+
+    fn is_slow(&self, now: Time) -> bool {
+        let elapsed = now.saturating_sub(self.since);
+        let is_below = if elapsed >= STALL_TIME {
+            self.is_below(elapsed)
+        } else {
+            self.was_slow
+        };
+        is_below || now.saturating_sub(self.last) >= STALL_TIME
+    }
+}
+
+/// The memory that one body or answer holds.
+#[derive(Clone, Copy, Debug)]
+struct Transfer {
+    kind: Kind,
+    bytes: u64,
+    progress: Progress,
+    /// Whether it has been told to give way, and has not ended yet.
+    is_shed: bool,
+}
+
+/// The answer to a request for memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The memory may be taken.
+    Granted,
+    /// The memory may be taken once these transfers, and those that were told before, have given way.
+    After(Vec<Id>),
+    /// The transfer that asks has to give way.
+    Refused,
+}
+
+/// The memory that is held for others.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    limit: u64,
+    held: u64,
+    /// The bytes of the transfers that have been told to give way.
+    shed: u64,
+    transfers: BTreeMap<Id, Transfer>,
+    next: Id,
+}
+
+impl Budget {
+    /// Creates a budget of which nothing is held.
+    pub fn new(limit: u64) -> Self {
+        Self {
+            limit,
+            held: 0,
+            shed: 0,
+            transfers: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Changes the limit; what is held beyond it is not given up, but no more is granted.
+    pub fn set_limit(&mut self, limit: u64) {
+        self.limit = limit;
+    }
+
+    /// Returns the bytes that are held.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Begins a transfer that holds nothing yet.
+    pub fn open(&mut self, now: Time, kind: Kind) -> Id {
+        self.next += 1;
+        let transfer = Transfer {
+            kind,
+            bytes: 0,
+            progress: Progress::new(now),
+            is_shed: false,
+        };
+        self.transfers.insert(self.next, transfer);
+        self.next
+    }
+
+    /// Records that bytes of a transfer have passed.
+    pub fn advance(&mut self, now: Time, id: Id, bytes: u64) {
+        if bytes > 0
+            && let Some(transfer) = self.transfers.get_mut(&id)
+        {
+            transfer.progress.advance(now, bytes);
+        }
+    }
+
+    /// Records that a transfer goes on as one of another kind.
+    pub fn change(&mut self, now: Time, id: Id, kind: Kind) {
+        if let Some(transfer) = self.transfers.get_mut(&id) {
+            transfer.kind = kind;
+            transfer.progress = Progress::new(now);
+        }
+    }
+
+    /// Asks for more memory for a transfer. Those that have to give way are told once.
+    pub fn grow(&mut self, now: Time, id: Id, bytes: u64) -> Answer {
+        let is_shed = self.transfers.get(&id).is_none_or(|one| one.is_shed);
+        if is_shed {
+            return Answer::Refused;
+        }
+        if self.held + bytes <= self.limit {
+            self.held += bytes;
+            if let Some(transfer) = self.transfers.get_mut(&id) {
+                transfer.bytes += bytes;
+            }
+            return Answer::Granted;
+        }
+        let needed = (self.held + bytes).saturating_sub(self.limit);
+        self.make_room(now, id, bytes, needed)
+    }
+
+    /// Chooses those that give way for a transfer.
+    fn make_room(&mut self, now: Time, id: Id, bytes: u64, needed: u64) -> Answer {
+        let mut candidates: Vec<_> = self
+            .transfers
+            .iter()
+            .filter(|(_, one)| !one.is_shed)
+            .filter_map(|(candidate, one)| {
+                let is_slow = one.progress.is_slow(now);
+                let may_give_way = match one.kind {
+                    Kind::Receiving => true,
+                    Kind::Kept => false,
+                    Kind::Sending => is_slow,
+                };
+                // The one that asks counts with what it asks for: otherwise the bodies of a crowd displace each other.
+                let size = one.bytes + if *candidate == id { bytes } else { 0 };
+                may_give_way.then_some((!is_slow, Reverse(size), Reverse(*candidate)))
+            })
+            .collect();
+        candidates.sort_unstable();
+        let mut chosen = Vec::new();
+        let mut room = self.shed;
+        for (_, Reverse(size), Reverse(candidate)) in candidates {
+            if room >= needed {
+                break;
+            }
+            if candidate == id {
+                return Answer::Refused;
+            }
+            room += size;
+            chosen.push(candidate);
+        }
+        if room < needed {
+            return Answer::Refused;
+        }
+        for candidate in &chosen {
+            if let Some(one) = self.transfers.get_mut(candidate) {
+                one.is_shed = true;
+                self.shed += one.bytes;
+            }
+        }
+        Answer::After(chosen)
+    }
+
+    /// Ends a transfer, and releases what it holds.
+    pub fn close(&mut self, id: Id) {
+        let Some(transfer) = self.transfers.remove(&id) else {
+            return;
+        };
+        self.held -= transfer.bytes;
+        if transfer.is_shed {
+            self.shed -= transfer.bytes;
+        }
+    }
+}
+
+/// The open connections of one kind of clients.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    limit: usize,
+    /// Since when each connection carries no request; `None` while it carries one.
+    open: BTreeMap<Id, Option<Time>>,
+    next: Id,
+}
+
+impl Connections {
+    /// Creates an empty set.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            open: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Changes the limit; connections beyond it are closed as others are opened.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Adds a connection that carries no request yet; returns it with those that have to be closed, beginning with
+    /// that which has carried none for the longest time. The new one is among them if all others carry requests.
+    pub fn open(&mut self, now: Time) -> (Id, Vec<Id>) {
+        self.next += 1;
+        let id = self.next;
+        self.open.insert(id, Some(now));
+        let excess = self.open.len().saturating_sub(self.limit);
+        if excess == 0 {
+            return (id, Vec::new());
+        }
+        let idle = self.open.iter();
+        let mut idle: Vec<_> = idle
+            .filter_map(|(id, since)| since.map(|since| (since, *id)))
+            .collect();
+        idle.sort_unstable();
+        let closed: Vec<Id> = idle.into_iter().take(excess).map(|(_, id)| id).collect();
+        for id in &closed {
+            self.open.remove(id);
+        }
+        (id, closed)
+    }
+
+    /// Records whether a connection carries a request; returns false if it has to be closed.
+    pub fn set_busy(&mut self, now: Time, id: Id, is_busy: bool) -> bool {
+        let Some(since) = self.open.get_mut(&id) else {
+            return false;
+        };
+        *since = (!is_busy).then_some(now);
+        true
+    }
+
+    /// Removes a connection.
+    pub fn close(&mut self, id: Id) {
+        self.open.remove(&id);
+    }
+
+    /// Returns the number of connections.
+    pub fn count(&self) -> usize {
+        self.open.len()
+    }
+}
--- a/crates/endivespur_core/src/gateway/mod.rs
+++ b/crates/endivespur_core/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The decisions of a gateway in front of engines that load and unload adapters by order.
 //!
+//! - [`budget`]: the memory and the connections that are held for others.
 //! - [`table`]: the routes and services of the operators' configuration.
 //! - [`duration`]: how long requests take.
 //! - [`endpoint`]: the registrations of endpoints.
@@ -18,6 +19,7 @@
 //! - [`team`]: the teams of callers and their keys.
 //! - [`source`]: from where the store's changes are read.
 
+pub mod budget;
 pub mod choice;
 pub mod crash;
 pub mod duration;
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions under the loads and failures that they handle.
 
+mod budget;
 mod choice;
 mod clock;
 mod crash;
