Hold bodies, answers and connections within limits that follow from the VM

Cause: a gateway collected each body and each answer of a plain service without a bound on all of them together, copied them behind their heads, kept 16 KB for each connection that had read once, and accepted any number of connections.

Change: endivespur_gateway::budget carries out what core::gateway::budget decides. Bodies from callers and gateways, and answers of plain services, take memory in blocks of 16 KB as bytes come; slow ones give way at once, and those that send after 0.75 s. A body has to make progress, and so has the reader of an answer. A length over the limit is refused before 100 Continue, and the rest of a refused request is discarded for at most 0.5 s. Forwarded requests that are refused get "resting", which gateways of every release take for not sent. Heads and bodies are written without a copy of large bodies, and connections hold what has arrived. Callers' connections are limited; the one on which nothing has arrived for the longest time ends. SIGHUP applies the limits.

--- a/crates/endivespur_core/src/gateway/budget.rs
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -1,6 +1,7 @@
 //! The memory and the connections that a gateway holds for others, and who gives way when they are used up.
 //!
-//! Senders that stall or are slow give way before those that send, then the largest, then the newest. A complete
+//! Senders that stall or are slow give way before those that send, then the largest, then the newest. Those that send
+//! give way only after one has waited for [`WAIT_TIME`]: until then it is not known which have stalled, and some end. A complete
 //! request and an answer that is received are never given up: an endpoint may have run, or run, the request. An answer
 //! gives way only while its reader is slow.
 
@@ -21,21 +22,26 @@
 /// The time without a byte after which a transfer counts as slow: longer than a lost packet delays one that sends.
 const STALL_TIME: Duration = Duration::from_millis(500);
 
+/// How long a transfer waits before those that send give way: longer than it takes to tell one that has stalled.
+pub const WAIT_TIME: Duration = Duration::from_millis(750);
+
 /// The budget if the memory of the VM is not known.
 const DEFAULT_MEMORY: u64 = 64 << 20;
-/// The share of the VM's memory that may be held for others: the process needs memory of its own, and the allocator up
-/// to twice what is held.
-const MEMORY_SHARE: u64 = 4;
-/// The least budget: two bodies of the maximum size of the known deployments.
-const MIN_MEMORY: u64 = 2 * (4 << 20);
+/// The memory that the process needs for itself.
+const OWN_MEMORY: u64 = 16_000_000;
+/// One byte in so many of the rest may be held for others: growing buffers leave holes in the allocator's memory, so that
+/// resident memory grows by up to twice what is held.
+const MEMORY_SHARE: u64 = 3;
+/// One byte in so many may be held where little or nothing is left for others.
+const MIN_MEMORY_SHARE: u64 = 8;
 /// The descriptors of the smallest VMs, which are assumed if they are not known.
 const DEFAULT_DESCRIPTORS: u64 = 3075;
 /// One descriptor in so many may belong to a caller's connection: each request may need another one to an endpoint.
 const CALLER_SHARE: u64 = 3;
 /// One descriptor in so many may belong to the connection of a gateway whose request is forwarded.
 const FORWARD_SHARE: u64 = 8;
-/// The memory that a connection is assumed to hold: a head, or a small body.
-const CONNECTION_BYTES: u64 = 16 * 1024;
+/// The memory that a connection is assumed to hold: a head and a small body of 16 KB each.
+const CONNECTION_BYTES: u64 = 32 * 1024;
 
 /// The limits of what is held for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +58,8 @@
     /// Derives the limits from the memory and the descriptors of the VM, if they are known.
     pub fn new(memory: Option<u64>, descriptors: Option<u64>) -> Self {
         let memory = memory.map_or(DEFAULT_MEMORY, |memory| {
-            (memory / MEMORY_SHARE).max(MIN_MEMORY.min(memory / 2))
+            let rest = memory.saturating_sub(OWN_MEMORY);
+            (rest / MEMORY_SHARE).max(memory / MIN_MEMORY_SHARE)
         });
         let descriptors = descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
         let by_memory = memory / CONNECTION_BYTES;
@@ -131,6 +138,16 @@
     progress: Progress,
     /// Whether it has been told to give way, and has not ended yet.
     is_shed: bool,
+    /// Since when it waits for memory; nothing is read from its sender meanwhile.
+    waits_since: Option<Time>,
+    /// How long it has waited before.
+    waited: Duration,
+}
+
+impl Transfer {
+    fn is_slow(&self, now: Time) -> bool {
+        self.waits_since.is_none() && self.progress.is_slow(now)
+    }
 }
 
 /// The answer to a request for memory.
@@ -140,6 +157,8 @@
     Granted,
     /// The memory may be taken once these transfers, and those that were told before, have given way.
     After(Vec<Id>),
+    /// The transfer has to ask again a little later.
+    Later,
     /// The transfer that asks has to give way.
     Refused,
 }
@@ -185,6 +204,8 @@
             bytes: 0,
             progress: Progress::new(now),
             is_shed: false,
+            waits_since: None,
+            waited: Duration::ZERO,
         };
         self.transfers.insert(self.next, transfer);
         self.next
@@ -209,29 +230,42 @@
 
     /// Asks for more memory for a transfer. Those that have to give way are told once.
     pub fn grow(&mut self, now: Time, id: Id, bytes: u64) -> Answer {
-        let is_shed = self.transfers.get(&id).is_none_or(|one| one.is_shed);
-        if is_shed {
+        let transfer = self.transfers.get_mut(&id);
+        let Some(transfer) = transfer.filter(|one| !one.is_shed) else {
             return Answer::Refused;
-        }
+        };
         if self.held + bytes <= self.limit {
             self.held += bytes;
-            if let Some(transfer) = self.transfers.get_mut(&id) {
-                transfer.bytes += bytes;
+            transfer.bytes += bytes;
+            if let Some(since) = transfer.waits_since.take() {
+                transfer.waited += now.saturating_sub(since);
+                transfer.progress = Progress::new(now);
             }
             return Answer::Granted;
         }
-        let needed = (self.held + bytes).saturating_sub(self.limit);
-        self.make_room(now, id, bytes, needed)
+        let is_slow = transfer.is_slow(now);
+        let since = transfer.waits_since.unwrap_or(now);
+        // A transfer waits once, and not for each block again.
+        let waited = transfer.waited + now.saturating_sub(since);
+        let may_displace = is_slow || waited >= WAIT_TIME;
+        let answer = self.make_room(now, id, bytes, may_displace);
+        if answer != Answer::Refused
+            && let Some(transfer) = self.transfers.get_mut(&id)
+        {
+            transfer.waits_since = Some(since);
+        }
+        answer
     }
 
-    /// Chooses those that give way for a transfer.
-    fn make_room(&mut self, now: Time, id: Id, bytes: u64, needed: u64) -> Answer {
+    /// Chooses those that give way for a transfer; those that send only if it `may_displace` them.
+    fn make_room(&mut self, now: Time, id: Id, bytes: u64, may_displace: bool) -> Answer {
+        let needed = (self.held + bytes).saturating_sub(self.limit);
         let mut candidates: Vec<_> = self
             .transfers
             .iter()
             .filter(|(_, one)| !one.is_shed)
             .filter_map(|(candidate, one)| {
-                let is_slow = one.progress.is_slow(now);
+                let is_slow = one.is_slow(now);
                 let may_give_way = match one.kind {
                     Kind::Receiving => true,
                     Kind::Kept => false,
@@ -245,8 +279,8 @@
         candidates.sort_unstable();
         let mut chosen = Vec::new();
         let mut room = self.shed;
-        for (_, Reverse(size), Reverse(candidate)) in candidates {
-            if room >= needed {
+        for (is_sending, Reverse(size), Reverse(candidate)) in candidates {
+            if room >= needed || (is_sending && !may_displace) {
                 break;
             }
             if candidate == id {
@@ -255,7 +289,7 @@
             room += size;
             chosen.push(candidate);
         }
-        if room < needed {
+        if room < needed && may_displace {
             return Answer::Refused;
         }
         for candidate in &chosen {
@@ -264,6 +298,9 @@
                 self.shed += one.bytes;
             }
         }
+        if room < needed && chosen.is_empty() {
+            return Answer::Later;
+        }
         Answer::After(chosen)
     }
 
@@ -283,7 +320,8 @@
 #[derive(Clone, Debug)]
 pub struct Connections {
     limit: usize,
-    /// Since when each connection carries no request; `None` while it carries one.
+    /// When each connection was opened, last carried a request or received bytes of one; `None` while it carries a
+    /// complete request.
     open: BTreeMap<Id, Option<Time>>,
     next: Id,
 }
@@ -304,7 +342,8 @@
     }
 
     /// Adds a connection that carries no request yet; returns it with those that have to be closed, beginning with
-    /// that which has carried none for the longest time. The new one is among them if all others carry requests.
+    /// that on which nothing has happened for the longest time: it is idle, or its request has stalled. The new one is
+    /// among them if all others carry complete requests.
     pub fn open(&mut self, now: Time) -> (Id, Vec<Id>) {
         self.next += 1;
         let id = self.next;
@@ -325,7 +364,12 @@
         (id, closed)
     }
 
-    /// Records whether a connection carries a request; returns false if it has to be closed.
+    /// Records that bytes of a request have arrived; returns false if the connection has to be closed.
+    pub fn advance(&mut self, now: Time, id: Id) -> bool {
+        self.set_busy(now, id, false)
+    }
+
+    /// Records whether a connection carries a complete request; returns false if it has to be closed.
     pub fn set_busy(&mut self, now: Time, id: Id, is_busy: bool) -> bool {
         let Some(since) = self.open.get_mut(&id) else {
             return false;
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -19,6 +19,8 @@
 use endivespur_platform::header;
 use log::warn;
 
+use crate::budget::{self, Body};
+
 /// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
 /// with each crash.
 const MAX_PARTS: usize = 32;
@@ -28,7 +30,7 @@
     /// The request line and the header fields.
     pub head: Request,
     /// The complete body, without its framing.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// The address that the request came from.
     pub caller_address: Option<IpAddr>,
     /// What may crash the endpoints that run the request.
@@ -241,7 +243,7 @@
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        self.connection.write(&head.encode()).await
+        budget::write(self.connection, &head.encode()).await
     }
 
     /// Sends a chunk of the body.
@@ -254,9 +256,9 @@
             return Ok(());
         }
         if self.framing == Framing::Chunked {
-            self.connection.write(&encode_chunk(bytes)).await
+            budget::write(self.connection, &encode_chunk(bytes)).await
         } else {
-            self.connection.write(bytes).await
+            budget::write(self.connection, bytes).await
         }
     }
 
@@ -276,27 +278,40 @@
     /// Returns an error if the caller has disconnected.
     pub async fn end_body(&mut self) -> io::Result<()> {
         if self.framing == Framing::Chunked {
-            self.connection.write(LAST_CHUNK).await?;
+            budget::write(self.connection, LAST_CHUNK).await?;
         }
         Ok(())
     }
 
-    /// Sends a complete response.
+    /// Sends a complete response without a body.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller has disconnected.
-    pub async fn send_response(&mut self, head: &Response, body: &[u8]) -> io::Result<()> {
+    pub async fn send_response(&mut self, head: &Response) -> io::Result<()> {
+        let head = self.encode_head(head, 0);
+        budget::write(self.connection, &head).await
+    }
+
+    /// Sends a complete answer of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has disconnected, does not read, or gives way to others.
+    pub async fn send_answer(&mut self, head: &Response, body: &Body) -> io::Result<()> {
+        let head = self.encode_head(head, body.len());
+        budget::write_answer(self.connection, head, body).await
+    }
+
+    fn encode_head(&mut self, head: &Response, length: usize) -> Vec<u8> {
         let mut head = head.clone();
         head.headers.remove_hop_by_hop();
         head.headers
-            .push("Content-Length", body.len().to_string().as_bytes());
+            .push("Content-Length", length.to_string().as_bytes());
         if self.should_close {
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        let mut message = head.encode();
-        message.extend_from_slice(body);
-        self.connection.write(&message).await
+        head.encode()
     }
 }
--- a/crates/endivespur_gateway/src/exposition.rs
+++ b/crates/endivespur_gateway/src/exposition.rs
@@ -12,6 +12,7 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::budget::Client;
 use crate::state::State;
 use crate::timer;
 
@@ -66,6 +67,9 @@
     }
     gauge!("endivespur_gateway_owned_engines").set(state.owned_engines.count() as f64);
     gauge!("endivespur_gateway_open_requests").set(state.open_requests.get() as f64);
+    gauge!("endivespur_gateway_held_bytes").set(state.budget.held() as f64);
+    let callers = state.budget.connection_count(Client::Caller);
+    gauge!("endivespur_gateway_caller_connections").set(callers as f64);
 }
 
 async fn serve_connection(state: Rc<State>, stream: TcpStream, handle: PrometheusHandle) {
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::budget::{self, Body, Client, Connected, Unread};
 use crate::relay::{self, Answers, EndpointResponse, Failure};
 use crate::state::{InFlight, State};
 use crate::{limit, reach, telemetry, timer};
@@ -55,6 +56,8 @@
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// The maximum time for a forwarded request to arrive.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the rest of a refused request is discarded, so that the response is not lost to a reset.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a forwarded request may take if it does not say.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(20);
 /// The pause after a failed accept, as when file descriptors run out.
@@ -80,8 +83,6 @@
         .headers
         .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
     request.headers.push(ENDPOINT, instance.id.as_bytes());
-    let mut message = request.encode();
-    message.extend_from_slice(body);
     let mut reason = "no gateway reaches an endpoint".to_string();
     for gateway in reach::others(state, attempt_id)
         .into_iter()
@@ -100,13 +101,7 @@
             }
         };
         let sent = clock::now();
-        let exchange = relay::exchange(
-            &mut connection,
-            &message,
-            &request.method,
-            attempt_id,
-            Answers::Any,
-        );
+        let exchange = relay::exchange(&mut connection, &request, body, attempt_id, Answers::Any);
         let (mut head, framing) = timer::within(left, exchange)
             .await
             .ok_or(Failure::Timeout)?
@@ -149,10 +144,11 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let task_state = state.clone();
+                let connected = state.budget.connect(Client::Gateway);
                 state.spawn(async move {
                     let open = &task_state.open_requests;
                     open.set(open.get() + 1);
-                    if let Err(error) = handle(&task_state, stream).await {
+                    if let Err(error) = handle(&task_state, stream, &connected).await {
                         debug!(event = "forward"; "{error}");
                     }
                     open.set(open.get() - 1);
@@ -167,22 +163,42 @@
 }
 
 /// Handles the one request of a connection.
-async fn handle(state: &Rc<State>, stream: TcpStream) -> Result<(), connection::Error> {
+async fn handle(
+    state: &Rc<State>,
+    stream: TcpStream,
+    connected: &Connected,
+) -> Result<(), connection::Error> {
     let mut connection = Connection::new(stream);
     let table = state.catalog.borrow().table();
     let body_limit = table.map_or(MAX_BODY_BYTES, |table| table.limits.body_bytes);
-    let receive = async {
-        let Some((request, framing)) = connection.read_request(MAX_HEAD_BYTES).await? else {
-            return Ok(None);
-        };
-        let body = connection.read_full_body(framing, body_limit).await?;
-        Ok(body.map(|body| (request, body)))
+    if connected.is_refused() {
+        return refuse(&mut connection, "", body_limit).await;
+    }
+    let started = clock::now();
+    let refused = async {
+        connected.refused().await;
+        Ok(None)
     };
-    let received: Option<Result<_, connection::Error>> =
-        timer::within(RECEIVE_TIMEOUT, receive).await;
-    let Some((request, body)) = received.transpose()?.flatten() else {
+    let read = connection.read_request(MAX_HEAD_BYTES).or(refused);
+    let read = timer::within(RECEIVE_TIMEOUT, read).await;
+    let Some((request, framing)) = read.transpose()?.flatten() else {
         return Ok(());
     };
+    let left = RECEIVE_TIMEOUT.saturating_sub(clock::now().saturating_sub(started));
+    let receive = budget::receive(connected, &mut connection, framing, body_limit, left, left);
+    let refused = async {
+        connected.refused().await;
+        Err(Unread::Shed)
+    };
+    let body = match receive.or(refused).await {
+        Ok(body) => body,
+        Err(Unread::Connection(error)) => return Err(error),
+        Err(Unread::TooLong | Unread::Shed | Unread::Slow) => {
+            let attempt_id = header::Request::decode(&request.headers).attempt_id;
+            return refuse(&mut connection, &attempt_id, body_limit).await;
+        }
+    };
+    connected.set_busy(true);
     let gateway = connection.stream();
     let forward = forward(state, &mut connection, request, body);
     let left = async {
@@ -192,12 +208,23 @@
     forward.or(left).await
 }
 
+/// Answers that the request is not forwarded. Gateways of all releases try another one then.
+async fn refuse(
+    connection: &mut Connection,
+    attempt_id: &str,
+    body_limit: usize,
+) -> Result<(), connection::Error> {
+    respond(connection, RESTING, attempt_id).await?;
+    timer::within(DRAIN_TIMEOUT, connection.drain(body_limit)).await;
+    Ok(())
+}
+
 /// Sends the request over this gateway's own link, and passes the response on.
 async fn forward(
     state: &Rc<State>,
     connection: &mut Connection,
     mut request: Request,
-    body: Vec<u8>,
+    body: Body,
 ) -> Result<(), connection::Error> {
     let fields = header::Request::decode(&request.headers);
     let endpoint = request
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod ahead;
 mod apply;
 mod assign;
+mod budget;
 mod catalog;
 mod checks;
 mod confirm;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::gateway::budget::Kind;
 use endivespur_core::gateway::choice::{self, Candidate};
 use endivespur_core::gateway::endpoint::Instance;
 use endivespur_core::gateway::table::RetryPolicy;
@@ -13,6 +14,7 @@
 use endivespur_http::head::{Framing, Response};
 use endivespur_platform::header::Dispatch;
 
+use crate::budget::{Body, Unread};
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{Failure, log_failed_attempt};
@@ -30,13 +32,15 @@
 /// The outcome of one attempt at one endpoint.
 enum Attempt {
     /// The endpoint's complete response, and its framing.
-    Complete(Response, Vec<u8>, Framing),
+    Complete(Response, Body, Framing),
     /// The endpoint was not reached.
     NotSent(String),
     /// The endpoint did not run the request.
     NotRun(String),
     /// The endpoint may have run the request.
     Unknown(String),
+    /// The endpoint ran the request, and there was no memory for its response.
+    Shed(Response, Framing),
     /// There was no complete response in time; the endpoint may have run the request.
     Timeout,
 }
@@ -46,7 +50,7 @@
     let mut tried = BTreeSet::new();
     let mut runs = 0;
     let mut deliveries = 0;
-    let mut failed: Option<(Response, Vec<u8>)> = None;
+    let mut failed: Option<(Response, Body)> = None;
     let mut last = Outcome::refused("no-endpoint", RETRY_AFTER);
     for _ in 0..ATTEMPT_LIMIT {
         if call.time_left().is_zero() || (deliveries > 0 && !state.withdraw_retry(&call.service)) {
@@ -82,8 +86,9 @@
                     .health
                     .borrow_mut()
                     .record_success(clock::now(), &instance.id, took);
-                return relay_response(caller, &head, &body).await;
+                return relay_response(caller, &head, body).await;
             }
+            Attempt::Shed(..) => return Outcome::unknown(502, "shed"),
             Attempt::Complete(head, body, _) => {
                 let reason = format!("status {}", head.status);
                 log_failed_attempt(call, &instance, "failed", &reason);
@@ -123,7 +128,7 @@
         }
     }
     if let Some((head, body)) = failed {
-        return relay_response(caller, &head, &body).await;
+        return relay_response(caller, &head, body).await;
     }
     match limit::service_wait(state, &call.service) {
         Some(wait) if runs == 0 => limit::refuse(call, wait),
@@ -131,8 +136,9 @@
     }
 }
 
-async fn relay_response(caller: &mut Caller<'_>, head: &Response, body: &[u8]) -> Outcome {
-    match caller.send_response(head, body).await {
+async fn relay_response(caller: &mut Caller<'_>, head: &Response, mut body: Body) -> Outcome {
+    body.set_kind(Kind::Sending);
+    match caller.send_answer(head, &body).await {
         Ok(()) => Outcome::Relayed(head.status),
         Err(error) => Outcome::Aborted(error.to_string()),
     }
@@ -201,7 +207,9 @@
         call.may_have_run.set(may_have_run);
     }
     match &attempt {
-        Attempt::Complete(head, _, framing) => run.responded(head.status, *framing),
+        Attempt::Complete(head, _, framing) | Attempt::Shed(head, framing) => {
+            run.responded(head.status, *framing);
+        }
         Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
         Attempt::Unknown(_) => run.lost(),
         // The endpoint may have crashed without a reset of its connections.
@@ -252,12 +260,15 @@
     }
     match timer::within(call.time_left(), response.read_all(state, MAX_BODY_BYTES)).await {
         None => Attempt::Timeout,
-        Some(Ok(Some(body))) => {
+        Some(Ok(body)) => {
             let (head, framing) = (response.head.clone(), response.framing);
             response.recycle(state);
             Attempt::Complete(head, body, framing)
         }
-        Some(Ok(None)) => Attempt::Unknown("answer-too-long".to_string()),
-        Some(Err(error)) => Attempt::Unknown(error.to_string()),
+        Some(Err(Unread::TooLong)) => Attempt::Unknown("answer-too-long".to_string()),
+        Some(Err(Unread::Shed | Unread::Slow)) => {
+            Attempt::Shed(response.head.clone(), response.framing)
+        }
+        Some(Err(Unread::Connection(error))) => Attempt::Unknown(error.to_string()),
     }
 }
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use endivespur_platform::header;
 use log::info;
 
+use crate::budget::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
 use crate::{notice, reach, telemetry, timer};
@@ -109,24 +110,21 @@
         Ok(chunk)
     }
 
-    /// Returns the whole body, or `None` if it is longer than `limit`.
+    /// Returns the whole body of at most `limit` bytes.
     ///
     /// # Errors
     ///
-    /// Returns an error if the response is interrupted.
-    pub async fn read_all(
-        &mut self,
-        state: &State,
-        limit: usize,
-    ) -> Result<Option<Vec<u8>>, connection::Error> {
-        let mut body = Vec::new();
-        while let Some(bytes) = self.next_chunk(state).await? {
-            body.extend_from_slice(&bytes);
-            if body.len() > limit {
-                return Ok(None);
-            }
+    /// Returns an error if the response is interrupted or too long, or there is no memory for it.
+    pub async fn read_all(&mut self, state: &State, limit: usize) -> Result<Body, Unread> {
+        let limit = match self.framing {
+            Framing::Length(length) => limit.min(usize::try_from(length).unwrap_or(limit)),
+            Framing::Chunked | Framing::Close => limit,
+        };
+        let mut body = Collector::new(&state.budget, limit);
+        while let Some(bytes) = self.next_chunk(state).await.map_err(Unread::Connection)? {
+            body.push(&bytes).await?;
         }
-        Ok(Some(body))
+        Ok(body.end())
     }
 
     /// Returns the connection to the pool, if the response was read to its end.
@@ -178,13 +176,11 @@
         None => connect(state, instance, limit).await?,
     };
     let sent = clock::now();
-    let mut message = request.encode();
-    message.extend_from_slice(body);
     let answered = {
         let mut exchange = Box::pin(exchange(
             &mut connection,
-            &message,
-            &request.method,
+            request,
+            body,
             attempt_id,
             answers,
         ));
@@ -252,16 +248,16 @@
 /// Returns the cause if there is no response.
 pub async fn exchange(
     connection: &mut Connection,
-    message: &[u8],
-    method: &str,
+    request: &Request,
+    body: &[u8],
     attempt_id: &str,
     answers: Answers,
 ) -> Result<(Response, Framing), String> {
     connection
-        .write(message)
+        .write_message(request.encode(), body)
         .await
         .map_err(|error| error.to_string())?;
-    read_response(connection, method, attempt_id, answers).await
+    read_response(connection, &request.method, attempt_id, answers).await
 }
 
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 
+use crate::budget::{self, Body, Client, Connected, Unread};
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
 use crate::{crash, generate, plain, reach, resume, telemetry, timer};
@@ -34,6 +35,10 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long the request of a connection that was not yet accepted when the VM closes is waited for.
 const BACKLOG_TIMEOUT: Duration = Duration::from_millis(100);
+/// The delay after which a caller retries when this VM has no memory for its request.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How long the rest of a refused request is discarded before its connection is closed.
+const DRAIN_LIMIT: Duration = Duration::from_millis(500);
 /// The maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -43,14 +48,14 @@
     accept(&state, &listener).or(closing).await;
     // Callers may have sent requests over connections that only the kernel has accepted.
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-        state.spawn(serve(state.clone(), stream));
+        accepted(&state, stream);
     }
 }
 
 async fn accept(state: &Rc<State>, listener: &TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => state.spawn(serve(state.clone(), stream)),
+            Ok((stream, _)) => accepted(state, stream),
             Err(error) => {
                 info!(event = "accept"; "{error}");
                 Timer::after(ACCEPT_PAUSE).await;
@@ -59,6 +64,11 @@
     }
 }
 
+fn accepted(state: &Rc<State>, stream: TcpStream) {
+    let connected = state.budget.connect(Client::Caller);
+    state.spawn(serve(state.clone(), stream, connected));
+}
+
 /// Whether a connection is kept for another request.
 #[derive(PartialEq, Eq)]
 enum Disposition {
@@ -66,11 +76,20 @@
     Close,
 }
 
-async fn serve(state: Rc<State>, stream: TcpStream) {
+async fn serve(state: Rc<State>, stream: TcpStream, connected: Connected) {
     let mut connection = Connection::new(stream);
+    if connected.is_refused() {
+        reject(&mut connection, 503, 0).await.ok();
+        return;
+    }
+    let served = serve_requests(&state, &mut connection, &connected);
+    served.or(connected.refused()).await;
+}
+
+async fn serve_requests(state: &Rc<State>, connection: &mut Connection, connected: &Connected) {
     let mut is_first = true;
     loop {
-        let limits = limits(&state);
+        let limits = limits(state);
         let closing = state.closing.listen();
         // Only the first request of a connection may have waited in the backlog.
         let is_backlog = state.is_closing.get() && is_first;
@@ -79,7 +98,7 @@
         }
         is_first = false;
         let received = async {
-            wait_for_bytes(&mut connection).await;
+            wait_for_bytes(connection).await;
             true
         };
         let closed = async {
@@ -94,8 +113,10 @@
         if timer::within(idle_timeout, received.or(closed)).await != Some(true) {
             return;
         }
-        match handle_request(&state, &mut connection, &limits).await {
-            Ok(Disposition::KeepOpen) => {}
+        match handle_request(state, connection, connected, &limits).await {
+            Ok(Disposition::KeepOpen) => {
+                connected.set_busy(false);
+            }
             Ok(Disposition::Close) => return,
             Err(error) => {
                 debug!(event = "caller-left"; "{error}");
@@ -120,21 +141,25 @@
 async fn handle_request(
     state: &Rc<State>,
     connection: &mut Connection,
+    connected: &Connected,
     limits: &Limits,
 ) -> Result<Disposition, connection::Error> {
     let read = connection.read_request(limits.header_bytes);
     let (head, framing) = match timer::within(limits.header_timeout, read).await {
-        None => return reject(connection, 408).await,
+        None => return reject(connection, 408, 0).await,
         Some(Ok(Some(read))) => read,
         Some(Ok(None)) => return Ok(Disposition::Close),
-        Some(Err(connection::Error::HeadTooLong)) => return reject(connection, 431).await,
+        Some(Err(connection::Error::HeadTooLong)) => return reject(connection, 431, 0).await,
         Some(Err(connection::Error::Head { source })) => {
             info!(event = "request-refused", status = 400; "{source}");
-            return reject(connection, 400).await;
+            return reject(connection, 400, 0).await;
         }
         Some(Err(error)) => return Err(error),
     };
     let started = clock::now();
+    if matches!(framing, Framing::Length(length) if length > limits.body_bytes as u64) {
+        return reject(connection, 413, limits.body_bytes).await;
+    }
     if head.headers.has_token("expect", "100-continue") {
         connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
@@ -143,10 +168,20 @@
         state.must_answer().await;
         Err(503)
     };
-    let body = match read_body(connection, framing, limits).or(stopping).await {
+    let body = match read_body(connected, connection, framing, limits)
+        .or(stopping)
+        .await
+    {
         Ok(body) => body,
-        Err(status) => return reject(connection, status).await,
+        Err(status) => {
+            let is_stopping = state.is_stopping.get();
+            let rest = if is_stopping { 0 } else { limits.body_bytes };
+            return reject(connection, status, rest).await;
+        }
     };
+    if !connected.set_busy(true) {
+        return reject(connection, 503, 0).await;
+    }
     respond(state, connection, head, body, started).await
 }
 
@@ -167,31 +202,46 @@
 }
 
 async fn read_body(
+    connected: &Connected,
     connection: &mut Connection,
     framing: Framing,
     limits: &Limits,
-) -> Result<Vec<u8>, u16> {
-    let read = connection.read_full_body(framing, limits.body_bytes);
-    match timer::within(BODY_TIMEOUT, read).await {
-        None => Err(408),
-        Some(Ok(Some(body))) => Ok(body),
-        Some(Ok(None)) => Err(413),
-        Some(Err(error)) => {
+) -> Result<Body, u16> {
+    let received = budget::receive(
+        connected,
+        connection,
+        framing,
+        limits.body_bytes,
+        BODY_TIMEOUT,
+        limits.header_timeout,
+    );
+    match received.await {
+        Ok(body) => Ok(body),
+        Err(Unread::Slow) => Err(408),
+        Err(Unread::TooLong) => Err(413),
+        Err(Unread::Shed) => Err(503),
+        Err(Unread::Connection(error)) => {
             info!(event = "request-refused", status = 400; "{error}");
             Err(400)
         }
     }
 }
 
-/// Rejects an invalid request and closes the connection.
+/// Rejects a request that has not been read, and closes the connection. At most `rest` bytes of the request are
+/// discarded, so that the response is not lost to a reset.
 async fn reject(
     connection: &mut Connection,
     status: u16,
+    rest: usize,
 ) -> Result<Disposition, connection::Error> {
-    let mut head = header::gateway_response(status, "", None);
+    let retry_after = (status == 503).then_some(SHED_RETRY_AFTER);
+    let mut head = header::gateway_response(status, "", retry_after);
     head.headers.push("Content-Length", b"0");
     head.headers.push("Connection", b"close");
-    connection.write(&head.encode()).await?;
+    budget::write(connection, &head.encode()).await?;
+    if rest > 0 {
+        timer::within(DRAIN_LIMIT, connection.drain(rest)).await;
+    }
     Ok(Disposition::Close)
 }
 
@@ -199,7 +249,7 @@
     state: &Rc<State>,
     connection: &mut Connection,
     head: Request,
-    body: Vec<u8>,
+    body: Body,
     started: Time,
 ) -> Result<Disposition, connection::Error> {
     let stream = connection.stream();
@@ -338,7 +388,7 @@
     /// The address that it came from.
     caller_address: Option<IpAddr>,
     head: Request,
-    body: Vec<u8>,
+    body: Body,
     features: Rc<[Feature]>,
     fields: header::Request,
     /// The time at which the head was read.
@@ -424,7 +474,7 @@
                 reason = reason.as_str(), took_ms; "answered"
             );
             let head = header::gateway_response(*status, attempt_id, *retry_after);
-            caller.send_response(&head, b"").await?;
+            caller.send_response(&head).await?;
         }
         Outcome::Relayed(status) => {
             info!(
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -126,7 +126,7 @@
     let signalled = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => reload(),
+                Ok(Signal::Hup) => reload(&state),
                 Ok(_) => break,
                 Err(failure) => error!(event = "signal"; "{failure}"),
             }
@@ -146,10 +146,13 @@
     result
 }
 
-/// Checks that the changed settings are valid; they take effect at the next start.
-fn reload() {
+/// Applies the limits of the changed settings; the others take effect at the next start.
+fn reload(state: &State) {
     match settings::read() {
-        Ok(_) => info!(event = "reload"; "settings are valid; they take effect at the next start"),
+        Ok(settings) => {
+            state.budget.reload(&settings);
+            info!(event = "reload"; "limits are applied; other settings take effect at the next start");
+        }
         Err(failure) => error!(event = "reload"; "{failure}"),
     }
 }
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -27,6 +27,7 @@
 use event_listener::Event;
 use smol::Timer;
 
+use crate::budget::Budget as Holdings;
 use crate::catalog::Catalog;
 use crate::checks::Checks;
 use crate::confirmations::Confirmations;
@@ -137,6 +138,8 @@
     pub is_closing: Cell<bool>,
     /// The number of callers' requests in flight.
     pub open_requests: Cell<usize>,
+    /// The memory and the connections that are held for others.
+    pub budget: Rc<Holdings>,
 }
 
 impl State {
@@ -196,6 +199,7 @@
             closing: Event::new(),
             is_closing: Cell::new(false),
             open_requests: Cell::new(0),
+            budget: Rc::new(Holdings::new(&settings)),
             settings,
         }
     }
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -1,11 +1,14 @@
 //! A connection with its read buffer.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use smol::Timer;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::future;
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 use snafu::Snafu;
 use socket2::SockRef;
@@ -15,6 +18,11 @@
 
 /// The size of one read.
 const READ_BYTES: usize = 16 * 1024;
+/// The capacity that the buffer of a connection keeps while it waits for bytes with nothing buffered: that of a small
+/// head. Thousands of connections may be idle.
+const KEPT_BYTES: usize = 2 * 1024;
+/// The maximum size of a body that is copied behind its head, so that both are sent at once.
+const COPIED_BYTES: usize = 16 * 1024;
 /// The number of reads after which other tasks may run.
 const READS_PER_YIELD: u8 = 8;
 /// The interval at which a stream with unread bytes is polled for its end; a fifth of the 500 ms
@@ -108,11 +116,23 @@
         if self.reads.is_multiple_of(READS_PER_YIELD) {
             smol::future::yield_now().await;
         }
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_BYTES, 0);
-        let result = self.stream.read(&mut self.buffer[start..]).await;
-        self.buffer.truncate(start + *result.as_ref().unwrap_or(&0));
-        result
+        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+        future::poll_fn(|context| {
+            // The block is shared by all connections: one that waits holds only what has arrived.
+            let mut block = [0; READ_BYTES];
+            let polled = Pin::new(&mut *stream).poll_read(context, &mut block);
+            match &polled {
+                Poll::Ready(result) => {
+                    buffer.extend_from_slice(&block[..*result.as_ref().unwrap_or(&0)]);
+                }
+                Poll::Pending if buffer.is_empty() && buffer.capacity() > KEPT_BYTES => {
+                    *buffer = Vec::new();
+                }
+                Poll::Pending => {}
+            }
+            polled
+        })
+        .await
     }
 
     /// Writes all bytes.
@@ -124,6 +144,39 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes a head and a body. A large body is not copied.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the connection fails.
+    pub async fn write_message(&mut self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+        let (first, rest) = body.split_at(body.len().min(COPIED_BYTES));
+        head.extend_from_slice(first);
+        self.write(&head).await?;
+        self.write(rest).await
+    }
+
+    /// Ends the stream to the peer, and discards what the peer still sends, at most `limit` bytes: a connection that is
+    /// closed with unread bytes is reset, and the peer may lose the response.
+    pub async fn drain(&mut self, limit: usize) {
+        self.buffer.clear();
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut discarded = 0;
+        while discarded < limit
+            && let Ok(count @ 1..) = self.fill().await
+        {
+            discarded += count;
+            self.buffer.clear();
+        }
+    }
+
+    /// Returns the bytes of memory that the buffer takes up.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Reads the head of a request; returns `None` if the peer closed the connection before it.
     ///
     /// # Errors
