Give back the read buffers of connections that wait

Cause: a connection that had read a large message kept 16 KB while its request ran, or while it was idle in the pool.

Change: the buffer is released where a body is complete and where a connection is kept for reuse, beyond 4 KB.

--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -497,6 +497,7 @@
         }
     };
     let result = read.or(watch).await;
+    connection.release_buffer();
     match &result {
         Err(Unread::Shed) => budget.record_shed("memory", received.get()),
         Err(Unread::Slow) => budget.record_shed("slow", received.get()),
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -20,7 +20,7 @@
 const READ_BYTES: usize = 16 * 1024;
 /// The capacity that the buffer of a connection keeps while it waits for bytes with nothing buffered: that of a small
 /// head. Thousands of connections may be idle.
-const KEPT_BYTES: usize = 2 * 1024;
+const KEPT_BYTES: usize = 4 * 1024;
 /// The maximum size of a body that is copied behind its head, so that both are sent at once.
 const COPIED_BYTES: usize = 16 * 1024;
 /// The number of reads after which other tasks may run.
@@ -125,10 +125,7 @@
                 Poll::Ready(result) => {
                     buffer.extend_from_slice(&block[..*result.as_ref().unwrap_or(&0)]);
                 }
-                Poll::Pending if buffer.is_empty() && buffer.capacity() > KEPT_BYTES => {
-                    *buffer = Vec::new();
-                }
-                Poll::Pending => {}
+                Poll::Pending => release(buffer),
             }
             polled
         })
@@ -172,6 +169,11 @@
         }
     }
 
+    /// Gives back the memory of the buffer, if nothing is buffered.
+    pub fn release_buffer(&mut self) {
+        release(&mut self.buffer);
+    }
+
     /// Returns the bytes of memory that the buffer takes up.
     pub fn capacity(&self) -> usize {
         self.buffer.capacity()
@@ -287,6 +289,13 @@
     }
 }
 
+/// Gives back the memory of an empty buffer that has grown beyond what a small head needs.
+fn release(buffer: &mut Vec<u8>) {
+    if buffer.is_empty() && buffer.capacity() > KEPT_BYTES {
+        *buffer = Vec::new();
+    }
+}
+
 /// Returns once the peer has closed the stream.
 ///
 /// A peek cannot see the end of the stream behind unread bytes, so it is repeated every
--- a/crates/endivespur_http/src/pool.rs
+++ b/crates/endivespur_http/src/pool.rs
@@ -48,13 +48,14 @@
     pub fn put(
         &mut self,
         address: SocketAddr,
-        connection: Connection,
+        mut connection: Connection,
         idle_timeout: Duration,
         max_idle: usize,
     ) {
         if connection.has_buffered_bytes() {
             return;
         }
+        connection.release_buffer();
         let idle = self.idle.entry(address).or_default();
         let now = Instant::now();
         idle.retain(|idle| now < idle.expires_at);
