--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use endivespur_platform::header;
 use log::warn;
 
-use crate::budget::{self, Body};
+use crate::body::{self, Body};
 
 /// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
 /// with each crash.
@@ -243,7 +243,7 @@
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        budget::write(self.connection, &head.encode()).await
+        body::write(self.connection, &head.encode()).await
     }
 
     /// Sends a chunk of the body.
@@ -256,9 +256,9 @@
             return Ok(());
         }
         if self.framing == Framing::Chunked {
-            budget::write(self.connection, &encode_chunk(bytes)).await
+            body::write(self.connection, &encode_chunk(bytes)).await
         } else {
-            budget::write(self.connection, bytes).await
+            body::write(self.connection, bytes).await
         }
     }
 
@@ -278,7 +278,7 @@
     /// Returns an error if the caller has disconnected.
     pub async fn end_body(&mut self) -> io::Result<()> {
         if self.framing == Framing::Chunked {
-            budget::write(self.connection, LAST_CHUNK).await?;
+            body::write(self.connection, LAST_CHUNK).await?;
         }
         Ok(())
     }
@@ -290,7 +290,7 @@
     /// Returns an error if the caller has disconnected.
     pub async fn send_response(&mut self, head: &Response) -> io::Result<()> {
         let head = self.encode_head(head, 0);
-        budget::write(self.connection, &head).await
+        body::write(self.connection, &head).await
     }
 
     /// Sends a complete answer of an endpoint.
@@ -300,7 +300,7 @@
     /// Returns an error if the caller has disconnected, does not read, or gives way to others.
     pub async fn send_answer(&mut self, head: &Response, body: &Body) -> io::Result<()> {
         let head = self.encode_head(head, body.len());
-        budget::write_answer(self.connection, head, body).await
+        body::write_answer(self.connection, head, body).await
     }
 
     fn encode_head(&mut self, head: &Response, length: usize) -> Vec<u8> {
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -19,7 +19,8 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::budget::{self, Body, Client, Connected, Unread};
+use crate::body::{self, Body, Unread};
+use crate::budget::{Client, Connected};
 use crate::relay::{self, Answers, EndpointResponse, Failure};
 use crate::state::{InFlight, State};
 use crate::{limit, reach, telemetry, timer};
@@ -185,7 +186,7 @@
         return Ok(());
     };
     let left = RECEIVE_TIMEOUT.saturating_sub(clock::now().saturating_sub(started));
-    let receive = budget::receive(connected, &mut connection, framing, body_limit, left, left);
+    let receive = body::receive(connected, &mut connection, framing, body_limit, left, left);
     let refused = async {
         connected.refused().await;
         Err(Unread::Shed)
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod ahead;
 mod apply;
 mod assign;
+mod body;
 mod budget;
 mod catalog;
 mod checks;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -14,7 +14,7 @@
 use endivespur_http::head::{Framing, Response};
 use endivespur_platform::header::Dispatch;
 
-use crate::budget::{Body, Unread};
+use crate::body::{Body, Unread};
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
 use crate::relay::{Failure, log_failed_attempt};
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use endivespur_platform::header;
 use log::info;
 
-use crate::budget::{Body, Collector, Unread};
+use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
 use crate::{notice, reach, telemetry, timer};
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -18,7 +18,8 @@
 use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 
-use crate::budget::{self, Body, Client, Connected, Unread};
+use crate::body::{self, Body, Unread};
+use crate::budget::{Client, Connected};
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
 use crate::{crash, generate, plain, reach, resume, telemetry, timer};
@@ -207,7 +208,7 @@
     framing: Framing,
     limits: &Limits,
 ) -> Result<Body, u16> {
-    let received = budget::receive(
+    let received = body::receive(
         connected,
         connection,
         framing,
@@ -238,7 +239,7 @@
     let mut head = header::gateway_response(status, "", retry_after);
     head.headers.push("Content-Length", b"0");
     head.headers.push("Connection", b"close");
-    budget::write(connection, &head.encode()).await?;
+    body::write(connection, &head.encode()).await?;
     if rest > 0 {
         timer::within(DRAIN_LIMIT, connection.drain(rest)).await;
     }
