--- a/crates/endivespur_gateway/src/attempt.rs
+++ b/crates/endivespur_gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use endivespur_http::head::{Framing, Response};
 use endivespur_platform::header::{self, Dispatch};
 
+use crate::body::{Body, Unread};
 use crate::crash::Run;
 use crate::exchange::Call;
 use crate::relay::Failure;
@@ -23,16 +24,19 @@
 
 /// The maximum size of a response, which is read completely before it is relayed.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+
 /// The outcome of one attempt at one endpoint.
 pub enum Attempt {
     /// The endpoint's complete response, and its framing.
-    Complete(Response, Vec<u8>, Framing),
+    Complete(Response, Body, Framing),
     /// The endpoint was not reached.
     NotSent(String),
     /// The endpoint did not run the request.
     NotRun(String),
     /// The endpoint may have run the request.
     Unknown(String),
+    /// The endpoint ran the request, and there was no memory for its response.
+    Shed(Response, Framing),
     /// There was no complete response in time; the endpoint may have run the request.
     Timeout,
 }
@@ -43,7 +47,7 @@
         match self {
             Self::Complete(head, ..) if head.status < 500 => End::Good,
             Self::NotSent(_) | Self::NotRun(_) => End::NotRun,
-            Self::Complete(..) | Self::Unknown(_) | Self::Timeout => End::Failed,
+            Self::Complete(..) | Self::Unknown(_) | Self::Shed(..) | Self::Timeout => End::Failed,
         }
     }
 }
@@ -119,7 +123,9 @@
     let run = Run::new(state, call, instance);
     let attempt = send(state, call, instance, room).await;
     match &attempt {
-        Attempt::Complete(head, _, framing) => run.responded(head.status, *framing),
+        Attempt::Complete(head, _, framing) | Attempt::Shed(head, framing) => {
+            run.responded(head.status, *framing);
+        }
         Attempt::NotSent(_) | Attempt::NotRun(_) => run.ended(),
         Attempt::Unknown(_) => run.lost(),
         // The endpoint may have crashed without a reset of its connections.
@@ -171,13 +177,16 @@
     }
     match timer::within(call.time_left(), response.read_all(state, MAX_BODY_BYTES)).await {
         None => Attempt::Timeout,
-        Some(Ok(Some(body))) => {
+        Some(Ok(body)) => {
             let (head, framing) = (response.head.clone(), response.framing);
             response.recycle(state);
             Attempt::Complete(head, body, framing)
         }
-        Some(Ok(None)) => Attempt::Unknown("answer-too-long".to_string()),
-        Some(Err(error)) => Attempt::Unknown(error.to_string()),
+        Some(Err(Unread::TooLong)) => Attempt::Unknown("answer-too-long".to_string()),
+        Some(Err(Unread::Shed | Unread::Slow)) => {
+            Attempt::Shed(response.head.clone(), response.framing)
+        }
+        Some(Err(Unread::Connection(error))) => Attempt::Unknown(error.to_string()),
     }
 }
 
--- a/crates/endivespur_gateway/src/authorize.rs
+++ b/crates/endivespur_gateway/src/authorize.rs
@@ -12,7 +12,7 @@
 use crate::state::State;
 use crate::telemetry;
 
-/// Decides whose request it is that has this head.
+/// Authenticates a request by its head.
 ///
 /// # Errors
 ///
@@ -26,7 +26,7 @@
     identify(table, head, fields).map_err(|denial| refuse(state, fields, denial))
 }
 
-/// Decides again whose request it is that was admitted before its body was read.
+/// Authenticates again a request that was admitted before its body was read.
 ///
 /// # Errors
 ///
@@ -71,6 +71,12 @@
     }
 }
 
+/// Returns whether a request that may have run is still authorised for another run.
+pub fn is_authorized(state: &State, call: &Call) -> bool {
+    let table = state.catalog.borrow().table();
+    table.is_none_or(|table| identify(&table, &call.head, &call.fields).is_ok())
+}
+
 fn identify(table: &Table, head: &Request, fields: &header::Request) -> Result<Identity, Denial> {
     let host = head.headers.get("host").unwrap_or_default();
     table.identify(host, &head.target, fields.credentials)
--- /dev/null
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -0,0 +1,300 @@
+//! Bounds the memory and the connections that are held for others.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_clock as clock;
+use endivespur_core::clock::Time;
+use endivespur_core::gateway::budget::{self, Answer, Connections, Id, Kind, Limits};
+use endivespur_platform::settings::Settings;
+use event_listener::Event;
+use log::info;
+use smol::future::FutureExt;
+
+use crate::body::Unread;
+use crate::{telemetry, timer};
+
+/// The maximum time that a transfer waits until others have given way.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The interval at which a transfer that waits asks again: others may have stalled meanwhile.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// The maximum number of log lines in a second about what was shed.
+const MAX_LINES: u32 = 20;
+
+/// A flag that is set once, and can be waited for.
+#[derive(Default)]
+struct Signal {
+    is_set: Cell<bool>,
+    changed: Event,
+}
+
+impl Signal {
+    fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify(usize::MAX);
+    }
+
+    async fn wait(&self) {
+        while !self.is_set.get() {
+            self.changed.listen().await;
+        }
+    }
+}
+
+/// The number of log lines in the current second.
+#[derive(Clone, Copy, Default)]
+struct Lines {
+    since: Time,
+    count: u32,
+    omitted: u64,
+}
+
+/// The clients that connections belong to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Client {
+    /// Callers.
+    Caller,
+    /// Gateways whose requests are forwarded.
+    Gateway,
+}
+
+/// The connections of one kind of clients, and how they are told to end.
+struct Open {
+    connections: RefCell<Connections>,
+    signals: RefCell<BTreeMap<Id, Rc<Signal>>>,
+}
+
+impl Open {
+    fn new(limit: usize) -> Self {
+        Self {
+            connections: RefCell::new(Connections::new(limit)),
+            signals: RefCell::default(),
+        }
+    }
+}
+
+/// What the process holds for others.
+pub struct Budget {
+    memory: RefCell<budget::Budget>,
+    signals: RefCell<BTreeMap<Id, Rc<Signal>>>,
+    /// Signals that memory has been released.
+    released: Event,
+    /// The bytes of small bodies.
+    pub small: Cell<usize>,
+    callers: Open,
+    gateways: Open,
+    lines: Cell<Lines>,
+}
+
+impl Budget {
+    /// Creates a budget with the limits that the settings give.
+    pub fn new(settings: &Settings) -> Self {
+        let limits = Limits::new(settings.memory_limit, settings.max_descriptors);
+        Self {
+            memory: RefCell::new(budget::Budget::new(limits.memory)),
+            signals: RefCell::default(),
+            released: Event::new(),
+            small: Cell::new(0),
+            callers: Open::new(limits.callers),
+            gateways: Open::new(limits.forwards),
+            lines: Cell::default(),
+        }
+    }
+
+    /// Changes the limits to those that other settings give.
+    pub fn reload(&self, settings: &Settings) {
+        let limits = Limits::new(settings.memory_limit, settings.max_descriptors);
+        self.memory.borrow_mut().set_limit(limits.memory);
+        let set = |open: &Open, limit| open.connections.borrow_mut().set_limit(limit);
+        set(&self.callers, limits.callers);
+        set(&self.gateways, limits.forwards);
+        info!(
+            event = "limits", memory = limits.memory, callers = limits.callers,
+            forwards = limits.forwards; "limits of what is held for others"
+        );
+    }
+
+    /// Returns the bytes that are held.
+    pub fn held(&self) -> u64 {
+        self.memory.borrow().held() + self.small.get() as u64
+    }
+
+    /// Returns the number of connections of one kind of clients.
+    pub fn connection_count(&self, client: Client) -> usize {
+        self.open(client).connections.borrow().count()
+    }
+
+    fn open(&self, client: Client) -> &Open {
+        match client {
+            Client::Caller => &self.callers,
+            Client::Gateway => &self.gateways,
+        }
+    }
+
+    /// Adds a connection; tells others to end if there are too many.
+    pub fn connect(self: &Rc<Self>, client: Client) -> Connected {
+        let open = self.open(client);
+        let (id, closed) = open.connections.borrow_mut().open(clock::now());
+        let signal = Rc::new(Signal::default());
+        let mut signals = open.signals.borrow_mut();
+        signals.insert(id, signal.clone());
+        for closed in closed {
+            if let Some(signal) = signals.get(&closed) {
+                signal.set();
+                self.record_shed("connections", 0);
+            }
+        }
+        drop(signals);
+        Connected {
+            budget: self.clone(),
+            client,
+            id,
+            signal,
+        }
+    }
+
+    /// Counts and logs that something was shed.
+    pub fn record_shed(&self, reason: &'static str, bytes: usize) {
+        telemetry::shed(reason);
+        let now = clock::now();
+        let mut lines = self.lines.get();
+        if now.saturating_sub(lines.since) >= Duration::from_secs(1) {
+            lines.since = now;
+            lines.count = 0;
+        }
+        if lines.count < MAX_LINES {
+            lines.count += 1;
+            let held = self.held();
+            info!(event = "shed", reason, bytes, held, omitted = lines.omitted; "gave way");
+            lines.omitted = 0;
+        } else {
+            lines.omitted += 1;
+        }
+        self.lines.set(lines);
+    }
+
+    /// Tells transfers to give way.
+    fn tell(&self, ids: &[Id]) {
+        let signals = self.signals.borrow();
+        for id in ids {
+            if let Some(signal) = signals.get(id) {
+                signal.set();
+            }
+        }
+    }
+}
+
+/// An open connection; it is removed when dropped.
+pub struct Connected {
+    /// The budget that it is part of.
+    pub budget: Rc<Budget>,
+    client: Client,
+    id: Id,
+    signal: Rc<Signal>,
+}
+
+impl Connected {
+    /// Records that bytes of a request have arrived.
+    pub fn advance(&self) {
+        let open = self.budget.open(self.client);
+        open.connections.borrow_mut().advance(clock::now(), self.id);
+    }
+
+    /// Records whether the connection carries a complete request; returns false if it has to be closed.
+    pub fn set_busy(&self, is_busy: bool) -> bool {
+        let open = self.budget.open(self.client);
+        let mut connections = open.connections.borrow_mut();
+        connections.set_busy(clock::now(), self.id, is_busy)
+    }
+
+    /// Returns whether the connection has to be closed.
+    pub fn is_refused(&self) -> bool {
+        self.signal.is_set.get()
+    }
+
+    /// Waits until the connection has to be closed.
+    pub async fn refused(&self) {
+        self.signal.wait().await;
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        let open = self.budget.open(self.client);
+        open.connections.borrow_mut().close(self.id);
+        open.signals.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A part of the budget, which is released when dropped.
+pub struct Held {
+    budget: Rc<Budget>,
+    id: Id,
+    signal: Rc<Signal>,
+}
+
+impl Held {
+    /// Begins a transfer that holds nothing yet.
+    pub fn new(budget: &Rc<Budget>, kind: Kind) -> Self {
+        let id = budget.memory.borrow_mut().open(clock::now(), kind);
+        let signal = Rc::new(Signal::default());
+        budget.signals.borrow_mut().insert(id, signal.clone());
+        Self {
+            budget: budget.clone(),
+            id,
+            signal,
+        }
+    }
+
+    /// Records that bytes have passed.
+    pub fn advance(&self, bytes: usize) {
+        let mut memory = self.budget.memory.borrow_mut();
+        memory.advance(clock::now(), self.id, bytes as u64);
+    }
+
+    /// Takes more memory, after others have given way if that is needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Unread::Shed`] if this one has to give way.
+    pub async fn grow(&self, bytes: usize) -> Result<(), Unread> {
+        let deadline = clock::now() + ROOM_TIMEOUT;
+        loop {
+            let now = clock::now();
+            let answer = {
+                let mut memory = self.budget.memory.borrow_mut();
+                memory.grow(now, self.id, bytes as u64)
+            };
+            match answer {
+                Answer::Granted => return Ok(()),
+                Answer::Refused => return Err(Unread::Shed),
+                Answer::After(_) | Answer::Later if now >= deadline => return Err(Unread::Shed),
+                Answer::After(others) => self.budget.tell(&others),
+                Answer::Later => {}
+            }
+            let released = async { self.budget.released.listen().await };
+            timer::within(ASK_INTERVAL, released.or(self.signal.wait())).await;
+        }
+    }
+
+    /// Goes on as a transfer of another kind.
+    pub fn set_kind(&self, kind: Kind) {
+        let mut memory = self.budget.memory.borrow_mut();
+        memory.change(clock::now(), self.id, kind);
+    }
+
+    /// Waits until it has to give way.
+    pub async fn shed(&self) {
+        self.signal.wait().await;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.memory.borrow_mut().close(self.id);
+        self.budget.signals.borrow_mut().remove(&self.id);
+        self.budget.released.notify(usize::MAX);
+    }
+}
--- a/crates/endivespur_gateway/src/hedge.rs
+++ b/crates/endivespur_gateway/src/hedge.rs
@@ -189,10 +189,13 @@
     if instance.id != best.id && is_full(state, &instance) {
         return Err(Denial::Overload.name());
     }
+    if state.health.borrow().is_avoided(now, &instance.id) {
+        return Err("no-endpoint");
+    }
     if crash::is_quarantined(state, call) {
         return Err("quarantined");
     }
-    if authorize::check_before_send(state, call).is_err() {
+    if !authorize::is_authorized(state, call) {
         return Err("unauthorized");
     }
     if !state.withdraw_retry(&call.service) {
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -11,6 +11,8 @@
 mod assign;
 mod attempt;
 mod authorize;
+mod body;
+mod budget;
 mod catalog;
 mod checks;
 mod confirm;
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use endivespur_clock as clock;
+use endivespur_core::gateway::budget::Kind;
 use endivespur_core::gateway::hedge::End;
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_http::head::Response;
 
 use crate::attempt::{self, Attempt};
+use crate::body::Body;
 use crate::exchange::{Call, Caller, Outcome};
 use crate::hedge::{self, Ended};
 use crate::relay::log_failed_attempt;
@@ -28,10 +30,19 @@
     /// The attempts that reached an endpoint; each beyond the first is charged to the retry budget.
     deliveries: u32,
     /// The last complete response that says that the request failed.
-    failed: Option<(Response, Vec<u8>)>,
+    failed: Option<(Response, Body)>,
     last: Outcome,
 }
 
+impl Progress {
+    /// Records that an attempt did not run, unless another one may have run: a refusal promises that none has.
+    fn refuse(&mut self, reason: &str) {
+        if self.runs == 0 {
+            self.last = Outcome::refused(reason, RETRY_AFTER);
+        }
+    }
+}
+
 /// Handles a request to a plain service.
 pub async fn handle(state: &Rc<State>, call: &Call, caller: &mut Caller<'_>) -> Outcome {
     let mut tried = BTreeSet::new();
@@ -71,7 +82,7 @@
         for ended in hedge::race(state, call, &instance, room, &mut tried, delay).await {
             has_run |= ended.attempt.end() != End::NotRun;
             if let Some((head, body)) = record(state, call, &mut progress, ended) {
-                return relay_response(caller, &head, &body).await;
+                return relay_response(caller, &head, body).await;
             }
         }
         let may_repeat = call.route.retry_policy == RetryPolicy::Idempotent;
@@ -80,7 +91,7 @@
         }
     }
     if let Some((head, body)) = progress.failed {
-        return relay_response(caller, &head, &body).await;
+        return relay_response(caller, &head, body).await;
     }
     if progress.runs == 0 {
         let mut hedges = state.hedges.borrow_mut();
@@ -98,7 +109,7 @@
     call: &Call,
     progress: &mut Progress,
     ended: Ended,
-) -> Option<(Response, Vec<u8>)> {
+) -> Option<(Response, Body)> {
     let Ended {
         instance,
         took,
@@ -132,13 +143,17 @@
         }
         Attempt::NotSent(reason) => {
             log_failed_attempt(call, &instance, "not-run", &reason);
-            progress.last = Outcome::refused(&reason, RETRY_AFTER);
+            progress.refuse(&reason);
         }
         Attempt::NotRun(reason) => {
             log_failed_attempt(call, &instance, "not-run", &reason);
             let mut hedges = state.hedges.borrow_mut();
             hedges.record_refusal(now, &call.service);
-            progress.last = Outcome::refused(&reason, RETRY_AFTER);
+            progress.refuse(&reason);
+        }
+        Attempt::Shed(..) => {
+            log_failed_attempt(call, &instance, "unknown", "shed");
+            progress.last = Outcome::unknown(502, "shed");
         }
         Attempt::Unknown(reason) => {
             log_failed_attempt(call, &instance, "unknown", &reason);
@@ -154,8 +169,9 @@
     None
 }
 
-async fn relay_response(caller: &mut Caller<'_>, head: &Response, body: &[u8]) -> Outcome {
-    match caller.send_response(head, body).await {
+async fn relay_response(caller: &mut Caller<'_>, head: &Response, mut body: Body) -> Outcome {
+    body.set_kind(Kind::Sending);
+    match caller.send_answer(head, &body).await {
         Ok(()) => Outcome::Relayed(head.status),
         Err(error) => Outcome::Aborted(error.to_string()),
     }
