Let a restarted gateway go on with its shards only if its former process kept them, and admit long prompts of small teams

The record of the former process was hardly ever seen, since the new one is written before the first listing arrives.

Change: before its first registration a gateway that is not started for the first time reads its own record, which says whether the shards have been kept without a break (`lends_quotas`). The buckets hold half of the permitted excess beyond the burst. The other four are mended as named.

--- a/crates/endivespur_core/src/gateway/quota/mod.rs
+++ b/crates/endivespur_core/src/gateway/quota/mod.rs
@@ -28,11 +28,9 @@
 /// [`contact::MAX_VIEW_AGE`], from a source that may be 1.3 s old, and its last loans are valid for [`VALIDITY`].
 /// The rest is the age that a view may have at the end ([`keeper::Keeper::postpone`]).
 pub const SETTLE_TIME: Duration = Duration::from_millis(3_200);
-/// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet.
+/// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet, and for
+/// prompts that are larger than the burst of a small team.
 const LOAN_SHARE: f64 = 0.5;
-/// The time of the rate by which the buckets hold more than the burst at most. Loans of the last [`VALIDITY`] count as
-/// unused, so that less would not permit to use all of the rate.
-const LOAN_TIME: Duration = Duration::from_millis(600);
 /// The part of the permitted excess that gateways may use without keepers. The rest covers requests that are sent some
 /// time after they were admitted.
 const FALLBACK_SHARE: f64 = 0.25;
@@ -80,9 +78,8 @@
         };
         let spare = excess.ratio * (quota.rate * window + quota.burst) + tokens;
         let loan_spare = spare * LOAN_SHARE;
-        let ahead = (quota.rate * LOAN_TIME.as_secs_f64()).min(loan_spare);
         let min_capacity = (quota.rate * MIN_CAPACITY_TIME.as_secs_f64()).max(1.0);
-        let capacity = (quota.burst + ahead).max(min_capacity);
+        let capacity = (quota.burst + loan_spare).max(min_capacity);
         // A bucket that holds more than is permitted must fill more slowly.
         let over = (capacity - quota.burst - loan_spare).max(0.0);
         let rate = (quota.rate - over / window).max(quota.rate * MIN_RATE_SHARE);
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -108,6 +108,7 @@
         if before.is_empty() {
             // Nothing was checked without quotas.
             self.contact = Contact::new();
+            self.members = Members::new(now);
         }
         for (name, quota) in quotas {
             let terms = Terms::new(&quota, &self.excess);
@@ -116,6 +117,8 @@
                 // A process that has started again knows no predecessors.
                 (None, None) => self.start(now),
                 (None, Some(_)) => Start::Full,
+                // Shards that are withheld stay so: the gateways that lend them may only be cut off.
+                (Some(_), _) if !self.has_majority => Start::Never,
                 (Some(_), _) => Start::Empty,
             };
             let mut entry = old.unwrap_or_else(|| Entry {
--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -190,6 +190,7 @@
         sent: Time,
         loan: Option<Loan>,
     ) {
+        self.next = self.next.wrapping_add(1);
         match loan {
             Some(Loan::Amount(amount, validity)) => {
                 self.blocked.remove(lender);
@@ -327,13 +328,11 @@
         self.blocked.retain(|_, (until, _)| now < *until);
         let count = keepers.len();
         let offset = (0..count).find(|offset| {
-            let vm = &keepers[(self.next + offset) % count];
+            let vm = &keepers[self.next.wrapping_add(*offset) % count];
             let blocked = self.blocked.get(vm);
             !blocked.is_some_and(|(_, least)| least.is_none_or(|least| least <= amount))
         })?;
-        let shard = (self.next + offset) % count;
-        self.next = shard + 1;
-        Some(keepers[shard].clone())
+        Some(keepers[self.next.wrapping_add(offset) % count].clone())
     }
 
     /// Returns the amount that is expected to be used within a short time, at most that of the team's rate.
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -61,6 +61,10 @@
     late_until: Time,
     updated_at: Time,
     lease_end: Time,
+    /// Whether its process has written its record.
+    has_registered: bool,
+    /// Whether it has kept its shards without a break, as its record says.
+    is_continuous: bool,
     waiting: Vec<Inquiry>,
     amounts: Vec<u64>,
 }
@@ -101,7 +105,9 @@
 
     fn start(&mut self, node: usize, is_first_start: bool) {
         let mut tracker = Tracker::new(self.now, &name(node), EXCESS, is_first_start);
-        if self.history.last().unwrap().1.contains(&name(node)) {
+        let has_record = self.history.last().unwrap().1.contains(&name(node));
+        let is_continuous = is_first_start || (has_record && self.nodes[node].is_continuous);
+        if is_continuous && !is_first_start {
             tracker.resume(self.now);
         }
         self.nodes[node] = Node {
@@ -109,6 +115,7 @@
             group: self.nodes[node].group,
             lag: ms(self.rng.random_range(0..1_300)),
             updated_at: self.now,
+            is_continuous,
             ..Node::default()
         };
     }
@@ -129,6 +136,10 @@
             if self.runs(index) && self.nodes[index].group == 0 && self.is_store_up {
                 let left = ms(self.rng.random_range(1_100..2_000));
                 let node = &mut self.nodes[index];
+                if node.has_registered && node.lease_end <= self.now {
+                    node.is_continuous = false;
+                }
+                node.has_registered = true;
                 node.lease_end = node.lease_end.max(self.now + left);
             }
             if !self.is_store_up {
@@ -499,6 +510,20 @@
     }
 }
 
+/// A new version of the configuration made a minority lend the shards of a majority that was cut off and still lent them.
+#[test]
+fn quota_new_version_while_most_are_cut_off() {
+    let mut world = World::new(4, 9, true);
+    world.run(ms(9_000), RATE / 1.8, None);
+    for node in 0..6 {
+        world.nodes[node].group = 1;
+    }
+    world.run(ms(8_000), RATE / 1.8, None);
+    world.version = (2, RATE);
+    world.run(ms(4_000), RATE / 1.8, None);
+    world.assert_bound(ms(0), RATE, "cut off");
+}
+
 /// While the store is away, all gateways reach each other, and nobody may be refused.
 #[test]
 fn quota_while_the_store_is_away() {
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -51,6 +51,9 @@
     /// Whether it can keep quotas of teams; not of an older release.
     #[serde(default)]
     pub keeps_quotas: bool,
+    /// Whether it has kept its shards of quotas without a break, so that its next process may go on at once.
+    #[serde(default)]
+    pub lends_quotas: bool,
 }
 
 fn default_link_rate() -> u64 {
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -189,6 +189,8 @@
         .grant(ttl)
         .await
         .map_err(|error| error.to_string())?;
+    let is_continuous = is_continuous(state).await;
+    state.quotas.is_continuous.set(is_continuous);
     let is_cut_off = state.reach.borrow().is_cut_off();
     let write = Write {
         puts: vec![vm_record(state, is_cut_off)?],
@@ -211,6 +213,35 @@
     Ok(())
 }
 
+/// Returns whether this gateway goes on keeping its shards of quotas, before it writes its record under a new lease.
+///
+/// Others take shards over only after the record has ended. It is read from the store, as a view of it may be late.
+async fn is_continuous(state: &State) -> bool {
+    if state.quotas.has_registered.replace(true) {
+        // The former lease of this process has ended.
+        return false;
+    }
+    if state.settings.is_first_start {
+        return true;
+    }
+    let key = vm_key(state);
+    telemetry::store_called("list", "vm");
+    let page = match state.store.list(&key).await {
+        Ok(page) => page,
+        Err(error) => {
+            info!(event = "lease"; "record of the former process not read: {error}");
+            return false;
+        }
+    };
+    let former = page.items.iter().find(|item| item.key == key);
+    let former = former.and_then(|item| decode_vm(item.value.as_deref()?));
+    let is_continuous = former.is_some_and(|former| former.lends_quotas);
+    if is_continuous {
+        state.quotas.tracker.borrow_mut().resume(clock::now());
+    }
+    is_continuous
+}
+
 /// Returns the key and the value of this VM's record in the store.
 fn vm_record(state: &State, is_cut_off: bool) -> Result<(String, Vec<u8>), String> {
     let record = Peer {
@@ -222,9 +253,15 @@
         link_rate: state.settings.link_rate,
         keeps_streams: true,
         keeps_quotas: true,
+        lends_quotas: state.quotas.is_continuous.get(),
     };
     let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
-    Ok((format!("{VM_KEY_PREFIX}{}", state.settings.vm), value))
+    Ok((vm_key(state), value))
+}
+
+/// Returns the key of this VM's record in the store.
+fn vm_key(state: &State) -> String {
+    format!("{VM_KEY_PREFIX}{}", state.settings.vm)
 }
 
 /// Writes whether this VM is cut off from all endpoints. If it is, gives up its claims: another VM must send
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -3,7 +3,7 @@
 //! A request of a team with a quota is admitted before anything is placed for it. This gateway lends the shards of
 //! quotas that it keeps, and borrows from the keepers of the others.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::gateway::quota::tracker::Tracker;
 use endivespur_core::gateway::quota::wallet::{Inquiry, Part, Step};
+use endivespur_core::gateway::team::Teams;
 use endivespur_core::id::{Team, Vm};
 use endivespur_platform::settings::Settings;
 use log::info;
@@ -48,6 +49,11 @@
 pub struct Quotas {
     /// The decisions.
     pub tracker: RefCell<Tracker>,
+    /// Whether this gateway has kept its shards without a break: since the first start of the whole system, or since that of
+    /// a former process whose record had not ended. A successor of this process may resume only then.
+    pub is_continuous: Cell<bool>,
+    /// Whether this process has written its record before.
+    pub has_registered: Cell<bool>,
     /// Held by the request of each team that borrows: the others use what it gets.
     borrowing: RefCell<BTreeMap<Team, Rc<Mutex<()>>>>,
     refusals: RefCell<BTreeMap<Team, Refusals>>,
@@ -64,6 +70,8 @@
         let tracker = Tracker::new(clock::now(), &settings.vm, excess, settings.is_first_start);
         Self {
             tracker: RefCell::new(tracker),
+            is_continuous: Cell::new(false),
+            has_registered: Cell::new(false),
             borrowing: RefCell::new(BTreeMap::new()),
             refusals: RefCell::new(BTreeMap::new()),
         }
@@ -165,18 +173,15 @@
         return;
     };
     let mut tracker = state.quotas.tracker.borrow_mut();
-    let own_record = catalog.peer(&state.settings.vm);
-    if own_record.is_some_and(|peer| peer.keeps_quotas && peer.process != state.process) {
-        tracker.resume(now);
-    }
-    let is_new = tracker.version() != Some(table.version);
-    if is_new {
-        tracker.configure(now, table.version, table.teams.as_ref());
-    }
-    if !tracker.is_empty() {
+    let mut teams = table.teams.iter().flat_map(Teams::iter);
+    // The gateways first: buckets of a quota that is new are full at the gateways that keep them.
+    if !tracker.is_empty() || teams.any(|(_, team)| team.quota.is_some()) {
         let peers = catalog.peers().filter(|(_, peer)| peer.keeps_quotas);
         tracker.assign(now, peers.map(|(vm, _)| vm));
     }
+    if tracker.version() != Some(table.version) {
+        tracker.configure(now, table.version, table.teams.as_ref());
+    }
 }
 
 /// Gives loans back that end soon, and probes other gateways if there has been no news of them.
