Expect output in tokens, by what callers accept

Cause: the expected output of a request was the share of the accepted tokens that all responses of the engine had, and it never aged. Where callers that accept 16 tokens use them all, those that accept 4,000 and use 30 were refused at all engines. An engine that refused all requests learned nothing that could correct it.

Change: the owner learns output tokens instead, as a moving average for each power of two of the accepted output, and uses the smaller of that and the request's own maximum. When no such stream has ended for 10 s, the average halves every 5 s towards 0. A stream that its deadline may have cut off counts if it raises the average.

Measured: the two new tests fail with the sources before this change (request_mixed_output_limits in round 0) and pass with it.

--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, Request, State};
+use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, Request, State, pause};
 use crate::clock::{self, Time};
 use crate::gateway::endpoint::Weights;
 
@@ -47,7 +47,11 @@
             return true;
         };
         let figures = self.pace(now);
-        let tokens = f64::from(request.output_tokens) * self.output_share;
+        let known = self
+            .outputs
+            .get(&pause::output_class(request.output_tokens));
+        let tokens = known.map_or(0.0, |output| output.tokens(now));
+        let tokens = tokens.min(f64::from(request.output_tokens));
         let output = clock::scale(figures.step_time(), tokens);
         first_token + clock::scale(output, share) <= end_in
     }
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -26,7 +26,7 @@
 use crate::id::{Grant, Version};
 
 pub use pause::Forecast;
-use pause::Stream;
+use pause::{Output, Stream};
 
 /// The assumed duration of a fetch from the weight store until one has been observed.
 const INITIAL_FETCH_TIME: Duration = Duration::from_millis(250);
@@ -41,8 +41,6 @@
 /// The share of the expected output that a response certainly has: a request is only refused if it misses its deadline
 /// clearly.
 const CERTAIN_SHARE: f64 = 0.5;
-/// The weight of the newest sample in the moving average of the share of the accepted output that is written.
-const OUTPUT_SHARE_WEIGHT: f64 = 0.15;
 /// The slowness above which the pauses of a stream tell nothing of an engine's usual pace.
 const MAX_USUAL_SLOWNESS: f64 = 1.3;
 /// The backlog above which an engine counts as busy.
@@ -278,9 +276,8 @@
     busy_since: Option<Time>,
     /// The prefill work sent to the engine, in seconds.
     prefill_work: Counter,
-    /// The share of the output tokens that callers accept which responses had, by their durations. Callers may name far
-    /// more than comes, so that it is 0 until it has been observed.
-    output_share: f64,
+    /// The output that responses had, by their durations, for each power of two of the output that callers accept.
+    outputs: BTreeMap<u32, Output>,
     /// The usual pace of the engine, as observed.
     pace: Pace,
     /// How long work takes now, compared with that.
@@ -327,7 +324,7 @@
             pending_prefills: BTreeMap::new(),
             busy_since: None,
             prefill_work: Counter::default(),
-            output_share: 0.0,
+            outputs: BTreeMap::new(),
             pace: Pace::new(now, None),
             slowness: Slowness::default(),
             streams: BTreeMap::new(),
@@ -541,8 +538,13 @@
             return;
         };
         let slowness = self.slowness(now);
-        if let Some(share) = stream.output_share(now, self.pace(now).step_time()) {
-            self.output_share += OUTPUT_SHARE_WEIGHT * (share - self.output_share);
+        if let Some(tokens) = stream.written_tokens(now, self.pace(now).step_time()) {
+            let output = self.outputs.entry(stream.output_class()).or_default();
+            if stream.is_cut_off(now) {
+                output.record_at_least(now, tokens);
+            } else {
+                output.record(now, tokens);
+            }
         }
         let is_usual = slowness < MAX_USUAL_SLOWNESS && self.tokens_per_event > 0;
         if is_usual && stream.is_alone && !longest.is_zero() {
--- a/crates/endivespur_core/src/gateway/placement/pause.rs
+++ b/crates/endivespur_core/src/gateway/placement/pause.rs
@@ -26,6 +26,53 @@
 /// How long before its deadline a stream that ends may have been cut off by it.
 const END_MARGIN: Duration = Duration::from_millis(100);
 
+/// The weight of the newest response in the moving average of the output.
+const OUTPUT_WEIGHT: f64 = 0.15;
+/// How long the output that is known counts fully. It is longer than most responses, as the ends of long ones are rare.
+const OUTPUT_LIFETIME: Duration = Duration::from_secs(10);
+/// The half-life of the output after that. While an engine refuses all requests, no response corrects too high a figure.
+const OUTPUT_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// The output that an engine's responses had, in tokens, of callers that accept a like number.
+///
+/// It is not a share of what callers accept: some that accept little and use all of it would raise the output that is
+/// expected for others that accept far more than comes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Output {
+    /// The moving average at the end of the last response.
+    tokens: f64,
+    at: Time,
+}
+
+impl Output {
+    /// Returns the expected output of a response; 0 if nothing is known, or no longer.
+    pub(super) fn tokens(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.at + OUTPUT_LIFETIME).as_secs_f64();
+        self.tokens * (-age / OUTPUT_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Records the output of a response that has ended.
+    pub(super) fn record(&mut self, now: Time, tokens: f64) {
+        let known = self.tokens(now);
+        self.tokens = known + OUTPUT_WEIGHT * (tokens - known);
+        self.at = now;
+    }
+
+    /// Records the output of a response that its deadline may have cut off, which would have been longer. Otherwise nothing
+    /// would be learned at engines that are too slow for all.
+    pub(super) fn record_at_least(&mut self, now: Time, tokens: f64) {
+        let known = self.tokens(now);
+        if tokens > known {
+            self.record(now, tokens);
+        }
+    }
+}
+
+/// Returns the class of an accepted output: its power of two.
+pub(super) fn output_class(accepted: u32) -> u32 {
+    accepted.checked_ilog2().unwrap_or_default()
+}
+
 /// The pauses of a granted request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stream {
@@ -46,15 +93,22 @@
 }
 
 impl Stream {
-    /// Returns the share of the output tokens that its caller accepts which a stream that ends now has written, if its
-    /// engine needed the usual time for each; `None` if it is not known or if the deadline may have cut it off.
-    pub(super) fn output_share(&self, now: Time, step: Duration) -> Option<f64> {
-        if self.end.is_some_and(|end| now + END_MARGIN >= end) {
-            return None;
-        }
-        let all = step.as_secs_f64() * f64::from(self.output_tokens);
+    /// Returns the class of the output that its caller accepts.
+    pub(super) fn output_class(&self) -> u32 {
+        output_class(self.output_tokens)
+    }
+
+    /// Returns whether its deadline may have cut off a stream that ends now.
+    pub(super) fn is_cut_off(&self, now: Time) -> bool {
+        self.end.is_some_and(|end| now + END_MARGIN >= end)
+    }
+
+    /// Returns the output tokens that a stream that ends now has written, if its engine needed the usual time for each;
+    /// `None` if that is not known.
+    pub(super) fn written_tokens(&self, now: Time, step: Duration) -> Option<f64> {
         let took = now.saturating_sub(self.started?).as_secs_f64();
-        (all > 0.0).then(|| (took / all).min(1.0))
+        let written = (took / step.as_secs_f64()).min(f64::from(self.output_tokens));
+        (self.output_tokens > 0).then_some(written)
     }
 
     /// Returns the chance that a pause of this length makes the stream late, beyond those predicted before.
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::choice;
 use endivespur_core::gateway::placement::{
     Action, Answer, Decision, Engine, Order, Report, Request, Step,
@@ -644,6 +645,56 @@
     assert_matches!(other.request(now, &short), Decision::Granted(_));
 }
 
+/// Runs a stream of `written` tokens at the usual pace of 5 ms each, if it is granted; returns the time at its end.
+fn run_stream(engine: &mut Engine, now: Time, request: &Request, written: u64) -> Option<Time> {
+    let Decision::Granted(grant) = engine.request(now, request) else {
+        return None;
+    };
+    engine.response_started(now + ms(20), grant);
+    let end = now + ms(20 + 5 * written);
+    engine.record_end(end, grant, ms(0));
+    engine.release(&request.weights, grant);
+    Some(end)
+}
+
+/// Callers that accepted 16 tokens and used them all made every engine refuse those that accepted 4,000 and used 30.
+#[test]
+fn request_mixed_output_limits() {
+    let mut engine = uneven_engine();
+    let mut short = stream(100, 10_000);
+    (short.output_tokens, short.end_in) = (16, Some(ms(1_000)));
+    let mut long = short.clone();
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for round in 0..100 {
+        for _ in 0..9 {
+            now = run_stream(&mut engine, now, &short, 16).expect("a short stream was refused");
+        }
+        now = run_stream(&mut engine, now, &long, 30)
+            .unwrap_or_else(|| panic!("a long stream was refused in round {round}"));
+    }
+}
+
+/// An engine that had learned a long output refused all requests, and nothing ended there that could correct it.
+#[test]
+fn request_after_silence() {
+    let mut engine = uneven_engine();
+    let mut long = stream(100, 10_000);
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for _ in 0..60 {
+        now = run_stream(&mut engine, now, &long, 1_000).expect("a long stream was refused");
+    }
+    long.end_in = Some(ms(1_000));
+    assert_eq!(run_stream(&mut engine, now, &long, 30), None);
+    // Streams that end every few seconds keep what is known.
+    assert_eq!(run_stream(&mut engine, now + ms(8_000), &long, 30), None);
+    now += ms(40_000);
+    for _ in 0..20 {
+        now = run_stream(&mut engine, now, &long, 30).expect("refused after the silence");
+    }
+}
+
 /// Where events usually take longer than the objective for pauses, every engine refused requests until the last question.
 #[test]
 fn request_objective_below_the_usual_event() {
