Learn no pace from error responses

Cause: the gateway told an engine's owner that a response had started for every signed response, before it looked at the status. The owner took the time as that of the prefill, so that errors sent at once taught a fast pace.

Change: the owner is told for a status below 300 only. For others the release ends the pending prefill, with the engine's figure, and record_end learns nothing from a grant whose response has not started.

--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -532,11 +532,14 @@
     }
 
     /// Records the end of the stream of a granted request, and the longest pause between two of its events; zero if that is
-    /// not known.
+    /// not known. Of a request whose response has not started, nothing is learned.
     pub fn record_end(&mut self, now: Time, grant: Grant, longest: Duration) {
         let Some(stream) = self.streams.get(&grant).copied() else {
             return;
         };
+        if stream.started.is_none() {
+            return;
+        }
         let slowness = self.slowness(now);
         if let Some(tokens) = stream.written_tokens(now, self.pace(now).step_time()) {
             let output = self.outputs.entry(stream.output_class()).or_default();
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -695,6 +695,34 @@
     }
 }
 
+/// Errors that an engine sent at once counted as prompts that it had read fast.
+#[test]
+fn release_without_a_response() {
+    let mut class = class(2);
+    class.tokens_per_event = 8;
+    let mut engine = Engine::new(ms(0), &class);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    let usual = engine.pace(ms(0));
+    let mut next = stream(4_000, 10_000);
+    (next.output_tokens, next.end_in) = (100, Some(ms(5_000)));
+    for start in 0..40 {
+        let now = ms(start * 100);
+        let Decision::Granted(grant) = engine.request(now, &next) else {
+            panic!("refused at {now:?}");
+        };
+        assert!(engine.backlog(now) > ms(0));
+        engine.record_end(now + ms(2), grant, ms(1));
+        engine.release(&next.weights, grant);
+        assert_eq!(engine.backlog(now + ms(2)), ms(0));
+    }
+    assert_eq!(engine.observed_pace(ms(4_000)), None);
+    assert_eq!(engine.pace(ms(4_000)), usual);
+    // Nor do they tell the output: an engine that has said how fast it works takes the request at once.
+    engine.record_slowdown(ms(4_000), 100);
+    next.end_in = Some(ms(300));
+    assert_matches!(engine.request(ms(4_000), &next), Decision::Granted(_));
+}
+
 /// Where events usually take longer than the objective for pauses, every engine refused requests until the last question.
 #[test]
 fn request_objective_below_the_usual_event() {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -265,7 +265,10 @@
                 framing:? = response.framing,
                 took_ms = clock::now().saturating_sub(now).as_millis() as u64; "response started"
             );
-            permit.response_started();
+            // An error may come before the prompt is read, and would count as a fast prefill.
+            if response.head.status < 300 {
+                permit.response_started();
+            }
             run.response_started();
             let is_failure = response.head.status >= 500;
             let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream
