--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -546,6 +546,29 @@
     }
 }
 
+/// A new owner, or that of an engine that has restarted, must place requests by their delay until the first figure, and
+/// take pauses into account from then on, also long after the last figure.
+#[test]
+fn request_before_the_first_figure() {
+    let mut engine = engine(2, &["a"]);
+    let (short, long) = (stream(400, 40), stream(9_000, 40));
+    for (start, is_harm_known) in [(0, false), (1_000, true), (600_000, true)] {
+        if start == 1_000 {
+            engine.record_slowdown(ms(start), 100);
+        }
+        let Decision::Granted(running) = engine.request(ms(start), &short) else {
+            panic!("an idle engine refused a short prompt at {start} ms");
+        };
+        engine.response_started(ms(start + 30), running);
+        let decision = engine.request(ms(start + 50), &long);
+        assert_eq!(matches!(decision, Decision::Busy(_)), is_harm_known);
+        if let Decision::Granted(grant) = decision {
+            engine.release(&long.weights, grant);
+        }
+        engine.release(&short.weights, running);
+    }
+}
+
 /// A long prompt held up the streams of an engine, although other engines that hold its adapter had none.
 #[test]
 fn request_harms_streams() {
