--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::choice;
 use endivespur_core::gateway::placement::{
     Action, Answer, Decision, Engine, Order, Report, Request, Step,
@@ -545,6 +546,29 @@
     }
 }
 
+/// A new owner, or that of an engine that has restarted, must place requests by their delay until the first figure, and
+/// take pauses into account from then on, also long after the last figure.
+#[test]
+fn request_before_the_first_figure() {
+    let mut engine = engine(2, &["a"]);
+    let (short, long) = (stream(400, 40), stream(9_000, 40));
+    for (start, is_harm_known) in [(0, false), (1_000, true), (600_000, true)] {
+        if start == 1_000 {
+            engine.record_slowdown(ms(start), 100);
+        }
+        let Decision::Granted(running) = engine.request(ms(start), &short) else {
+            panic!("an idle engine refused a short prompt at {start} ms");
+        };
+        engine.response_started(ms(start + 30), running);
+        let decision = engine.request(ms(start + 50), &long);
+        assert_eq!(matches!(decision, Decision::Busy(_)), is_harm_known);
+        if let Decision::Granted(grant) = decision {
+            engine.release(&long.weights, grant);
+        }
+        engine.release(&short.weights, running);
+    }
+}
+
 /// A long prompt held up the streams of an engine, although other engines that hold its adapter had none.
 #[test]
 fn request_harms_streams() {
@@ -644,6 +668,84 @@
     assert_matches!(other.request(now, &short), Decision::Granted(_));
 }
 
+/// Runs a stream of `written` tokens at the usual pace of 5 ms each, if it is granted; returns the time at its end.
+fn run_stream(engine: &mut Engine, now: Time, request: &Request, written: u64) -> Option<Time> {
+    let Decision::Granted(grant) = engine.request(now, request) else {
+        return None;
+    };
+    engine.response_started(now + ms(20), grant);
+    let end = now + ms(20 + 5 * written);
+    engine.record_end(end, grant, ms(0));
+    engine.release(&request.weights, grant);
+    Some(end)
+}
+
+/// Callers that accepted 16 tokens and used them all made every engine refuse those that accepted 4,000 and used 30.
+#[test]
+fn request_mixed_output_limits() {
+    let mut engine = uneven_engine();
+    let mut short = stream(100, 10_000);
+    (short.output_tokens, short.end_in) = (16, Some(ms(1_000)));
+    let mut long = short.clone();
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for round in 0..100 {
+        for _ in 0..9 {
+            now = run_stream(&mut engine, now, &short, 16).expect("a short stream was refused");
+        }
+        now = run_stream(&mut engine, now, &long, 30)
+            .unwrap_or_else(|| panic!("a long stream was refused in round {round}"));
+    }
+}
+
+/// An engine that had learned a long output refused all requests, and nothing ended there that could correct it.
+#[test]
+fn request_after_silence() {
+    let mut engine = uneven_engine();
+    let mut long = stream(100, 10_000);
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for _ in 0..60 {
+        now = run_stream(&mut engine, now, &long, 1_000).expect("a long stream was refused");
+    }
+    long.end_in = Some(ms(1_000));
+    assert_eq!(run_stream(&mut engine, now, &long, 30), None);
+    // Streams that end every few seconds keep what is known.
+    assert_eq!(run_stream(&mut engine, now + ms(8_000), &long, 30), None);
+    now += ms(40_000);
+    for _ in 0..20 {
+        now = run_stream(&mut engine, now, &long, 30).expect("refused after the silence");
+    }
+}
+
+/// Errors that an engine sent at once counted as prompts that it had read fast.
+#[test]
+fn release_without_a_response() {
+    let mut class = class(2);
+    class.tokens_per_event = 8;
+    let mut engine = Engine::new(ms(0), &class);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    let usual = engine.pace(ms(0));
+    let mut next = stream(4_000, 10_000);
+    (next.output_tokens, next.end_in) = (100, Some(ms(5_000)));
+    for start in 0..40 {
+        let now = ms(start * 100);
+        let Decision::Granted(grant) = engine.request(now, &next) else {
+            panic!("refused at {now:?}");
+        };
+        assert!(engine.backlog(now) > ms(0));
+        engine.record_end(now + ms(2), grant, ms(1));
+        engine.release(&next.weights, grant);
+        assert_eq!(engine.backlog(now + ms(2)), ms(0));
+    }
+    assert_eq!(engine.observed_pace(ms(4_000)), None);
+    assert_eq!(engine.pace(ms(4_000)), usual);
+    // Nor do they tell the output: an engine that has said how fast it works takes the request at once.
+    engine.record_slowdown(ms(4_000), 100);
+    next.end_in = Some(ms(300));
+    assert_matches!(engine.request(ms(4_000), &next), Decision::Granted(_));
+}
+
 /// Where events usually take longer than the objective for pauses, every engine refused requests until the last question.
 #[test]
 fn request_objective_below_the_usual_event() {
