Choose who gives way at most once in 50 ms

Cause: each question for memory collected and sorted all transfers. Each waiting body asked every 100 ms, and each release woke all that waited, so that the cost of a crowd that waits was quadratic.

Change: the budget keeps a ranking for 50 ms; what has changed since is checked when an entry is taken. Nothing is ranked while those that were told hold enough. A release wakes as many as the free memory serves, in order of waiting. One connection over the limit is found by a minimum.

Processor time was not measured.

--- a/crates/endivespur_core/src/gateway/budget.rs
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -25,6 +25,9 @@
 /// How long a transfer waits before those that send give way: longer than it takes to tell one that has stalled.
 pub const WAIT_TIME: Duration = Duration::from_millis(750);
 
+/// How long a ranking of the transfers is used. Ranking 800 of them for each one that asked took 20 ms for each round.
+pub const RANK_TIME: Duration = Duration::from_millis(50);
+
 /// The budget if the memory of the VM is not known.
 const DEFAULT_MEMORY: u64 = 64 << 20;
 /// The memory that the process needs for itself.
@@ -148,6 +151,14 @@
     fn is_slow(&self, now: Time) -> bool {
         self.waits_since.is_none() && self.progress.is_slow(now)
     }
+
+    fn may_give_way(&self, now: Time) -> bool {
+        match self.kind {
+            Kind::Receiving => true,
+            Kind::Kept => false,
+            Kind::Sending => self.is_slow(now),
+        }
+    }
 }
 
 /// The answer to a request for memory.
@@ -163,6 +174,9 @@
     Refused,
 }
 
+/// The place of a transfer among those that may give way: whether it sends, its size, and its id. The least comes first.
+type Rank = (bool, Reverse<u64>, Reverse<Id>);
+
 /// The memory that is held for others.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -171,6 +185,11 @@
     /// The bytes of the transfers that have been told to give way.
     shed: u64,
     transfers: BTreeMap<Id, Transfer>,
+    /// Those that may give way, the first one last, as of a time.
+    ranking: Vec<Rank>,
+    ranked_at: Option<Time>,
+    /// The entries that were ranked or examined.
+    work: u64,
     next: Id,
 }
 
@@ -182,6 +201,9 @@
             held: 0,
             shed: 0,
             transfers: BTreeMap::new(),
+            ranking: Vec::new(),
+            ranked_at: None,
+            work: 0,
             next: 0,
         }
     }
@@ -196,6 +218,16 @@
         self.held
     }
 
+    /// Returns the bytes that may be taken at once.
+    pub fn free(&self) -> u64 {
+        self.limit.saturating_sub(self.held)
+    }
+
+    /// Returns the number of entries that were ranked or examined to choose those that give way.
+    pub fn work(&self) -> u64 {
+        self.work
+    }
+
     /// Begins a transfer that holds nothing yet.
     pub fn open(&mut self, now: Time, kind: Kind) -> Id {
         self.next += 1;
@@ -260,36 +292,47 @@
     /// Chooses those that give way for a transfer; those that send only if it `may_displace` them.
     fn make_room(&mut self, now: Time, id: Id, bytes: u64, may_displace: bool) -> Answer {
         let needed = (self.held + bytes).saturating_sub(self.limit);
-        let mut candidates: Vec<_> = self
-            .transfers
-            .iter()
-            .filter(|(_, one)| !one.is_shed)
-            .filter_map(|(candidate, one)| {
-                let is_slow = one.is_slow(now);
-                let may_give_way = match one.kind {
-                    Kind::Receiving => true,
-                    Kind::Kept => false,
-                    Kind::Sending => is_slow,
-                };
-                // The one that asks counts with what it asks for: otherwise the bodies of a crowd displace each other.
-                let size = one.bytes + if *candidate == id { bytes } else { 0 };
-                may_give_way.then_some((!is_slow, Reverse(size), Reverse(*candidate)))
-            })
-            .collect();
-        candidates.sort_unstable();
-        let mut chosen = Vec::new();
         let mut room = self.shed;
-        for (is_sending, Reverse(size), Reverse(candidate)) in candidates {
-            if room >= needed || (is_sending && !may_displace) {
+        if room >= needed {
+            return Answer::After(Vec::new());
+        }
+        self.rank(now);
+        // The one that asks counts with what it asks for: otherwise the bodies of a crowd displace each other.
+        let own = self.transfers.get(&id).and_then(|one| {
+            let is_slow = one.is_slow(now);
+            let rank = (!is_slow, Reverse(one.bytes + bytes), Reverse(id));
+            one.may_give_way(now).then_some(rank)
+        });
+        let mut chosen = Vec::new();
+        let mut is_refused = false;
+        let mut place = self.ranking.len();
+        while room < needed && place > 0 {
+            place -= 1;
+            let rank = self.ranking[place];
+            let (is_sending, _, Reverse(candidate)) = rank;
+            self.work += 1;
+            // What has changed since the ranking: it ended, was told, completed, or sends again.
+            let one = self.transfers.get(&candidate).filter(|one| {
+                !one.is_shed && one.may_give_way(now) && (is_sending || one.is_slow(now))
+            });
+            let Some(one) = one else {
+                self.ranking.remove(place);
+                continue;
+            };
+            if candidate == id {
+                continue;
+            }
+            if is_sending && !may_displace {
                 break;
             }
-            if candidate == id {
-                return Answer::Refused;
+            if own.is_some_and(|own| own < rank) {
+                is_refused = may_displace;
+                break;
             }
-            room += size;
+            room += one.bytes;
             chosen.push(candidate);
         }
-        if room < needed && may_displace {
+        if is_refused || (room < needed && may_displace) {
             return Answer::Refused;
         }
         for candidate in &chosen {
@@ -304,6 +347,22 @@
         Answer::After(chosen)
     }
 
+    /// Ranks those that may give way, unless that was done within [`RANK_TIME`]. Those that hold nothing make no room.
+    fn rank(&mut self, now: Time) {
+        let is_recent = |at: Time| now.saturating_sub(at) < RANK_TIME;
+        if self.ranked_at.is_some_and(is_recent) {
+            return;
+        }
+        let transfers = self.transfers.iter();
+        self.ranking = transfers
+            .filter(|(_, one)| !one.is_shed && one.bytes > 0 && one.may_give_way(now))
+            .map(|(id, one)| (!one.is_slow(now), Reverse(one.bytes), Reverse(*id)))
+            .collect();
+        self.ranking.sort_unstable_by(|a, b| b.cmp(a));
+        self.ranked_at = Some(now);
+        self.work += self.transfers.len() as u64;
+    }
+
     /// Ends a transfer, and releases what it holds.
     pub fn close(&mut self, id: Id) {
         let Some(transfer) = self.transfers.remove(&id) else {
@@ -352,12 +411,15 @@
         if excess == 0 {
             return (id, Vec::new());
         }
-        let idle = self.open.iter();
-        let mut idle: Vec<_> = idle
-            .filter_map(|(id, since)| since.map(|since| (since, *id)))
-            .collect();
-        idle.sort_unstable();
-        let closed: Vec<Id> = idle.into_iter().take(excess).map(|(_, id)| id).collect();
+        let open = self.open.iter();
+        let idle = open.filter_map(|(id, since)| since.map(|since| (since, *id)));
+        let closed: Vec<Id> = if excess == 1 {
+            idle.min().map(|(_, id)| id).into_iter().collect()
+        } else {
+            let mut idle: Vec<_> = idle.collect();
+            idle.sort_unstable();
+            idle.into_iter().take(excess).map(|(_, id)| id).collect()
+        };
         for id in &closed {
             self.open.remove(id);
         }
--- a/crates/endivespur_core/tests/gateway/budget.rs
+++ b/crates/endivespur_core/tests/gateway/budget.rs
@@ -82,6 +82,47 @@
     assert_eq!(budget.grow(ms(4000), small, 1), Answer::After(vec![answer]));
 }
 
+/// A crowd that waits must not use up the processor: ranking all transfers whenever one asks is quadratic.
+#[test]
+fn grow_of_many_that_wait() {
+    const COUNT: u64 = 1000;
+    const BLOCK: u64 = 16_384;
+    for holders in [1, COUNT / 2, COUNT] {
+        let mut budget = Budget::new(holders * BLOCK);
+        for _ in 0..holders {
+            body(&mut budget, 0, BLOCK);
+        }
+        let mut waiting: Vec<Id> = (0..COUNT)
+            .map(|_| budget.open(ms(0), Kind::Receiving))
+            .collect();
+        let mut asked = 0;
+        // Each asks every 100 ms, spread over that time.
+        for now in 0..1500 {
+            let (due, rest): (Vec<Id>, Vec<Id>) =
+                waiting.into_iter().partition(|id| id % 100 == now % 100);
+            waiting = rest;
+            for id in due {
+                asked += 1;
+                match budget.grow(ms(now), id, BLOCK) {
+                    Answer::Granted => {}
+                    Answer::Refused => budget.close(id),
+                    Answer::After(victims) => {
+                        for victim in victims {
+                            budget.close(victim);
+                        }
+                        waiting.push(id);
+                    }
+                    Answer::Later => waiting.push(id),
+                }
+            }
+        }
+        // At most one ranking of all in 50 ms, and a few entries for each that asks.
+        let bound = 1500 / 50 * (holders + COUNT) + 4 * asked;
+        assert!(asked >= COUNT, "{asked} asked");
+        assert!(budget.work() <= bound, "{} of {bound}", budget.work());
+    }
+}
+
 /// In any order of events, no more than the limit is held, the counts agree, and who waits is served once those who
 /// were told have given way.
 #[test]
--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -20,7 +20,7 @@
 /// The bytes up to which a body is only counted: the limits of connections bound how many there are.
 const SMALL_BYTES: usize = 16 * 1024;
 /// The size of the blocks that hold more.
-const BLOCK_BYTES: usize = 16 * 1024;
+pub const BLOCK_BYTES: usize = 16 * 1024;
 /// The bytes that a body must receive in the time for a head. All that callers within the limits of a gateway send over
 /// a link of 10 Mbit/s is faster.
 const MIN_PROGRESS_BYTES: usize = 1024;
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -13,7 +13,7 @@
 use log::info;
 use smol::future::FutureExt;
 
-use crate::body::Unread;
+use crate::body::{BLOCK_BYTES, Unread};
 use crate::{telemetry, timer};
 
 /// The maximum time that a transfer waits until others have given way.
@@ -261,6 +261,8 @@
     /// Returns [`Unread::Shed`] if this one has to give way.
     pub async fn grow(&self, bytes: usize) -> Result<(), Unread> {
         let deadline = clock::now() + ROOM_TIMEOUT;
+        // Kept while it waits, so that those that wait are woken in order.
+        let mut listener = None;
         loop {
             let now = clock::now();
             let answer = {
@@ -274,8 +276,18 @@
                 Answer::After(others) => self.budget.tell(&others),
                 Answer::Later => {}
             }
-            let released = async { self.budget.released.listen().await };
-            timer::within(ASK_INTERVAL, released.or(self.signal.wait())).await;
+            let released = listener.get_or_insert_with(|| self.budget.released.listen());
+            let released = async {
+                released.await;
+                true
+            };
+            let told = async {
+                self.signal.wait().await;
+                false
+            };
+            if timer::within(ASK_INTERVAL, released.or(told)).await == Some(true) {
+                listener = None;
+            }
         }
     }
 
@@ -293,8 +305,13 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.budget.memory.borrow_mut().close(self.id);
+        let free = {
+            let mut memory = self.budget.memory.borrow_mut();
+            memory.close(self.id);
+            memory.free()
+        };
         self.budget.signals.borrow_mut().remove(&self.id);
-        self.budget.released.notify(usize::MAX);
+        // Those that were woken and have not asked yet are counted among these.
+        self.budget.released.notify(free as usize / BLOCK_BYTES);
     }
 }
