Bound the refused connections of gateways that drain

Cause: a connection to the port for forwarded requests that gave way was no longer counted, and lived on for a write without a timeout and 0.5 s of draining. Whether it could become busy was not looked at, so that one that had given way might run its request.

Change: at most half as many as may be open drain at a time, for 0.5 s with the write; the others get one write and are closed. A request whose connection has given way when its body is complete is refused.

--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -20,6 +20,9 @@
 const ROOM_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which a transfer that waits asks again: others may have stalled meanwhile.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// For so many connections of gateways that may be open, one refused one may drain. Callers and gateways leave a
+/// twelfth of the descriptors beside the connections to endpoints, and this takes a sixteenth.
+const DRAINING_SHARE: usize = 2;
 /// The maximum number of log lines in a second about what was shed.
 const MAX_LINES: u32 = 20;
 
@@ -85,6 +88,9 @@
     pub small: Cell<usize>,
     callers: Open,
     gateways: Open,
+    /// The refused connections of gateways whose rest is discarded.
+    draining: Cell<usize>,
+    max_draining: Cell<usize>,
     lines: Cell<Lines>,
 }
 
@@ -99,6 +105,8 @@
             small: Cell::new(0),
             callers: Open::new(limits.callers),
             gateways: Open::new(limits.forwards),
+            draining: Cell::new(0),
+            max_draining: Cell::new(limits.forwards.div_ceil(DRAINING_SHARE)),
             lines: Cell::default(),
         }
     }
@@ -110,6 +118,8 @@
         let set = |open: &Open, limit| open.connections.borrow_mut().set_limit(limit);
         set(&self.callers, limits.callers);
         set(&self.gateways, limits.forwards);
+        self.max_draining
+            .set(limits.forwards.div_ceil(DRAINING_SHARE));
         info!(
             event = "limits", memory = limits.memory, callers = limits.callers,
             forwards = limits.forwards; "limits of what is held for others"
@@ -155,6 +165,15 @@
         }
     }
 
+    /// Counts a refused connection of a gateway whose rest is discarded; returns `None` if there are too many.
+    pub fn drain(self: &Rc<Self>) -> Option<Draining> {
+        let count = self.draining.get();
+        (count < self.max_draining.get()).then(|| {
+            self.draining.set(count + 1);
+            Draining(self.clone())
+        })
+    }
+
     /// Counts and logs that something was shed.
     pub fn record_shed(&self, reason: &'static str, bytes: usize) {
         telemetry::shed(reason);
@@ -228,6 +247,15 @@
     }
 }
 
+/// Counts a refused connection as one whose rest is discarded until dropped.
+pub struct Draining(Rc<Budget>);
+
+impl Drop for Draining {
+    fn drop(&mut self) {
+        self.0.draining.set(self.0.draining.get() - 1);
+    }
+}
+
 /// A part of the budget, which is released when dropped.
 pub struct Held {
     budget: Rc<Budget>,
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -16,7 +16,7 @@
 use endivespur_platform::header;
 use log::{debug, info};
 use smol::Timer;
-use smol::future::FutureExt;
+use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 
 use crate::body::{self, Body, Unread};
@@ -173,7 +173,7 @@
     let table = state.catalog.borrow().table();
     let body_limit = table.map_or(MAX_BODY_BYTES, |table| table.limits.body_bytes);
     if connected.is_refused() {
-        return refuse(&mut connection, "", body_limit).await;
+        return refuse(state, &mut connection, "", body_limit).await;
     }
     let started = clock::now();
     let refused = async {
@@ -196,10 +196,13 @@
         Err(Unread::Connection(error)) => return Err(error),
         Err(Unread::TooLong | Unread::Shed | Unread::Slow) => {
             let attempt_id = header::Request::decode(&request.headers).attempt_id;
-            return refuse(&mut connection, &attempt_id, body_limit).await;
+            return refuse(state, &mut connection, &attempt_id, body_limit).await;
         }
     };
-    connected.set_busy(true);
+    if !connected.set_busy(true) {
+        let attempt_id = header::Request::decode(&request.headers).attempt_id;
+        return refuse(state, &mut connection, &attempt_id, 0).await;
+    }
     let gateway = connection.stream();
     let forward = forward(state, &mut connection, request, body);
     let left = async {
@@ -211,13 +214,22 @@
 
 /// Answers that the request is not forwarded. Gateways of all releases try another one then.
 async fn refuse(
+    state: &State,
     connection: &mut Connection,
     attempt_id: &str,
-    body_limit: usize,
+    rest: usize,
 ) -> Result<(), connection::Error> {
-    respond(connection, RESTING, attempt_id).await?;
-    timer::within(DRAIN_TIMEOUT, connection.drain(body_limit)).await;
-    Ok(())
+    // The limit no longer counts this connection: many that drain would use up the descriptors.
+    let Some(_draining) = state.budget.drain() else {
+        let respond = respond(connection, RESTING, attempt_id);
+        return future::poll_once(respond).await.unwrap_or(Ok(()));
+    };
+    let end = async {
+        respond(connection, RESTING, attempt_id).await?;
+        connection.drain(rest).await;
+        Ok(())
+    };
+    timer::within(DRAIN_TIMEOUT, end).await.unwrap_or(Ok(()))
 }
 
 /// Sends the request over this gateway's own link, and passes the response on.
