Bound the waits of a body for memory in all

Cause: each block of 16 KB could wait for 1.5 s anew. The time of the body ran on while nothing was read from its sender, which then got 408. When the wait of a block ended, those just chosen to give way were not told.

Change: the waits of one body add up to 1.5 s at most, which is looked at before others are chosen. A body whose time ends after it waited gives way with 503 and Retry-After. A body that waited once and then stalls by itself is refused in the same way.

--- a/crates/endivespur_core/src/gateway/budget.rs
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -278,8 +278,7 @@
         let is_slow = transfer.is_slow(now);
         let since = transfer.waits_since.unwrap_or(now);
         // A transfer waits once, and not for each block again.
-        let waited = transfer.waited + now.saturating_sub(since);
-        let may_displace = is_slow || waited >= WAIT_TIME;
+        let may_displace = is_slow || self.waited(now, id) >= WAIT_TIME;
         let answer = self.make_room(now, id, bytes, may_displace);
         if answer != Answer::Refused
             && let Some(transfer) = self.transfers.get_mut(&id)
@@ -289,6 +288,14 @@
         answer
     }
 
+    /// Returns how long a transfer has waited for memory, in all.
+    pub fn waited(&self, now: Time, id: Id) -> Duration {
+        self.transfers.get(&id).map_or(Duration::ZERO, |one| {
+            let current = one.waits_since.map(|since| now.saturating_sub(since));
+            one.waited + current.unwrap_or_default()
+        })
+    }
+
     /// Chooses those that give way for a transfer; those that send only if it `may_displace` them.
     fn make_room(&mut self, now: Time, id: Id, bytes: u64, may_displace: bool) -> Answer {
         let needed = (self.held + bytes).saturating_sub(self.limit);
--- a/crates/endivespur_core/tests/gateway/budget.rs
+++ b/crates/endivespur_core/tests/gateway/budget.rs
@@ -82,6 +82,24 @@
     assert_eq!(budget.grow(ms(4000), small, 1), Answer::After(vec![answer]));
 }
 
+/// The waits of a body must add up over its blocks: each block waiting anew would outlast the time of the body.
+#[test]
+fn waited_over_blocks() {
+    let mut budget = Budget::new(LIMIT);
+    let waiting = budget.open(ms(0), Kind::Receiving);
+    for round in 0..3 {
+        let now = 1000 * round;
+        budget.advance(ms(now), waiting, 20_000);
+        let free = budget.free();
+        let other = body(&mut budget, now, free);
+        assert_eq!(budget.grow(ms(now), waiting, 1000), Answer::Later);
+        assert_eq!(budget.waited(ms(now + 200), waiting), ms(200 * (round + 1)));
+        budget.close(other);
+        assert_eq!(budget.grow(ms(now + 200), waiting, 1000), Answer::Granted);
+        assert_eq!(budget.waited(ms(now + 900), waiting), ms(200 * (round + 1)));
+    }
+}
+
 /// A crowd that waits must not use up the processor: ranking all transfers whenever one asks is quadratic.
 #[test]
 fn grow_of_many_that_wait() {
--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -34,9 +34,9 @@
 pub enum Unread {
     /// It is longer than the limit.
     TooLong,
-    /// It gave way to others.
+    /// It gave way to others, or did not end in time after it had waited for memory.
     Shed,
-    /// It made too little progress, or took too long.
+    /// It made too little progress, or took too long, and did not wait for memory.
     Slow,
     /// The connection has failed, or the body is malformed.
     Connection(connection::Error),
@@ -51,6 +51,8 @@
     bytes: Vec<u8>,
     blocks: Vec<Vec<u8>>,
     held: Option<Held>,
+    /// Whether it has waited for memory.
+    has_waited: Rc<Cell<bool>>,
     budget: Rc<Budget>,
     kind: Kind,
     /// The bytes counted as small.
@@ -67,6 +69,7 @@
             bytes: Vec::new(),
             blocks: Vec::new(),
             held: None,
+            has_waited: Rc::default(),
             budget: budget.clone(),
             kind,
             small: 0,
@@ -93,9 +96,9 @@
         while !rest.is_empty() {
             let last = self.blocks.last_mut();
             let Some(block) = last.filter(|block| block.len() < BLOCK_BYTES) else {
-                let held = self
-                    .held
-                    .get_or_insert_with(|| Held::new(&self.budget, self.kind));
+                let held = self.held.get_or_insert_with(|| {
+                    Held::new(&self.budget, self.kind, self.has_waited.clone())
+                });
                 held.grow(BLOCK_BYTES).await?;
                 self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
                 continue;
@@ -185,9 +188,10 @@
     };
     let budget = &connected.budget;
     let received = Cell::new(0);
+    let mut body = Body::new(budget, Kind::Receiving, max);
+    let has_waited = body.has_waited.clone();
     let read = async {
         let mut decoder = Decoder::new(framing);
-        let mut body = Body::new(budget, Kind::Receiving, max);
         loop {
             let next = async {
                 let chunk = connection.read_body_chunk(&mut decoder).await;
@@ -219,7 +223,12 @@
             let left = deadline.saturating_sub(now);
             Timer::after(progress_time.min(left)).await;
             if left <= progress_time || received.get() < before + MIN_PROGRESS_BYTES {
-                return Err(Unread::Slow);
+                // While a body waits, nothing is read from its sender, who is not at fault then.
+                return Err(if has_waited.get() {
+                    Unread::Shed
+                } else {
+                    Unread::Slow
+                });
             }
         }
     };
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -16,7 +16,7 @@
 use crate::body::{BLOCK_BYTES, Unread};
 use crate::{telemetry, timer};
 
-/// The maximum time that a transfer waits until others have given way.
+/// The maximum time that a transfer waits, in all, until others have given way.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which a transfer that waits asks again: others may have stalled meanwhile.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
@@ -261,11 +261,13 @@
     budget: Rc<Budget>,
     id: Id,
     signal: Rc<Signal>,
+    /// Set once it waits for memory.
+    has_waited: Rc<Cell<bool>>,
 }
 
 impl Held {
-    /// Begins a transfer that holds nothing yet.
-    pub fn new(budget: &Rc<Budget>, kind: Kind) -> Self {
+    /// Begins a transfer that holds nothing yet; sets `has_waited` once it waits for memory.
+    pub fn new(budget: &Rc<Budget>, kind: Kind, has_waited: Rc<Cell<bool>>) -> Self {
         let id = budget.memory.borrow_mut().open(clock::now(), kind);
         let signal = Rc::new(Signal::default());
         budget.signals.borrow_mut().insert(id, signal.clone());
@@ -273,6 +275,7 @@
             budget: budget.clone(),
             id,
             signal,
+            has_waited,
         }
     }
 
@@ -288,22 +291,25 @@
     ///
     /// Returns [`Unread::Shed`] if this one has to give way.
     pub async fn grow(&self, bytes: usize) -> Result<(), Unread> {
-        let deadline = clock::now() + ROOM_TIMEOUT;
         // Kept while it waits, so that those that wait are woken in order.
         let mut listener = None;
         loop {
             let now = clock::now();
             let answer = {
                 let mut memory = self.budget.memory.borrow_mut();
+                // Looked at first: those that are chosen have to be told.
+                if memory.free() < bytes as u64 && memory.waited(now, self.id) >= ROOM_TIMEOUT {
+                    return Err(Unread::Shed);
+                }
                 memory.grow(now, self.id, bytes as u64)
             };
             match answer {
                 Answer::Granted => return Ok(()),
                 Answer::Refused => return Err(Unread::Shed),
-                Answer::After(_) | Answer::Later if now >= deadline => return Err(Unread::Shed),
                 Answer::After(others) => self.budget.tell(&others),
                 Answer::Later => {}
             }
+            self.has_waited.set(true);
             let released = listener.get_or_insert_with(|| self.budget.released.listen());
             let released = async {
                 released.await;
