Refuse a body that never fits as too long

Cause: a body larger than the whole budget got 503 with Retry-After, so that its sender tried again for ever.

Change: the limit of a body is the smaller of `max_body_bytes` and what the whole budget holds; beyond it the answer is 413, and between gateways `resting`. A warning says so at the start, at a reload and at a change of `max_body_bytes`.

--- a/crates/endivespur_core/src/gateway/budget.rs
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -213,6 +213,11 @@
         self.limit = limit;
     }
 
+    /// Returns the limit.
+    pub fn limit(&self) -> u64 {
+        self.limit
+    }
+
     /// Returns the bytes that are held.
     pub fn held(&self) -> u64 {
         self.held
--- a/crates/endivespur_gateway/src/apply.rs
+++ b/crates/endivespur_gateway/src/apply.rs
@@ -130,6 +130,7 @@
             Ok(table) => {
                 let version = table.version;
                 let last = state.catalog.borrow().table();
+                let body_limit = table.limits.body_bytes;
                 let is_applied = state.catalog.borrow_mut().set_table(table);
                 info!(
                     event = "configuration", version, revision = item.revision, outcome = is_applied,
@@ -138,6 +139,9 @@
                 );
                 if is_applied {
                     log_teams(state, last.as_deref());
+                    if last.is_none_or(|last| last.limits.body_bytes != body_limit) {
+                        state.budget.check_body_limit(body_limit);
+                    }
                     state.configured.notify(usize::MAX);
                 }
             }
--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -18,7 +18,7 @@
 use crate::timer;
 
 /// The bytes up to which a body is only counted: the limits of connections bound how many there are.
-const SMALL_BYTES: usize = 16 * 1024;
+pub const SMALL_BYTES: usize = 16 * 1024;
 /// The size of the blocks that hold more.
 pub const BLOCK_BYTES: usize = 16 * 1024;
 /// The bytes that a body must receive in the time for a head. All that callers within the limits of a gateway send over
@@ -32,7 +32,7 @@
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum Unread {
-    /// It is longer than the limit.
+    /// It is longer than the limit, or than the budget.
     TooLong,
     /// It gave way to others, or did not end in time after it had waited for memory.
     Shed,
@@ -181,6 +181,8 @@
     timeout: Duration,
     progress_time: Duration,
 ) -> Result<Body, Unread> {
+    // One that never fits must not be told to try again.
+    let limit = limit.min(connected.budget.max_body());
     let max = match framing {
         Framing::Length(length) if length > limit as u64 => return Err(Unread::TooLong),
         Framing::Length(length) => length as usize,
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -10,10 +10,10 @@
 use endivespur_core::gateway::budget::{self, Answer, Connections, Id, Kind, Limits};
 use endivespur_platform::settings::Settings;
 use event_listener::Event;
-use log::info;
+use log::{info, warn};
 use smol::future::FutureExt;
 
-use crate::body::{BLOCK_BYTES, Unread};
+use crate::body::{BLOCK_BYTES, SMALL_BYTES, Unread};
 use crate::{telemetry, timer};
 
 /// The maximum time that a transfer waits, in all, until others have given way.
@@ -126,6 +126,20 @@
         );
     }
 
+    /// Returns the size of the largest body that fits if nothing else is held.
+    pub fn max_body(&self) -> usize {
+        let blocks = self.memory.borrow().limit() as usize / BLOCK_BYTES;
+        SMALL_BYTES.saturating_add(blocks * BLOCK_BYTES)
+    }
+
+    /// Logs if a body within a limit of the configuration never fits.
+    pub fn check_body_limit(&self, limit: usize) {
+        let max = self.max_body();
+        if max < limit {
+            warn!(event = "limits", max, limit; "the memory of the VM is too small for the largest bodies");
+        }
+    }
+
     /// Returns the bytes that are held.
     pub fn held(&self) -> u64 {
         self.memory.borrow().held() + self.small.get() as u64
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -152,6 +152,9 @@
     match settings::read() {
         Ok(settings) => {
             state.budget.reload(&settings);
+            if let Some(table) = state.catalog.borrow().table() {
+                state.budget.check_body_limit(table.limits.body_bytes);
+            }
             info!(event = "reload"; "limits are applied; other settings take effect at the next start");
         }
         Err(failure) => error!(event = "reload"; "{failure}"),
