End the cycles of modules through the budget

Cause: body and budget used each other, and telemetry, exchange, body and budget were a cycle; modules_without_cycles failed.

Change: the sizes of blocks and the reason for which a transfer gives way are in budget, which counts what was shed itself.

Measured: these modules are on no cycle any more. modules_without_cycles still fails by state and quota, which use each other and are not touched here.

--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -14,13 +14,9 @@
 use smol::Timer;
 use smol::future::{self, FutureExt};
 
-use crate::budget::{Budget, Connected, Held};
+use crate::budget::{BLOCK_BYTES, Budget, Connected, Held, SMALL_BYTES, Shed};
 use crate::timer;
 
-/// The bytes up to which a body is only counted: the limits of connections bound how many there are.
-pub const SMALL_BYTES: usize = 16 * 1024;
-/// The size of the blocks that hold more.
-pub const BLOCK_BYTES: usize = 16 * 1024;
 /// The bytes that a body must receive in the time for a head. All that callers within the limits of a gateway send over
 /// a link of 10 Mbit/s is faster.
 const MIN_PROGRESS_BYTES: usize = 1024;
@@ -99,7 +95,7 @@
                 let held = self.held.get_or_insert_with(|| {
                     Held::new(&self.budget, self.kind, self.has_waited.clone())
                 });
-                held.grow(BLOCK_BYTES).await?;
+                held.grow(BLOCK_BYTES).await.map_err(|Shed| Unread::Shed)?;
                 self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
                 continue;
             };
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -11,11 +11,15 @@
 use endivespur_platform::settings::Settings;
 use event_listener::Event;
 use log::{info, warn};
+use metrics::counter;
 use smol::future::FutureExt;
 
-use crate::body::{BLOCK_BYTES, SMALL_BYTES, Unread};
-use crate::{telemetry, timer};
+use crate::timer;
 
+/// The bytes up to which a body is only counted: the limits of connections bound how many there are.
+pub const SMALL_BYTES: usize = 16 * 1024;
+/// The size of the blocks that hold more.
+pub const BLOCK_BYTES: usize = 16 * 1024;
 /// The maximum time that a transfer waits, in all, until others have given way.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which a transfer that waits asks again: others may have stalled meanwhile.
@@ -190,7 +194,7 @@
 
     /// Counts and logs that something was shed.
     pub fn record_shed(&self, reason: &'static str, bytes: usize) {
-        telemetry::shed(reason);
+        counter!("endivespur_gateway_shed_total", "reason" => reason).increment(1);
         let now = clock::now();
         let mut lines = self.lines.get();
         if now.saturating_sub(lines.since) >= Duration::from_secs(1) {
@@ -270,6 +274,10 @@
     }
 }
 
+/// A transfer has to give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shed;
+
 /// A part of the budget, which is released when dropped.
 pub struct Held {
     budget: Rc<Budget>,
@@ -303,8 +311,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unread::Shed`] if this one has to give way.
-    pub async fn grow(&self, bytes: usize) -> Result<(), Unread> {
+    /// Returns [`Shed`] if this one has to give way.
+    pub async fn grow(&self, bytes: usize) -> Result<(), Shed> {
         // Kept while it waits, so that those that wait are woken in order.
         let mut listener = None;
         loop {
@@ -313,13 +321,13 @@
                 let mut memory = self.budget.memory.borrow_mut();
                 // Looked at first: those that are chosen have to be told.
                 if memory.free() < bytes as u64 && memory.waited(now, self.id) >= ROOM_TIMEOUT {
-                    return Err(Unread::Shed);
+                    return Err(Shed);
                 }
                 memory.grow(now, self.id, bytes as u64)
             };
             match answer {
                 Answer::Granted => return Ok(()),
-                Answer::Refused => return Err(Unread::Shed),
+                Answer::Refused => return Err(Shed),
                 Answer::After(others) => self.budget.tell(&others),
                 Answer::Later => {}
             }
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -105,11 +105,6 @@
     counter!("endivespur_gateway_forwarded_total", "result" => result.to_string()).increment(1);
 }
 
-/// Counts what was shed because it would hold too much memory, or too many descriptors.
-pub fn shed(reason: &'static str) {
-    counter!("endivespur_gateway_shed_total", "reason" => reason).increment(1);
-}
-
 /// Counts an order sent to an engine.
 pub fn order_sent(action: &'static str, outcome: &'static str) {
     counter!("endivespur_gateway_orders_total", "action" => action, "outcome" => outcome)
