--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -14,13 +14,9 @@
 use smol::Timer;
 use smol::future::{self, FutureExt};
 
-use crate::budget::{Budget, Connected, Held};
+use crate::budget::{BLOCK_BYTES, Budget, Connected, Held, SMALL_BYTES, Shed};
 use crate::timer;
 
-/// The bytes up to which a body is only counted: the limits of connections bound how many there are.
-const SMALL_BYTES: usize = 16 * 1024;
-/// The size of the blocks that hold more.
-const BLOCK_BYTES: usize = 16 * 1024;
 /// The bytes that a body must receive in the time for a head. All that callers within the limits of a gateway send over
 /// a link of 10 Mbit/s is faster.
 const MIN_PROGRESS_BYTES: usize = 1024;
@@ -32,11 +28,11 @@
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum Unread {
-    /// It is longer than the limit.
+    /// It is longer than the limit, or than the budget.
     TooLong,
-    /// It gave way to others.
+    /// It gave way to others, or did not end in time after it had waited for memory.
     Shed,
-    /// It made too little progress, or took too long.
+    /// It made too little progress, or took too long, and did not wait for memory.
     Slow,
     /// The connection has failed, or the body is malformed.
     Connection(connection::Error),
@@ -51,6 +47,8 @@
     bytes: Vec<u8>,
     blocks: Vec<Vec<u8>>,
     held: Option<Held>,
+    /// Whether it has waited for memory.
+    has_waited: Rc<Cell<bool>>,
     budget: Rc<Budget>,
     kind: Kind,
     /// The bytes counted as small.
@@ -67,6 +65,7 @@
             bytes: Vec::new(),
             blocks: Vec::new(),
             held: None,
+            has_waited: Rc::default(),
             budget: budget.clone(),
             kind,
             small: 0,
@@ -93,10 +92,10 @@
         while !rest.is_empty() {
             let last = self.blocks.last_mut();
             let Some(block) = last.filter(|block| block.len() < BLOCK_BYTES) else {
-                let held = self
-                    .held
-                    .get_or_insert_with(|| Held::new(&self.budget, self.kind));
-                held.grow(BLOCK_BYTES).await?;
+                let held = self.held.get_or_insert_with(|| {
+                    Held::new(&self.budget, self.kind, self.has_waited.clone())
+                });
+                held.grow(BLOCK_BYTES).await.map_err(|Shed| Unread::Shed)?;
                 self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
                 continue;
             };
@@ -178,6 +177,8 @@
     timeout: Duration,
     progress_time: Duration,
 ) -> Result<Body, Unread> {
+    // One that never fits must not be told to try again.
+    let limit = limit.min(connected.budget.max_body());
     let max = match framing {
         Framing::Length(length) if length > limit as u64 => return Err(Unread::TooLong),
         Framing::Length(length) => length as usize,
@@ -185,9 +186,10 @@
     };
     let budget = &connected.budget;
     let received = Cell::new(0);
+    let mut body = Body::new(budget, Kind::Receiving, max);
+    let has_waited = body.has_waited.clone();
     let read = async {
         let mut decoder = Decoder::new(framing);
-        let mut body = Body::new(budget, Kind::Receiving, max);
         loop {
             let next = async {
                 let chunk = connection.read_body_chunk(&mut decoder).await;
@@ -219,7 +221,12 @@
             let left = deadline.saturating_sub(now);
             Timer::after(progress_time.min(left)).await;
             if left <= progress_time || received.get() < before + MIN_PROGRESS_BYTES {
-                return Err(Unread::Slow);
+                // While a body waits, nothing is read from its sender, who is not at fault then.
+                return Err(if has_waited.get() {
+                    Unread::Shed
+                } else {
+                    Unread::Slow
+                });
             }
         }
     };
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -10,16 +10,23 @@
 use endivespur_core::gateway::budget::{self, Answer, Connections, Id, Kind, Limits};
 use endivespur_platform::settings::Settings;
 use event_listener::Event;
-use log::info;
+use log::{info, warn};
+use metrics::counter;
 use smol::future::FutureExt;
 
-use crate::body::Unread;
-use crate::{telemetry, timer};
+use crate::timer;
 
-/// The maximum time that a transfer waits until others have given way.
+/// The bytes up to which a body is only counted: the limits of connections bound how many there are.
+pub const SMALL_BYTES: usize = 16 * 1024;
+/// The size of the blocks that hold more.
+pub const BLOCK_BYTES: usize = 16 * 1024;
+/// The maximum time that a transfer waits, in all, until others have given way.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which a transfer that waits asks again: others may have stalled meanwhile.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// For so many connections of gateways that may be open, one refused one may drain. Callers and gateways leave a
+/// twelfth of the descriptors beside the connections to endpoints, and this takes a sixteenth.
+const DRAINING_SHARE: usize = 2;
 /// The maximum number of log lines in a second about what was shed.
 const MAX_LINES: u32 = 20;
 
@@ -85,6 +92,9 @@
     pub small: Cell<usize>,
     callers: Open,
     gateways: Open,
+    /// The refused connections of gateways whose rest is discarded.
+    draining: Cell<usize>,
+    max_draining: Cell<usize>,
     lines: Cell<Lines>,
 }
 
@@ -99,6 +109,8 @@
             small: Cell::new(0),
             callers: Open::new(limits.callers),
             gateways: Open::new(limits.forwards),
+            draining: Cell::new(0),
+            max_draining: Cell::new(limits.forwards.div_ceil(DRAINING_SHARE)),
             lines: Cell::default(),
         }
     }
@@ -110,12 +122,28 @@
         let set = |open: &Open, limit| open.connections.borrow_mut().set_limit(limit);
         set(&self.callers, limits.callers);
         set(&self.gateways, limits.forwards);
+        self.max_draining
+            .set(limits.forwards.div_ceil(DRAINING_SHARE));
         info!(
             event = "limits", memory = limits.memory, callers = limits.callers,
             forwards = limits.forwards; "limits of what is held for others"
         );
     }
 
+    /// Returns the size of the largest body that fits if nothing else is held.
+    pub fn max_body(&self) -> usize {
+        let blocks = self.memory.borrow().limit() as usize / BLOCK_BYTES;
+        SMALL_BYTES.saturating_add(blocks * BLOCK_BYTES)
+    }
+
+    /// Logs if a body within a limit of the configuration never fits.
+    pub fn check_body_limit(&self, limit: usize) {
+        let max = self.max_body();
+        if max < limit {
+            warn!(event = "limits", max, limit; "the memory of the VM is too small for the largest bodies");
+        }
+    }
+
     /// Returns the bytes that are held.
     pub fn held(&self) -> u64 {
         self.memory.borrow().held() + self.small.get() as u64
@@ -155,9 +183,18 @@
         }
     }
 
+    /// Counts a refused connection of a gateway whose rest is discarded; returns `None` if there are too many.
+    pub fn drain(self: &Rc<Self>) -> Option<Draining> {
+        let count = self.draining.get();
+        (count < self.max_draining.get()).then(|| {
+            self.draining.set(count + 1);
+            Draining(self.clone())
+        })
+    }
+
     /// Counts and logs that something was shed.
     pub fn record_shed(&self, reason: &'static str, bytes: usize) {
-        telemetry::shed(reason);
+        counter!("endivespur_gateway_shed_total", "reason" => reason).increment(1);
         let now = clock::now();
         let mut lines = self.lines.get();
         if now.saturating_sub(lines.since) >= Duration::from_secs(1) {
@@ -228,16 +265,31 @@
     }
 }
 
+/// Counts a refused connection as one whose rest is discarded until dropped.
+pub struct Draining(Rc<Budget>);
+
+impl Drop for Draining {
+    fn drop(&mut self) {
+        self.0.draining.set(self.0.draining.get() - 1);
+    }
+}
+
+/// A transfer has to give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shed;
+
 /// A part of the budget, which is released when dropped.
 pub struct Held {
     budget: Rc<Budget>,
     id: Id,
     signal: Rc<Signal>,
+    /// Set once it waits for memory.
+    has_waited: Rc<Cell<bool>>,
 }
 
 impl Held {
-    /// Begins a transfer that holds nothing yet.
-    pub fn new(budget: &Rc<Budget>, kind: Kind) -> Self {
+    /// Begins a transfer that holds nothing yet; sets `has_waited` once it waits for memory.
+    pub fn new(budget: &Rc<Budget>, kind: Kind, has_waited: Rc<Cell<bool>>) -> Self {
         let id = budget.memory.borrow_mut().open(clock::now(), kind);
         let signal = Rc::new(Signal::default());
         budget.signals.borrow_mut().insert(id, signal.clone());
@@ -245,6 +297,7 @@
             budget: budget.clone(),
             id,
             signal,
+            has_waited,
         }
     }
 
@@ -258,24 +311,39 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unread::Shed`] if this one has to give way.
-    pub async fn grow(&self, bytes: usize) -> Result<(), Unread> {
-        let deadline = clock::now() + ROOM_TIMEOUT;
+    /// Returns [`Shed`] if this one has to give way.
+    pub async fn grow(&self, bytes: usize) -> Result<(), Shed> {
+        // Kept while it waits, so that those that wait are woken in order.
+        let mut listener = None;
         loop {
             let now = clock::now();
             let answer = {
                 let mut memory = self.budget.memory.borrow_mut();
+                // Looked at first: those that are chosen have to be told.
+                if memory.free() < bytes as u64 && memory.waited(now, self.id) >= ROOM_TIMEOUT {
+                    return Err(Shed);
+                }
                 memory.grow(now, self.id, bytes as u64)
             };
             match answer {
                 Answer::Granted => return Ok(()),
-                Answer::Refused => return Err(Unread::Shed),
-                Answer::After(_) | Answer::Later if now >= deadline => return Err(Unread::Shed),
+                Answer::Refused => return Err(Shed),
                 Answer::After(others) => self.budget.tell(&others),
                 Answer::Later => {}
             }
-            let released = async { self.budget.released.listen().await };
-            timer::within(ASK_INTERVAL, released.or(self.signal.wait())).await;
+            self.has_waited.set(true);
+            let released = listener.get_or_insert_with(|| self.budget.released.listen());
+            let released = async {
+                released.await;
+                true
+            };
+            let told = async {
+                self.signal.wait().await;
+                false
+            };
+            if timer::within(ASK_INTERVAL, released.or(told)).await == Some(true) {
+                listener = None;
+            }
         }
     }
 
@@ -293,8 +361,13 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.budget.memory.borrow_mut().close(self.id);
+        let free = {
+            let mut memory = self.budget.memory.borrow_mut();
+            memory.close(self.id);
+            memory.free()
+        };
         self.budget.signals.borrow_mut().remove(&self.id);
-        self.budget.released.notify(usize::MAX);
+        // Those that were woken and have not asked yet are counted among these.
+        self.budget.released.notify(free as usize / BLOCK_BYTES);
     }
 }
