Let the soak use a configuration with teams and keys

Cause: the soak's configuration had no teams, so that keys were not checked beside faults.

Change: with `--teams` the configuration has two teams. One has a key that stays, which the existing callers and probes send; the other has a generous quota and a key that versions replace three times in a round, with random numbers of their own. A caller for each gateway sends the current key, the one before, one that no configuration has, and none. Checks: no endpoint gets a key or a wrong team; credentials that no configuration had never run; in the time without faults of each round no key runs that was removed more than 3 s before, none in force is refused with 401, and its requests are served at least half as often as others. Without the option nothing changes. `run_teams` is a short run.

Not checked: removed keys while faults last, since a gateway out of contact may serve them.

--- a/crates/endivespur_dev/src/main.rs
+++ b/crates/endivespur_dev/src/main.rs
@@ -80,6 +80,12 @@
         .arg(number("runs", "1").help("The number of seeds to run, one after the other"))
         .arg(number("rounds", "4").help("The number of rounds of overlapping faults in a run"))
         .arg(number("gateways", "4").help("The number of gateways, each a process"))
+        .arg(
+            Arg::new("teams")
+                .long("teams")
+                .action(ArgAction::SetTrue)
+                .help("Uses a configuration with teams, whose keys change"),
+        )
         .arg(
             option("folder")
                 .help("The folder for logs, by default a new one in the temporary folder"),
@@ -104,6 +110,7 @@
             earlier_program: matches.get_one::<String>("earlier").map(PathBuf::from),
             folder: base.join(seed.to_string()),
             seed,
+            has_teams: matches.get_flag("teams"),
             rounds: number("rounds") as usize,
             gateways: number("gateways") as usize,
             is_verbose: true,
--- a/crates/endivespur_dev/tests/soak.rs
+++ b/crates/endivespur_dev/tests/soak.rs
@@ -4,14 +4,17 @@
 use endivespur_stand::soak;
 
 /// Runs rounds with the faults that the seed generates.
-fn run(seed: u64, rounds: usize, gateways: usize) {
-    let folder =
-        std::env::temp_dir().join(format!("endivespur-soak-{}-{seed}", std::process::id()));
+fn run(seed: u64, has_teams: bool, rounds: usize, gateways: usize) {
+    let folder = std::env::temp_dir().join(format!(
+        "endivespur-soak-{}-{seed}-{has_teams}",
+        std::process::id()
+    ));
     let options = soak::Options {
         program: process::build().unwrap().join("endivespurd"),
         earlier_program: None,
         folder: folder.clone(),
         seed,
+        has_teams,
         rounds,
         gateways,
         is_verbose: true,
@@ -25,25 +28,31 @@
 /// crashes engines was released when a request that crashed them too had been in flight beside it.
 #[test]
 fn run_short() {
-    run(3, 2, 3);
+    run(3, false, 2, 3);
 }
 
 /// The probes of one caller shared each endpoint with two requests that crash endpoints, and were
 /// quarantined with them.
 #[test]
 fn run_polls_beside_crashes() {
-    run(101, 3, 3);
+    run(101, false, 3, 3);
 }
 
 /// The store comes back from a copy beside other faults.
 #[test]
 fn run_restored_store() {
-    run(301, 2, 3);
+    run(301, false, 2, 3);
 }
 
 /// A gateway is cut off from the engines, but knows other addresses of the plain endpoints, as it has
 /// followed another gateway: connections to these showed that its links worked.
 #[test]
 fn run_partly_cut_off() {
-    run(1, 1, 4);
+    run(1, false, 1, 4);
+}
+
+/// Keys of a team change beside other faults: a removed key must not run, and no endpoint sees a key.
+#[test]
+fn run_teams() {
+    run(1, true, 1, 3);
 }
