--- a/crates/endivespur_core/src/gateway/quota/keeper.rs
+++ b/crates/endivespur_core/src/gateway/quota/keeper.rs
@@ -81,6 +81,10 @@
             match (is_kept, &lends_from) {
                 (false, _) => *lends_from = None,
                 (true, Some(from)) if start == Start::Never && now < *from => *lends_from = None,
+                // The first view may have come before it was known that the former process had kept the shards.
+                (true, Some(from)) if start == Start::Resumed && now + RESUME_DELAY < *from => {
+                    *lends_from = Some(now + RESUME_DELAY);
+                }
                 (true, Some(_)) => {}
                 (true, None) if start == Start::Never => {}
                 (true, None) if start == Start::Settling => *lends_from = Some(now + SETTLE_TIME),
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -40,6 +40,8 @@
     /// Until when the shards that this gateway keeps by its first view of the others are lent at once: nobody has taken
     /// them over from its former process.
     resume_end: Option<Time>,
+    /// Whether the view of the others has changed since the first one.
+    has_changed_view: bool,
     /// The version of the configuration, once there is one.
     version: Option<u64>,
     teams: BTreeMap<Team, Entry>,
@@ -63,6 +65,7 @@
             excess,
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
             resume_end: None,
+            has_changed_view: false,
             version: None,
             teams: BTreeMap::new(),
             vms: Vec::new(),
@@ -80,9 +83,11 @@
     ///
     /// Without this, no gateway would lend for [`SETTLE_TIME`] after all had been restarted at once.
     pub fn resume(&mut self, now: Time) {
-        if self.vms.is_empty() && self.resume_end.is_none() {
-            self.resume_end = Some(now + RESUME_TIME);
+        if self.has_changed_view {
+            return;
         }
+        self.resume_end = Some(now + RESUME_TIME);
+        self.assign_teams(now);
     }
 
     /// Returns whether no team has a quota.
@@ -140,6 +145,7 @@
             return;
         }
         if !self.vms.is_empty() {
+            self.has_changed_view = true;
             self.resume_end = None;
         }
         self.vms = vms.cloned().collect();
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -28,6 +28,10 @@
 }
 
 /// A gateway, as recorded in the store.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the record has a field for each ability that an older release may lack"
+)]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
     /// The process that runs it.
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod peers;
 mod plain;
 mod quota;
+mod quotas;
 mod reach;
 mod readiness;
 mod record;
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -38,7 +38,7 @@
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
-use crate::quota::Quotas;
+use crate::quotas::Quotas;
 use crate::streams::Streams;
 use crate::task::Tasks;
 use crate::telemetry;
