--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, State};
+use super::{Engine, PREFILL_WORK_HALF_LIFE, REPORT_LAG, Request, State, pause};
 use crate::clock::{self, Time};
 use crate::gateway::endpoint::Weights;
 
@@ -16,16 +16,56 @@
 const BUSY_PREFILL_DELAY: Duration = Duration::from_millis(300);
 /// The assumed duration of a load of an adapter that the engine caches.
 const RELOAD_TIME: Duration = Duration::from_millis(25);
-/// The prefill rate of an engine, by the engines' data sheet.
-const PREFILL_TOKENS_PER_MS: f64 = 40.8;
-/// The attention time for a million pairs of prompt tokens, by the data sheet.
-const MS_PER_MILLION_PAIRS: f64 = 0.485;
-/// The time to the first token of an empty prompt: one step and the time of the token itself.
-const FIRST_TOKEN_MS: f64 = 14.0;
-
+/// The excess over the usual time below which an engine does not count as slow.
+const MIN_EXCESS: f64 = 0.02;
 impl Engine {
     /// Returns the estimated time until all pending prefills are finished.
     pub fn backlog(&self, now: Time) -> Duration {
+        self.slowness.stretch(now, self.pending_work(now))
+    }
+
+    /// Returns how much longer than its usual time a prefill is expected to take, since the engine is slow now.
+    pub(super) fn prefill_excess(&self, now: Time, usual: Duration) -> Duration {
+        if self.slowness(now) < 1.0 + MIN_EXCESS {
+            return Duration::ZERO;
+        }
+        let ahead = self.pending_work(now);
+        let end = self.slowness.stretch(now, ahead + usual);
+        end.saturating_sub(self.slowness.stretch(now, ahead) + usual)
+    }
+
+    /// Returns whether a request with its first token in `first_token` can end in time if its response has this share of the
+    /// expected output.
+    pub(super) fn can_end(
+        &self,
+        now: Time,
+        request: &Request,
+        first_token: Duration,
+        share: f64,
+    ) -> bool {
+        let Some(end_in) = request.end_in else {
+            return true;
+        };
+        let figures = self.pace(now);
+        let known = self
+            .outputs
+            .get(&pause::output_class(request.output_tokens));
+        let tokens = known.map_or(0.0, |output| output.tokens(now));
+        let tokens = tokens.min(f64::from(request.output_tokens));
+        let output = clock::scale(figures.step_time(), tokens);
+        first_token + clock::scale(output, share) <= end_in
+    }
+
+    /// Returns the number of prompt tokens of a request that are probably not cached.
+    pub(super) fn uncached_tokens(&self, request: &Request) -> u64 {
+        let cached = self
+            .prefix_cache
+            .cached_tokens(&request.weights, &request.parts);
+        u64::from(request.tokens).saturating_sub(cached)
+    }
+
+    /// Returns how long the pending prefills would take at the engine's usual speed.
+    pub(super) fn pending_work(&self, now: Time) -> Duration {
         let cost: Duration = self
             .pending_prefills
             .values()
@@ -44,11 +84,8 @@
             .values()
             .next()
             .map(|prefill| prefill.cost);
-        let done = done.min(clock::scale(
-            oldest_cost.unwrap_or_default(),
-            self.prefill_slowdown,
-        ));
-        clock::scale(cost, self.prefill_slowdown).saturating_sub(done)
+        let done = clock::scale(done, 1.0 / self.slowness(now));
+        cost.saturating_sub(done.min(oldest_cost.unwrap_or_default()))
     }
 
     /// Returns the estimated time until the engine holds a base model.
@@ -127,11 +164,3 @@
         slots + clock::scale(BUSY_PREFILL_DELAY, share.min(2.0))
     }
 }
-
-/// Returns the duration of the prefill of a prompt whose first `cached` tokens are cached.
-pub(super) fn prefill_time(tokens: u32, cached: u64) -> Duration {
-    let uncached = u64::from(tokens).saturating_sub(cached) as f64;
-    let pairs = uncached * (cached as f64 + uncached / 2.0) / 1e6;
-    let ms = FIRST_TOKEN_MS + uncached / PREFILL_TOKENS_PER_MS + pairs * MS_PER_MILLION_PAIRS;
-    clock::from_secs(ms / 1000.0)
-}
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -12,6 +12,7 @@
 
 mod estimate;
 mod order;
+mod pause;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -19,10 +20,14 @@
 use crate::clock::Time;
 use crate::decay::Counter;
 use crate::gateway::endpoint::{Base, Weights};
+use crate::gateway::pace::{Figures, Pace, Slowness};
 use crate::gateway::prefix::{Cache, Part};
 use crate::gateway::table::EngineClass;
 use crate::id::{Grant, Version};
 
+pub use pause::Forecast;
+use pause::{Output, Stream};
+
 /// The assumed duration of a fetch from the weight store until one has been observed.
 const INITIAL_FETCH_TIME: Duration = Duration::from_millis(250);
 /// The assumed time until a full engine has a free slot, until it has been observed.
@@ -33,11 +38,11 @@
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 /// The half-life of the sum of prefill work.
 const PREFILL_WORK_HALF_LIFE: Duration = Duration::from_secs(3);
-/// The weight of the newest sample in the moving average of the prefill slowdown.
-const SLOWDOWN_EWMA_WEIGHT: f64 = 0.15;
-/// The range of the prefill slowdown. An engine beyond the upper limit is recognised by its failed
-/// requests instead.
-const SLOWDOWN_RANGE: (f64, f64) = (0.7, 12.0);
+/// The share of the expected output that a response certainly has: a request is only refused if it misses its deadline
+/// clearly.
+const CERTAIN_SHARE: f64 = 0.5;
+/// The slowness above which the pauses of a stream tell nothing of an engine's usual pace.
+const MAX_USUAL_SLOWNESS: f64 = 1.3;
 /// The backlog above which an engine counts as busy.
 const BUSY_BACKLOG: Duration = Duration::from_millis(300);
 /// How long an engine may be busy before it only takes prompts that it can begin in time: a burst ends within this time,
@@ -133,6 +138,14 @@
     pub only_resident: bool,
     /// The time left to send the prompt so that the request can still meet its objective; zero if that has passed.
     pub due_in: Duration,
+    /// The longest pause between two events that meets the objective; `None` if any does.
+    pub max_pause: Option<Duration>,
+    /// The maximum number of output tokens; 0 if it is not known.
+    pub output_tokens: u32,
+    /// The time left until the response must be complete; `None` if it is not known, or if the stream has begun.
+    pub end_in: Option<Duration>,
+    /// Whether no other engine will be asked, so that the pauses that it causes no longer matter.
+    pub is_last: bool,
 }
 
 /// The answer to a request for a grant.
@@ -217,7 +230,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Prefill {
     sent: Time,
-    /// The duration of the prefill according to the engines' data sheet.
+    /// The number of tokens that were not cached.
+    tokens: u64,
+    /// The expected duration of the prefill at the engine's usual speed.
     cost: Duration,
     /// Whether no other prefill was pending when it was sent.
     is_alone: bool,
@@ -261,8 +276,18 @@
     busy_since: Option<Time>,
     /// The prefill work sent to the engine, in seconds.
     prefill_work: Counter,
-    /// The observed duration of a prefill divided by the duration according to the data sheet.
-    prefill_slowdown: f64,
+    /// The output that responses had, by their durations, for each power of two of the output that callers accept.
+    outputs: BTreeMap<u32, Output>,
+    /// The usual pace of the engine, as observed.
+    pace: Pace,
+    /// How long work takes now, compared with that.
+    slowness: Slowness,
+    /// The granted requests with an objective for their pauses.
+    streams: BTreeMap<Grant, Stream>,
+    /// The pauses that were predicted for the last granted request.
+    last_forecast: Forecast,
+    /// The tokens of one event of a stream; 0 if that is not known.
+    tokens_per_event: u32,
     prefix_cache: Cache,
     next_grant: Grant,
     /// The unloaded adapters that the engine probably still caches outside its slots, with the
@@ -299,7 +324,12 @@
             pending_prefills: BTreeMap::new(),
             busy_since: None,
             prefill_work: Counter::default(),
-            prefill_slowdown: 1.0,
+            outputs: BTreeMap::new(),
+            pace: Pace::new(now, None),
+            slowness: Slowness::default(),
+            streams: BTreeMap::new(),
+            last_forecast: Forecast::default(),
+            tokens_per_event: class.tokens_per_event,
             prefix_cache: Cache::new(class.memory_tokens),
             next_grant: 1,
             cached_adapters: BTreeMap::new(),
@@ -309,6 +339,32 @@
         }
     }
 
+    /// Sets the pace that is assumed until the engine's own has been observed, from the service's other engines.
+    pub fn with_pace(mut self, now: Time, prior: Option<Figures>) -> Self {
+        self.pace = Pace::new(now, prior);
+        self
+    }
+
+    /// Returns the usual pace of the engine.
+    pub fn pace(&self, now: Time) -> Figures {
+        self.pace.figures(now)
+    }
+
+    /// Returns the usual pace of the engine if it has been observed, as a prior for others.
+    pub fn observed_pace(&self, now: Time) -> Option<Figures> {
+        self.pace.observed(now)
+    }
+
+    /// Returns the pauses that were predicted for the last granted request.
+    pub fn last_forecast(&self) -> Forecast {
+        self.last_forecast
+    }
+
+    /// Returns the number of granted requests with an objective for their pauses.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Records the newest version of an adapter.
     pub fn announce(&mut self, weights: &Weights, version: Version) {
         let newest = self.newest.entry(weights.clone()).or_default();
@@ -349,23 +405,47 @@
     /// would make the engine look busy to all other requests.
     pub fn request(&mut self, now: Time, request: &Request) -> Decision {
         if self.memory_tokens > 0 && u64::from(request.tokens) > self.memory_tokens {
-            return Decision::Busy(estimate::prefill_time(request.tokens, 0));
+            return Decision::Busy(self.pace(now).prefill_time(u64::from(request.tokens)));
         }
-        let delay = self.delay(now, &request.weights);
+        let tokens = self.uncached_tokens(request);
+        let prefill = self.pace(now).prefill_time(tokens);
+        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, prefill);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
                 Some(max.min(request.due_in))
             }
             max => max,
         };
-        if max_delay.is_some_and(|max| delay > max) {
-            return Decision::Busy(delay + self.load_penalty(now));
+        // Engines of an even pace are shared best by the adapters that they hold: on those with few slots, requests that
+        // pauses send elsewhere cost more in fetches than they gain.
+        let is_uneven = self.slowness.is_reported();
+        if let Some(end_in) = request.end_in.filter(|_| is_uneven)
+            && !self.can_end(now, request, delay + prefill, CERTAIN_SHARE)
+        {
+            return Decision::Busy(delay.max(end_in) + self.load_penalty(now));
         }
-        if self.is_ready(&request.weights) {
-            return Decision::Granted(self.grant(now, request));
+        let forecast = self.forecast_prefill(now, request, prefill);
+        let harm = match (is_uneven, request.is_last) {
+            (false, _) => Duration::ZERO,
+            (true, true) => self.stream_penalty(request),
+            (true, false) => forecast.delay() + self.stream_penalty(request),
+        };
+        // Among engines with its adapter, one that can write all of the output is preferred.
+        let is_busy = max_delay.is_some_and(|max| delay + harm > max)
+            || (is_uneven
+                && request.only_resident
+                && !self.can_end(now, request, delay + prefill, 1.0));
+        let is_ready = self.is_ready(&request.weights);
+        if is_busy || (request.only_resident && !is_ready) {
+            let fetch = if is_uneven {
+                self.fetch_penalty(request)
+            } else {
+                Duration::ZERO
+            };
+            return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
         }
-        if request.only_resident {
-            return Decision::Busy(delay + self.load_penalty(now));
+        if is_ready {
+            return Decision::Granted(self.grant(now, request, tokens, forecast));
         }
         Decision::Wait
     }
@@ -404,20 +484,19 @@
         }
     }
 
-    fn grant(&mut self, now: Time, request: &Request) -> Grant {
+    fn grant(&mut self, now: Time, request: &Request, tokens: u64, forecast: Forecast) -> Grant {
         let grant = self.next_grant;
         self.next_grant += 1;
-        let cached = self
-            .prefix_cache
-            .cached_tokens(&request.weights, &request.parts);
         self.prefix_cache.record(&request.weights, &request.parts);
         let prefill = Prefill {
             sent: now,
-            cost: estimate::prefill_time(request.tokens, cached),
+            tokens,
+            cost: self.pace(now).prefill_time(tokens),
             is_alone: self.pending_prefills.is_empty(),
         };
         self.pending_prefills.insert(grant, prefill);
-        let work = prefill.cost.as_secs_f64() * self.prefill_slowdown;
+        self.record_pauses(now, grant, request, forecast);
+        let work = prefill.cost.as_secs_f64();
         self.prefill_work.add(now, PREFILL_WORK_HALF_LIFE, work);
         if let Some(adapter) = self.adapters.get_mut(&request.weights) {
             adapter.users.insert(grant, now + GRANT_TIMEOUT);
@@ -426,22 +505,61 @@
         grant
     }
 
+    /// Records how long work takes at the engine now, in percent of the usual time; 0 says nothing.
+    pub fn record_slowdown(&mut self, now: Time, percent: u32) {
+        self.slowness.record(now, percent);
+    }
+
+    /// Returns how long work takes at the engine now, compared with its usual time.
+    pub fn slowness(&self, now: Time) -> f64 {
+        self.slowness.factor(now)
+    }
+
     /// Records that the response to a granted request has started: its prefill is finished.
     pub fn response_started(&mut self, now: Time, grant: Grant) {
         let Some(prefill) = self.pending_prefills.remove(&grant) else {
             return;
         };
+        if let Some(stream) = self.streams.get_mut(&grant) {
+            stream.started = Some(now);
+        }
         if prefill.is_alone {
-            let elapsed = now.saturating_sub(prefill.sent).as_secs_f64();
-            let ratio = elapsed / prefill.cost.as_secs_f64();
-            let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-            self.prefill_slowdown += SLOWDOWN_EWMA_WEIGHT * (ratio - self.prefill_slowdown);
+            let took = now.saturating_sub(prefill.sent);
+            let slowness = self.slowness(now);
+            self.pace
+                .record_prefill(now, prefill.tokens, took, slowness);
+        }
+    }
+
+    /// Records the end of the stream of a granted request, and the longest pause between two of its events; zero if that is
+    /// not known. Of a request whose response has not started, nothing is learned.
+    pub fn record_end(&mut self, now: Time, grant: Grant, longest: Duration) {
+        let Some(stream) = self.streams.get(&grant).copied() else {
+            return;
+        };
+        if stream.started.is_none() {
+            return;
+        }
+        let slowness = self.slowness(now);
+        if let Some(tokens) = stream.written_tokens(now, self.pace(now).step_time()) {
+            let output = self.outputs.entry(stream.output_class()).or_default();
+            if stream.is_cut_off(now) {
+                output.record_at_least(now, tokens);
+            } else {
+                output.record(now, tokens);
+            }
+        }
+        let is_usual = slowness < MAX_USUAL_SLOWNESS && self.tokens_per_event > 0;
+        if is_usual && stream.is_alone && !longest.is_zero() {
+            self.pace
+                .record_pause(now, self.tokens_per_event, longest, slowness);
         }
     }
 
     /// Records the end of a granted request.
     pub fn release(&mut self, weights: &Weights, grant: Grant) {
         self.pending_prefills.remove(&grant);
+        self.streams.remove(&grant);
         if let Some(adapter) = self.adapters.get_mut(weights) {
             adapter.users.remove(&grant);
         }
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -1,21 +1,28 @@
 //! Tests of the gateway's decisions under the loads and failures that they handle.
 
+mod budget;
 mod choice;
 mod clock;
 mod crash;
 mod duration;
 mod feed;
 mod health;
+mod hedge;
 mod limit;
+mod load;
 mod origins;
 mod ownership;
+mod pace;
 mod placement;
 mod prefix;
+mod quota;
 mod reach;
 mod room;
 mod source;
 mod stream;
 mod table;
+mod team;
+mod throttle;
 mod transfer;
 mod version;
 
@@ -79,6 +86,10 @@
         max_delay: None,
         only_resident: false,
         due_in: ms(500),
+        max_pause: None,
+        output_tokens: 0,
+        end_in: None,
+        is_last: false,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -1,8 +1,13 @@
 //! Adapters on an engine: slots in use, orders that are lost or late, consecutive loads.
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
+use endivespur_core::clock::Time;
 use endivespur_core::gateway::choice;
-use endivespur_core::gateway::placement::{Action, Answer, Decision, Engine, Order, Report, Step};
+use endivespur_core::gateway::placement::{
+    Action, Answer, Decision, Engine, Order, Report, Request, Step,
+};
 use endivespur_core::gateway::prefix::Part;
 
 use crate::{answer, class, engine, grant, ms, order, report, request, weights};
@@ -494,3 +499,266 @@
     let order: Order = order(&mut engine, ms(21_000));
     assert_eq!(order.action, Action::Unload);
 }
+
+/// The estimate of a slow engine was that of a fast one, so that prompts were sent there although others were faster.
+#[test]
+fn request_slow_moment() {
+    let mut engine = engine(2, &["a"]);
+    let mut long = request("a");
+    long.tokens = 9_000;
+    assert_matches!(engine.request(ms(0), &long), Decision::Granted(_));
+    let usual = engine.backlog(ms(0));
+    engine.record_slowdown(ms(0), 400);
+    assert!(engine.backlog(ms(0)) > usual * 2);
+    let mut bounded = long.clone();
+    bounded.max_delay = Some(usual + ms(100));
+    assert_matches!(engine.request(ms(0), &bounded), Decision::Busy(_));
+    engine.record_slowdown(ms(1), 100);
+    assert!(engine.backlog(ms(1)) <= usual);
+    assert_matches!(engine.request(ms(1), &bounded), Decision::Granted(_));
+}
+
+/// Returns a request for a stream whose pauses may take `max_pause`.
+fn stream(tokens: u32, max_pause: u64) -> Request {
+    let mut stream = request("a");
+    (stream.tokens, stream.max_pause) = (tokens, Some(ms(max_pause)));
+    stream.max_delay = Some(ms(150));
+    stream.only_resident = true;
+    stream
+}
+
+/// Returns an engine that has said how fast it works.
+fn uneven_engine() -> Engine {
+    let mut engine = engine(2, &["a"]);
+    engine.record_slowdown(ms(0), 100);
+    engine
+}
+
+/// Where engines do not say how fast they work, prompts that pauses sent to other engines caused more fetches than the
+/// pauses cost.
+#[test]
+fn request_harms_streams_of_even_engine() {
+    let mut engine = engine(2, &["a"]);
+    for at in [0, 50] {
+        let mut long = stream(9_000, 40);
+        long.max_delay = Some(ms(500));
+        assert_matches!(engine.request(ms(at), &long), Decision::Granted(_));
+    }
+}
+
+/// A new owner, or that of an engine that has restarted, must place requests by their delay until the first figure, and
+/// take pauses into account from then on, also long after the last figure.
+#[test]
+fn request_before_the_first_figure() {
+    let mut engine = engine(2, &["a"]);
+    let (short, long) = (stream(400, 40), stream(9_000, 40));
+    for (start, is_harm_known) in [(0, false), (1_000, true), (600_000, true)] {
+        if start == 1_000 {
+            engine.record_slowdown(ms(start), 100);
+        }
+        let Decision::Granted(running) = engine.request(ms(start), &short) else {
+            panic!("an idle engine refused a short prompt at {start} ms");
+        };
+        engine.response_started(ms(start + 30), running);
+        let decision = engine.request(ms(start + 50), &long);
+        assert_eq!(matches!(decision, Decision::Busy(_)), is_harm_known);
+        if let Decision::Granted(grant) = decision {
+            engine.release(&long.weights, grant);
+        }
+        engine.release(&short.weights, running);
+    }
+}
+
+/// A long prompt held up the streams of an engine, although other engines that hold its adapter had none.
+#[test]
+fn request_harms_streams() {
+    let mut engine = uneven_engine();
+    let Decision::Granted(grant) = engine.request(ms(0), &stream(400, 40)) else {
+        panic!("an idle engine refused a short prompt");
+    };
+    engine.response_started(ms(30), grant);
+    let mut long = stream(9_000, 40);
+    assert_matches!(engine.request(ms(50), &long), Decision::Busy(delay) if delay >= ms(400));
+    let mut short = stream(200, 40);
+    short.max_delay = Some(ms(30));
+    assert_matches!(engine.request(ms(50), &short), Decision::Granted(_));
+    long.is_last = true;
+    assert_matches!(engine.request(ms(100), &long), Decision::Granted(_));
+    // The second prompt's stream and the new one are harmed, but not the first, which is late already.
+    let harm = engine.forecast(ms(150), &long).harm;
+    assert!((1.9..2.1).contains(&harm), "{harm}");
+}
+
+/// A stream was sent to an engine that was slow at the moment, where its own pauses were too long.
+#[test]
+fn request_own_pauses() {
+    let mut engine = engine(2, &["a"]);
+    let next = stream(100, 10);
+    let Decision::Granted(grant) = engine.request(ms(0), &next) else {
+        panic!("an idle engine refused a short prompt");
+    };
+    engine.release(&weights("a"), grant);
+    engine.record_slowdown(ms(0), 450);
+    assert_matches!(engine.request(ms(0), &next), Decision::Busy(_));
+    assert_matches!(engine.request(ms(2_000), &next), Decision::Granted(_));
+}
+
+/// Requests of gateways of older releases name no pause, and were placed by their delay alone.
+#[test]
+fn request_without_pause_objective() {
+    let mut engine = engine(2, &["a"]);
+    let mut older = stream(9_000, 1);
+    older.max_pause = None;
+    older.max_delay = Some(ms(500));
+    for _ in 0..2 {
+        assert_matches!(engine.request(ms(0), &older), Decision::Granted(_));
+    }
+    let forecast = engine.forecast(ms(0), &older);
+    assert_eq!(forecast.delay(), ms(0));
+}
+
+/// A request that could not end in time was begun all the same, and its caller left before.
+#[test]
+fn request_cannot_end() {
+    let mut engine = uneven_engine();
+    let mut prompt = request("a");
+    (prompt.tokens, prompt.end_in, prompt.is_last) = (20_000, Some(ms(400)), true);
+    assert_matches!(engine.request(ms(0), &prompt), Decision::Busy(_));
+    prompt.end_in = None;
+    assert_matches!(engine.request(ms(0), &prompt), Decision::Granted(_));
+}
+
+/// Runs streams one after the other, of which each takes `took`; returns the time at their end.
+fn run_streams(engine: &mut Engine, request: &Request, took: Duration) -> Duration {
+    let mut now = ms(0);
+    for _ in 0..60 {
+        let Decision::Granted(grant) = engine.request(now, request) else {
+            panic!("an idle engine refused a request");
+        };
+        engine.response_started(now + ms(20), grant);
+        now += ms(20) + took;
+        engine.record_end(now, grant, ms(0));
+        engine.release(&request.weights, grant);
+    }
+    now
+}
+
+/// Callers may accept far more output than comes: only what responses had before counts, and a clear miss.
+#[test]
+fn request_cannot_write_its_output() {
+    let mut long = stream(100, 10_000);
+    long.output_tokens = 1_000;
+    let mut known = uneven_engine();
+    let now = run_streams(&mut known, &long, ms(5_000));
+    (long.is_last, long.only_resident, long.end_in) = (true, false, Some(ms(1_000)));
+    assert_matches!(known.request(now, &long), Decision::Busy(_));
+    // Engines are only preferred for all of the expected output.
+    long.end_in = Some(ms(3_500));
+    long.only_resident = true;
+    assert_matches!(known.request(now, &long), Decision::Busy(_));
+    long.only_resident = false;
+    assert_matches!(known.request(now, &long), Decision::Granted(_));
+    // A stream that has begun goes on, and gateways of older releases name no time.
+    long.end_in = None;
+    assert_matches!(known.request(now, &long), Decision::Granted(_));
+    let mut short = stream(100, 10_000);
+    (short.output_tokens, short.end_in) = (u32::MAX, Some(ms(1_000)));
+    let mut other = engine(2, &["a"]);
+    let now = run_streams(&mut other, &short, ms(500));
+    assert_matches!(other.request(now, &short), Decision::Granted(_));
+}
+
+/// Runs a stream of `written` tokens at the usual pace of 5 ms each, if it is granted; returns the time at its end.
+fn run_stream(engine: &mut Engine, now: Time, request: &Request, written: u64) -> Option<Time> {
+    let Decision::Granted(grant) = engine.request(now, request) else {
+        return None;
+    };
+    engine.response_started(now + ms(20), grant);
+    let end = now + ms(20 + 5 * written);
+    engine.record_end(end, grant, ms(0));
+    engine.release(&request.weights, grant);
+    Some(end)
+}
+
+/// Callers that accepted 16 tokens and used them all made every engine refuse those that accepted 4,000 and used 30.
+#[test]
+fn request_mixed_output_limits() {
+    let mut engine = uneven_engine();
+    let mut short = stream(100, 10_000);
+    (short.output_tokens, short.end_in) = (16, Some(ms(1_000)));
+    let mut long = short.clone();
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for round in 0..100 {
+        for _ in 0..9 {
+            now = run_stream(&mut engine, now, &short, 16).expect("a short stream was refused");
+        }
+        now = run_stream(&mut engine, now, &long, 30)
+            .unwrap_or_else(|| panic!("a long stream was refused in round {round}"));
+    }
+}
+
+/// An engine that had learned a long output refused all requests, and nothing ended there that could correct it.
+#[test]
+fn request_after_silence() {
+    let mut engine = uneven_engine();
+    let mut long = stream(100, 10_000);
+    long.output_tokens = 4_000;
+    let mut now = ms(0);
+    for _ in 0..60 {
+        now = run_stream(&mut engine, now, &long, 1_000).expect("a long stream was refused");
+    }
+    long.end_in = Some(ms(1_000));
+    assert_eq!(run_stream(&mut engine, now, &long, 30), None);
+    // Streams that end every few seconds keep what is known.
+    assert_eq!(run_stream(&mut engine, now + ms(8_000), &long, 30), None);
+    now += ms(40_000);
+    for _ in 0..20 {
+        now = run_stream(&mut engine, now, &long, 30).expect("refused after the silence");
+    }
+}
+
+/// Errors that an engine sent at once counted as prompts that it had read fast.
+#[test]
+fn release_without_a_response() {
+    let mut class = class(2);
+    class.tokens_per_event = 8;
+    let mut engine = Engine::new(ms(0), &class);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    let usual = engine.pace(ms(0));
+    let mut next = stream(4_000, 10_000);
+    (next.output_tokens, next.end_in) = (100, Some(ms(5_000)));
+    for start in 0..40 {
+        let now = ms(start * 100);
+        let Decision::Granted(grant) = engine.request(now, &next) else {
+            panic!("refused at {now:?}");
+        };
+        assert!(engine.backlog(now) > ms(0));
+        engine.record_end(now + ms(2), grant, ms(1));
+        engine.release(&next.weights, grant);
+        assert_eq!(engine.backlog(now + ms(2)), ms(0));
+    }
+    assert_eq!(engine.observed_pace(ms(4_000)), None);
+    assert_eq!(engine.pace(ms(4_000)), usual);
+    // Nor do they tell the output: an engine that has said how fast it works takes the request at once.
+    engine.record_slowdown(ms(4_000), 100);
+    next.end_in = Some(ms(300));
+    assert_matches!(engine.request(ms(4_000), &next), Decision::Granted(_));
+}
+
+/// Where events usually take longer than the objective for pauses, every engine refused requests until the last question.
+#[test]
+fn request_objective_below_the_usual_event() {
+    let mut known = class(2);
+    known.tokens_per_event = 8;
+    let mut engine = Engine::new(ms(0), &known);
+    engine.reconcile(ms(0), &report(&[("a", 1)], 0));
+    for start in 0..4 {
+        let now = ms(start * 100);
+        let next = stream(100, 30);
+        let Decision::Granted(grant) = engine.request(now, &next) else {
+            panic!("refused at {now:?}");
+        };
+        engine.response_started(now + ms(20), grant);
+    }
+}
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -14,7 +14,7 @@
 use crate::model::{self, Class, Run};
 
 /// How long requests arrive.
-const LENGTH: Duration = Duration::from_secs(15);
+pub const LENGTH: Duration = Duration::from_secs(15);
 /// The share of the requests that may end at their deadline.
 pub const MAX_GIVEN_UP_SHARE: f64 = 0.015;
 /// The time of a burst, in seconds.
@@ -76,6 +76,9 @@
             prompt_left: u64::from(shared_tokens + class.own_tokens),
             output_left: class.output_tokens,
             is_late: false,
+            pending_tokens: 0,
+            last_event: None,
+            longest_pause: Duration::ZERO,
         });
     }
 
@@ -125,6 +128,10 @@
             max_delay: None,
             only_resident: false,
             due_in: choice::due_in(class.objective, class.deadline, !policy.bounds_overload),
+            max_pause: None,
+            output_tokens: 0,
+            end_in: None,
+            is_last: false,
         };
         let passes = (policy.passes)(class.objective, class.deadline);
         match search(&mut places, at, &request, &passes) {
@@ -160,7 +167,7 @@
     None
 }
 
-fn arrivals<'a>(random: &mut ChaCha8Rng, classes: &'a [Class]) -> Vec<(Duration, &'a Class)> {
+pub fn arrivals<'a>(random: &mut ChaCha8Rng, classes: &'a [Class]) -> Vec<(Duration, &'a Class)> {
     let mut arrivals = Vec::new();
     for class in classes {
         let mut at = 0.0;
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -16,7 +16,7 @@
 
 use crate::exchange::Call;
 use crate::limit::{self, Token};
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
 use crate::peer;
 use crate::state::{InFlight, State};
 
@@ -55,24 +55,30 @@
     pub token: Option<Token>,
     /// Whether the engine responded that it lacks the adapter.
     pub is_adapter_missing: bool,
+    /// How long work takes at the engine now, in percent of the usual time, until the owner has been told; 0 if it is not
+    /// known.
+    pub slowdown: u32,
+    /// The longest pause between two events of its stream; zero if it is not known.
+    pub longest_pause: Duration,
     _in_flight: InFlight,
 }
 
 impl Permit {
     /// Notifies the owner that the response has started.
-    pub fn response_started(&self) {
+    pub fn response_started(&mut self) {
+        let slowdown = std::mem::take(&mut self.slowdown);
         let Some((location, grant)) = self.grant else {
             return;
         };
         let Location::Peer(address) = location else {
             self.state
                 .owned_engines
-                .response_started(&self.instance.id, grant);
+                .response_started(&self.instance.id, grant, slowdown);
             return;
         };
         let (state, id) = (self.state.clone(), self.instance.id.clone());
         self.state.spawn(async move {
-            peer::response_started(&state, address, &id, grant).await;
+            peer::response_started(&state, address, &id, grant, slowdown).await;
         });
     }
 }
@@ -82,16 +88,21 @@
         let Some((location, grant)) = self.grant else {
             return;
         };
-        let (id, is_adapter_missing) = (self.instance.id.clone(), self.is_adapter_missing);
+        let id = self.instance.id.clone();
+        let ended = Ended {
+            is_adapter_missing: self.is_adapter_missing,
+            slowdown: self.slowdown,
+            longest_pause: self.longest_pause,
+        };
         let Location::Peer(address) = location else {
             self.state
                 .owned_engines
-                .release(&id, &self.weights, grant, is_adapter_missing);
+                .release(&id, &self.weights, grant, ended);
             return;
         };
         let (state, weights) = (self.state.clone(), self.weights.clone());
         self.state.spawn(async move {
-            peer::release(&state, address, &id, &weights, grant, is_adapter_missing).await;
+            peer::release(&state, address, &id, &weights, grant, ended).await;
         });
     }
 }
@@ -288,6 +299,12 @@
             .saturating_sub(RESPONSE_MARGIN)
     }
 
+    /// Returns the longest pause between two events that meets the objective; `None` if the response is no stream.
+    fn max_pause(&self) -> Option<Duration> {
+        let (route, is_stream) = (&self.call.route, self.call.route.retry_policy.is_stream());
+        (is_stream && !route.max_pause.is_zero()).then_some(route.max_pause)
+    }
+
     /// Requests a grant from an engine's owner, and first a token if the engine has a limit; returns
     /// `None` if it has no owner, or one that does not reply.
     async fn request_grant(
@@ -304,6 +321,10 @@
             max_delay: Some(pass.max_delay),
             only_resident: pass.only_resident,
             due_in: choice::due_in(self.call.objective_left(), wait, self.has_begun),
+            max_pause: self.max_pause(),
+            output_tokens: fields.max_output_tokens,
+            end_in: (!self.has_begun).then(|| self.call.time_left()),
+            is_last: pass.max_delay >= wait,
         };
         let state = self.state;
         let record = |refusal: Refusal| {
@@ -428,6 +449,8 @@
         token: None,
         version: None,
         is_adapter_missing: false,
+        slowdown: 0,
+        longest_pause: Duration::ZERO,
         _in_flight: InFlight::new(state, &instance.id),
     }
 }
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -28,6 +28,10 @@
 }
 
 /// A gateway, as recorded in the store.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the record has a field for each ability that an older release may lack"
+)]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
     /// The process that runs it.
@@ -48,6 +52,12 @@
     /// Whether it can keep the origins of streams in the store; not of an older release.
     #[serde(default)]
     pub keeps_streams: bool,
+    /// Whether it can keep quotas of teams; not of an older release.
+    #[serde(default)]
+    pub keeps_quotas: bool,
+    /// Whether it has kept its shards of quotas without a break, so that its next process may go on at once.
+    #[serde(default)]
+    pub lends_quotas: bool,
 }
 
 fn default_link_rate() -> u64 {
@@ -255,7 +265,7 @@
     }
 
     /// Iterates over the gateways, this one included.
-    pub fn peers(&self) -> impl Iterator<Item = (&Vm, &Peer)> {
+    pub fn peers(&self) -> impl Iterator<Item = (&Vm, &Peer)> + Clone {
         self.peers.iter()
     }
 }
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A caller's request, its outcome, and the connection on which the response is sent.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -11,14 +11,17 @@
 use endivespur_core::feature::{Feature, Scope};
 use endivespur_core::gateway::prefix::Part;
 use endivespur_core::gateway::table::Route;
+use endivespur_core::gateway::team::Identity;
 use endivespur_core::hash;
-use endivespur_core::id::{Service, Software};
+use endivespur_core::id::{Service, Software, Team};
 use endivespur_http::body::{LAST_CHUNK, encode_chunk};
 use endivespur_http::connection::Connection;
 use endivespur_http::head::{Framing, Request, Response};
 use endivespur_platform::header;
 use log::warn;
 
+use crate::body::{self, Body};
+
 /// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
 /// with each crash.
 const MAX_PARTS: usize = 32;
@@ -28,7 +31,7 @@
     /// The request line and the header fields.
     pub head: Request,
     /// The complete body, without its framing.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// The address that the request came from.
     pub caller_address: Option<IpAddr>,
     /// What may crash the endpoints that run the request.
@@ -43,6 +46,11 @@
     pub route: Route,
     /// The service that handles it.
     pub service: Service,
+    /// The team that the request belongs to, when its head was read; `None` if it is anonymous, or the configuration
+    /// has no teams.
+    pub team: Option<Team>,
+    /// Whose request it is by the last check.
+    pub identity: RefCell<Identity>,
     /// The software version that engines must have, if the request resumes a stream.
     pub software: Option<Software>,
     /// The time at which its head was read.
@@ -90,7 +98,7 @@
     /// Returns the request to be sent to an endpoint.
     pub fn endpoint_request(&self, dispatch: &header::Dispatch) -> Request {
         let mut request = Request::new(&self.head.method, &self.head.target);
-        request.headers = header::forward(&self.head.headers, dispatch);
+        request.headers = header::forward(&self.head.headers, dispatch, &self.identity.borrow());
         let has_body = !self.body.is_empty() || self.head.method != "GET";
         if has_body {
             let length = self.body.len().to_string();
@@ -180,6 +188,24 @@
         }
     }
 
+    /// Creates a refusal of a request that is not authorised.
+    pub fn unauthorized() -> Self {
+        Self::Generated {
+            status: 401,
+            retry_after: None,
+            reason: "unauthorized".to_string(),
+        }
+    }
+
+    /// Creates the refusal of a request over its team's quota: it has not run, and the caller may retry.
+    pub fn over_quota(retry_after: Duration) -> Self {
+        Self::Generated {
+            status: 429,
+            retry_after: Some(retry_after),
+            reason: "quota".to_string(),
+        }
+    }
+
     /// Creates a failure after which it is unknown whether the request ran.
     pub fn unknown(status: u16, reason: &str) -> Self {
         Self::Generated {
@@ -241,7 +267,7 @@
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        self.connection.write(&head.encode()).await
+        body::write(self.connection, &head.encode()).await
     }
 
     /// Sends a chunk of the body.
@@ -254,9 +280,9 @@
             return Ok(());
         }
         if self.framing == Framing::Chunked {
-            self.connection.write(&encode_chunk(bytes)).await
+            body::write(self.connection, &encode_chunk(bytes)).await
         } else {
-            self.connection.write(bytes).await
+            body::write(self.connection, bytes).await
         }
     }
 
@@ -276,27 +302,40 @@
     /// Returns an error if the caller has disconnected.
     pub async fn end_body(&mut self) -> io::Result<()> {
         if self.framing == Framing::Chunked {
-            self.connection.write(LAST_CHUNK).await?;
+            body::write(self.connection, LAST_CHUNK).await?;
         }
         Ok(())
     }
 
-    /// Sends a complete response.
+    /// Sends a complete response without a body.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller has disconnected.
-    pub async fn send_response(&mut self, head: &Response, body: &[u8]) -> io::Result<()> {
+    pub async fn send_response(&mut self, head: &Response) -> io::Result<()> {
+        let head = self.encode_head(head, 0);
+        body::write(self.connection, &head).await
+    }
+
+    /// Sends a complete answer of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has disconnected, does not read, or gives way to others.
+    pub async fn send_answer(&mut self, head: &Response, body: &Body) -> io::Result<()> {
+        let head = self.encode_head(head, body.len());
+        body::write_answer(self.connection, head, body).await
+    }
+
+    fn encode_head(&mut self, head: &Response, length: usize) -> Vec<u8> {
         let mut head = head.clone();
         head.headers.remove_hop_by_hop();
         head.headers
-            .push("Content-Length", body.len().to_string().as_bytes());
+            .push("Content-Length", length.to_string().as_bytes());
         if self.should_close {
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        let mut message = head.encode();
-        message.extend_from_slice(body);
-        self.connection.write(&message).await
+        head.encode()
     }
 }
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -18,7 +18,7 @@
 use crate::relay::{self, Failure, log_failed_attempt};
 use crate::room::Held;
 use crate::state::State;
-use crate::{limit, link, stream, telemetry, timer};
+use crate::{authorize, limit, link, stream, telemetry, timer};
 
 /// The delay after which a caller retries when no engine was found: the time in which a new owner
 /// takes over.
@@ -57,10 +57,39 @@
     is_resumed: bool,
     /// The bytes of an incomplete event.
     partial: Vec<u8>,
+    /// The time that the current engine has taken since its last event.
+    waited: Duration,
+    /// Whether the current engine has written an event.
+    has_event: bool,
+    /// The longest time that the current engine took between two events.
+    longest_pause: Duration,
     /// The software version that wrote its first event; only that version may resume it.
     software: Option<Software>,
 }
 
+impl Stream {
+    /// Begins the part that another engine writes.
+    fn begin(&mut self, is_resumed: bool) {
+        self.partial.clear();
+        self.is_resumed = is_resumed;
+        self.waited = Duration::ZERO;
+        self.has_event = false;
+        self.longest_pause = Duration::ZERO;
+    }
+
+    /// Records the time that the engine took, if events are complete.
+    fn record_pause(&mut self, is_complete: bool) {
+        if !is_complete {
+            return;
+        }
+        let waited = std::mem::take(&mut self.waited);
+        if self.has_event {
+            self.longest_pause = self.longest_pause.max(waited);
+        }
+        self.has_event = true;
+    }
+}
+
 /// The outcome of relaying one engine's response.
 enum Transfer {
     Complete,
@@ -117,6 +146,9 @@
             step: Step::Unknown,
             is_resumed: false,
             partial: Vec::new(),
+            waited: Duration::ZERO,
+            has_event: false,
+            longest_pause: Duration::ZERO,
             software: call.software.clone(),
         },
     };
@@ -151,7 +183,9 @@
                 continue;
             }
         };
-        if let Err(refusal) = crash::check_before_send(state, call) {
+        let check = authorize::check_before_send(state, call)
+            .and_then(|()| crash::check_before_send(state, call));
+        if let Err(refusal) = check {
             if progress.runs == 0 {
                 return refusal;
             }
@@ -207,6 +241,11 @@
     let mut run = Run::new(state, call, &instance);
     let now = clock::now();
     let sent = send(state, call, &permit, progress.stream.last_event_id, caller).await;
+    if let Ok(response) = &sent
+        && response.fields.is_signed
+    {
+        permit.slowdown = response.fields.slowdown.unwrap_or_default();
+    }
     let failure = match sent {
         Ok(response) if response.fields.is_not_executed => {
             run.ended();
@@ -226,7 +265,10 @@
                 framing:? = response.framing,
                 took_ms = clock::now().saturating_sub(now).as_millis() as u64; "response started"
             );
-            permit.response_started();
+            // An error may come before the prompt is read, and would count as a fast prefill.
+            if response.head.status < 300 {
+                permit.response_started();
+            }
             run.response_started();
             let is_failure = response.head.status >= 500;
             let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream
@@ -242,7 +284,11 @@
                     health.record_success(clock::now(), &instance.id, took);
                 }
                 let stream = &mut progress.stream;
-                match relay_response(state, call, caller, &instance, &mut response, stream).await {
+                let transfer =
+                    relay_response(state, call, caller, &instance, &mut response, stream).await;
+                permit.longest_pause = stream.longest_pause;
+                telemetry::pause_recorded("observed", stream.longest_pause);
+                match transfer {
                     Transfer::Complete => {
                         let status = response.head.status;
                         let framing = response.framing;
@@ -306,6 +352,7 @@
     telemetry::engine_granted(waited);
     info!(
         event = "granted", request = call.fields.attempt_id.as_str(),
+        team = call.team.as_deref().unwrap_or_default(),
         endpoint = permit.instance.id.as_str(), software = permit.instance.software.as_str(), adapter = permit.weights.to_string(),
         owner:? = permit.grant.map(|(location, _)| location), version = permit.version,
         offer = attempt_number, tokens = call.fields.prompt_tokens, parts = call.part_ids(),
@@ -362,10 +409,13 @@
                 return Transfer::Aborted(error.to_string());
             }
         }
-        stream.partial.clear();
-        stream.is_resumed = is_resumed;
+        stream.begin(is_resumed);
         loop {
-            let bytes = match response.next_chunk(state).await {
+            let asked = clock::now();
+            let next = response.next_chunk(state).await;
+            // Without the time in which a slow caller holds up the stream.
+            stream.waited += clock::now().saturating_sub(asked);
+            let bytes = match next {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(error) => return Transfer::Interrupted(error.to_string()),
@@ -378,6 +428,7 @@
                 if stream.partial.len() > MAX_EVENT_BYTES {
                     return Transfer::Interrupted("event too long".to_string());
                 }
+                stream.record_pause(!events.is_empty());
                 if !events.is_empty() && stream.software.is_none() {
                     stream.software = Some(instance.software.clone());
                     stream::began(state, call, instance);
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -9,12 +9,13 @@
 use endivespur_core::gateway::limit::Decision;
 use endivespur_core::gateway::placement::Request;
 use endivespur_core::gateway::prefix::{MAX_PROMPT_PARTS, Part};
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::room::Hold;
 use endivespur_core::gateway::stream::{Batch, Origin};
 use endivespur_core::gateway::transfer::Packed;
 use endivespur_wire::gateway_capnp::{
-    self, ask, item, news, reply, room_reply, streams, token_reply, update, value_reply,
+    self, ask, item, loan, news, reply, room_reply, streams, token_reply, update, value_reply,
 };
 
 use crate::owned::Reply;
@@ -41,6 +42,9 @@
     to.set_wait_ms(millis(wait));
     to.set_only_resident(request.only_resident);
     to.set_due_ms(millis(request.due_in));
+    to.set_max_pause_ms(millis(request.max_pause.unwrap_or_default()));
+    to.set_output_tokens(u64::from(request.output_tokens));
+    to.set_end_ms(millis(request.end_in.unwrap_or_default()));
     let mut parts = to.init_parts(request.parts.len() as u32);
     for (index, part) in request.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -67,6 +71,7 @@
         })
         .collect();
     let max_delay = Duration::from_millis(u64::from(from.get_max_backlog_ms()));
+    let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     let request = Request {
         weights: Weights::new(from.get_base()?.to_str()?, from.get_adapter()?.to_str()?),
         tokens: read_tokens(from.get_tokens()),
@@ -74,8 +79,11 @@
         max_delay: from.get_bounded().then_some(max_delay),
         only_resident: from.get_only_resident(),
         due_in: Duration::from_millis(u64::from(from.get_due_ms())),
+        max_pause: read_time(from.get_max_pause_ms()),
+        output_tokens: read_tokens(from.get_output_tokens()),
+        end_in: read_time(from.get_end_ms()),
+        is_last: !from.get_bounded() || max_delay >= wait,
     };
-    let wait = Duration::from_millis(u64::from(from.get_wait_ms()));
     Ok((from.get_endpoint()?.to_string()?, request, wait))
 }
 
@@ -85,6 +93,11 @@
     u32::try_from(number).unwrap_or(u32::MAX)
 }
 
+/// Reads a time that is 0 if the sender does not know it, as gateways of older releases send.
+fn read_time(ms: u32) -> Option<Duration> {
+    (ms > 0).then(|| Duration::from_millis(u64::from(ms)))
+}
+
 /// Reads the reply to a request for a grant.
 ///
 /// # Errors
@@ -121,6 +134,33 @@
     })
 }
 
+/// Writes the reply to a request for an amount of a quota.
+pub fn write_loan(mut to: loan::Builder<'_>, loan: Loan) {
+    match loan {
+        Loan::Amount(amount, validity) => {
+            to.set_amount(amount);
+            to.set_valid_ms(millis(validity));
+        }
+        // A wait of a part of a millisecond is none for the borrower.
+        Loan::Wait(wait) => to.set_wait_ms(millis(wait).saturating_add(1)),
+        Loan::Unknown => to.set_unknown(()),
+    }
+}
+
+/// Reads the reply to a request for an amount of a quota.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed.
+pub fn read_loan(from: loan::Reader<'_>) -> Result<Loan, capnp::Error> {
+    let validity = Duration::from_millis(u64::from(from.get_valid_ms()));
+    Ok(match from.which()? {
+        loan::Which::Amount(amount) => Loan::Amount(amount, validity),
+        loan::Which::WaitMs(wait) => Loan::Wait(Duration::from_millis(u64::from(wait))),
+        loan::Which::Unknown(()) => Loan::Unknown,
+    })
+}
+
 /// Encodes what a gateway says about its link to an endpoint.
 pub fn encode_reach(reach: Reach) -> gateway_capnp::Reach {
     match reach {
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -12,7 +12,7 @@
 use endivespur_core::id::{Endpoint, Fence, Grant, Version};
 use event_listener::Event;
 
-use crate::timer;
+use crate::{telemetry, timer};
 
 /// The estimated delay at an engine that does not respond to its owner: until its registration
 /// ends.
@@ -55,6 +55,17 @@
     Late,
 }
 
+/// What a gateway tells an engine's owner of a granted request that has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Whether the engine lacked the adapter.
+    pub is_adapter_missing: bool,
+    /// How long work takes at the engine now, in percent of the usual time; 0 if it is not known.
+    pub slowdown: u32,
+    /// The longest pause between two events of its stream; zero if it is not known.
+    pub longest_pause: Duration,
+}
+
 impl OwnedEngines {
     /// Creates an empty set.
     pub fn new() -> Self {
@@ -90,6 +101,18 @@
         owned.state_changed.notify(usize::MAX);
     }
 
+    /// Returns the prompt tokens that the owned engines usually read in a second, together, and how long work takes now at
+    /// the slowest one compared with its usual time.
+    pub fn pace(&self) -> (f64, f64) {
+        let now = clock::now();
+        let engines = self.engines.borrow();
+        engines.values().fold((0.0, 0.0), |(rate, slowest), owned| {
+            let engine = owned.engine.borrow();
+            let rate: f64 = rate + 1.0 / engine.pace(now).per_token;
+            (rate, f64::max(slowest, engine.slowness(now)))
+        })
+    }
+
     /// Returns the number of owned engines.
     pub fn count(&self) -> usize {
         self.engines.borrow().len()
@@ -100,30 +123,28 @@
         self.engines.borrow().get(endpoint).cloned()
     }
 
-    /// Records that the response to a granted request has started.
-    pub fn response_started(&self, endpoint: &str, grant: Grant) {
+    /// Records that the response to a granted request has started, and how long work takes at the engine now, in percent
+    /// of the usual time; 0 if that is not known.
+    pub fn response_started(&self, endpoint: &str, grant: Grant, slowdown: u32) {
         if let Some(owned) = self.get(endpoint) {
-            owned
-                .engine
-                .borrow_mut()
-                .response_started(clock::now(), grant);
+            let now = clock::now();
+            let mut engine = owned.engine.borrow_mut();
+            engine.record_slowdown(now, slowdown);
+            engine.response_started(now, grant);
             owned.state_changed.notify(usize::MAX);
         }
     }
 
-    /// Records that a granted request has ended, and whether the engine lacked the adapter.
-    pub fn release(
-        &self,
-        endpoint: &str,
-        weights: &Weights,
-        grant: Grant,
-        is_adapter_missing: bool,
-    ) {
+    /// Records that a granted request has ended.
+    pub fn release(&self, endpoint: &str, weights: &Weights, grant: Grant, ended: Ended) {
         if let Some(owned) = self.get(endpoint) {
+            let now = clock::now();
             let mut engine = owned.engine.borrow_mut();
+            engine.record_slowdown(now, ended.slowdown);
+            engine.record_end(now, grant, ended.longest_pause);
             engine.release(weights, grant);
-            if is_adapter_missing {
-                engine.mark_missing(clock::now(), weights);
+            if ended.is_adapter_missing {
+                engine.mark_missing(now, weights);
             }
             owned.target_changed.notify(usize::MAX);
         }
@@ -134,13 +155,21 @@
         let Some(owned) = self.get(endpoint) else {
             return Reply::NotOwner;
         };
-        let deadline = clock::now() + wait;
+        let asked = clock::now();
+        let deadline = asked + wait;
         let mut waiter: Option<Waiter> = None;
+        let (mut request, end_in) = (request.clone(), request.end_in);
         loop {
             let listener = owned.state_changed.listen();
             let now = clock::now();
-            match owned.engine.borrow_mut().request(now, request) {
-                Decision::Granted(grant) => return Reply::Granted(grant),
+            request.end_in = end_in.map(|end_in| (asked + end_in).saturating_sub(now));
+            let decision = owned.engine.borrow_mut().request(now, &request);
+            match decision {
+                Decision::Granted(grant) => {
+                    let forecast = owned.engine.borrow().last_forecast();
+                    telemetry::pause_recorded("predicted", forecast.caused);
+                    return Reply::Granted(grant);
+                }
                 // A request that already waits here is not sent elsewhere, where its wait would
                 // start over.
                 Decision::Busy(delay) if waiter.is_none() || now + delay > deadline => {
@@ -158,7 +187,9 @@
             if now >= deadline {
                 return Reply::Late;
             }
-            waiter.get_or_insert_with(|| Waiter::new(&owned, request));
+            waiter.get_or_insert_with(|| Waiter::new(&owned, &request));
+            // It stays here, and no end of a stream would wake it.
+            request.is_last = true;
             if timer::within(deadline.saturating_sub(now), listener)
                 .await
                 .is_none()
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -11,6 +11,7 @@
 use endivespur_core::gateway::feed::{Change, Cursor};
 use endivespur_core::gateway::limit::{Decision, Rate};
 use endivespur_core::gateway::placement::Request;
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::gateway::reach::Reach;
 use endivespur_core::gateway::room::{self, Hold};
 use endivespur_core::gateway::stream::{Batch, Key};
@@ -22,7 +23,7 @@
 use smol::net::TcpStream;
 
 use crate::message::{self, Update};
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
 use crate::state::State;
 use crate::timer;
 use crate::values::Answer;
@@ -287,11 +288,13 @@
     address: SocketAddr,
     endpoint: &str,
     grant: Grant,
+    slowdown: u32,
 ) {
     let send = async |client: gateway::Client| {
         let mut request = client.began_request();
         request.get().set_endpoint(endpoint);
         request.get().set_grant(grant);
+        request.get().set_slowdown(slowdown);
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
@@ -385,6 +388,61 @@
     notify(state, address, send).await;
 }
 
+/// A request for an amount of a team's quota.
+pub struct Borrowing<'a> {
+    /// The team.
+    pub team: &'a str,
+    /// The version of the configuration that this gateway knows.
+    pub version: u64,
+    /// The least amount.
+    pub needed: u64,
+    /// The greatest amount.
+    pub wanted: u64,
+    /// What this gateway has used in the window of the quota.
+    pub used: u64,
+}
+
+/// Borrows an amount of a team's quota from the gateway at an address; returns `None` without a reply, as from a gateway
+/// of an older release.
+pub async fn borrow(
+    state: &Rc<State>,
+    address: SocketAddr,
+    borrowing: &Borrowing<'_>,
+) -> Option<Loan> {
+    if state.peers.is_unresponsive(address) {
+        return None;
+    }
+    let send = async |client: gateway::Client| {
+        let mut request = client.borrow_request();
+        let mut to = request.get();
+        to.set_team(borrowing.team);
+        to.set_version(borrowing.version);
+        to.set_needed(borrowing.needed);
+        to.set_wanted(borrowing.wanted);
+        to.set_used(borrowing.used);
+        let response = request.send().promise.await;
+        let loan =
+            response.and_then(|response| message::read_loan(response.get()?.get_loan()?).map(Some));
+        unless_unimplemented(loan, None)
+    };
+    request(state, address, REPLY_SLACK, send).await.ok()?
+}
+
+/// Gives an amount of a team's quota that was not used back to the gateway at an address.
+///
+/// If this is lost, the amount is lost too, as if it had been used.
+pub async fn give_back(state: &Rc<State>, address: SocketAddr, team: &str, amount: u64) {
+    let send = async |client: gateway::Client| {
+        let mut request = client.give_back_request();
+        let mut to = request.get();
+        to.set_team(team);
+        to.set_amount(amount);
+        let response = request.send().promise.await;
+        unless_unimplemented(response.map(drop), ())
+    };
+    notify(state, address, send).await;
+}
+
 /// Notifies the gateway at an address that an endpoint no longer names a limit.
 ///
 /// If this is lost, gateways keep to the limit until they have a response of the endpoint themselves.
@@ -467,7 +525,7 @@
     endpoint: &str,
     weights: &Weights,
     grant: Grant,
-    is_adapter_missing: bool,
+    ended: Ended,
 ) {
     let send = async |client: gateway::Client| {
         let mut request = client.release_request();
@@ -476,7 +534,9 @@
         to.set_base(&weights.base);
         to.set_adapter(&weights.adapter);
         to.set_grant(grant);
-        to.set_missing(is_adapter_missing);
+        to.set_missing(ended.is_adapter_missing);
+        to.set_slowdown(ended.slowdown);
+        to.set_longest_pause_ms(millis(ended.longest_pause));
         request.send().promise.await.map(drop)
     };
     notify(state, address, send).await;
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -19,7 +19,8 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::message;
-use crate::owned::Reply;
+use crate::owned::{Ended, Reply};
+use crate::quota;
 use crate::reach;
 use crate::record;
 use crate::state::State;
@@ -93,9 +94,11 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = params.get_endpoint()?.to_str()?;
-        self.state
-            .owned_engines
-            .response_started(endpoint, params.get_grant());
+        self.state.owned_engines.response_started(
+            endpoint,
+            params.get_grant(),
+            params.get_slowdown(),
+        );
         Ok(())
     }
 
@@ -174,6 +177,30 @@
         Ok(())
     }
 
+    async fn borrow(
+        self: Rc<Self>,
+        params: gateway::BorrowParams,
+        mut results: gateway::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = params.get_team()?.to_str()?;
+        let loan = quota::lend(&self.state, team, params.get_needed(), params.get_wanted());
+        message::write_loan(results.get().init_loan(), loan);
+        Ok(())
+    }
+
+    async fn give_back(
+        self: Rc<Self>,
+        params: gateway::GiveBackParams,
+        _: gateway::GiveBackResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team = params.get_team()?.to_str()?;
+        let mut quotas = self.state.quotas.tracker.borrow_mut();
+        quotas.give_back(clock::now(), team, params.get_amount());
+        Ok(())
+    }
+
     async fn streams_began(
         self: Rc<Self>,
         params: gateway::StreamsBeganParams,
@@ -263,7 +290,11 @@
             params.get_endpoint()?.to_str()?,
             &weights,
             params.get_grant(),
-            params.get_missing(),
+            Ended {
+                is_adapter_missing: params.get_missing(),
+                slowdown: params.get_slowdown(),
+                longest_pause: Duration::from_millis(u64::from(params.get_longest_pause_ms())),
+            },
         );
         Ok(())
     }
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves the connections of callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,9 +18,11 @@
 use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 
+use crate::body::{self, Body, Unread};
+use crate::budget::{Client, Connected};
 use crate::exchange::{self, Call, Caller, Outcome};
 use crate::state::State;
-use crate::{crash, generate, plain, reach, resume, telemetry, timer};
+use crate::{authorize, crash, generate, plain, quota, reach, resume, telemetry, timer};
 
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -34,6 +36,10 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long the request of a connection that was not yet accepted when the VM closes is waited for.
 const BACKLOG_TIMEOUT: Duration = Duration::from_millis(100);
+/// The delay after which a caller retries when this VM has no memory for its request.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How long the rest of a refused request is discarded before its connection is closed.
+const DRAIN_LIMIT: Duration = Duration::from_millis(500);
 /// The maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -43,14 +49,14 @@
     accept(&state, &listener).or(closing).await;
     // Callers may have sent requests over connections that only the kernel has accepted.
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-        state.spawn(serve(state.clone(), stream));
+        accepted(&state, stream);
     }
 }
 
 async fn accept(state: &Rc<State>, listener: &TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => state.spawn(serve(state.clone(), stream)),
+            Ok((stream, _)) => accepted(state, stream),
             Err(error) => {
                 info!(event = "accept"; "{error}");
                 Timer::after(ACCEPT_PAUSE).await;
@@ -59,6 +65,11 @@
     }
 }
 
+fn accepted(state: &Rc<State>, stream: TcpStream) {
+    let connected = state.budget.connect(Client::Caller);
+    state.spawn(serve(state.clone(), stream, connected));
+}
+
 /// Whether a connection is kept for another request.
 #[derive(PartialEq, Eq)]
 enum Disposition {
@@ -66,11 +77,20 @@
     Close,
 }
 
-async fn serve(state: Rc<State>, stream: TcpStream) {
+async fn serve(state: Rc<State>, stream: TcpStream, connected: Connected) {
     let mut connection = Connection::new(stream);
+    if connected.is_refused() {
+        reject(&mut connection, 503, 0).await.ok();
+        return;
+    }
+    let served = serve_requests(&state, &mut connection, &connected);
+    served.or(connected.refused()).await;
+}
+
+async fn serve_requests(state: &Rc<State>, connection: &mut Connection, connected: &Connected) {
     let mut is_first = true;
     loop {
-        let limits = limits(&state);
+        let limits = limits(state);
         let closing = state.closing.listen();
         // Only the first request of a connection may have waited in the backlog.
         let is_backlog = state.is_closing.get() && is_first;
@@ -79,7 +99,7 @@
         }
         is_first = false;
         let received = async {
-            wait_for_bytes(&mut connection).await;
+            wait_for_bytes(connection).await;
             true
         };
         let closed = async {
@@ -94,8 +114,10 @@
         if timer::within(idle_timeout, received.or(closed)).await != Some(true) {
             return;
         }
-        match handle_request(&state, &mut connection, &limits).await {
-            Ok(Disposition::KeepOpen) => {}
+        match handle_request(state, connection, connected, &limits).await {
+            Ok(Disposition::KeepOpen) => {
+                connected.set_busy(false);
+            }
             Ok(Disposition::Close) => return,
             Err(error) => {
                 debug!(event = "caller-left"; "{error}");
@@ -120,34 +142,92 @@
 async fn handle_request(
     state: &Rc<State>,
     connection: &mut Connection,
+    connected: &Connected,
     limits: &Limits,
 ) -> Result<Disposition, connection::Error> {
     let read = connection.read_request(limits.header_bytes);
     let (head, framing) = match timer::within(limits.header_timeout, read).await {
-        None => return reject(connection, 408).await,
+        None => return reject(connection, 408, 0).await,
         Some(Ok(Some(read))) => read,
         Some(Ok(None)) => return Ok(Disposition::Close),
-        Some(Err(connection::Error::HeadTooLong)) => return reject(connection, 431).await,
+        Some(Err(connection::Error::HeadTooLong)) => return reject(connection, 431, 0).await,
         Some(Err(connection::Error::Head { source })) => {
             info!(event = "request-refused", status = 400; "{source}");
-            return reject(connection, 400).await;
+            return reject(connection, 400, 0).await;
         }
         Some(Err(error)) => return Err(error),
     };
     let started = clock::now();
+    let fields = header::Request::decode(&head.headers);
+    let _open = OpenRequest::new(state);
+    let table = state.catalog.borrow().table();
+    let is_admitted = table.is_some();
+    if let Some(table) = table
+        && let Err(refusal) = authorize::admit(state, &table, &head, &fields)
+    {
+        telemetry::request_finished("", &refusal, clock::now().saturating_sub(started));
+        return refuse_early(state, connection, &head, framing, &refusal, started).await;
+    }
+    if matches!(framing, Framing::Length(length) if length > limits.body_bytes as u64) {
+        return reject(connection, 413, limits.body_bytes).await;
+    }
     if head.headers.has_token("expect", "100-continue") {
         connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let _open = OpenRequest::new(state);
     let stopping = async {
         state.must_answer().await;
         Err(503)
     };
-    let body = match read_body(connection, framing, limits).or(stopping).await {
+    let body = match read_body(connected, connection, framing, limits)
+        .or(stopping)
+        .await
+    {
         Ok(body) => body,
-        Err(status) => return reject(connection, status).await,
+        Err(status) => {
+            let is_stopping = state.is_stopping.get();
+            let rest = if is_stopping { 0 } else { limits.body_bytes };
+            return reject(connection, status, rest).await;
+        }
     };
-    respond(state, connection, head, body, started).await
+    let caller_address = connection.stream().peer_addr().ok();
+    let caller_address = caller_address.map(|address| address.ip());
+    let received = Received {
+        features: exchange::features(caller_address, &head, &body, &fields.parts),
+        caller_address,
+        head,
+        is_admitted,
+        body,
+        fields,
+        started,
+    };
+    if !connected.set_busy(true) {
+        return reject(connection, 503, 0).await;
+    }
+    respond(state, connection, received).await
+}
+
+/// Refuses a request whose body may not have arrived yet. What is left of it must not be read as the next request.
+async fn refuse_early(
+    state: &State,
+    connection: &mut Connection,
+    head: &Request,
+    framing: Framing,
+    refusal: &Outcome,
+    started: Time,
+) -> Result<Disposition, connection::Error> {
+    let body_limit = limits(state).body_bytes;
+    let body = connection.read_full_body(framing, body_limit);
+    let is_complete = matches!(future::poll_once(body).await, Some(Ok(Some(_))));
+    let attempt_id = header::Request::decode(&head.headers).attempt_id;
+    let mut caller = Caller::new(connection, head, state.is_stopping.get() || !is_complete);
+    finish(&mut caller, &attempt_id, "", refusal, started).await?;
+    if !caller.should_close {
+        return Ok(Disposition::KeepOpen);
+    }
+    if !is_complete {
+        timer::within(DRAIN_LIMIT, connection.drain(body_limit)).await;
+    }
+    Ok(Disposition::Close)
 }
 
 /// Counts a caller's request as open until dropped.
@@ -167,65 +247,68 @@
 }
 
 async fn read_body(
+    connected: &Connected,
     connection: &mut Connection,
     framing: Framing,
     limits: &Limits,
-) -> Result<Vec<u8>, u16> {
-    let read = connection.read_full_body(framing, limits.body_bytes);
-    match timer::within(BODY_TIMEOUT, read).await {
-        None => Err(408),
-        Some(Ok(Some(body))) => Ok(body),
-        Some(Ok(None)) => Err(413),
-        Some(Err(error)) => {
+) -> Result<Body, u16> {
+    let received = body::receive(
+        connected,
+        connection,
+        framing,
+        limits.body_bytes,
+        BODY_TIMEOUT,
+        limits.header_timeout,
+    );
+    match received.await {
+        Ok(body) => Ok(body),
+        Err(Unread::Slow) => Err(408),
+        Err(Unread::TooLong) => Err(413),
+        Err(Unread::Shed) => Err(503),
+        Err(Unread::Connection(error)) => {
             info!(event = "request-refused", status = 400; "{error}");
             Err(400)
         }
     }
 }
 
-/// Rejects an invalid request and closes the connection.
+/// Rejects a request that has not been read, and closes the connection. At most `rest` bytes of the request are
+/// discarded, so that the response is not lost to a reset.
 async fn reject(
     connection: &mut Connection,
     status: u16,
+    rest: usize,
 ) -> Result<Disposition, connection::Error> {
-    let mut head = header::gateway_response(status, "", None);
+    let retry_after = (status == 503).then_some(SHED_RETRY_AFTER);
+    let mut head = header::gateway_response(status, "", retry_after);
     head.headers.push("Content-Length", b"0");
     head.headers.push("Connection", b"close");
-    connection.write(&head.encode()).await?;
+    body::write(connection, &head.encode()).await?;
+    if rest > 0 {
+        timer::within(DRAIN_LIMIT, connection.drain(rest)).await;
+    }
     Ok(Disposition::Close)
 }
 
 async fn respond(
     state: &Rc<State>,
     connection: &mut Connection,
-    head: Request,
-    body: Vec<u8>,
-    started: Time,
+    received: Received,
 ) -> Result<Disposition, connection::Error> {
     let stream = connection.stream();
-    let fields = header::Request::decode(&head.headers);
-    let attempt_id = fields.attempt_id.clone();
-    let mut caller = Caller::new(connection, &head, state.is_stopping.get());
-    let limit = fields
-        .timeout
-        .unwrap_or(CONFIGURATION_TIMEOUT)
-        .min(CONFIGURATION_TIMEOUT);
+    let started = received.started;
+    let attempt_id = received.fields.attempt_id.clone();
+    let mut caller = Caller::new(connection, &received.head, state.is_stopping.get());
+    let timeout = received.fields.timeout.unwrap_or(CONFIGURATION_TIMEOUT);
+    let limit = timeout.min(CONFIGURATION_TIMEOUT);
     let table = timer::within(limit, wait_for_configuration(state)).await;
     let mut service = String::new();
-    let caller_address = stream.peer_addr().ok().map(|address| address.ip());
-    let features = exchange::features(caller_address, &head, &body, &fields.parts);
-    let received = Received {
-        caller_address,
-        head,
-        body,
-        features,
-        fields,
-        started,
-    };
+    let mut team = String::new();
     let outcome = match route_request(state, table.as_deref(), received) {
         Err(outcome) => outcome,
         Ok(mut call) => {
             service.clone_from(&call.service);
+            team = call.team.clone().unwrap_or_default();
             state.deposit_retry(&call.service);
             let is_stopping = state.is_stopping.get();
             let class = table
@@ -233,6 +316,7 @@
                 .and_then(|table| table.services.get(&call.service))
                 .and_then(|group| group.engine.as_ref());
             let is_engine = class.is_some();
+            let mut charge = None;
             let response = async {
                 if is_stopping && let Err(refusal) = limit_to_grace(state, &mut call) {
                     return refusal;
@@ -245,17 +329,24 @@
                 {
                     return refusal;
                 }
+                match quota::admit(state, &call).await {
+                    Ok(charged) => charge = charged,
+                    Err(refusal) => return refusal,
+                }
                 if is_engine && let Err(refusal) = resume::pin(state, &mut call).await {
                     return refusal;
                 }
                 if let Err(refusal) = crash::admit(state, &call).await {
                     return refusal;
                 }
-                if is_engine {
-                    generate::handle(state, &call, &mut caller).await
-                } else {
-                    plain::handle(state, &call, &mut caller).await
-                }
+                let run = async {
+                    if is_engine {
+                        generate::handle(state, &call, &mut caller).await
+                    } else {
+                        plain::handle(state, &call, &mut caller).await
+                    }
+                };
+                run.or(authorize::revoked(state, &call)).await
             };
             let response = async { End::Answered(response.await) };
             let disconnected = async {
@@ -266,19 +357,13 @@
                 state.must_answer().await;
                 End::Stopped
             };
-            match response.or(disconnected).or(stopped).await {
-                End::Answered(outcome) => {
-                    if call.may_have_run.get() {
-                        let took = clock::now().saturating_sub(started);
-                        let mut durations = state.durations.borrow_mut();
-                        durations.record(&call.route.name, took);
-                    }
-                    outcome
-                }
-                End::CallerLeft => Outcome::Aborted("caller left".to_string()),
-                End::Stopped if call.may_have_run.get() => Outcome::unknown(504, "stopped"),
-                End::Stopped => Outcome::refused("stopped", STOPPING_RETRY_AFTER),
+            let end = response.or(disconnected).or(stopped).await;
+            if call.may_have_run.get()
+                && let Some(charge) = charge
+            {
+                charge.spend();
             }
+            conclude(state, &call, end)
         }
     };
     let outcome = match outcome {
@@ -286,7 +371,7 @@
         outcome => outcome,
     };
     telemetry::request_finished(&service, &outcome, clock::now().saturating_sub(started));
-    finish(&mut caller, &attempt_id, &outcome, started).await?;
+    finish(&mut caller, &attempt_id, &team, &outcome, started).await?;
     let should_keep_open = !caller.should_close && !matches!(outcome, Outcome::Aborted(_));
     Ok(if should_keep_open {
         Disposition::KeepOpen
@@ -303,6 +388,23 @@
     Stopped,
 }
 
+/// Returns the outcome of a request whose handling has ended.
+fn conclude(state: &State, call: &Call, end: End) -> Outcome {
+    match end {
+        End::Answered(outcome) => {
+            if call.may_have_run.get() {
+                let took = clock::now().saturating_sub(call.started);
+                let mut durations = state.durations.borrow_mut();
+                durations.record(&call.route.name, took);
+            }
+            outcome
+        }
+        End::CallerLeft => Outcome::Aborted("caller left".to_string()),
+        End::Stopped if call.may_have_run.get() => Outcome::unknown(504, "stopped"),
+        End::Stopped => Outcome::refused("stopped", STOPPING_RETRY_AFTER),
+    }
+}
+
 /// Limits a request to the time that is left until the process stops.
 ///
 /// # Errors
@@ -338,7 +440,9 @@
     /// The address that it came from.
     caller_address: Option<IpAddr>,
     head: Request,
-    body: Vec<u8>,
+    /// Whether it was authorised by the configuration that was in force when its head was read.
+    is_admitted: bool,
+    body: Body,
     features: Rc<[Feature]>,
     fields: header::Request,
     /// The time at which the head was read.
@@ -354,6 +458,7 @@
     let Received {
         caller_address,
         head,
+        is_admitted,
         body,
         features,
         fields,
@@ -365,15 +470,28 @@
             UNCONFIGURED_RETRY_AFTER,
         ));
     };
+    // The configuration may have arrived, or changed, while the body was read.
+    let identity = if is_admitted {
+        authorize::admit_again(state, table, &head, &fields)?
+    } else {
+        authorize::admit(state, table, &head, &fields)?
+    };
+    let team = identity.team().cloned();
     let host = head.headers.get("host").unwrap_or_default();
     let route = table.route(host, &head.target).cloned();
-    let Some(route) = route else {
+    let Some(mut route) = route else {
         log_missing_route(state, &fields.attempt_id, host, table.version);
         return Err(Outcome::unknown(404, "no-route"));
     };
     let Some(service) = route.service(hash::mix(&fields.attempt_id, 1)).cloned() else {
         return Err(Outcome::refused("no-service", UNCONFIGURED_RETRY_AFTER));
     };
+    let settings = team
+        .as_ref()
+        .and_then(|team| table.teams.as_ref()?.get(team));
+    if let Some(priority) = settings.and_then(|settings| settings.priority) {
+        route.priority = priority;
+    }
     let limit = fields
         .timeout
         .map_or(route.timeout, |left| left.min(route.timeout));
@@ -386,6 +504,8 @@
         is_trial: Cell::new(false),
         fields,
         service,
+        team,
+        identity: RefCell::new(identity),
         software: None,
         started,
         deadline: started + limit,
@@ -409,6 +529,7 @@
 async fn finish(
     caller: &mut Caller<'_>,
     attempt_id: &str,
+    team: &str,
     outcome: &Outcome,
     started: Time,
 ) -> Result<(), connection::Error> {
@@ -421,22 +542,22 @@
         } => {
             info!(
                 event = "answered", request = attempt_id, status = *status, outcome = "own",
-                reason = reason.as_str(), took_ms; "answered"
+                reason = reason.as_str(), team, took_ms; "answered"
             );
             let head = header::gateway_response(*status, attempt_id, *retry_after);
-            caller.send_response(&head, b"").await?;
+            caller.send_response(&head).await?;
         }
         Outcome::Relayed(status) => {
             info!(
                 event = "answered", request = attempt_id, status = *status,
-                outcome = "relayed", took_ms; "answered"
+                outcome = "relayed", team, took_ms; "answered"
             );
         }
         Outcome::Aborted(reason) => {
             caller.abort();
             info!(
                 event = "answered", request = attempt_id, outcome = "broken",
-                reason = reason.as_str(), took_ms; "response aborted"
+                reason = reason.as_str(), team, took_ms; "response aborted"
             );
         }
     }
--- a/crates/endivespur_gateway/src/start.rs
+++ b/crates/endivespur_gateway/src/start.rs
@@ -17,8 +17,8 @@
 use crate::state::State;
 use crate::task::Tasks;
 use crate::{
-    exposition, fetch, follow, forward, member, origins, owner, readiness, record, rpc, serve,
-    software, source, stream, telemetry, timer,
+    exposition, fetch, follow, forward, member, origins, owner, quota, readiness, record, rpc,
+    serve, software, source, stream, telemetry, timer,
 };
 
 /// How long requests are still accepted after the VM stopped being ready: the platform polls once a
@@ -117,6 +117,7 @@
     stream::start(&state);
     software::start(&state);
     origins::start(&state);
+    quota::start(&state);
     state.spawn(rpc::serve(state.clone(), peers));
     if let Some(forwards) = forwards {
         state.spawn(forward::serve(state.clone(), forwards));
@@ -126,7 +127,7 @@
     let signalled = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => reload(),
+                Ok(Signal::Hup) => reload(&state),
                 Ok(_) => break,
                 Err(failure) => error!(event = "signal"; "{failure}"),
             }
@@ -146,10 +147,16 @@
     result
 }
 
-/// Checks that the changed settings are valid; they take effect at the next start.
-fn reload() {
+/// Applies the limits of the changed settings; the others take effect at the next start.
+fn reload(state: &State) {
     match settings::read() {
-        Ok(_) => info!(event = "reload"; "settings are valid; they take effect at the next start"),
+        Ok(settings) => {
+            state.budget.reload(&settings);
+            if let Some(table) = state.catalog.borrow().table() {
+                state.budget.check_body_limit(table.limits.body_bytes);
+            }
+            info!(event = "reload"; "limits are applied; other settings take effect at the next start");
+        }
         Err(failure) => error!(event = "reload"; "{failure}"),
     }
 }
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -12,13 +12,16 @@
 use endivespur_core::gateway::duration;
 use endivespur_core::gateway::feed::Feed;
 use endivespur_core::gateway::health;
+use endivespur_core::gateway::hedge;
 use endivespur_core::gateway::limit;
+use endivespur_core::gateway::load;
 use endivespur_core::gateway::ownership::Claims;
 use endivespur_core::gateway::reach;
 use endivespur_core::gateway::room;
 use endivespur_core::gateway::source::Source;
 use endivespur_core::id::{Endpoint, Process};
 use endivespur_core::retry::Budget;
+use endivespur_core::throttle::Throttle;
 use endivespur_http::connection::Connection;
 use endivespur_http::pool::Pool;
 use endivespur_platform::Client;
@@ -27,6 +30,7 @@
 use event_listener::Event;
 use smol::Timer;
 
+use crate::budget::Budget as Holdings;
 use crate::catalog::Catalog;
 use crate::checks::Checks;
 use crate::confirmations::Confirmations;
@@ -34,6 +38,7 @@
 use crate::outbox::Outbox;
 use crate::owned::OwnedEngines;
 use crate::peers::Peers;
+use crate::quotas::Quotas;
 use crate::streams::Streams;
 use crate::task::Tasks;
 use crate::telemetry;
@@ -43,6 +48,8 @@
 pub const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// The maximum number of idle connections to one endpoint.
 const MAX_IDLE: usize = 8;
+/// The maximum number of refusals for want of a valid API key that are logged in a second: anyone can cause them.
+const MAX_UNAUTHORIZED_LINES: usize = 20;
 /// The share of the permitted retries that this VM uses, because callers are spread unevenly over
 /// the VMs.
 const RETRY_SHARE: f64 = 0.6;
@@ -82,6 +89,10 @@
     pub claims: RefCell<Claims>,
     /// Signals a change of the catalog or the claims.
     pub changed: Event,
+    /// Signals that another configuration is in force.
+    pub configured: Event,
+    /// Bounds the log lines of requests that are not authorised.
+    pub unauthorized_lines: RefCell<Throttle>,
     /// Signals that the store's changes are received again.
     pub store_regained: Event,
     /// This VM's lease.
@@ -104,10 +115,16 @@
     pub forwarded: Cell<usize>,
     /// The recent failures and latencies of endpoints.
     pub health: RefCell<health::Tracker>,
+    /// The load that endpoints of plain services report.
+    pub loads: RefCell<load::Tracker>,
+    /// The latencies of plain services, and the share of hedged requests.
+    pub hedges: RefCell<hedge::Tracker>,
     /// The brittle services, and the room that this gateway gives out.
     pub rooms: RefCell<room::Tracker>,
     /// The limits that endpoints have named.
     pub limits: RefCell<limit::Tracker>,
+    /// The quotas of teams.
+    pub quotas: Quotas,
     /// The streams that began recently.
     pub streams: Streams,
     /// The requests that crashed endpoints.
@@ -137,6 +154,8 @@
     pub is_closing: Cell<bool>,
     /// The number of callers' requests in flight.
     pub open_requests: Cell<usize>,
+    /// The memory and the connections that are held for others.
+    pub budget: Rc<Holdings>,
 }
 
 impl State {
@@ -169,6 +188,8 @@
             updated_at: Cell::new(Time::ZERO),
             claims: RefCell::new(claims),
             changed: Event::new(),
+            configured: Event::new(),
+            unauthorized_lines: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
             store_regained: Event::new(),
             lease: RefCell::new(Lease::new()),
             store_lost_at: Cell::new(None),
@@ -180,8 +201,11 @@
             is_published_cut_off: Cell::new(false),
             forwarded: Cell::new(0),
             health: RefCell::new(health::Tracker::new()),
+            loads: RefCell::new(load::Tracker::new()),
+            hedges: RefCell::new(hedge::Tracker::new(settings.hedge_share)),
             rooms: RefCell::new(room::Tracker::new()),
             limits: RefCell::new(limit::Tracker::new()),
+            quotas: Quotas::new(&settings),
             streams: Streams::new(),
             crashes: RefCell::new(crash::Tracker::new()),
             checks: Checks::new(),
@@ -196,6 +220,7 @@
             closing: Event::new(),
             is_closing: Cell::new(false),
             open_requests: Cell::new(0),
+            budget: Rc::new(Holdings::new(&settings)),
             settings,
         }
     }
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -26,7 +26,9 @@
 /// Records the outcome and latency of a caller's request.
 pub fn request_finished(service: &str, request_outcome: &Outcome, took: Duration) {
     let (outcome, reason) = match request_outcome {
-        Outcome::Generated { status, reason, .. } if *status == 503 => ("refused", reason.as_str()),
+        Outcome::Generated { status, reason, .. } if matches!(*status, 429 | 503) => {
+            ("refused", reason.as_str())
+        }
         Outcome::Generated { reason, .. } => ("failed", reason.as_str()),
         Outcome::Relayed(status) if *status < 500 => ("relayed", ""),
         Outcome::Relayed(_) => ("relayed-failure", ""),
@@ -46,6 +48,11 @@
         .record(took.as_secs_f64());
 }
 
+/// Counts a request that is not authorised.
+pub fn request_unauthorized(reason: &'static str) {
+    counter!("endivespur_gateway_unauthorized_total", "reason" => reason).increment(1);
+}
+
 /// Records the wait for an engine's grant.
 pub fn engine_granted(waited: Duration) {
     histogram!("endivespur_gateway_grant_wait_seconds").record(waited.as_secs_f64());
@@ -71,6 +78,16 @@
     counter!("endivespur_gateway_tokens_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a decision by a team's quota: `admitted`, `refused`, `fallback` or `returned`.
+pub fn quota_decided(outcome: &'static str) {
+    counter!("endivespur_gateway_quota_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a request for a loan of a team's quota: `lent`, `exhausted`, `unknown` or `no-reply`.
+pub fn quota_borrowed(outcome: &'static str) {
+    counter!("endivespur_gateway_quota_loans_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request for the store's changes to a source, the store or another gateway.
 pub fn source_asked(outcome: &'static str) {
     counter!("endivespur_gateway_sources_total", "outcome" => outcome).increment(1);
@@ -100,6 +117,11 @@
         .increment(1);
 }
 
+/// Counts a second run that was sent beside a slow first one, or denied.
+pub fn hedged(outcome: &'static str) {
+    counter!("endivespur_gateway_hedges_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an era of the store after the first one.
 pub fn era_entered() {
     counter!("endivespur_gateway_store_eras_total").increment(1);
@@ -125,3 +147,11 @@
 pub fn store_failed(call: &'static str) {
     counter!("endivespur_gateway_store_failures_total", "call" => call).increment(1);
 }
+
+/// Records the longest pause of a stream: the one `observed` by the gateway that passed it on, or that which an engine's
+/// owner `predicted` for the engine's streams when it granted a prompt.
+pub fn pause_recorded(kind: &'static str, pause: Duration) {
+    if !pause.is_zero() {
+        histogram!("endivespur_gateway_pause_seconds", "kind" => kind).record(pause.as_secs_f64());
+    }
+}
