--- a/crates/endivespur_core/src/gateway/table.rs
+++ b/crates/endivespur_core/src/gateway/table.rs
@@ -196,12 +196,12 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns whose request it is that has these credentials.
+    /// Returns the identity for these credentials.
     ///
     /// # Errors
     ///
-    /// Returns the reason if it is not authorised. A request without a route needs credentials too: routes are not
-    /// shown to strangers.
+    /// Returns the reason if it is not authorised. A request without a route needs credentials too:
+    /// unauthenticated callers must not learn which routes exist.
     pub fn identify(
         &self,
         host: &str,
--- a/crates/endivespur_core/src/gateway/team.rs
+++ b/crates/endivespur_core/src/gateway/team.rs
@@ -52,7 +52,7 @@
     Unusual(Key),
 }
 
-/// Whose request it is.
+/// The identity of the sender of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Identity {
     /// The configuration has no teams, and credentials have no meaning for the gateway.
@@ -180,12 +180,12 @@
         self.keys.get(&Key::new(key))
     }
 
-    /// Returns whose request it is that has these credentials.
+    /// Returns the identity for these credentials.
     ///
     /// # Errors
     ///
-    /// Returns the reason if it is not authorised. Invalid credentials are none on an anonymous route either: their
-    /// sender takes itself for a member of a team.
+    /// Returns the reason if it is not authorised. Invalid credentials are refused on an anonymous route too: their
+    /// sender expects to be authenticated as a team.
     pub fn identify(
         &self,
         credentials: Credentials,
