Accept no connection before those told to end are closed

The accept loops took all that the kernel had accepted before the tasks of connections that were told to end ran: with a backlog of 120, a process with a limit of 96 descriptors held 140 to 180 for some milliseconds. They now wait for the closes in between. Refused connections of gateways that drain are not waited for, as they are limited by themselves.

--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -70,7 +70,10 @@
 /// The connections of one kind of clients, and how they are told to end.
 struct Open {
     connections: RefCell<Connections>,
+    /// The signals of all open connections, those that were told to end included.
     signals: RefCell<BTreeMap<Id, Rc<Signal>>>,
+    /// Signals that a connection was closed.
+    closed: Event,
 }
 
 impl Open {
@@ -78,8 +81,14 @@
         Self {
             connections: RefCell::new(Connections::new(limit)),
             signals: RefCell::default(),
+            closed: Event::new(),
         }
     }
+
+    /// Returns the number of connections that were told to end and are still open.
+    fn ending(&self) -> usize {
+        self.signals.borrow().len() - self.connections.borrow().count()
+    }
 }
 
 /// What the process holds for others.
@@ -183,6 +192,16 @@
         }
     }
 
+    /// Waits until the connections that were told to end are closed. Without this, a backlog of the kernel would be
+    /// accepted before the tasks of these connections run, and use up the descriptors.
+    pub async fn ended(&self, client: Client) {
+        let open = self.open(client);
+        // Those that drain are limited by themselves.
+        while open.ending() > self.draining.get() {
+            open.closed.listen().await;
+        }
+    }
+
     /// Counts a refused connection of a gateway whose rest is discarded; returns `None` if there are too many.
     pub fn drain(self: &Rc<Self>) -> Option<Draining> {
         let count = self.draining.get();
@@ -262,6 +281,7 @@
         let open = self.budget.open(self.client);
         open.connections.borrow_mut().close(self.id);
         open.signals.borrow_mut().remove(&self.id);
+        open.closed.notify(usize::MAX);
     }
 }
 
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -142,6 +142,7 @@
 /// Serves the requests of other gateways until the future is dropped.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
     loop {
+        state.budget.ended(Client::Gateway).await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let task_state = state.clone();
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -50,11 +50,13 @@
     // Callers may have sent requests over connections that only the kernel has accepted.
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
         accepted(&state, stream);
+        state.budget.ended(Client::Caller).await;
     }
 }
 
 async fn accept(state: &Rc<State>, listener: &TcpListener) {
     loop {
+        state.budget.ended(Client::Caller).await;
         match listener.accept().await {
             Ok((stream, _)) => accepted(state, stream),
             Err(error) => {
