Let slow readers give way when all connections are in use

Callers that read their answers slowly, or not at all, held their connections until the timeout of a write (15 s), and others got 503 meanwhile. A connection whose answer the socket does not take for 0.5 s, or with fewer than 16 KB in the last second, is now compared with idle ones and stalled requests by the time of its last progress. It is measured only while a write is held up, and a stream that has been written as far as it has arrived begins anew.

--- a/crates/endivespur_core/src/gateway/budget.rs
+++ b/crates/endivespur_core/src/gateway/budget.rs
@@ -3,7 +3,7 @@
 //! Senders that stall or are slow give way before those that send, then the largest, then the newest. Those that send
 //! give way only after one has waited for [`WAIT_TIME`]: until then it is not known which have stalled, and some end. A complete
 //! request and an answer that is received are never given up: an endpoint may have run, or run, the request. An answer
-//! gives way only while its reader is slow.
+//! gives way only while its reader is slow, also to new connections.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -93,8 +93,8 @@
     bytes: u64,
     /// When the last bytes passed.
     last: Time,
-    /// Whether the window before was slow.
-    was_slow: bool,
+    /// The beginning of the slow windows right before, if the last one was slow.
+    slow_since: Option<Time>,
 }
 
 impl Progress {
@@ -103,14 +103,15 @@
             since: now,
             bytes: 0,
             last: now,
-            was_slow: false,
+            slow_since: None,
         }
     }
 
     fn advance(&mut self, now: Time, bytes: u64) {
         let elapsed = now.saturating_sub(self.since);
         if elapsed >= PROGRESS_TIME {
-            self.was_slow = self.is_below(elapsed);
+            let slow_since = self.slow_since.unwrap_or(self.since);
+            self.slow_since = self.is_below(elapsed).then_some(slow_since);
             self.since = now;
             self.bytes = 0;
         }
@@ -127,10 +128,16 @@
         let is_below = if elapsed >= STALL_TIME {
             self.is_below(elapsed)
         } else {
-            self.was_slow
+            self.slow_since.is_some()
         };
         is_below || now.saturating_sub(self.last) >= STALL_TIME
     }
+
+    /// Returns since when it has made no progress, if it is slow.
+    fn stalled_since(&self, now: Time) -> Option<Time> {
+        let since = self.slow_since.unwrap_or(self.since);
+        self.is_slow(now).then(|| since.min(self.last))
+    }
 }
 
 /// The memory that one body or answer holds.
@@ -387,13 +394,40 @@
     }
 }
 
+/// What a connection does.
+#[derive(Clone, Copy, Debug)]
+enum Activity {
+    /// It carries no complete request since a time at which it was opened, answered a request or received bytes of one.
+    Waiting(Time),
+    /// It carries a complete request.
+    Busy,
+    /// It carries an answer that its reader has not kept up with.
+    Writing {
+        progress: Progress,
+        /// Whether the socket takes no more at present.
+        is_blocked: bool,
+    },
+}
+
+impl Activity {
+    /// Returns since when nothing has happened, if the connection may be closed.
+    fn idle_since(&self, now: Time) -> Option<Time> {
+        match self {
+            Self::Waiting(since) => Some(*since),
+            Self::Writing {
+                progress,
+                is_blocked: true,
+            } => progress.stalled_since(now),
+            Self::Busy | Self::Writing { .. } => None,
+        }
+    }
+}
+
 /// The open connections of one kind of clients.
 #[derive(Clone, Debug)]
 pub struct Connections {
     limit: usize,
-    /// When each connection was opened, last carried a request or received bytes of one; `None` while it carries a
-    /// complete request.
-    open: BTreeMap<Id, Option<Time>>,
+    open: BTreeMap<Id, Activity>,
     next: Id,
 }
 
@@ -413,18 +447,18 @@
     }
 
     /// Adds a connection that carries no request yet; returns it with those that have to be closed, beginning with
-    /// that on which nothing has happened for the longest time: it is idle, or its request has stalled. The new one is
-    /// among them if all others carry complete requests.
+    /// that on which nothing has happened for the longest time: it is idle, its request has stalled, or the reader of its
+    /// answer is slow. The new one is among them if all others carry complete requests and no reader is slow.
     pub fn open(&mut self, now: Time) -> (Id, Vec<Id>) {
         self.next += 1;
         let id = self.next;
-        self.open.insert(id, Some(now));
+        self.open.insert(id, Activity::Waiting(now));
         let excess = self.open.len().saturating_sub(self.limit);
         if excess == 0 {
             return (id, Vec::new());
         }
         let open = self.open.iter();
-        let idle = open.filter_map(|(id, since)| since.map(|since| (since, *id)));
+        let idle = open.filter_map(|(id, activity)| Some((activity.idle_since(now)?, *id)));
         let closed: Vec<Id> = if excess == 1 {
             idle.min().map(|(_, id)| id).into_iter().collect()
         } else {
@@ -445,13 +479,52 @@
 
     /// Records whether a connection carries a complete request; returns false if it has to be closed.
     pub fn set_busy(&mut self, now: Time, id: Id, is_busy: bool) -> bool {
-        let Some(since) = self.open.get_mut(&id) else {
+        let Some(activity) = self.open.get_mut(&id) else {
             return false;
         };
-        *since = (!is_busy).then_some(now);
+        *activity = if is_busy {
+            Activity::Busy
+        } else {
+            Activity::Waiting(now)
+        };
         true
     }
 
+    /// Records that the socket does not take all of an answer at once: from now on its reader has to make progress.
+    pub fn begin_write(&mut self, now: Time, id: Id) {
+        match self.open.get_mut(&id) {
+            Some(Activity::Writing { is_blocked, .. }) => *is_blocked = true,
+            Some(activity @ Activity::Busy) => {
+                *activity = Activity::Writing {
+                    progress: Progress::new(now),
+                    is_blocked: true,
+                };
+            }
+            Some(Activity::Waiting(_)) | None => {}
+        }
+    }
+
+    /// Records that the socket has taken bytes of an answer, and whether it has taken all that was written.
+    pub fn advance_write(&mut self, now: Time, id: Id, bytes: u64, is_end: bool) {
+        let activity = self.open.get_mut(&id);
+        if let Some(Activity::Writing {
+            progress,
+            is_blocked,
+        }) = activity
+        {
+            progress.advance(now, bytes);
+            *is_blocked = !is_end;
+        }
+    }
+
+    /// Records that the socket has taken all that has arrived of an answer: its reader is as fast as the endpoint, however
+    /// few bytes these were.
+    pub fn catch_up(&mut self, id: Id) {
+        if let Some(activity @ Activity::Writing { .. }) = self.open.get_mut(&id) {
+            *activity = Activity::Busy;
+        }
+    }
+
     /// Removes a connection.
     pub fn close(&mut self, id: Id) {
         self.open.remove(&id);
--- a/crates/endivespur_core/tests/gateway/budget.rs
+++ b/crates/endivespur_core/tests/gateway/budget.rs
@@ -225,6 +225,49 @@
     assert_eq!(connections.count(), 1);
 }
 
+/// Readers without progress must give way to new connections, and those that read in time, or as fast as events come, must
+/// not.
+#[test]
+fn open_beside_readers() {
+    let mut connections = Connections::new(5);
+    let ids: Vec<Id> = (0..5).map(|_| connections.open(ms(0)).0).collect();
+    let [stopped, trickling, reading, paced, resumed] = ids[..] else {
+        unreachable!()
+    };
+    for id in ids {
+        connections.set_busy(ms(0), id, true);
+    }
+    for now in (100..=3000).step_by(100) {
+        for id in [stopped, trickling, reading, resumed] {
+            connections.begin_write(ms(now), id);
+        }
+        connections.advance_write(ms(now), trickling, 100, now % 200 == 0);
+        connections.advance_write(ms(now), reading, 2000, false);
+        if now >= 1500 {
+            connections.advance_write(ms(now), resumed, 60_000, false);
+        }
+        // A few bytes in each event, all of which the socket takes after a while.
+        connections.begin_write(ms(now), paced);
+        connections.advance_write(ms(now + 50), paced, 10, true);
+        connections.catch_up(paced);
+    }
+    let (new, closed) = connections.open(ms(3090));
+    assert_eq!(closed, [stopped]);
+    assert!(connections.set_busy(ms(3090), new, true));
+    connections.begin_write(ms(3095), trickling);
+    let (new, closed) = connections.open(ms(3100));
+    assert_eq!(closed, [trickling]);
+    assert!(connections.set_busy(ms(3100), new, true));
+    let (new, closed) = connections.open(ms(3100));
+    assert_eq!(closed, [new]);
+    // The next answer over the same connection begins anew.
+    connections.set_busy(ms(3500), resumed, true);
+    connections.begin_write(ms(3500), resumed);
+    connections.set_busy(ms(3520), new, false);
+    assert_eq!(connections.open(ms(3600)).1, [reading]);
+    assert_eq!(connections.open(ms(4100)).1, [resumed]);
+}
+
 /// One body of the maximum size must always fit, on the smallest VM and where the settings name no memory.
 #[test]
 fn limits_of_the_known_deployments() {
--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -275,6 +275,7 @@
 ///
 /// Returns the cause if the connection fails, the reader does not read, or it gives way.
 pub async fn write_answer(
+    connected: &Connected,
     connection: &mut Connection,
     mut head: Vec<u8>,
     body: &Body,
@@ -282,9 +283,9 @@
     let (first, rest) = body.split_at(body.len().min(WRITE_BYTES));
     head.extend_from_slice(first);
     let write = async {
-        write(connection, &head).await?;
+        write(connected, connection, &head).await?;
         for piece in rest.chunks(WRITE_BYTES) {
-            write(connection, piece).await?;
+            write(connected, connection, piece).await?;
             body.advance(piece.len());
         }
         Ok(())
@@ -304,13 +305,40 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if the connection fails, or the caller reads nothing.
-pub async fn write(connection: &mut Connection, bytes: &[u8]) -> io::Result<()> {
-    let mut write = std::pin::pin!(connection.write(bytes));
+/// Returns the cause if the connection fails, the caller reads nothing, or the connection has to be closed.
+pub async fn write(
+    connected: &Connected,
+    connection: &mut Connection,
+    bytes: &[u8],
+) -> io::Result<()> {
+    let mut written = 0;
     // Most writes end at once, and need no timer.
-    if let Some(result) = future::poll_once(&mut write).await {
-        return result;
+    while let Some(count) = future::poll_once(connection.write_some(&bytes[written..])).await {
+        let count = count?;
+        written += count;
+        let is_end = written == bytes.len();
+        connected.advance_write(count, is_end);
+        if is_end {
+            return Ok(());
+        }
+    }
+    connected.begin_write();
+    let write = async {
+        while written < bytes.len() {
+            let count = connection.write_some(&bytes[written..]).await?;
+            written += count;
+            connected.advance_write(count, written == bytes.len());
+        }
+        Ok(())
+    };
+    let refused = async {
+        connected.refused().await;
+        Err(io::Error::other("gave way"))
+    };
+    let result = timer::within(WRITE_TIMEOUT, write.or(refused)).await;
+    if connected.is_refused() {
+        // What the reader has received must not look complete, and the kernel need not keep the rest for it.
+        connection.reset_at_end()?;
     }
-    let written = timer::within(WRITE_TIMEOUT, write).await;
-    written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    result.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -180,6 +180,7 @@
             client,
             id,
             signal,
+            has_blocked: Cell::default(),
         }
     }
 
@@ -230,6 +231,8 @@
     client: Client,
     id: Id,
     signal: Rc<Signal>,
+    /// Whether the socket did not take all of the current answer at once.
+    has_blocked: Cell<bool>,
 }
 
 impl Connected {
@@ -243,9 +246,35 @@
     pub fn set_busy(&self, is_busy: bool) -> bool {
         let open = self.budget.open(self.client);
         let mut connections = open.connections.borrow_mut();
+        self.has_blocked.set(false);
         connections.set_busy(clock::now(), self.id, is_busy)
     }
 
+    /// Records that the socket does not take all of an answer at once.
+    pub fn begin_write(&self) {
+        self.has_blocked.set(true);
+        let open = self.budget.open(self.client);
+        let mut connections = open.connections.borrow_mut();
+        connections.begin_write(clock::now(), self.id);
+    }
+
+    /// Records that the socket has taken bytes of an answer, and whether it has taken all that was written.
+    pub fn advance_write(&self, bytes: usize, is_end: bool) {
+        if self.has_blocked.get() {
+            let open = self.budget.open(self.client);
+            let mut connections = open.connections.borrow_mut();
+            connections.advance_write(clock::now(), self.id, bytes as u64, is_end);
+        }
+    }
+
+    /// Records that the socket has taken all that has arrived of an answer.
+    pub fn catch_up(&self) {
+        if self.has_blocked.replace(false) {
+            let open = self.budget.open(self.client);
+            open.connections.borrow_mut().catch_up(self.id);
+        }
+    }
+
     /// Returns whether the connection has to be closed.
     pub fn is_refused(&self) -> bool {
         self.signal.is_set.get()
--- a/crates/endivespur_gateway/src/exchange.rs
+++ b/crates/endivespur_gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use log::warn;
 
 use crate::body::{self, Body};
+use crate::budget::Connected;
 
 /// The maximum number of parts of a prompt that are told apart when endpoints crash; each is recorded
 /// with each crash.
@@ -218,6 +219,7 @@
 
 /// The caller's connection for the duration of one request.
 pub struct Caller<'a> {
+    connected: &'a Connected,
     connection: &'a mut Connection,
     /// The minor version of HTTP/1.
     minor: u8,
@@ -231,8 +233,14 @@
 
 impl<'a> Caller<'a> {
     /// Wraps the connection on which a request arrived.
-    pub fn new(connection: &'a mut Connection, request: &Request, should_close: bool) -> Self {
+    pub fn new(
+        connected: &'a Connected,
+        connection: &'a mut Connection,
+        request: &Request,
+        should_close: bool,
+    ) -> Self {
         Self {
+            connected,
             connection,
             minor: request.minor_version,
             should_close: should_close || !request.keeps_connection(),
@@ -267,7 +275,7 @@
             head.headers.push("Connection", b"close");
         }
         self.has_started = true;
-        body::write(self.connection, &head.encode()).await
+        body::write(self.connected, self.connection, &head.encode()).await
     }
 
     /// Sends a chunk of the body.
@@ -280,12 +288,17 @@
             return Ok(());
         }
         if self.framing == Framing::Chunked {
-            body::write(self.connection, &encode_chunk(bytes)).await
+            body::write(self.connected, self.connection, &encode_chunk(bytes)).await
         } else {
-            body::write(self.connection, bytes).await
+            body::write(self.connected, self.connection, bytes).await
         }
     }
 
+    /// Records that the whole response has been written as far as it has arrived.
+    pub fn catch_up(&self) {
+        self.connected.catch_up();
+    }
+
     /// Records that the response ends before it is complete, and its connection with it.
     pub fn abort(&self) {
         if self.framing == Framing::Close
@@ -302,7 +315,7 @@
     /// Returns an error if the caller has disconnected.
     pub async fn end_body(&mut self) -> io::Result<()> {
         if self.framing == Framing::Chunked {
-            body::write(self.connection, LAST_CHUNK).await?;
+            body::write(self.connected, self.connection, LAST_CHUNK).await?;
         }
         Ok(())
     }
@@ -314,7 +327,7 @@
     /// Returns an error if the caller has disconnected.
     pub async fn send_response(&mut self, head: &Response) -> io::Result<()> {
         let head = self.encode_head(head, 0);
-        body::write(self.connection, &head).await
+        body::write(self.connected, self.connection, &head).await
     }
 
     /// Sends a complete answer of an endpoint.
@@ -324,7 +337,7 @@
     /// Returns an error if the caller has disconnected, does not read, or gives way to others.
     pub async fn send_answer(&mut self, head: &Response, body: &Body) -> io::Result<()> {
         let head = self.encode_head(head, body.len());
-        body::write_answer(self.connection, head, body).await
+        body::write_answer(self.connected, self.connection, head, body).await
     }
 
     fn encode_head(&mut self, head: &Response, length: usize) -> Vec<u8> {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -1,6 +1,7 @@
 //! Handles requests to model engines: each is sent to an engine for which it has a permit.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use endivespur_http::head::Framing;
 use endivespur_platform::header::{self, Dispatch};
 use log::info;
+use smol::future;
 
 use crate::acquire::{Permit, Unavailable, acquire};
 use crate::crash::{self, Run};
@@ -412,7 +414,16 @@
         stream.begin(is_resumed);
         loop {
             let asked = clock::now();
-            let next = response.next_chunk(state).await;
+            let next = {
+                let mut next = pin!(response.next_chunk(state));
+                match future::poll_once(&mut next).await {
+                    Some(next) => next,
+                    None => {
+                        caller.catch_up();
+                        next.await
+                    }
+                }
+            };
             // Without the time in which a slow caller holds up the stream.
             stream.waited += clock::now().saturating_sub(asked);
             let bytes = match next {
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -80,7 +80,7 @@
 async fn serve(state: Rc<State>, stream: TcpStream, connected: Connected) {
     let mut connection = Connection::new(stream);
     if connected.is_refused() {
-        reject(&mut connection, 503, 0).await.ok();
+        reject(&connected, &mut connection, 503, 0).await.ok();
         return;
     }
     let served = serve_requests(&state, &mut connection, &connected);
@@ -147,13 +147,15 @@
 ) -> Result<Disposition, connection::Error> {
     let read = connection.read_request(limits.header_bytes);
     let (head, framing) = match timer::within(limits.header_timeout, read).await {
-        None => return reject(connection, 408, 0).await,
+        None => return reject(connected, connection, 408, 0).await,
         Some(Ok(Some(read))) => read,
         Some(Ok(None)) => return Ok(Disposition::Close),
-        Some(Err(connection::Error::HeadTooLong)) => return reject(connection, 431, 0).await,
+        Some(Err(connection::Error::HeadTooLong)) => {
+            return reject(connected, connection, 431, 0).await;
+        }
         Some(Err(connection::Error::Head { source })) => {
             info!(event = "request-refused", status = 400; "{source}");
-            return reject(connection, 400, 0).await;
+            return reject(connected, connection, 400, 0).await;
         }
         Some(Err(error)) => return Err(error),
     };
@@ -166,10 +168,13 @@
         && let Err(refusal) = authorize::admit(state, &table, &head, &fields)
     {
         telemetry::request_finished("", &refusal, clock::now().saturating_sub(started));
-        return refuse_early(state, connection, &head, framing, &refusal, started).await;
+        return refuse_early(
+            state, connected, connection, &head, framing, &refusal, started,
+        )
+        .await;
     }
     if matches!(framing, Framing::Length(length) if length > limits.body_bytes as u64) {
-        return reject(connection, 413, limits.body_bytes).await;
+        return reject(connected, connection, 413, limits.body_bytes).await;
     }
     if head.headers.has_token("expect", "100-continue") {
         connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -186,7 +191,7 @@
         Err(status) => {
             let is_stopping = state.is_stopping.get();
             let rest = if is_stopping { 0 } else { limits.body_bytes };
-            return reject(connection, status, rest).await;
+            return reject(connected, connection, status, rest).await;
         }
     };
     let caller_address = connection.stream().peer_addr().ok();
@@ -201,14 +206,15 @@
         started,
     };
     if !connected.set_busy(true) {
-        return reject(connection, 503, 0).await;
+        return reject(connected, connection, 503, 0).await;
     }
-    respond(state, connection, received).await
+    respond(state, connected, connection, received).await
 }
 
 /// Refuses a request whose body may not have arrived yet. What is left of it must not be read as the next request.
 async fn refuse_early(
     state: &State,
+    connected: &Connected,
     connection: &mut Connection,
     head: &Request,
     framing: Framing,
@@ -219,7 +225,12 @@
     let body = connection.read_full_body(framing, body_limit);
     let is_complete = matches!(future::poll_once(body).await, Some(Ok(Some(_))));
     let attempt_id = header::Request::decode(&head.headers).attempt_id;
-    let mut caller = Caller::new(connection, head, state.is_stopping.get() || !is_complete);
+    let mut caller = Caller::new(
+        connected,
+        connection,
+        head,
+        state.is_stopping.get() || !is_complete,
+    );
     finish(&mut caller, &attempt_id, "", refusal, started).await?;
     if !caller.should_close {
         return Ok(Disposition::KeepOpen);
@@ -275,6 +286,7 @@
 /// Rejects a request that has not been read, and closes the connection. At most `rest` bytes of the request are
 /// discarded, so that the response is not lost to a reset.
 async fn reject(
+    connected: &Connected,
     connection: &mut Connection,
     status: u16,
     rest: usize,
@@ -283,7 +295,7 @@
     let mut head = header::gateway_response(status, "", retry_after);
     head.headers.push("Content-Length", b"0");
     head.headers.push("Connection", b"close");
-    body::write(connection, &head.encode()).await?;
+    body::write(connected, connection, &head.encode()).await?;
     if rest > 0 {
         timer::within(DRAIN_LIMIT, connection.drain(rest)).await;
     }
@@ -292,13 +304,19 @@
 
 async fn respond(
     state: &Rc<State>,
+    connected: &Connected,
     connection: &mut Connection,
     received: Received,
 ) -> Result<Disposition, connection::Error> {
     let stream = connection.stream();
     let started = received.started;
     let attempt_id = received.fields.attempt_id.clone();
-    let mut caller = Caller::new(connection, &received.head, state.is_stopping.get());
+    let mut caller = Caller::new(
+        connected,
+        connection,
+        &received.head,
+        state.is_stopping.get(),
+    );
     let timeout = received.fields.timeout.unwrap_or(CONFIGURATION_TIMEOUT);
     let limit = timeout.min(CONFIGURATION_TIMEOUT);
     let table = timer::within(limit, wait_for_configuration(state)).await;
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -141,6 +141,18 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes some bytes; returns how many.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the connection fails.
+    pub async fn write_some(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.stream.write(bytes).await? {
+            0 if !bytes.is_empty() => Err(io::ErrorKind::WriteZero.into()),
+            count => Ok(count),
+        }
+    }
+
     /// Writes a head and a body. A large body is not copied.
     ///
     /// # Errors
