Keep the futures of connections small, and reset each answer that gives way

A response whose reader gives way is reset in one place, where its connection ends: an answer that ends with its connection looked complete if the socket took a write just as it was told to end.

--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -322,8 +322,19 @@
             return Ok(());
         }
     }
+    // On the heap, as each of thousands of connections has a future of the size that this one adds.
+    Box::pin(write_blocked(connected, connection, &bytes[written..])).await
+}
+
+/// Writes what the socket does not take at once.
+async fn write_blocked(
+    connected: &Connected,
+    connection: &mut Connection,
+    bytes: &[u8],
+) -> io::Result<()> {
     connected.begin_write();
     let write = async {
+        let mut written = 0;
         while written < bytes.len() {
             let count = connection.write_some(&bytes[written..]).await?;
             written += count;
@@ -335,10 +346,6 @@
         connected.refused().await;
         Err(io::Error::other("gave way"))
     };
-    let result = timer::within(WRITE_TIMEOUT, write.or(refused)).await;
-    if connected.is_refused() {
-        // What the reader has received must not look complete, and the kernel need not keep the rest for it.
-        connection.reset_at_end()?;
-    }
-    result.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    let written = timer::within(WRITE_TIMEOUT, write.or(refused)).await;
+    written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -180,6 +180,7 @@
             client,
             id,
             signal,
+            is_busy: Cell::default(),
             has_blocked: Cell::default(),
         }
     }
@@ -231,6 +232,8 @@
     client: Client,
     id: Id,
     signal: Rc<Signal>,
+    /// Whether it carries a complete request.
+    is_busy: Cell<bool>,
     /// Whether the socket did not take all of the current answer at once.
     has_blocked: Cell<bool>,
 }
@@ -246,8 +249,15 @@
     pub fn set_busy(&self, is_busy: bool) -> bool {
         let open = self.budget.open(self.client);
         let mut connections = open.connections.borrow_mut();
+        let is_open = connections.set_busy(clock::now(), self.id, is_busy);
         self.has_blocked.set(false);
-        connections.set_busy(clock::now(), self.id, is_busy)
+        self.is_busy.set(is_busy && is_open);
+        is_open
+    }
+
+    /// Returns whether the connection has to be closed in the middle of an answer, since its reader is slow.
+    pub fn is_cut(&self) -> bool {
+        self.is_refused() && self.is_busy.get()
     }
 
     /// Records that the socket does not take all of an answer at once.
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -416,12 +416,11 @@
             let asked = clock::now();
             let next = {
                 let mut next = pin!(response.next_chunk(state));
-                match future::poll_once(&mut next).await {
-                    Some(next) => next,
-                    None => {
-                        caller.catch_up();
-                        next.await
-                    }
+                if let Some(next) = future::poll_once(&mut next).await {
+                    next
+                } else {
+                    caller.catch_up();
+                    next.await
                 }
             };
             // Without the time in which a slow caller holds up the stream.
--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -85,6 +85,10 @@
     }
     let served = serve_requests(&state, &mut connection, &connected);
     served.or(connected.refused()).await;
+    if connected.is_cut() {
+        // What the reader has received must not look complete, and the kernel need not keep the rest for it.
+        connection.reset_at_end().ok();
+    }
 }
 
 async fn serve_requests(state: &Rc<State>, connection: &mut Connection, connected: &Connected) {
