Read the refusal of a request that could not be sent to its end

A gateway that refuses to forward a large request closes the connection before it has received the body. The write failed, the refusal was not read, and the caller got 502. The refusal is now read after a failed write and taken if it says that nothing has run, from gateways and from endpoints; any other response still counts as lost.

--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -139,6 +139,12 @@
     Err(Failure::NotSent(reason))
 }
 
+/// Returns whether a response of another gateway says that it has not sent the request to an endpoint.
+pub fn is_refusal(head: &Response) -> bool {
+    let result = head.headers.get(RESULT);
+    result.is_some_and(|result| [UNREACHED, UNAVAILABLE, RESTING, DRAINING].contains(&result))
+}
+
 /// Serves the requests of other gateways until the future is dropped.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
     loop {
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{notice, reach, telemetry, timer};
+use crate::{forward, notice, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -243,6 +243,9 @@
 
 /// Sends a message and reads the head of the response.
 ///
+/// The peer may refuse the request before it has received all of it, and close the connection. Its response is read also
+/// if the rest could not be sent, and taken if it says that nothing has run.
+///
 /// # Errors
 ///
 /// Returns the cause if there is no response.
@@ -253,11 +256,15 @@
     attempt_id: &str,
     answers: Answers,
 ) -> Result<(Response, Framing), String> {
-    connection
-        .write_message(request.encode(), body)
-        .await
-        .map_err(|error| error.to_string())?;
-    read_response(connection, &request.method, attempt_id, answers).await
+    let written = connection.write_message(request.encode(), body).await;
+    let response = read_response(connection, &request.method, attempt_id, answers).await;
+    let Err(error) = written else {
+        return response;
+    };
+    let refusal = response.ok().filter(|(head, _)| {
+        header::Response::decode(head).is_not_executed || forward::is_refusal(head)
+    });
+    refusal.ok_or_else(|| error.to_string())
 }
 
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
