Check the key again when a connection has been waited for

A key that was removed after the last check and before the first byte still ran the request: up to 150 ms for a connection to an endpoint, and longer where another gateway was to forward the request and refused. The check is repeated after each wait for a connection. If nothing has run, the caller gets 401 after the last attempt too. A connection that is taken from the pool needs no second check, as nothing is waited for.

The check after a direct connect has no test of its own: loopback connects at once, or not within the 150 ms.

--- a/crates/endivespur_gateway/src/attempt.rs
+++ b/crates/endivespur_gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::relay::Failure;
 use crate::room::Held;
 use crate::state::{InFlight, State};
-use crate::{limit, link, timer};
+use crate::{authorize, limit, link, timer};
 
 /// The maximum size of a response, which is read completely before it is relayed.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -148,6 +148,7 @@
         timeout: left,
         ..Dispatch::default()
     });
+    let may_send = || authorize::is_authorized(state, call);
     let sent = link::send(
         state,
         instance,
@@ -155,10 +156,12 @@
         &call.body,
         &call.fields.attempt_id,
         left,
+        &may_send,
     );
     let mut response = match sent.await {
         Ok(response) => response,
         Err(Failure::NotSent(reason)) => return Attempt::NotSent(reason),
+        Err(Failure::Denied) => return Attempt::NotSent("unauthorized".to_string()),
         Err(Failure::Lost(reason)) => return Attempt::Unknown(reason),
         Err(Failure::Timeout) => return Attempt::Timeout,
     };
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -65,7 +65,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Sends a request to an endpoint through another gateway, and reads the head of the response within
-/// `limit`.
+/// `limit`. Asks `may_send` right before the first byte to each gateway.
 ///
 /// # Errors
 ///
@@ -77,6 +77,7 @@
     body: &[u8],
     attempt_id: &str,
     limit: Duration,
+    may_send: &dyn Fn() -> bool,
 ) -> Result<EndpointResponse, Failure> {
     let deadline = clock::now() + limit;
     let mut request = request.clone();
@@ -101,6 +102,9 @@
                 continue;
             }
         };
+        if !may_send() {
+            return Err(Failure::Denied);
+        }
         let sent = clock::now();
         let exchange = relay::exchange(&mut connection, &request, body, attempt_id, Answers::Any);
         let (mut head, framing) = timer::within(left, exchange)
@@ -275,13 +279,22 @@
     let _in_flight = InFlight::new(state, &instance.id);
     let _forwarded = Forwarded::new(state);
     let limit = fields.timeout.unwrap_or(DEFAULT_LIMIT);
-    let sent = relay::send(state, &instance, &request, &body, &fields.attempt_id, limit);
+    // The gateway that received the request has checked its key, which is not passed on.
+    let sent = relay::send(
+        state,
+        &instance,
+        &request,
+        &body,
+        &fields.attempt_id,
+        limit,
+        &|| true,
+    );
     let response = match sent.await {
         Ok(response) => response,
         Err(failure) => {
             let result = match failure {
                 Failure::NotSent(_) if reach::have_links(state, &instance).await => UNREACHED,
-                Failure::NotSent(_) => UNAVAILABLE,
+                Failure::NotSent(_) | Failure::Denied => UNAVAILABLE,
                 Failure::Lost(_) => LOST,
                 Failure::Timeout => TIMEOUT,
             };
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -224,6 +224,11 @@
     if caller.has_started {
         return Outcome::Aborted("stream not resumed".to_string());
     }
+    if progress.runs == 0
+        && let Err(refusal) = authorize::check_before_send(state, call)
+    {
+        return refusal;
+    }
     match limit::service_wait(state, &call.service) {
         Some(wait) if progress.runs == 0 => limit::refuse(call, wait),
         _ => last,
@@ -310,6 +315,10 @@
             progress.tried.insert(instance.id.clone());
             return Attempt::NotSent(reason);
         }
+        Err(Failure::Denied) => {
+            run.ended();
+            return Attempt::NotSent("unauthorized".to_string());
+        }
         Err(Failure::Timeout) => {
             log_failed_attempt(call, &instance, "late", "no answer in time");
             state
@@ -384,6 +393,7 @@
         &call.body,
         &call.fields.attempt_id,
         left,
+        &|| authorize::is_authorized(state, call),
     )
     .await
 }
--- a/crates/endivespur_gateway/src/plain.rs
+++ b/crates/endivespur_gateway/src/plain.rs
@@ -93,6 +93,11 @@
     if let Some((head, body)) = progress.failed {
         return relay_response(caller, &head, body).await;
     }
+    if progress.runs == 0
+        && let Err(refusal) = authorize::check_before_send(state, call)
+    {
+        return refusal;
+    }
     if progress.runs == 0 {
         let mut hedges = state.hedges.borrow_mut();
         hedges.record_refusal(clock::now(), &call.service);
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -38,6 +38,8 @@
 pub enum Failure {
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent, as it may no longer be.
+    Denied,
     /// It was sent, and may have run.
     Lost(String),
     /// It was sent, and got no response in time.
@@ -150,7 +152,8 @@
     );
 }
 
-/// Sends a request over this gateway's own link, and reads the head of the response within `limit`.
+/// Sends a request over this gateway's own link, and reads the head of the response within `limit`. Asks `may_send` right
+/// before the first byte, if it had to wait for a connection.
 ///
 /// An endpoint that cannot be reached is recorded as failing.
 ///
@@ -164,6 +167,7 @@
     body: &[u8],
     attempt_id: &str,
     limit: Duration,
+    may_send: &dyn Fn() -> bool,
 ) -> Result<EndpointResponse, Failure> {
     let pooled = state.pool.borrow_mut().take(instance.address);
     let answers = if pooled.is_some() {
@@ -171,9 +175,14 @@
     } else {
         Answers::Any
     };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => connect(state, instance, limit).await?,
+    let mut connection = if let Some(connection) = pooled {
+        connection
+    } else {
+        let connection = connect(state, instance, limit).await?;
+        if !may_send() {
+            return Err(Failure::Denied);
+        }
+        connection
     };
     let sent = clock::now();
     let answered = {
