--- a/crates/endivespur_gateway/src/serve.rs
+++ b/crates/endivespur_gateway/src/serve.rs
@@ -235,7 +235,8 @@
         head,
         state.is_stopping.get() || !is_complete,
     );
-    finish(&mut caller, &attempt_id, "", refusal, started).await?;
+    let admitted = state.early_answer_lines.borrow_mut().admit(clock::now());
+    finish(&mut caller, &attempt_id, "", refusal, started, admitted).await?;
     if !caller.should_close {
         return Ok(Disposition::KeepOpen);
     }
@@ -393,7 +394,7 @@
         outcome => outcome,
     };
     telemetry::request_finished(&service, &outcome, clock::now().saturating_sub(started));
-    finish(&mut caller, &attempt_id, &team, &outcome, started).await?;
+    finish(&mut caller, &attempt_id, &team, &outcome, started, Some(0)).await?;
     let should_keep_open = !caller.should_close && !matches!(outcome, Outcome::Aborted(_));
     Ok(if should_keep_open {
         Disposition::KeepOpen
@@ -548,12 +549,14 @@
     );
 }
 
+/// Ends the response to a request, and logs it if that is `admitted`, with the number of lines skipped before it.
 async fn finish(
     caller: &mut Caller<'_>,
     attempt_id: &str,
     team: &str,
     outcome: &Outcome,
     started: Time,
+    admitted: Option<u64>,
 ) -> Result<(), connection::Error> {
     let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
     match outcome {
@@ -562,10 +565,12 @@
             retry_after,
             reason,
         } => {
-            info!(
-                event = "answered", request = attempt_id, status = *status, outcome = "own",
-                reason = reason.as_str(), team, took_ms; "answered"
-            );
+            if let Some(skipped) = admitted {
+                info!(
+                    event = "answered", request = attempt_id, status = *status, outcome = "own",
+                    reason = reason.as_str(), team, took_ms, skipped; "answered"
+                );
+            }
             let head = header::gateway_response(*status, attempt_id, *retry_after);
             caller.send_response(&head).await?;
         }
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -93,6 +93,8 @@
     pub configured: Event,
     /// Bounds the log lines of requests that are not authorised.
     pub unauthorized_lines: RefCell<Throttle>,
+    /// Bounds the log lines of responses to them that are sent before the body is read.
+    pub early_answer_lines: RefCell<Throttle>,
     /// Signals that the store's changes are received again.
     pub store_regained: Event,
     /// This VM's lease.
@@ -190,6 +192,7 @@
             changed: Event::new(),
             configured: Event::new(),
             unauthorized_lines: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
+            early_answer_lines: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
             store_regained: Event::new(),
             lease: RefCell::new(Lease::new()),
             store_lost_at: Cell::new(None),
