--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -1,6 +1,7 @@
 //! Handles requests to model engines: each is sent to an engine for which it has a permit.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use endivespur_http::head::Framing;
 use endivespur_platform::header::{self, Dispatch};
 use log::info;
+use smol::future;
 
 use crate::acquire::{Permit, Unavailable, acquire};
 use crate::crash::{self, Run};
@@ -222,6 +224,11 @@
     if caller.has_started {
         return Outcome::Aborted("stream not resumed".to_string());
     }
+    if progress.runs == 0
+        && let Err(refusal) = authorize::check_before_send(state, call)
+    {
+        return refusal;
+    }
     match limit::service_wait(state, &call.service) {
         Some(wait) if progress.runs == 0 => limit::refuse(call, wait),
         _ => last,
@@ -308,6 +315,10 @@
             progress.tried.insert(instance.id.clone());
             return Attempt::NotSent(reason);
         }
+        Err(Failure::Denied) => {
+            run.ended();
+            return Attempt::NotSent("unauthorized".to_string());
+        }
         Err(Failure::Timeout) => {
             log_failed_attempt(call, &instance, "late", "no answer in time");
             state
@@ -382,6 +393,7 @@
         &call.body,
         &call.fields.attempt_id,
         left,
+        &|| authorize::is_authorized(state, call),
     )
     .await
 }
@@ -412,7 +424,15 @@
         stream.begin(is_resumed);
         loop {
             let asked = clock::now();
-            let next = response.next_chunk(state).await;
+            let next = {
+                let mut next = pin!(response.next_chunk(state));
+                if let Some(next) = future::poll_once(&mut next).await {
+                    next
+                } else {
+                    caller.catch_up();
+                    next.await
+                }
+            };
             // Without the time in which a slow caller holds up the stream.
             stream.waited += clock::now().saturating_sub(asked);
             let bytes = match next {
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{notice, reach, telemetry, timer};
+use crate::{forward, notice, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -38,6 +38,8 @@
 pub enum Failure {
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent, as it may no longer be.
+    Denied,
     /// It was sent, and may have run.
     Lost(String),
     /// It was sent, and got no response in time.
@@ -150,7 +152,8 @@
     );
 }
 
-/// Sends a request over this gateway's own link, and reads the head of the response within `limit`.
+/// Sends a request over this gateway's own link, and reads the head of the response within `limit`. Asks `may_send` right
+/// before the first byte, if it had to wait for a connection.
 ///
 /// An endpoint that cannot be reached is recorded as failing.
 ///
@@ -164,6 +167,7 @@
     body: &[u8],
     attempt_id: &str,
     limit: Duration,
+    may_send: &dyn Fn() -> bool,
 ) -> Result<EndpointResponse, Failure> {
     let pooled = state.pool.borrow_mut().take(instance.address);
     let answers = if pooled.is_some() {
@@ -171,9 +175,14 @@
     } else {
         Answers::Any
     };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => connect(state, instance, limit).await?,
+    let mut connection = if let Some(connection) = pooled {
+        connection
+    } else {
+        let connection = connect(state, instance, limit).await?;
+        if !may_send() {
+            return Err(Failure::Denied);
+        }
+        connection
     };
     let sent = clock::now();
     let answered = {
@@ -243,6 +252,9 @@
 
 /// Sends a message and reads the head of the response.
 ///
+/// The peer may refuse the request before it has received all of it, and close the connection. Its response is read also
+/// if the rest could not be sent, and taken if it says that nothing has run.
+///
 /// # Errors
 ///
 /// Returns the cause if there is no response.
@@ -253,11 +265,15 @@
     attempt_id: &str,
     answers: Answers,
 ) -> Result<(Response, Framing), String> {
-    connection
-        .write_message(request.encode(), body)
-        .await
-        .map_err(|error| error.to_string())?;
-    read_response(connection, &request.method, attempt_id, answers).await
+    let written = connection.write_message(request.encode(), body).await;
+    let response = read_response(connection, &request.method, attempt_id, answers).await;
+    let Err(error) = written else {
+        return response;
+    };
+    let refusal = response.ok().filter(|(head, _)| {
+        header::Response::decode(head).is_not_executed || forward::is_refusal(head)
+    });
+    refusal.ok_or_else(|| error.to_string())
 }
 
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
