Let a quota's burst fill the buckets in each window

A team whose quota was lowered to 110,000 tokens a second, with a burst of 398,000, asked for 180,000 and got 110,000, although a window of 8 s permits 160,000 without any excess. Half of the burst now fills the buckets over the window in place of being held, and a fifth of the permitted excess too, of which a tenth is taken from the allowance without keepers and from what is left for late sends. The sum of what the buckets hold and fill with in a window stays within the bound.

--- a/crates/endivespur_core/src/gateway/quota/mod.rs
+++ b/crates/endivespur_core/src/gateway/quota/mod.rs
@@ -31,9 +31,14 @@
 /// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet, and for
 /// prompts that are larger than the burst of a small team.
 const LOAN_SHARE: f64 = 0.5;
+/// The parts of the permitted excess and of the burst by which the buckets fill faster in a window, in place of holding
+/// more. A quota permits its burst in each window, not only after a pause: a team that asked for 1.6 times its lowered
+/// rate, which its window permitted, got the rate only, and its largest prompts found too little in each shard.
+const FILL_SHARE: f64 = 0.2;
+const BURST_FILL_SHARE: f64 = 0.5;
 /// The part of the permitted excess that gateways may use without keepers. The rest covers requests that are sent some
 /// time after they were admitted.
-const FALLBACK_SHARE: f64 = 0.25;
+const FALLBACK_SHARE: f64 = 0.15;
 /// The time of the rate that a bucket holds at least, or no request would find enough.
 const MIN_CAPACITY_TIME: Duration = Duration::from_millis(250);
 /// The least amount that a shard holds, in requests and in tokens, so that few shards suffice for a request.
@@ -79,10 +84,17 @@
         let spare = excess.ratio * (quota.rate * window + quota.burst) + tokens;
         let loan_spare = spare * LOAN_SHARE;
         let min_capacity = (quota.rate * MIN_CAPACITY_TIME.as_secs_f64()).max(1.0);
-        let capacity = (quota.burst + loan_spare).max(min_capacity);
+        // Without a window nothing is permitted beyond the rate and the burst.
+        let burst_fill = if excess.window.is_zero() {
+            0.0
+        } else {
+            quota.burst * BURST_FILL_SHARE
+        };
+        let held = quota.burst - burst_fill + loan_spare;
+        let capacity = held.max(min_capacity);
         // A bucket that holds more than is permitted must fill more slowly.
-        let over = (capacity - quota.burst - loan_spare).max(0.0);
-        let rate = (quota.rate - over / window).max(quota.rate * MIN_RATE_SHARE);
+        let fill = burst_fill + spare * FILL_SHARE - (capacity - held);
+        let rate = (quota.rate + fill / window).max(quota.rate * MIN_RATE_SHARE);
         Self {
             rate,
             capacity,
