Resume shards of quotas only with about as many members as the marker names

Cause: while the store is away for all for 3.5 to 5 s and leases run, a part of the markers ends. A gateway that restarts beside a minority resumed too.

Change: the marker names the number of members. With fewer members in the first view the shards settle. A gateway stops for want of certain leases only if it received news after they may have ended: without news it is decided by the links to the others, as before.

--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -7,7 +7,7 @@
 use super::keeper::{Keeper, Loan, Start};
 use super::members::Members;
 use super::wallet::{Inquiry, Part, Step, Wallet};
-use super::{Excess, SETTLE_TIME, Terms, VALIDITY, keepers};
+use super::{Excess, SETTLE_TIME, Terms, VALIDITY, keepers, marker};
 use crate::clock::Time;
 use crate::gateway::team::Teams;
 use crate::hash;
@@ -37,8 +37,8 @@
     excess: Excess,
     /// Until when the whole system starts for the first time.
     first_start_end: Option<Time>,
-    /// When the other gateways became known first.
-    first_view_at: Option<Time>,
+    /// When the members became known first, and how many they were.
+    first_view: Option<(Time, usize)>,
     /// From when on this gateway lends what it keeps, without interruption; `None` while it is no member.
     settled_from: Option<Time>,
     /// Until when this gateway is a member for certain, by its leases; `None` if it has never had one.
@@ -67,7 +67,7 @@
             vm: vm.to_string(),
             excess,
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
-            first_view_at: None,
+            first_view: None,
             settled_from: None,
             member_until: None,
             recent_from: None,
@@ -84,13 +84,19 @@
     }
 
     /// Records that the marker of this gateway's former process has existed until now, when this process replaced it:
-    /// lends at once what this gateway has kept since its first view.
+    /// lends at once what this gateway has kept since its first view. Returns whether it does.
+    ///
+    /// It does not if the view has fewer members than the marker names: the others may only be cut off, and lend while
+    /// they reach each other.
     ///
     /// Without this, no gateway would lend for [`SETTLE_TIME`] after all had been restarted at once.
-    pub fn resume(&mut self, now: Time) {
-        let Some(first) = self.first_view_at else {
-            return;
+    pub fn resume(&mut self, now: Time, members: usize) -> bool {
+        let Some((first, count)) = self.first_view else {
+            return false;
         };
+        if count < members && !marker::is_near(count, members) {
+            return false;
+        }
         for entry in self.teams.values_mut() {
             entry.keeper.resume(now, &entry.terms, first);
         }
@@ -99,6 +105,12 @@
         {
             *from = (*from).min(now);
         }
+        true
+    }
+
+    /// Returns the number of members, this gateway included.
+    pub fn member_count(&self) -> usize {
+        self.vms.len()
     }
 
     /// Records that this gateway's marker has ended: another gateway may have taken its shards over, which settle again.
@@ -176,8 +188,8 @@
         if vms.clone().eq(&self.vms) {
             return;
         }
-        self.first_view_at.get_or_insert(now);
         self.vms = vms.cloned().collect();
+        self.first_view.get_or_insert((now, self.vms.len()));
         let others = self.vms.iter().filter(|vm| **vm != self.vm);
         self.others = others.cloned().collect();
         self.revise_members(now);
@@ -194,7 +206,6 @@
         let is_member = self.is_valid && self.vms.contains(&self.vm);
         self.settled_from = match self.settled_from {
             _ if !is_member => None,
-            None if start == Start::Full => Some(now),
             None => Some(now + SETTLE_TIME),
             from => from,
         };
@@ -253,16 +264,19 @@
 
     /// Returns whether this gateway is a member, or may not have heard yet that its leases continue.
     ///
-    /// A gateway that only the store does not reach stops lending before it is removed from the members, since one that
-    /// resumes lends at once.
+    /// A gateway that has news, but can no longer renew its leases, stops lending before it is removed from the members,
+    /// since one that resumes lends at once. Without news, [`Contact`] decides: the store may be away for all.
     fn may_be_member(&mut self, now: Time, view_age: Duration) -> bool {
         if view_age >= MAX_VIEW_AGE {
             self.recent_from = None;
             return true;
         }
         let recent_from = *self.recent_from.get_or_insert(now);
-        let is_member = self.member_until.is_none_or(|until| now + VALIDITY < until);
-        is_member || now < recent_from + CONFIRM_TIME
+        let received_at = now.saturating_sub(view_age);
+        let is_certain = self
+            .member_until
+            .is_none_or(|until| received_at + VALIDITY < until);
+        is_certain || now < recent_from + CONFIRM_TIME
     }
 
     /// Records that a gateway replied to a probe that was sent at `sent`.
