Lend nothing while it is not certain that a gateway is a member, in place of lending for another second

A record that was written again under a new lease counted as proof that there had been no gap.

Change: such a gateway keeps its shards for 1 s, but lends nothing until a lease is confirmed. A marker must be certain at the time of the loan, a record at that of the last news, as it may end before a view is too old. Only renewals prove that a record has existed. The new test restarts gateways that have joined since the markers were written, and lets only the others have late news, so that each of the two rules decides in it.

--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -16,8 +16,8 @@
 /// The time between two revisions of the members if the known gateways do not change: it takes time in large fleets.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long a gateway lends without being sure that it is a member, once its view is recent again: its leases are
-/// confirmed within this time after the store was away.
+/// How long a gateway keeps its shards without being sure that it is a member: its leases are confirmed within this time
+/// after the store was away. Shorter than [`MAX_VIEW_AGE`], or it could lend again without news.
 const CONFIRM_TIME: Duration = Duration::from_secs(1);
 
 /// One team with a quota.
@@ -41,10 +41,11 @@
     first_view: Option<(Time, usize)>,
     /// From when on this gateway lends what it keeps, without interruption; `None` while it is no member.
     settled_from: Option<Time>,
-    /// Until when this gateway is a member for certain, by its leases; `None` if it has never had one.
-    member_until: Option<Time>,
-    /// Since when the view has been recent; `None` while it is not.
-    recent_from: Option<Time>,
+    /// Until when its record and its marker exist for certain; `None` if it has not written them.
+    record_until: Option<Time>,
+    marker_until: Option<Time>,
+    /// Since when it has had news, but may be no member any more.
+    uncertain_from: Option<Time>,
     /// The version of the configuration, once there is one.
     version: Option<u64>,
     teams: BTreeMap<Team, Entry>,
@@ -69,8 +70,9 @@
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
             first_view: None,
             settled_from: None,
-            member_until: None,
-            recent_from: None,
+            record_until: None,
+            marker_until: None,
+            uncertain_from: None,
             version: None,
             teams: BTreeMap::new(),
             vms: Vec::new(),
@@ -121,9 +123,14 @@
         self.assign_teams(now);
     }
 
-    /// Records until when this gateway is a member for certain, by the lease of its record or of its marker.
-    pub fn confirm(&mut self, until: Time) {
-        self.member_until = self.member_until.max(Some(until));
+    /// Records until when this gateway's record exists for certain.
+    pub fn confirm_record(&mut self, until: Time) {
+        self.record_until = Some(until);
+    }
+
+    /// Records until when this gateway's marker exists for certain.
+    pub fn confirm_marker(&mut self, until: Time) {
+        self.marker_until = Some(until);
     }
 
     /// Returns whether this gateway is a member that lends all the shards that it keeps, so that it may write its marker.
@@ -262,21 +269,28 @@
         }
     }
 
-    /// Returns whether this gateway is a member, or may not have heard yet that its leases continue.
+    /// Returns whether this gateway is a member, or may not know yet that its leases continue. It lends nothing meanwhile.
     ///
     /// A gateway that has news, but can no longer renew its leases, stops lending before it is removed from the members,
     /// since one that resumes lends at once. Without news, [`Contact`] decides: the store may be away for all.
     fn may_be_member(&mut self, now: Time, view_age: Duration) -> bool {
-        if view_age >= MAX_VIEW_AGE {
-            self.recent_from = None;
+        if view_age >= MAX_VIEW_AGE || self.is_certain_member(now, view_age) {
+            self.uncertain_from = None;
             return true;
         }
-        let recent_from = *self.recent_from.get_or_insert(now);
+        now < *self.uncertain_from.get_or_insert(now) + CONFIRM_TIME
+    }
+
+    fn is_certain_member(&self, now: Time, view_age: Duration) -> bool {
+        let by_marker = self
+            .marker_until
+            .is_some_and(|until| now + VALIDITY < until);
+        // The lease of a record may end before a view is too old.
         let received_at = now.saturating_sub(view_age);
-        let is_certain = self
-            .member_until
-            .is_none_or(|until| received_at + VALIDITY < until);
-        is_certain || now < recent_from + CONFIRM_TIME
+        by_marker
+            || self
+                .record_until
+                .is_none_or(|until| received_at + VALIDITY < until)
     }
 
     /// Records that a gateway replied to a probe that was sent at `sent`.
@@ -295,6 +309,7 @@
     ) -> Loan {
         self.validate(now, view_age);
         match self.teams.get_mut(team) {
+            Some(_) if self.uncertain_from.is_some() => Loan::Unknown,
             Some(entry) => entry.keeper.lend(now, &entry.terms, needed, wanted),
             None => Loan::Unknown,
         }
@@ -303,6 +318,7 @@
     /// Returns the share of a team's quota that this gateway lends.
     pub fn weight(&self, now: Time, team: &str) -> f64 {
         let entry = self.teams.get(team);
+        let entry = entry.filter(|_| self.uncertain_from.is_none());
         entry.map_or(0.0, |entry| entry.keeper.weight(now, &entry.terms))
     }
 
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -189,9 +189,11 @@
         );
         let [record, own] = &mut node.lease_ends;
         if now >= node.renews_at {
+            if *record > now {
+                tracker.confirm_record(now + scale(LEASE_TTL, TRUSTED_SHARE));
+            }
             *record = now + LEASE_TTL;
             node.renews_at = now + RENEW_INTERVAL;
-            tracker.confirm(now + scale(LEASE_TTL, TRUSTED_SHARE));
         }
         // A call takes some time, which spreads the renewals of the gateways.
         if !self.rng.random_bool(0.05) {
@@ -221,7 +223,7 @@
             marker::Step::Renew => marker.renewed(now),
         }
         *own = now + marker::LEASE_TTL;
-        tracker.confirm(now + scale(marker::LEASE_TTL, TRUSTED_SHARE));
+        tracker.confirm_marker(now + scale(marker::LEASE_TTL, TRUSTED_SHARE));
     }
 
     fn follow(&mut self, index: usize) {
@@ -525,8 +527,11 @@
         (part..9).for_each(|node| world.start(node, false));
         if is_away_for_all {
             world.is_store_up = true;
-            (0..9).for_each(|node| world.cut_from_store(node, 1_600));
-            (0..9).for_each(|node| world.nodes[node].late_until = world.nodes[node].calls_from);
+            (0..part).for_each(|node| world.cut_from_store(node, 1_600));
+            (0..part).for_each(|node| world.nodes[node].late_until = world.nodes[node].calls_from);
+        } else {
+            // The others have joined since the markers were written.
+            (part..9).for_each(|node| world.nodes[node].marker_members = 9 - part);
         }
         world.run(ms(5_000), 3.0 * RATE, None);
         world.assert_bound(ms(0), RATE, &format!("seed {seed}"));
--- a/crates/endivespur_gateway/src/marker.rs
+++ b/crates/endivespur_gateway/src/marker.rs
@@ -151,7 +151,7 @@
     match put(state, lease, former, members).await? {
         Outcome::Written(position) if store::era(position) == era => {
             let mut tracker = state.quotas.tracker.borrow_mut();
-            tracker.confirm(sent + scale(ttl, TRUSTED_SHARE));
+            tracker.confirm_marker(sent + scale(ttl, TRUSTED_SHARE));
             Ok(Some((lease, position)))
         }
         Outcome::Conflict if former.is_some() => Ok(None),
@@ -190,7 +190,7 @@
     if is_renewed.map_err(|error| error.to_string())? {
         marker.renewed(sent);
         let mut tracker = state.quotas.tracker.borrow_mut();
-        tracker.confirm(sent + scale(LEASE_TTL, TRUSTED_SHARE));
+        tracker.confirm_marker(sent + scale(LEASE_TTL, TRUSTED_SHARE));
     } else {
         lapse(state, marker);
     }
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -167,7 +167,9 @@
     if is_renewed {
         if state.lease.borrow().id == Some(id) {
             state.lease.borrow_mut().renewed(id, sent, LEASE_TTL);
-            confirm(state, sent, LEASE_TTL);
+            // A new lease proves nothing: the record may have been missing for some time.
+            let mut tracker = state.quotas.tracker.borrow_mut();
+            tracker.confirm_record(sent + scale(LEASE_TTL, TRUSTED_SHARE));
         }
         return Ok(());
     }
@@ -211,17 +213,10 @@
     info!(event = "lease", lease = id.id; "granted");
     state.is_published_cut_off.set(is_cut_off);
     state.lease.borrow_mut().renewed(id, sent, ttl);
-    confirm(state, sent, ttl);
     state.notify();
     Ok(())
 }
 
-/// Records that this VM's record exists for the time of a lease that was granted or renewed by a call sent at `sent`.
-fn confirm(state: &State, sent: Time, ttl: Duration) {
-    let mut tracker = state.quotas.tracker.borrow_mut();
-    tracker.confirm(sent + scale(ttl, TRUSTED_SHARE));
-}
-
 /// Returns the key and the value of this VM's record in the store.
 fn vm_record(state: &State, is_cut_off: bool) -> Result<(String, Vec<u8>), String> {
     let record = Peer {
