--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -512,7 +512,8 @@
 /// all, or for a part of the gateways.
 #[test]
 fn quota_bound_after_a_part_of_the_markers_ended() {
-    for seed in 0..60 {
+    // The last ones fail if a gateway resumes with fewer members than its marker names.
+    for seed in (0..60).chain([303, 382, 429, 472]) {
         let mut world = World::new(seed, 9, true);
         world.run(ms(9_000 + 50 * (seed % 30)), 0.5 * RATE, None);
         let part = world.rng.random_range(1..8);
