Keep organisations to quotas on the product's own path

Cause: organisations with tokens had no limit but the number of requests in flight at one daemon.

Change: an organisation's object may have a quota, set by create, limit and unlimit organisation with all findings at once. Entries charge a request before a grant is asked for, from loans of the shards that the nodes of all regions keep; the decisions are those of core::gateway::quota. Over the quota the response is 429 with the time to retry in fractions of a second; what did not run is returned. show organisations has limit, use, refusals and digests of tokens; refusals with 401 are logged with the digest. Commands that set a quota are refused while a node of an older build runs.

--- a/crates/endivespur_core/src/command.rs
+++ b/crates/endivespur_core/src/command.rs
@@ -4,14 +4,15 @@
 
 use serde_json::{Value, json};
 
-use crate::config::{Change, Lora, Snapshot, Stage, Tenant};
+use crate::config::{Change, Lora, Snapshot, Stage, Target, Tenant};
 use crate::id::{Model, Revision};
 use crate::line::{Finding, Line, Parsed};
 use crate::place::Rule;
 use crate::query::{self, Query};
+use crate::quota::{Quota, Unit};
 
 /// The effect of a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Verb {
     /// Creates an adapter with version 1.
     CreateAdapter {
@@ -34,6 +35,8 @@
         place: Rule,
         /// The weight in deficit round robin over organisations.
         weight: u32,
+        /// What it may use; `None` for no limit.
+        quota: Option<Quota>,
     },
     /// Adds a version to an adapter.
     AddVersion(Model),
@@ -43,6 +46,8 @@
     PlaceAdapter(String, Rule),
     /// Changes where an organisation's requests may be handled.
     PlaceOrganisation(String, Rule),
+    /// Sets what an organisation may use, or removes the limit (`None`).
+    LimitOrganisation(String, Option<Quota>),
     /// Pins an adapter to an endpoint (`true`) or unpins it.
     Pin(String, String, bool),
     /// Drains an endpoint (`true`) or opens it again.
@@ -50,7 +55,7 @@
 }
 
 /// A command with its conditions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Command {
     /// The effect.
     pub verb: Verb,
@@ -61,7 +66,7 @@
 }
 
 /// A query or a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Statement {
     /// A query.
     Query(Query),
@@ -69,9 +74,9 @@
     Command(Command),
 }
 
-const VERBS: [&str; 11] = [
-    "show", "explain", "report", "create", "add", "place", "pin", "unpin", "retire", "drain",
-    "undrain",
+const VERBS: [&str; 13] = [
+    "show", "explain", "report", "create", "add", "place", "limit", "unlimit", "pin", "unpin",
+    "retire", "drain", "undrain",
 ];
 
 /// Parses a line that holds one statement.
@@ -100,6 +105,17 @@
         }
         "retire" => Verb::Retire(query::model(line)?),
         "place" => place(line)?,
+        "limit" | "unlimit" => {
+            line.keyword(&["organisation"])?;
+            let name = line.word("a name")?;
+            let quota = if verb == "limit" {
+                line.keyword(&["quota"])?;
+                Some(quota(line)?)
+            } else {
+                None
+            };
+            Verb::LimitOrganisation(name, quota)
+        }
         "pin" | "unpin" => {
             let adapter = line.word("an adapter")?;
             line.keyword(&["on"])?;
@@ -134,10 +150,12 @@
         } else {
             1
         };
+        let quota = line.skip("quota").then(|| quota(line)).transpose()?;
         return Ok(Verb::CreateOrganisation {
             name,
             place,
             weight,
+            quota,
         });
     }
     line.keyword(&["base"])?;
@@ -166,6 +184,27 @@
     })
 }
 
+/// Parses `RATE per second burst N in requests|tokens [plain N]`.
+fn quota(line: &mut Line) -> Parsed<Quota> {
+    let rate = line.number_word()?;
+    line.keyword(&["per"])?;
+    line.keyword(&["second"])?;
+    line.keyword(&["burst"])?;
+    let burst = line.number_word()?;
+    line.keyword(&["in"])?;
+    let unit = match line.keyword(&["requests", "tokens"])?.as_str() {
+        "requests" => Unit::Requests,
+        _ => Unit::Tokens,
+    };
+    let plain_tokens = line.skip("plain").then(|| line.number_word()).transpose()?;
+    Ok(Quota {
+        rate,
+        burst,
+        unit,
+        plain_tokens,
+    })
+}
+
 /// Parses `in REGION` or `in REGION/ZONE,ZONE`.
 fn rule(line: &mut Line) -> Parsed<Rule> {
     line.keyword(&["in"])?;
@@ -188,6 +227,18 @@
     pub after: Value,
 }
 
+impl Command {
+    /// Returns whether the command sets a quota.
+    pub fn sets_quota(&self) -> bool {
+        match &self.verb {
+            Verb::CreateOrganisation { quota, .. } | Verb::LimitOrganisation(_, quota) => {
+                quota.is_some()
+            }
+            _ => false,
+        }
+    }
+}
+
 impl Plan {
     /// Returns whether nothing but the record of the last change would differ.
     pub fn is_noop(&self) -> bool {
@@ -267,15 +318,15 @@
             name,
             place,
             weight,
+            quota,
         } => {
-            check_name(name, findings);
-            check_place(config, place, findings);
             let organisation = Tenant {
                 place: place.clone(),
                 weight: *weight,
+                quota: quota.clone(),
                 change,
             };
-            (format!("organisation/{name}"), json!(organisation))
+            new_organisation(config, name, &organisation, findings)
         }
         Verb::AddVersion(model) => adapter(
             config,
@@ -309,7 +360,14 @@
         }
         Verb::PlaceOrganisation(name, rule) => {
             check_place(config, rule, findings);
-            organisation(config, name, change, findings, rule)
+            organisation(config, name, change, findings, |after| {
+                after.place = rule.clone();
+            })
+        }
+        Verb::LimitOrganisation(name, quota) => {
+            findings.extend(quota.iter().flat_map(Quota::findings));
+            let edit = |after: &mut Tenant| after.quota.clone_from(quota);
+            organisation(config, name, change, findings, edit)
         }
         Verb::Pin(name, endpoint, pinned) => {
             if !config.endpoints.contains_key(endpoint) {
@@ -324,19 +382,24 @@
                 }
             })
         }
-        Verb::Drain(name, drained) => {
-            let Some(target) = config.endpoints.get(name) else {
-                findings.push(format!("there is no endpoint {name}"));
-                return (format!("endpoint/{name}"), Value::Null);
-            };
-            let mut target = target.clone();
-            target.drained = *drained;
-            target.change = change;
-            (format!("endpoint/{name}"), json!(target))
-        }
+        Verb::Drain(name, drained) => endpoint(config, name, change, findings, |after| {
+            after.drained = *drained;
+        }),
     }
 }
 
+fn new_organisation(
+    config: &Snapshot,
+    name: &str,
+    organisation: &Tenant,
+    findings: &mut Vec<String>,
+) -> (String, Value) {
+    check_name(name, findings);
+    check_place(config, &organisation.place, findings);
+    findings.extend(organisation.quota.iter().flat_map(Quota::findings));
+    (format!("organisation/{name}"), json!(organisation))
+}
+
 fn is_same_adapter(old: &Lora, new: &Lora) -> bool {
     let without_change = |adapter: &Lora| Lora {
         change: Change::default(),
@@ -368,21 +431,37 @@
     name: &str,
     change: Change,
     findings: &mut Vec<String>,
-    rule: &Rule,
+    edit: impl FnOnce(&mut Tenant),
 ) -> (String, Value) {
     let key = format!("organisation/{name}");
     let Some(organisation) = config.organisations.get(name) else {
         findings.push(format!("there is no organisation {name}"));
         return (key, Value::Null);
     };
-    let organisation = Tenant {
-        place: rule.clone(),
-        change,
-        ..organisation.clone()
-    };
+    let mut organisation = organisation.clone();
+    organisation.change = change;
+    edit(&mut organisation);
     (key, json!(organisation))
 }
 
+fn endpoint(
+    config: &Snapshot,
+    name: &str,
+    change: Change,
+    findings: &mut Vec<String>,
+    edit: impl FnOnce(&mut Target),
+) -> (String, Value) {
+    let key = format!("endpoint/{name}");
+    let Some(target) = config.endpoints.get(name) else {
+        findings.push(format!("there is no endpoint {name}"));
+        return (key, Value::Null);
+    };
+    let mut target = target.clone();
+    target.change = change;
+    edit(&mut target);
+    (key, json!(target))
+}
+
 fn check_name(name: &str, findings: &mut Vec<String>) {
     let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     if name.is_empty() || !name.chars().all(fits) {
--- a/crates/endivespur_core/src/config.rs
+++ b/crates/endivespur_core/src/config.rs
@@ -7,6 +7,7 @@
 
 use crate::id::{Adapter, Endpoint, Organisation, Region, Revision, Service, Version, Zone};
 use crate::place::Rule;
+use crate::quota::Quota;
 
 /// The key prefix of the configuration in the platform's store.
 pub const PREFIX: &str = "endivespur/config/";
@@ -96,7 +97,7 @@
 }
 
 /// A calling organisation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// Where the organisation's requests may be handled.
@@ -104,6 +105,9 @@
     /// The weight in deficit round robin over organisations.
     #[serde(default = "one")]
     pub weight: u32,
+    /// What the organisation may use, over all nodes; `None` for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<Quota>,
     /// The last change.
     #[serde(default)]
     pub change: Change,
@@ -362,7 +366,7 @@
         let result = match kind {
             "endpoint" => parse_into(&mut self.endpoints, name, value),
             "adapter" => self.set_adapter(name, value),
-            "organisation" => parse_into(&mut self.organisations, name, value),
+            "organisation" => self.set_organisation(name, value),
             "service" => parse_into(&mut self.services, name, value),
             _ => Err((String::new(), format!("unknown kind {kind}"))),
         };
@@ -371,6 +375,23 @@
         }
     }
 
+    fn set_organisation(
+        &mut self,
+        name: &str,
+        value: Option<&str>,
+    ) -> Result<(), (String, String)> {
+        let mut parsed: BTreeMap<Organisation, Tenant> = BTreeMap::new();
+        parse_into(&mut parsed, name, value)?;
+        let quotas = parsed.values().filter_map(|tenant| tenant.quota.as_ref());
+        let findings: Vec<String> = quotas.flat_map(Quota::findings).collect();
+        if !findings.is_empty() {
+            return Err(("quota".to_string(), findings.join("; ")));
+        }
+        self.organisations.remove(name);
+        self.organisations.append(&mut parsed);
+        Ok(())
+    }
+
     fn set_adapter(&mut self, name: &str, value: Option<&str>) -> Result<(), (String, String)> {
         let pins = |adapter: Option<&Lora>| {
             adapter.map_or_else(BTreeSet::new, |adapter| adapter.pins.clone())
--- a/crates/endivespur_core/src/member.rs
+++ b/crates/endivespur_core/src/member.rs
@@ -31,6 +31,9 @@
     /// Whether the node is stopping and takes no new ownership.
     #[serde(default)]
     pub leaving: bool,
+    /// Whether the node keeps shards of quotas and lends from them; nodes of older builds do not.
+    #[serde(default)]
+    pub keeps_quotas: bool,
 }
 
 /// The record of an endpoint's owner; its fence is the store's revision.
--- a/crates/endivespur_core/tests/histories/route.rs
+++ b/crates/endivespur_core/tests/histories/route.rs
@@ -38,6 +38,7 @@
     let organisation = Tenant {
         place: organisation,
         weight: 1,
+        quota: None,
         change: Change::default(),
     };
     config.organisations.insert("o".to_string(), organisation);
--- a/crates/endivespur_core/tests/statements.rs
+++ b/crates/endivespur_core/tests/statements.rs
@@ -7,6 +7,7 @@
 use endivespur_core::command::{Statement, Verb, parse, plan};
 use endivespur_core::config::{Change, Entry, Snapshot};
 use endivespur_core::query::{Query, Row, select};
+use endivespur_core::usage::Usage;
 use serde_json::json;
 
 fn snapshot() -> Snapshot {
@@ -91,6 +92,77 @@
     );
 }
 
+// Guards against a quota that cannot be kept, reported piece by piece, and against one lost by another command.
+#[test]
+fn plan_quota_findings_together_and_kept() {
+    let findings =
+        planned("create organisation p! in q quota 0 per second burst inf in requests plain 5")
+            .expect_err("findings");
+    assert_eq!(findings.len(), 5, "{findings:?}");
+    let findings = planned("limit organisation p quota nan per second burst 5 in tokens")
+        .expect_err("findings");
+    assert_eq!(findings.len(), 3, "{findings:?}");
+    let plan = planned("limit organisation o quota 2.5 per second burst 90 in tokens plain 80")
+        .expect("planned");
+    assert!(
+        !plan.is_noop()
+            && planned("unlimit organisation o")
+                .expect("planned")
+                .is_noop()
+    );
+    assert!(
+        plan.before
+            .is_some_and(|before| before.get("quota").is_none())
+    );
+    let mut config = snapshot();
+    let mut write = |revision, quota: &serde_json::Value| {
+        let mut value = plan.after.clone();
+        value["quota"] = quota.clone();
+        config.apply(Entry {
+            key: plan.key.clone(),
+            revision,
+            value: Some(value.to_string()),
+        });
+        (config.clone(), config.findings.len())
+    };
+    let (written, findings) = write(20, &plan.after["quota"]);
+    let tenant = &written.organisations["o"];
+    let quota = tenant.quota.clone().expect("a quota");
+    assert_eq!((findings, quota.rate), (0, 2.5));
+    assert_eq!((quota.amount(None), quota.amount(Some(7))), (80, 7));
+    let Ok(Statement::Command(command)) = parse(1, "place organisation o in r/z1") else {
+        panic!("not a command");
+    };
+    let placed = plan_of(&written, &command);
+    assert_eq!(placed["quota"], plan.after["quota"]);
+    // The last valid value stays in force.
+    let (written, findings) = write(21, &json!({ "rate": -1, "burst": 90, "unit": "tokens" }));
+    assert_eq!((findings, &written.organisations["o"]), (1, tenant));
+    let parsed = parse(1, "create organisation p in r quota 5 per minute");
+    assert_eq!(parsed.expect_err("an error").column, 40);
+}
+
+fn plan_of(config: &Snapshot, command: &endivespur_core::command::Command) -> serde_json::Value {
+    plan(config, command, Change::default())
+        .expect("planned")
+        .after
+}
+
+// Guards against counts that grow without end, or that include seconds long past.
+#[test]
+fn usage_counts_last_minute() {
+    let mut usage = Usage::default();
+    for second in 0..100 {
+        usage.charge(Duration::from_secs(second), 30);
+        usage.refuse(Duration::from_secs(second));
+    }
+    usage.put_back(50);
+    let now = Duration::from_secs(99);
+    assert_eq!((usage.rate(now), usage.refused(now)), (25.0, 60));
+    let later = now + Duration::from_secs(61);
+    assert_eq!((usage.rate(later), usage.refused(later)), (0.0, 0));
+}
+
 #[test]
 fn plan_retired_version_refused() {
     let findings = planned("add version hymns@2").expect_err("findings");
--- a/crates/endivespur_dev/src/scale.rs
+++ b/crates/endivespur_dev/src/scale.rs
@@ -335,6 +335,7 @@
         region: REGION.to_string(),
         zone: format!("z{}", node % ZONES),
         leaving: false,
+        keeps_quotas: true,
     }
 }
 
--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -398,6 +398,101 @@
     assert!(lost == 0 || text.contains(accepted), "{text}");
 }
 
+/// Calls a plain service for an organisation; returns the status, and the time to retry of a refusal.
+fn call_limited(site: &Site, daemon: &str, organisation: &str) -> (u16, f64) {
+    let headers = [("endivespur-organisation", organisation)];
+    let response = site.call(daemon, Method::Get, "/services/orders/x", &headers, None);
+    if response.status == 429 {
+        assert_eq!(response.outcome(), "not-run");
+    }
+    let retry_after = response.header("retry-after").parse();
+    (response.status, retry_after.unwrap_or_default())
+}
+
+// Guards against a quota that each node grants anew, refusals below it, and a lost node that stops an organisation.
+#[test]
+fn quota_holds_over_all_nodes() {
+    let mut site = start_site("quota");
+    std::thread::sleep(Duration::from_secs(4));
+    let line = "limit organisation o quota 20 per second burst 20 in requests";
+    let (code, text) = run_ctl(&site, "a", &["--wait", line]);
+    assert!(code == 0 && text.contains("in force on 2 of 2"), "{text}");
+    let started = Instant::now();
+    let (served, refused) = std::thread::scope(|scope| {
+        let hammer = |daemon| {
+            let mut counts = (0, 0);
+            while started.elapsed() < Duration::from_secs(3) {
+                match call_limited(&site, daemon, "o") {
+                    (200, _) => counts.0 += 1,
+                    (429, wait) if wait > 0.0 && wait < 2.0 => counts.1 += 1,
+                    other => panic!("{other:?}"),
+                }
+            }
+            counts
+        };
+        let site = &site;
+        let other =
+            scope.spawn(move || (0..20).all(|_| call_limited(site, "a", "stranger").0 == 200));
+        let hammers = ["a", "b", "a", "b"].map(|daemon| scope.spawn(move || hammer(daemon)));
+        let counts = hammers.map(|hammer| hammer.join().expect("joined"));
+        assert!(
+            other.join().expect("joined"),
+            "another organisation was refused"
+        );
+        (
+            counts.map(|count| count.0).iter().sum::<u32>(),
+            counts.map(|count| count.1).iter().sum::<u32>(),
+        )
+    });
+    // The burst, 3 s of the rate, and the permitted excess in 8 s.
+    assert!(
+        (64..=98).contains(&served) && refused > 0,
+        "{served} served, {refused} refused"
+    );
+    let (_, text) = run_ctl(
+        &site,
+        "b",
+        &["--output", "json", "show organisations where name = o"],
+    );
+    let rows: Value = serde_json::from_str(&text).expect("JSON");
+    let row = &rows["results"][0]["rows"][0];
+    assert_eq!(row["limit"], "20/s burst 20 requests");
+    assert_eq!(row["refused_1m"].as_u64(), Some(u64::from(refused)));
+    assert!(
+        row["used_per_s"].as_f64().is_some_and(|used| used > 5.0),
+        "{row}"
+    );
+    for daemon in site.daemons.values() {
+        let log = std::fs::read_to_string(&daemon.log).expect("readable");
+        assert!(log.contains("over the quota"), "{log}");
+    }
+    let (_, wait) = call_limited(&site, "b", "o");
+    std::thread::sleep(endivespur_core::clock::from_secs(wait));
+    assert_eq!(
+        call_limited(&site, "b", "o").0,
+        200,
+        "the time to retry was too short"
+    );
+    std::thread::sleep(Duration::from_secs(1));
+    let steady = |site: &Site, daemons: [&str; 2], seconds: u64| {
+        for number in 0..seconds * 5 {
+            let daemon = daemons[number as usize % 2];
+            assert_eq!(
+                call_limited(site, daemon, "o").0,
+                200,
+                "call {number} to {daemon}"
+            );
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    };
+    steady(&site, ["a", "b"], 2);
+    site.daemons.remove("a");
+    steady(&site, ["b", "b"], 8);
+    site.start_daemon("a", "za").expect("started");
+    site.wait_until_ready(OWNERSHIP_TIMEOUT).expect("ready");
+    steady(&site, ["a", "b"], 4);
+}
+
 fn check_settings(settings: &Value) -> (i32, String) {
     let bin = process::build().expect("built");
     let path = std::env::temp_dir().join(format!(
--- a/crates/endivespur_node/src/answer.rs
+++ b/crates/endivespur_node/src/answer.rs
@@ -7,6 +7,9 @@
 use endivespur_net::http;
 use http_types::{Response, StatusCode};
 
+/// The unit of times to retry that have fractions of a second; they are rounded up.
+const EXACT_RETRY_UNIT: Duration = Duration::from_millis(10);
+
 /// Whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -40,6 +43,8 @@
     pub message: String,
     /// The time after which a retry may succeed.
     pub retry_after: Option<Duration>,
+    /// Whether the time is sent with fractions of a second rather than in whole seconds.
+    pub has_exact_retry: bool,
 }
 
 impl Failure {
@@ -50,6 +55,7 @@
             outcome: Outcome::NotRun,
             message: message.to_string(),
             retry_after: None,
+            has_exact_retry: false,
         }
     }
 
@@ -60,6 +66,19 @@
             outcome: Outcome::Unknown,
             message: message.to_string(),
             retry_after: None,
+            has_exact_retry: false,
+        }
+    }
+
+    /// Creates the refusal of a request over its organisation's quota.
+    pub fn over_quota(retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            has_exact_retry: true,
+            ..Self::not_run(
+                StatusCode::TooManyRequests,
+                "the organisation is over its quota",
+            )
         }
     }
 
@@ -82,8 +101,17 @@
         let mut response = http::refusal(self.status, &self.message);
         response.insert_header("endivespur-outcome", self.outcome.name());
         if let Some(after) = self.retry_after {
-            let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
-            response.insert_header("retry-after", seconds.max(1).to_string());
+            let value = if self.has_exact_retry {
+                let units = after
+                    .as_nanos()
+                    .div_ceil(EXACT_RETRY_UNIT.as_nanos())
+                    .max(1);
+                format!("{}.{:02}", units / 100, units % 100)
+            } else {
+                let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
+                seconds.max(1).to_string()
+            };
+            response.insert_header("retry-after", value);
         }
         response
     }
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -25,6 +25,7 @@
 use crate::entry::{self, Caller, InFlight};
 use crate::node::Node;
 use crate::once;
+use crate::quota;
 use crate::suspicion;
 
 /// The expected number of generated tokens if the request has no `max_tokens`.
@@ -204,6 +205,7 @@
     let mut may_have_run = false;
     // The permitted zones are checked before anything else about the request.
     dispatch::candidates(node, &completion.job)?;
+    let mut charge = quota::admit(node, &completion.job).await?;
     for attempt in 0..ATTEMPT_LIMIT {
         let deadline = completion.job.deadline;
         let (admission, blocked) = suspicion::admit(node, &completion.features, deadline).await;
@@ -229,6 +231,7 @@
             }
         };
         let endpoint = permit.endpoint.clone();
+        charge.set_may_have_run(true);
         let error = match run(node, &completion, permit, attempt).await {
             Ok(response) => return Ok(response),
             Err(error) => error,
@@ -239,6 +242,7 @@
             outcome = error.outcome(); "{error:?}"
         );
         may_have_run |= matches!(error, AttemptError::Lost(_));
+        charge.set_may_have_run(may_have_run);
         last = match error {
             AttemptError::NotRun(message) => {
                 Failure::not_run(StatusCode::ServiceUnavailable, &message)
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use endivespur_core::config::{Class, Stage};
+use endivespur_core::gateway::team;
 use endivespur_core::place::Rule;
 use endivespur_net::{body, http};
 use http_types::{Method, Request, Response, StatusCode};
@@ -67,6 +68,7 @@
     if node.stopping.get() {
         response.insert_header("connection", "close");
     }
+    let organisation_name = organisation.clone().unwrap_or_default();
     if let (Some(service), Some(organisation)) = (service, organisation) {
         let succeeded = !response.status().is_server_error();
         let mut burn = node.burn.borrow_mut();
@@ -76,7 +78,7 @@
     let took = clock::now().saturating_sub(received_at);
     info!(
         event = "answered", request = id.as_str(), path = path.as_str(),
-        status = response.status() as u16, outcome = outcome.as_str(),
+        organisation = organisation_name.as_str(), status = response.status() as u16, outcome = outcome.as_str(),
         took_ms = took.as_millis() as u64; "answered"
     );
     metrics::counter!("endivespur_requests_total", "outcome" => outcome).increment(1);
@@ -143,11 +145,18 @@
 
 fn identify(node: &Rc<Node>, request: &Request, id: &str) -> Result<Caller, Failure> {
     let named = header(request, "endivespur-organisation");
+    let token = bearer_token(request);
     let organisation = node
         .authenticator
-        .organisation(bearer_token(request).as_deref(), named.as_deref())
-        .filter(|name| node.config.borrow().organisations.contains_key(name))
-        .ok_or_else(|| Failure::not_run(StatusCode::Unauthorized, "unknown organisation"))?;
+        .organisation(token.as_deref(), named.as_deref());
+    let is_known = |name: &String| node.config.borrow().organisations.contains_key(name);
+    let Some(organisation) = organisation.clone().filter(is_known) else {
+        log_unauthorized(node, id, token.as_deref(), organisation.as_deref());
+        return Err(Failure::not_run(
+            StatusCode::Unauthorized,
+            "unknown organisation",
+        ));
+    };
     let key = header(request, "idempotency-key");
     let is_valid = |key: &String| !key.is_empty() && key.len() <= 255 && !key.contains('/');
     if key.as_ref().is_some_and(|key| !is_valid(key)) {
@@ -167,6 +176,23 @@
     })
 }
 
+/// Logs why a request is not authorised, with the digest of its token, at most some times a second.
+fn log_unauthorized(node: &Node, id: &str, token: Option<&str>, organisation: Option<&str>) {
+    let Some(skipped) = node.unauthorized.borrow_mut().admit(clock::now()) else {
+        return;
+    };
+    let reason = match (organisation, token) {
+        (Some(_), _) => "unconfigured",
+        (None, Some(_)) => "unknown",
+        (None, None) => "missing",
+    };
+    let digest = token.map(team::digest).unwrap_or_default();
+    info!(
+        event = "unauthorized", request = id, reason, digest = digest.as_str(),
+        organisation = organisation.unwrap_or_default(), skipped; "not authorised"
+    );
+}
+
 /// Counts one request as in flight for an organisation until it is dropped, streams included.
 pub struct InFlight {
     node: Rc<Node>,
--- a/crates/endivespur_node/src/guard.rs
+++ b/crates/endivespur_node/src/guard.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use endivespur_core::gateway::team;
+use endivespur_core::id::Organisation;
 use subtle::ConstantTimeEq;
 
 use crate::settings::{Finding, Secret, Tokens};
@@ -74,6 +76,12 @@
         found
     }
 
+    /// Returns the digests of the callers' tokens by organisation, by which tokens are named to operators.
+    pub fn digests(&self) -> BTreeMap<Organisation, Option<String>> {
+        let digest = |(name, token): (&String, &String)| (name.clone(), Some(team::digest(token)));
+        self.callers.iter().map(digest).collect()
+    }
+
     /// Returns whether an operator's token is valid.
     pub fn is_operator(&self, token: Option<&str>) -> bool {
         matches(self.operators.as_deref(), token)
--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -17,6 +17,8 @@
 mod operator;
 mod peer;
 mod plain;
+mod quota;
+mod quotas;
 mod rows;
 mod rpc;
 pub mod settings;
--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -15,6 +15,7 @@
 use endivespur_core::schedule::Scheduler;
 use endivespur_core::slot::Name;
 use endivespur_core::suspect::Tracker;
+use endivespur_core::throttle::Throttle;
 use endivespur_net::store;
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
@@ -23,6 +24,7 @@
 use crate::host::Ownership;
 use crate::once::Ledger;
 use crate::peer::Pool;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 
 /// The time after its last confirmation for which the configuration is acted on.
@@ -92,6 +94,10 @@
     pub retry_budgets: RefCell<BTreeMap<Organisation, Budget>>,
     /// The number of requests in flight by organisation.
     pub in_flight: RefCell<BTreeMap<Organisation, usize>>,
+    /// Bounds the log lines of requests that are not authorised.
+    pub unauthorized: RefCell<Throttle>,
+    /// The quotas of organisations.
+    pub quotas: Quotas,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
     /// The number of the next ticket.
--- a/crates/endivespur_node/src/once.rs
+++ b/crates/endivespur_node/src/once.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::dispatch::{self, AttemptError, Job, Permit};
 use crate::node::{Node, sleep};
+use crate::quota::{self, Charge};
 
 /// The minimum time for which a record is kept.
 const RECORD_TTL: Duration = Duration::from_hours(24);
@@ -153,6 +154,7 @@
     let mut job = call.job.clone();
     let mut permit: Option<Permit> = None;
     let mut refusal = None;
+    let mut charge: Option<Charge> = None;
     let mut steps = VecDeque::from([Step::Read]);
     while let Some(step) = steps.pop_front() {
         let event = match step {
@@ -165,7 +167,7 @@
                 // The grant on an endpoint that did not run the call is returned first.
                 job.avoid
                     .extend(permit.take().map(|permit| permit.endpoint.clone()));
-                match dispatch::acquire(node, &job).await {
+                match acquire(node, &job, &mut charge).await {
                     Ok(granted) => {
                         permit = Some(granted);
                         Event::Granted
@@ -177,7 +179,13 @@
                 }
             }
             Step::Claim => claim(node, &key, attempt.record()).await,
-            Step::Dispatch => send(call, permit.as_mut()).await,
+            Step::Dispatch => {
+                let event = send(call, permit.as_mut()).await;
+                if let Some(charge) = &mut charge {
+                    charge.set_may_have_run(!matches!(event, Event::NotRun));
+                }
+                event
+            }
             Step::Finish(state, expected_revision) => {
                 let record = attempt.record().clone().with_state(storable_state(state));
                 finish(node, &key, &record, expected_revision).await;
@@ -200,6 +208,19 @@
     Err(Failure::unknown("the attempt ended without an answer"))
 }
 
+/// Charges the call to its organisation's quota, unless it has been, and acquires a grant. A repeated call that
+/// has a record is answered from it without a charge.
+async fn acquire(
+    node: &Rc<Node>,
+    job: &Job,
+    charge: &mut Option<Charge>,
+) -> Result<Permit, Failure> {
+    if charge.is_none() {
+        *charge = Some(quota::admit(node, job).await?);
+    }
+    dispatch::acquire(node, job).await
+}
+
 fn parse(pair: Option<Pair>) -> Option<Found> {
     let pair = pair?;
     let record = serde_json::from_str(pair.value.as_deref()?).ok()?;
--- a/crates/endivespur_node/src/operator.rs
+++ b/crates/endivespur_node/src/operator.rs
@@ -20,6 +20,7 @@
 use crate::entry::bearer_token;
 use crate::node::{Node, sleep};
 use crate::peer;
+use crate::quota;
 use crate::rows;
 use crate::sync;
 
@@ -177,6 +178,11 @@
 
 async fn run_show(node: &Rc<Node>, show: &Show) -> Effect {
     let (rows, silent) = match rows::configured(node, &show.kind) {
+        Some(mut rows) if show.kind == "organisations" => {
+            let (parts, silent) = gather(node, "quotas").await;
+            rows::add_usage(&mut rows, &parts);
+            (rows, silent)
+        }
         Some(rows) => (rows, Vec::new()),
         None => gather(node, &show.kind).await,
     };
@@ -268,9 +274,18 @@
         reason: command.reason.clone(),
     };
     let planned = command::plan(&node.config.borrow(), command, change);
+    let older_nodes = if command.sets_quota() {
+        quota::findings(node)
+    } else {
+        Vec::new()
+    };
     let plan = match planned {
-        Ok(plan) => plan,
-        Err(findings) => return Effect::Refused { findings },
+        Ok(plan) if older_nodes.is_empty() => plan,
+        other => {
+            let mut findings = other.err().unwrap_or_default();
+            findings.extend(older_nodes);
+            return Effect::Refused { findings };
+        }
     };
     if submission.dry_run {
         return Effect::Planned {
--- a/crates/endivespur_node/src/peer.rs
+++ b/crates/endivespur_node/src/peer.rs
@@ -9,6 +9,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use endivespur_core::config::Class;
 use endivespur_core::feature::Scope;
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::id::{Fence, Grant as GrantId, Model, Process};
 use endivespur_core::owner::{Demand, Grant};
 use endivespur_core::queue;
@@ -481,6 +482,44 @@
     .await
 }
 
+/// Borrows an amount of an organisation's quota from the node at an address.
+pub async fn borrow(
+    node: &Rc<Node>,
+    address: &str,
+    organisation: &str,
+    needed: u64,
+    wanted: u64,
+) -> Result<Loan, Failure> {
+    call(node, address, CALL_TIMEOUT, |client| {
+        let mut request = client.borrow_request();
+        let mut params = request.get();
+        params.set_organisation(organisation);
+        params.set_needed(needed);
+        params.set_wanted(wanted);
+        async move {
+            let response = request.send().promise.await?;
+            Ok(rpc::read_loan(response.get()?.get_loan()?)?)
+        }
+    })
+    .await
+}
+
+/// Gives an amount of an organisation's quota that was not used back to the node at an address.
+pub async fn give_back(node: &Rc<Node>, address: &str, organisation: &str, amount: u64) {
+    let result = call(node, address, CALL_TIMEOUT, |client| {
+        let mut request = client.give_back_request();
+        let mut params = request.get();
+        params.set_organisation(organisation);
+        params.set_amount(amount);
+        async move {
+            request.send().promise.await?;
+            Ok(())
+        }
+    });
+    // If the message is lost, the amount counts as used.
+    result.await.ok();
+}
+
 /// Sends an operator's query to a node and returns its part of the answer as JSON.
 pub async fn query(node: &Rc<Node>, address: &str, line: &str) -> Result<String, Failure> {
     call(node, address, CALL_TIMEOUT, |client| {
--- a/crates/endivespur_node/src/plain.rs
+++ b/crates/endivespur_node/src/plain.rs
@@ -15,6 +15,7 @@
 use crate::entry::{self, Caller};
 use crate::node::Node;
 use crate::once;
+use crate::quota;
 use crate::suspicion::fingerprint;
 
 /// The maximum size of a plain service's response.
@@ -157,6 +158,7 @@
     let mut last = Failure::unknown("no attempt was made");
     let mut may_have_run = false;
     node.update_retry_budget(&job.request.organisation, Budget::deposit);
+    let mut charge = quota::admit(node, &job).await?;
     for attempt in 0..ATTEMPT_LIMIT {
         if attempt > 0 && !node.withdraw_retry(&job.request.organisation) {
             break;
@@ -165,6 +167,7 @@
             .await
             .map_err(|failure| failure.after_lost_attempt(may_have_run))?;
         let request = build_request(&permit)?;
+        charge.set_may_have_run(true);
         let id = format!("{}.{attempt}", job.id);
         let result = match dispatch::send(&mut permit, request, &id).await {
             Ok(response) => read_whole(response).await.map_err(AttemptError::Lost),
@@ -190,6 +193,7 @@
                     .after_lost_attempt(may_have_run);
             }
         }
+        charge.set_may_have_run(may_have_run);
         job.avoid.insert(permit.endpoint.clone());
     }
     Err(last)
--- /dev/null
+++ b/crates/endivespur_node/src/quotas.rs
@@ -0,0 +1,133 @@
+//! The quotas of organisations at this node, what was used of them here, and the organisations that are refused.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use endivespur_core::clock::Time;
+use endivespur_core::gateway::quota::Excess;
+use endivespur_core::gateway::quota::tracker::Tracker;
+use endivespur_core::gateway::team::Teams;
+use endivespur_core::id::{Organisation, Revision};
+use endivespur_core::usage::Usage;
+use log::info;
+use smol::lock::Mutex;
+
+/// For how long an organisation must not be refused before that is logged as the end of its refusals.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// What is permitted beyond the quotas: a tenth in any 8 s. Loans that are not used yet and nodes without keepers need it.
+const EXCESS: Excess = Excess {
+    window: Duration::from_secs(8),
+    ratio: 0.1,
+    tokens: 0.0,
+};
+
+/// The refusals of one organisation at this node.
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    since: Time,
+    last: Time,
+    count: u64,
+}
+
+/// The quotas of organisations.
+pub struct Quotas {
+    /// The decisions.
+    pub tracker: RefCell<Tracker>,
+    /// When this process started.
+    pub started_at: Time,
+    /// When the local view of the nodes was last the same as the store's.
+    pub confirmed_at: Cell<Time>,
+    /// The incarnation of the process under which its shards are kept.
+    pub incarnation: Cell<u64>,
+    /// The revision of the configuration whose quotas were read last.
+    pub revision: Cell<Revision>,
+    /// The quotas in force.
+    pub teams: RefCell<Teams>,
+    /// Held by the request of each organisation that borrows: the others use what it gets.
+    borrowing: RefCell<BTreeMap<Organisation, Rc<Mutex<()>>>>,
+    usage: RefCell<BTreeMap<Organisation, Usage>>,
+    refusals: RefCell<BTreeMap<Organisation, Refusals>>,
+}
+
+impl Quotas {
+    /// Creates the quotas of a node that starts now, before there is a configuration.
+    pub fn new(now: Time, vm: &str) -> Self {
+        Self {
+            tracker: RefCell::new(Tracker::new(now, vm, EXCESS, false)),
+            started_at: now,
+            confirmed_at: Cell::new(Time::ZERO),
+            incarnation: Cell::new(0),
+            revision: Cell::new(0),
+            teams: RefCell::new(Teams::new()),
+            borrowing: RefCell::new(BTreeMap::new()),
+            usage: RefCell::new(BTreeMap::new()),
+            refusals: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    /// Returns the age of the local view of the nodes.
+    pub fn view_age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.confirmed_at.get())
+    }
+
+    /// Returns the lock of an organisation, held while its loans are borrowed.
+    pub fn lock(&self, organisation: &str) -> Rc<Mutex<()>> {
+        let mut borrowing = self.borrowing.borrow_mut();
+        borrowing
+            .entry(organisation.to_string())
+            .or_default()
+            .clone()
+    }
+
+    /// Removes the locks and counts of organisations that have no quota any longer.
+    pub fn forget_others(&self, teams: &Teams) {
+        let is_limited = |name: &Organisation| teams.get(name).is_some();
+        self.borrowing
+            .borrow_mut()
+            .retain(|name, _| is_limited(name));
+        self.usage.borrow_mut().retain(|name, _| is_limited(name));
+    }
+
+    /// Reads or changes what was used of an organisation's quota.
+    pub fn usage<T>(&self, organisation: &str, with: impl FnOnce(&mut Usage) -> T) -> T {
+        let mut usage = self.usage.borrow_mut();
+        with(usage.entry(organisation.to_string()).or_default())
+    }
+
+    /// Records a refusal, and logs the first one.
+    pub fn refused(&self, now: Time, organisation: &str, amount: u64, wait: Duration) {
+        self.usage(organisation, |usage| usage.refuse(now));
+        let mut all = self.refusals.borrow_mut();
+        let refusals = all.entry(organisation.to_string()).or_insert_with(|| {
+            info!(
+                event = "quota", organisation, state = "refused", amount,
+                wait_ms = wait.as_millis() as u64; "over the quota"
+            );
+            Refusals {
+                since: now,
+                last: now,
+                count: 0,
+            }
+        });
+        refusals.last = now;
+        refusals.count += 1;
+    }
+
+    /// Logs the organisations that are no longer refused.
+    pub fn check_refusals(&self, now: Time) {
+        self.refusals.borrow_mut().retain(|organisation, refusals| {
+            let is_refused = now < refusals.last + REFUSAL_TIME;
+            if !is_refused {
+                let lasted = refusals.last.saturating_sub(refusals.since);
+                info!(
+                    event = "quota", organisation = organisation.as_str(), state = "admitted",
+                    refused = refusals.count, lasted_ms = lasted.as_millis() as u64;
+                    "no longer over the quota"
+                );
+            }
+            is_refused
+        });
+    }
+}
--- a/crates/endivespur_node/src/rows.rs
+++ b/crates/endivespur_node/src/rows.rs
@@ -1,5 +1,7 @@
 //! The rows that answer operators' queries.
 
+use std::collections::BTreeSet;
+
 use endivespur_core::burn;
 use endivespur_core::config::Snapshot;
 use endivespur_core::query::Row;
@@ -8,6 +10,7 @@
 
 use crate::clock;
 use crate::node::Node;
+use crate::quota;
 
 fn row(value: Value) -> Row {
     match value {
@@ -78,12 +81,37 @@
         row(json!({
             "name": name, "region": organisation.place.region, "zones": organisation.place.zones,
             "weight": organisation.weight,
+            "limit": organisation.quota.as_ref().map(ToString::to_string),
             "revision": config.revision_of(&format!("organisation/{name}")),
         }))
     };
     config.organisations.iter().map(to_row).collect()
 }
 
+/// Adds to the rows of organisations what all nodes say of their quotas and keys.
+pub fn add_usage(organisations: &mut [Row], parts: &[Row]) {
+    for row in organisations {
+        let parts = parts
+            .iter()
+            .filter(|part| part["organisation"] == row["name"]);
+        let keys: BTreeSet<&str> = parts
+            .clone()
+            .filter_map(|part| part["key"].as_str())
+            .collect();
+        let is_limited = !row["limit"].is_null();
+        let used = parts.clone().filter_map(|part| part["used_per_s"].as_f64());
+        let used = (used.sum::<f64>() * 10.0).round() / 10.0;
+        let refused = parts.filter_map(|part| part["refused_1m"].as_u64());
+        let refused: u64 = refused.sum();
+        row.insert("used_per_s".to_string(), json!(is_limited.then_some(used)));
+        row.insert(
+            "refused_1m".to_string(),
+            json!(is_limited.then_some(refused)),
+        );
+        row.insert("keys".to_string(), json!(keys));
+    }
+}
+
 fn services(config: &Snapshot) -> Vec<Row> {
     let to_row = |(name, policy): (&String, &endivespur_core::config::ServicePolicy)| {
         let endpoints = config.endpoints.values().filter(|t| t.service == *name);
@@ -117,6 +145,7 @@
         "slots" => slots(node),
         "loads" => loads(node),
         "suspects" => suspects(node),
+        "quotas" => quota::rows(node),
         _ => Vec::new(),
     }
 }
--- a/crates/endivespur_node/src/rpc.rs
+++ b/crates/endivespur_node/src/rpc.rs
@@ -8,18 +8,19 @@
 use endivespur_core::clock::millis;
 use endivespur_core::config::Class;
 use endivespur_core::feature::{Feature, Scope};
+use endivespur_core::gateway::quota::keeper::Loan;
 use endivespur_core::id::Model;
 use endivespur_core::owner::{Demand, Grant, Reason, Refusal};
 use endivespur_core::queue;
 use endivespur_core::slot::Name;
-use endivespur_wire::{answer, ask, gate, held, node as wire, want};
+use endivespur_wire::{answer, ask, gate, held, loan, node as wire, want};
 use futures_util::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::counted::Counted;
 use crate::host::Reply;
 use crate::node::Node;
-use crate::{clock, host, loads, operator, peer, suspicion, sync};
+use crate::{clock, host, loads, operator, peer, quota, suspicion, sync};
 
 /// Serves other daemons until the future is dropped.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
@@ -272,6 +273,31 @@
         results.get().set_result(answer.to_string());
         Ok(())
     }
+
+    async fn borrow(
+        self: Rc<Self>,
+        params: wire::BorrowParams,
+        mut results: wire::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let organisation = params.get_organisation()?.to_str()?;
+        let (needed, wanted) = (params.get_needed(), params.get_wanted());
+        let loan = quota::lend(&self.node, organisation, needed, wanted);
+        write_loan(results.get().init_loan(), loan);
+        Ok(())
+    }
+
+    async fn give_back(
+        self: Rc<Self>,
+        params: wire::GiveBackParams,
+        _: wire::GiveBackResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let organisation = params.get_organisation()?.to_str()?;
+        let mut tracker = self.node.quotas.tracker.borrow_mut();
+        tracker.give_back(clock::now(), organisation, params.get_amount());
+        Ok(())
+    }
 }
 
 /// Writes a request for a grant that may wait for `wait`.
@@ -356,6 +382,28 @@
     }
 }
 
+fn write_loan(mut to: loan::Builder<'_>, loan: Loan) {
+    match loan {
+        Loan::Amount(amount, validity) => {
+            to.set_amount(amount);
+            to.set_valid_ms(millis(validity));
+        }
+        // A wait of a part of a millisecond is none for the borrower.
+        Loan::Wait(wait) => to.set_wait_ms(millis(wait).saturating_add(1)),
+        Loan::Unknown => to.set_unknown(()),
+    }
+}
+
+/// Reads the reply to a request for an amount of a quota.
+pub fn read_loan(from: loan::Reader<'_>) -> Result<Loan, capnp::Error> {
+    let validity = Duration::from_millis(u64::from(from.get_valid_ms()));
+    Ok(match from.which()? {
+        loan::Which::Amount(amount) => Loan::Amount(amount, validity),
+        loan::Which::WaitMs(wait) => Loan::Wait(Duration::from_millis(u64::from(wait))),
+        loan::Which::Unknown(()) => Loan::Unknown,
+    })
+}
+
 fn write_held(mut to: held::Builder<'_>, fence: u64, id: u64, slot: Option<&Name>) {
     to.set_fence(fence);
     to.set_id(id);
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -11,6 +11,7 @@
 use endivespur_core::lease::Lease;
 use endivespur_core::member::Table;
 use endivespur_core::suspect::Tracker;
+use endivespur_core::throttle::Throttle;
 use endivespur_net::{http, store};
 use log::{info, warn};
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -22,8 +23,12 @@
 
 use crate::guard::Authenticator;
 use crate::node::{Node, sleep};
+use crate::quotas::Quotas;
 use crate::settings::{Finding, Settings};
-use crate::{claim, clock, entry, loads, once, operator, peer, rpc, suspicion, sync, vms};
+use crate::{claim, clock, entry, loads, once, operator, peer, quota, rpc, suspicion, sync, vms};
+
+/// The maximum number of log lines a second about requests that are not authorised.
+const MAX_UNAUTHORIZED_LINES: usize = 20;
 
 /// The reason why a daemon did not start.
 #[derive(Debug, Snafu)]
@@ -177,6 +182,8 @@
         gone: RefCell::new(BTreeSet::new()),
         retry_budgets: RefCell::new(BTreeMap::new()),
         in_flight: RefCell::new(BTreeMap::new()),
+        unauthorized: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
+        quotas: Quotas::new(clock::now(), &settings.vm),
         stopping: Cell::new(false),
         next_ticket: Cell::new(1),
         metrics,
@@ -228,6 +235,8 @@
     node.spawn(loads::run(node.clone()));
     node.spawn(once::write_batches(node.clone()));
     node.spawn(vms::follow(node.clone()));
+    node.spawn(quota::follow(node.clone()));
+    node.spawn(quota::confirm_views(node.clone()));
 }
 
 impl Running {
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use endivespur_core::clock::Time;
 use endivespur_core::config::{self, Entry};
 use endivespur_core::lease::PROMISE_DURATION;
 use endivespur_core::member::{Claim, NODES_PREFIX, Node as Record, OWNERS_PREFIX};
@@ -68,6 +69,7 @@
         region: node.settings.region.clone(),
         zone: node.settings.zone.clone(),
         leaving: node.stopping.get(),
+        keeps_quotas: true,
     };
     let key = format!("{NODES_PREFIX}{}", node.settings.vm);
     let value = serde_json::json!(record).to_string();
@@ -173,6 +175,19 @@
     (config + table) as u64
 }
 
+/// Compares the local view with the store; returns when the comparison was sent if they were the same.
+pub async fn compare_view(node: &Node) -> Option<Time> {
+    let sent = clock::now();
+    let known = node.config.borrow().revision;
+    let summary = node.store.peek(PREFIX, known).await.ok()?;
+    // A store that came back from an older copy has a lower revision.
+    let is_same = !summary.changed
+        && summary.revision >= known
+        && summary.key_count == known_keys(node)
+        && !node.config.borrow().is_empty();
+    is_same.then_some(sent)
+}
+
 /// Replaces the local view by a listing of all records.
 fn replace(node: &Rc<Node>, revision: u64, pairs: Vec<Pair>) {
     node.record_store_answer();
--- a/crates/endivespur_wire/src/lib.rs
+++ b/crates/endivespur_wire/src/lib.rs
@@ -22,4 +22,4 @@
 #[rustfmt::skip]
 pub mod gateway_capnp;
 
-pub use node_capnp::{answer, ask, gate, grant, held, node, refusal, want};
+pub use node_capnp::{answer, ask, gate, grant, held, loan, node, refusal, want};
--- a/crates/endivespurctl/src/arguments.rs
+++ b/crates/endivespurctl/src/arguments.rs
@@ -22,7 +22,10 @@
   explain ADAPTER@VERSION for ORGANISATION
   report burn
   create adapter NAME base BASE service SERVICE for ORGANISATION[,...] in REGION[/ZONE,...]
-  create organisation NAME in REGION[/ZONE,...] [weight N]
+  create organisation NAME in REGION[/ZONE,...] [weight N] [quota QUOTA]
+  limit organisation NAME quota QUOTA
+  unlimit organisation NAME
+      QUOTA: RATE per second burst N in requests|tokens [plain N]
   add version ADAPTER@VERSION
   place adapter|organisation NAME in REGION[/ZONE,...]
   pin|unpin ADAPTER on ENDPOINT
--- a/crates/endivespurctl/src/main.rs
+++ b/crates/endivespurctl/src/main.rs
@@ -125,7 +125,9 @@
             "show ", "explain ", "report ", "create ", "add ", "place ", "pin ",
         ]
         .iter()
-        .chain(&["unpin ", "retire ", "drain ", "undrain "])
+        .chain(&[
+            "unpin ", "retire ", "drain ", "undrain ", "limit ", "unlimit ",
+        ])
         .any(|verb| word.starts_with(verb));
         if !is_statement {
             return format!("\"{word}\"");
