--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -26,8 +26,9 @@
 
 /// How long a request waits for an amount rather than being refused: a new keeper's bucket fills within that time.
 const MAX_WAIT: Duration = Duration::from_millis(150);
-/// The time after a start in which requests wait instead: the shards of all nodes that started together are lent after 3.2 s.
-const START_TIME: Duration = Duration::from_secs(4);
+/// The time after a start in which requests wait instead: the shards of all nodes that started together are lent 3.2 s after
+/// they have read the configuration and compared their views.
+const START_TIME: Duration = Duration::from_millis(4_500);
 /// The maximum wait for a keeper's reply. An amount that arrives later is used for other requests.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
 /// The time between two checks of the loans and of the view of the other nodes.
@@ -37,7 +38,7 @@
 /// The delay after a comparison that failed: a watch usually delivers a write within this time.
 const COMPARE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The interval at which a node without quotas looks for them; requests look themselves.
-const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What a request was charged. Dropped without having run, it is returned.
 pub struct Charge {
@@ -102,7 +103,7 @@
 pub async fn confirm_views(node: Rc<Node>) {
     loop {
         if node.quotas.tracker.borrow().is_empty() {
-            sleep(CHECK_INTERVAL).await;
+            sleep(IDLE_INTERVAL).await;
             continue;
         }
         match sync::compare_view(&node).await {
