Show that tokens count, and that repeated calls are answered over the quota

Cause: no test charged completions or calls that run at most once.

Change: the test of a quota over all nodes sets one in tokens; completions are refused once it is used up, a new call with a key is refused, and a repeated one is answered from its record.

--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -514,6 +514,26 @@
         200,
         "the time to retry was too short"
     );
+    // Tokens count, and a repeated call is answered from its record, since it does not run again.
+    let tokens = "limit organisation o quota 10 per second burst 100 in tokens";
+    assert_eq!(run_ctl(&site, "a", &["--wait", tokens]).0, 0);
+    std::thread::sleep(Duration::from_secs(11));
+    let confirm = |key| {
+        let headers = [("endivespur-organisation", "o"), ("idempotency-key", key)];
+        site.call(
+            "a",
+            Method::Post,
+            "/services/orders/confirm",
+            &headers,
+            Some(&json!({})),
+        )
+        .status
+    };
+    assert_eq!(confirm("first"), 200);
+    let completed =
+        (0..9).take_while(|_| site.complete("b", "o", "hymnal/hymns@1", &json!({})).status == 200);
+    assert!((1..=3).contains(&completed.count()));
+    assert_eq!((confirm("second"), confirm("first")), (429, 200));
     // A node of an older build would not keep to quotas.
     let store = endivespur_net::store::Client::new(&site.store, Duration::from_secs(1));
     let old = json!({ "incarnation": 1, "address": "127.0.0.1:1", "callers": "127.0.0.1:1",
