Name the reason of refusals with 401 and 429 in the answered lines of the product's own path

Cause: from an answered line with 429 it could not be told whether the quota or the number of requests in flight was the cause.

Change: refusals carry a reason (unauthorized, quota, in-flight), which answered lines state.

--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -506,6 +506,7 @@
     for daemon in site.daemons.values() {
         let log = std::fs::read_to_string(&daemon.log).expect("readable");
         assert!(log.contains("over the quota"), "{log}");
+        assert!(log.contains(r#""reason":"quota""#), "{log}");
     }
     let (_, wait) = call_limited(&site, "b", "o");
     std::thread::sleep(endivespur_core::clock::from_secs(wait));
--- a/crates/endivespur_node/src/answer.rs
+++ b/crates/endivespur_node/src/answer.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use endivespur_core::owner::{Reason, Refusal};
+use endivespur_core::owner::{self, Refusal};
 use endivespur_core::route::Denial;
 use endivespur_net::http;
 use http_types::{Response, StatusCode};
 
-/// The unit of times to retry that have fractions of a second; they are rounded up.
+/// The unit of times to retry of requests over a quota, which have fractions of a second; they are rounded up.
 const EXACT_RETRY_UNIT: Duration = Duration::from_millis(10);
 
 /// Whether a request ran.
@@ -32,6 +32,28 @@
     }
 }
 
+/// Why a request was refused, where its status alone does not say so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The caller is not authorised.
+    Unauthorized,
+    /// The organisation is over its quota.
+    Quota,
+    /// The organisation has too many requests in flight at this node.
+    InFlight,
+}
+
+impl Reason {
+    /// Returns its name in the logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::Quota => "quota",
+            Self::InFlight => "in-flight",
+        }
+    }
+}
+
 /// A refusal or failure, final for the request.
 #[derive(Clone, Debug)]
 pub struct Failure {
@@ -43,8 +65,8 @@
     pub message: String,
     /// The time after which a retry may succeed.
     pub retry_after: Option<Duration>,
-    /// Whether the time is sent with fractions of a second rather than in whole seconds.
-    pub has_exact_retry: bool,
+    /// Why the request was refused, for the logs; most refusals have none.
+    pub reason: Option<Reason>,
 }
 
 impl Failure {
@@ -55,7 +77,7 @@
             outcome: Outcome::NotRun,
             message: message.to_string(),
             retry_after: None,
-            has_exact_retry: false,
+            reason: None,
         }
     }
 
@@ -66,7 +88,7 @@
             outcome: Outcome::Unknown,
             message: message.to_string(),
             retry_after: None,
-            has_exact_retry: false,
+            reason: None,
         }
     }
 
@@ -74,7 +96,7 @@
     pub fn over_quota(retry_after: Duration) -> Self {
         Self {
             retry_after: Some(retry_after),
-            has_exact_retry: true,
+            reason: Some(Reason::Quota),
             ..Self::not_run(
                 StatusCode::TooManyRequests,
                 "the organisation is over its quota",
@@ -82,6 +104,12 @@
         }
     }
 
+    /// Sets why the request was refused.
+    pub fn with_reason(mut self, reason: Reason) -> Self {
+        self.reason = Some(reason);
+        self
+    }
+
     /// Sets the outcome to unknown if the response to an earlier attempt was lost.
     pub fn after_lost_attempt(mut self, lost: bool) -> Self {
         if lost {
@@ -101,7 +129,7 @@
         let mut response = http::refusal(self.status, &self.message);
         response.insert_header("endivespur-outcome", self.outcome.name());
         if let Some(after) = self.retry_after {
-            let value = if self.has_exact_retry {
+            let value = if self.reason == Some(Reason::Quota) {
                 let units = after
                     .as_nanos()
                     .div_ceil(EXACT_RETRY_UNIT.as_nanos())
@@ -113,6 +141,9 @@
             };
             response.insert_header("retry-after", value);
         }
+        if let Some(reason) = self.reason {
+            response.ext_mut().insert(reason);
+        }
         response
     }
 }
@@ -144,13 +175,13 @@
 impl From<Refusal> for Failure {
     fn from(refusal: Refusal) -> Self {
         let message = match refusal.reason {
-            Reason::Deadline => "the request waited too long",
-            Reason::Full => "the queue is full",
-            Reason::Draining => "the endpoint leaves",
-            Reason::LoadFailed => "the adapter could not be loaded",
-            Reason::NotOwner => "no node owns the endpoint at the moment",
-            Reason::Busy => "each slot is in use",
-            Reason::Backlog => "the adapter would come too late",
+            owner::Reason::Deadline => "the request waited too long",
+            owner::Reason::Full => "the queue is full",
+            owner::Reason::Draining => "the endpoint leaves",
+            owner::Reason::LoadFailed => "the adapter could not be loaded",
+            owner::Reason::NotOwner => "no node owns the endpoint at the moment",
+            owner::Reason::Busy => "each slot is in use",
+            owner::Reason::Backlog => "the adapter would come too late",
         };
         Self::not_run(StatusCode::ServiceUnavailable, message).with_retry_after(refusal.retry_after)
     }
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use smol::future::FutureExt;
 
-use crate::answer::{Failure, Outcome};
+use crate::answer::{Failure, Outcome, Reason};
 use crate::clock;
 use crate::complete;
 use crate::dispatch::{Job, Permit};
@@ -75,10 +75,12 @@
         burn.served(clock::now(), &service, &organisation, succeeded);
     }
     let outcome = response_header(&response, "endivespur-outcome");
+    let reason = response.ext().get::<Reason>().copied();
     let took = clock::now().saturating_sub(received_at);
     info!(
         event = "answered", request = id.as_str(), path = path.as_str(),
         organisation = organisation_name.as_str(), status = response.status() as u16, outcome = outcome.as_str(),
+        reason = reason.map_or("", Reason::name),
         took_ms = took.as_millis() as u64; "answered"
     );
     metrics::counter!("endivespur_requests_total", "outcome" => outcome).increment(1);
@@ -152,10 +154,8 @@
     let is_known = |name: &String| node.config.borrow().organisations.contains_key(name);
     let Some(organisation) = organisation.clone().filter(is_known) else {
         log_unauthorized(node, id, token.as_deref(), organisation.as_deref());
-        return Err(Failure::not_run(
-            StatusCode::Unauthorized,
-            "unknown organisation",
-        ));
+        let failure = Failure::not_run(StatusCode::Unauthorized, "unknown organisation");
+        return Err(failure.with_reason(Reason::Unauthorized));
     };
     let key = header(request, "idempotency-key");
     let is_valid = |key: &String| !key.is_empty() && key.len() <= 255 && !key.contains('/');
@@ -206,6 +206,7 @@
         if *count >= node.settings.limits.organisation {
             let message = "the organisation has too many requests in flight";
             let failure = Failure::not_run(StatusCode::TooManyRequests, message);
+            let failure = failure.with_reason(Reason::InFlight);
             return Err(failure.with_retry_after(Duration::from_secs(1)));
         }
         *count += 1;
