Let a replaced daemon keep no shards of quotas

Cause: members were known by name, so a daemon that another one under its name had replaced went on lending the same shards as its successor until it was stopped.

Change: a daemon keeps shards only while the record under its name is its own, and probes compare incarnations too.

--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -589,11 +589,10 @@
     }
 }
 
-// Guards against shards that a node cut off from the store goes on lending after others have taken them over.
-#[test]
-fn quota_holds_while_node_cut_off() {
+/// Starts three daemons with a quota, of which `a` can be cut off from the store.
+fn start_three_limited(name: &str) -> Site {
     let specs = vec![EndpointSpec::plain("p1", "za", "orders")];
-    let mut site = Site::start("quota-cut", &["za"], specs).expect("emulators");
+    let mut site = Site::start(name, &["za"], specs).expect("emulators");
     site.write_organisation("o").expect("written");
     site.write_services().expect("written");
     site.add_relay("a").expect("started");
@@ -604,6 +603,13 @@
     std::thread::sleep(Duration::from_millis(4_500));
     let (code, text) = run_ctl(&site, "b", &["--wait", LIMIT]);
     assert!(code == 0 && text.contains("in force on 3 of 3"), "{text}");
+    site
+}
+
+// Guards against shards that a node cut off from the store goes on lending after others have taken them over.
+#[test]
+fn quota_holds_while_node_cut_off() {
+    let site = start_three_limited("quota-cut");
     site.set_partitioned("a", true).expect("cut");
     let (served, _) = exhaust_quota(&site, &["a", "b", "c"], Duration::from_secs(13));
     // The capacity, 13 s of the rate, and the allowance without keepers in two windows. A third of the shards, lent
@@ -611,6 +617,18 @@
     assert!((200..=298).contains(&served), "{served} served");
 }
 
+// Guards against shards that a daemon goes on lending after another one under its name has replaced it.
+#[test]
+fn quota_holds_while_daemon_replaced() {
+    let mut site = start_three_limited("quota-replaced");
+    let former = site.daemons.remove("a").expect("a daemon");
+    site.start_daemon("a", "za").expect("started");
+    site.daemons.insert("former".to_string(), former);
+    std::thread::sleep(Duration::from_secs(2));
+    let (served, _) = exhaust_quota(&site, &["a", "b", "c", "former"], Duration::from_secs(13));
+    assert!((200..=298).contains(&served), "{served} served");
+}
+
 fn check_settings(settings: &Value) -> (i32, String) {
     let bin = process::build().expect("built");
     let path = std::env::temp_dir().join(format!(
--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -12,6 +12,7 @@
 use endivespur_core::gateway::quota::wallet::{Inquiry, Part, Step};
 use endivespur_core::hash;
 use endivespur_core::id::{Organisation, Vm};
+use endivespur_core::member::process;
 use endivespur_core::query::Row;
 use endivespur_core::quota::{Quota, teams};
 use serde_json::json;
@@ -188,17 +189,25 @@
         .collect()
 }
 
-/// Returns the nodes that keep quotas, this one included once it has registered.
+/// Returns the nodes that keep quotas, this one included while the record under its name is its own.
+///
+/// A daemon that another one under its name has replaced keeps no shards any longer.
 fn members(node: &Node) -> Vec<Vm> {
     let table = node.table.borrow();
-    let keeping = table.nodes().filter(|(_, record)| record.keeps_quotas);
+    let keeping = table.nodes().filter(|(vm, record)| {
+        let is_own = node.is_self(vm, record.incarnation);
+        record.keeps_quotas && (is_own || **vm != node.settings.vm)
+    });
     keeping.map(|(vm, _)| vm.clone()).collect()
 }
 
-/// Returns a hash of the nodes that keep quotas, by which two views are compared.
+/// Returns a hash of the processes that keep quotas, by which two views are compared.
 fn view_digest(node: &Node) -> u64 {
-    let members = members(node);
-    members.iter().fold(0, |seed, vm| hash::mix(vm, seed))
+    let table = node.table.borrow();
+    let keeping = table.nodes().filter(|(_, record)| record.keeps_quotas);
+    keeping.fold(0, |seed, (vm, record)| {
+        hash::mix(&process(vm, record.incarnation), seed)
+    })
 }
 
 /// Gives loans back that end soon, and probes other nodes if the view has not been confirmed.
@@ -220,7 +229,7 @@
     }
 }
 
-/// Finds out whether another node replies and knows the same nodes as this one.
+/// Finds out whether another node replies and knows the same processes as this one.
 ///
 /// A node that is cut off from the store alone reaches the others too. They know when its record has ended.
 async fn probe(node: &Rc<Node>, vm: &Vm) {
@@ -263,7 +272,7 @@
 }
 
 /// Lends an amount of an organisation's quota to another node. Without an organisation it is a probe: the reply is
-/// [`Loan::Unknown`] if `needed` is the digest of the nodes that this one knows.
+/// [`Loan::Unknown`] if `needed` is the digest of the processes that this one knows.
 pub fn lend(node: &Node, organisation: &str, needed: u64, wanted: u64) -> Loan {
     if organisation.is_empty() {
         return if needed == view_digest(node) {
