Compare only the nodes' records with the store for quotas, each 0.7 s

Cause: the comparison made the store look at the whole configuration, and at 830 nodes each 0.4 s means 2,075 calls a second by calculation, where the store takes 2,000 reads.

Change: only the prefix of the nodes' records is compared, each 0.7 s: 1,186 calls a second by calculation. Requests wait for 5 s after a start.

--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -29,13 +29,14 @@
 const MAX_WAIT: Duration = Duration::from_millis(150);
 /// The time after a start in which requests wait instead: the shards of all nodes that started together are lent 3.2 s after
 /// they have read the configuration and compared their views.
-const START_TIME: Duration = Duration::from_millis(4_500);
+const START_TIME: Duration = Duration::from_secs(5);
 /// The maximum wait for a keeper's reply. An amount that arrives later is used for other requests.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
 /// The time between two checks of the loans and of the view of the other nodes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The time between two comparisons of the view with the store. A view whose age stays below 0.9 s needs no probes.
-const COMPARE_INTERVAL: Duration = Duration::from_millis(400);
+/// The time between two comparisons of the known nodes with the store: 1,186 calls a second for 830 nodes, where the store
+/// takes 2,000 reads. A view whose age stays below 0.9 s needs no probes.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(700);
 /// The delay after a comparison that failed: a watch usually delivers a write within this time.
 const COMPARE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The interval at which a node without quotas looks for them; requests look themselves.
@@ -107,7 +108,7 @@
             sleep(IDLE_INTERVAL).await;
             continue;
         }
-        match sync::compare_view(&node).await {
+        match sync::compare_nodes(&node).await {
             Some(at) => {
                 node.quotas.confirmed_at.set(at);
                 sleep(COMPARE_INTERVAL).await;
--- a/crates/endivespur_node/src/sync.rs
+++ b/crates/endivespur_node/src/sync.rs
@@ -175,16 +175,16 @@
     (config + table) as u64
 }
 
-/// Compares the local view with the store; returns when the comparison was sent if they were the same.
-pub async fn compare_view(node: &Node) -> Option<Time> {
+/// Compares the known nodes with the store's records; returns when the comparison was sent if they were the same.
+pub async fn compare_nodes(node: &Node) -> Option<Time> {
     let sent = clock::now();
     let known = node.config.borrow().revision;
-    let summary = node.store.peek(PREFIX, known).await.ok()?;
+    // Only the nodes' records: the store reads all that lie under the prefix.
+    let summary = node.store.peek(NODES_PREFIX, known).await.ok()?;
     // A store that came back from an older copy has a lower revision.
     let is_same = !summary.changed
         && summary.revision >= known
-        && summary.key_count == known_keys(node)
-        && !node.config.borrow().is_empty();
+        && summary.key_count == node.table.borrow().nodes().count() as u64;
     is_same.then_some(sent)
 }
 
