Renew the marker of a stopping gateway only until it accepts no more requests

Cause: a gateway that drains for long has removed its record, so that others cannot borrow from it, and its renewed marker kept its shards from being lent by others until 8 s after its end.

A successor that starts soon after finds it.

--- a/crates/endivespur_core/src/gateway/quota/marker.rs
+++ b/crates/endivespur_core/src/gateway/quota/marker.rs
@@ -22,7 +22,7 @@
 /// which the gateways spread these writes: each reaches all gateways.
 const REWRITE_DELAY: Duration = Duration::from_secs(10);
 const REWRITE_SPREAD_MS: u64 = 50_000;
-/// The share of the members by which the number may differ.
+/// One in this many members may be missing or new.
 const TOLERANCE: usize = 64;
 
 /// Returns whether a number of members is that in a marker, or nearly so.
--- a/crates/endivespur_gateway/src/marker.rs
+++ b/crates/endivespur_gateway/src/marker.rs
@@ -39,7 +39,8 @@
     let mut marker = Marker::new(&state.settings.vm, state.settings.is_first_start);
     let mut written: Written = (Lease::default(), 0);
     let mut is_failing = false;
-    loop {
+    // A process that stops renews it until it accepts no more requests, so that its successor finds it after a usual stop.
+    while !state.is_closing.get() {
         let changed = state.changed.listen();
         quota::synchronize(&state);
         let step = marker.next(clock::now(), &state.quotas.tracker.borrow());
