--- a/crates/endivespur_core/src/gateway/quota/keeper.rs
+++ b/crates/endivespur_core/src/gateway/quota/keeper.rs
@@ -140,12 +140,10 @@
         let amount = (needed + ahead.max(0.0)).floor();
         self.level -= amount;
         let ends_at = now + VALIDITY;
+        // The end of a record must not move, or it would never come while there are many loans.
         match self.loans.back_mut() {
-            Some((end, sum)) if ends_at < *end + RECORD_TIME => {
-                *end = ends_at;
-                *sum += amount;
-            }
-            _ => self.loans.push_back((ends_at, amount)),
+            Some((end, sum)) if ends_at <= *end => *sum += amount,
+            _ => self.loans.push_back((ends_at + RECORD_TIME, amount)),
         }
         Loan::Amount(amount as u64, VALIDITY)
     }
--- a/crates/endivespur_core/src/gateway/quota/marker.rs
+++ b/crates/endivespur_core/src/gateway/quota/marker.rs
@@ -143,6 +143,11 @@
         self.renewed_at = None;
     }
 
+    /// Records that the store responds again: what failed may be tried at once.
+    pub fn store_regained(&mut self) {
+        self.retry_at = Time::ZERO;
+    }
+
     /// Records that a call failed.
     pub fn failed(&mut self, now: Time) {
         let is_held = self.renewed_at.is_some_and(|at| now < at + LEASE_TTL);
--- a/crates/endivespur_core/src/gateway/quota/mod.rs
+++ b/crates/endivespur_core/src/gateway/quota/mod.rs
@@ -33,10 +33,11 @@
 /// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet, and for
 /// prompts that are larger than the burst of a small team.
 const LOAN_SHARE: f64 = 0.5;
-/// The parts of the permitted excess and of the burst by which the buckets fill faster in a window, in place of holding
-/// more. A quota permits its burst in each window, not only after a pause: a team that asked for 1.6 times its lowered
-/// rate, which its window permitted, got the rate only, and its largest prompts found too little in each shard.
+/// The part of the permitted excess by which the buckets fill faster in a window.
 const FILL_SHARE: f64 = 0.2;
+/// The part of the burst by which the buckets fill faster in a window, where the excess lets them still hold the burst. A
+/// quota permits its burst in each window, not only after a pause: a team that asked for 1.6 times its lowered rate, which
+/// its window permitted, got the rate only, and its largest prompts found too little in each shard.
 const BURST_FILL_SHARE: f64 = 0.5;
 /// The part of the permitted excess that gateways may use without keepers. The rest covers requests that are sent some
 /// time after they were admitted.
@@ -86,23 +87,25 @@
         let spare = excess.ratio * (quota.rate * window + quota.burst) + tokens;
         let loan_spare = spare * LOAN_SHARE;
         let min_capacity = (quota.rate * MIN_CAPACITY_TIME.as_secs_f64()).max(1.0);
-        // Without a window nothing is permitted beyond the rate and the burst.
-        let burst_fill = if excess.window.is_zero() {
-            0.0
-        } else {
-            quota.burst * BURST_FILL_SHARE
-        };
-        let held = quota.burst - burst_fill + loan_spare;
+        let permitted = quota.burst + loan_spare;
+        let burst_fill = (quota.burst * BURST_FILL_SHARE).min(loan_spare);
+        let spare_fill = spare * FILL_SHARE;
+        let held = permitted - burst_fill;
         let capacity = held.max(min_capacity);
         // A bucket that holds more than is permitted must fill more slowly.
-        let fill = burst_fill + spare * FILL_SHARE - (capacity - held);
+        let over = capacity - held;
+        let fill = if excess.window.is_zero() {
+            -over
+        } else {
+            burst_fill + spare_fill - over
+        };
         let rate = (quota.rate + fill / window).max(quota.rate * MIN_RATE_SHARE);
         Self {
             rate,
             capacity,
             fallback: spare * FALLBACK_SHARE,
             window: excess.window,
-            shards: ((capacity / min_shard) as usize).clamp(1, MAX_SHARDS),
+            shards: ((permitted.max(min_capacity) / min_shard) as usize).clamp(1, MAX_SHARDS),
         }
     }
 }
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -272,12 +272,16 @@
     /// Returns whether this gateway is a member, or may not know yet that its leases continue. It lends nothing meanwhile.
     ///
     /// A gateway that has news, but can no longer renew its leases, stops lending before it is removed from the members,
-    /// since one that resumes lends at once. Without news, [`Contact`] decides: the store may be away for all.
+    /// since one that resumes lends at once. If it was certain at its last news, [`Contact`] decides: the store may be away
+    /// for all.
     fn may_be_member(&mut self, now: Time, view_age: Duration) -> bool {
-        if view_age >= MAX_VIEW_AGE || self.is_certain_member(now, view_age) {
+        if self.is_certain_member(now, view_age) {
             self.uncertain_from = None;
             return true;
         }
+        if self.uncertain_from.is_none() && view_age >= MAX_VIEW_AGE {
+            return true;
+        }
         now < *self.uncertain_from.get_or_insert(now) + CONFIRM_TIME
     }
 
@@ -288,9 +292,11 @@
         // The lease of a record may end before a view is too old.
         let received_at = now.saturating_sub(view_age);
         by_marker
-            || self
-                .record_until
-                .is_none_or(|until| received_at + VALIDITY < until)
+            || self.record_until.map_or_else(
+                // Nothing is known of the leases of a process that has resumed by its marker and not renewed its record.
+                || self.marker_until.is_none(),
+                |until| received_at + VALIDITY < until,
+            )
     }
 
     /// Records that a gateway replied to a probe that was sent at `sent`.
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -69,6 +69,8 @@
     calls_from: Time,
     /// When its process renews the lease of its record.
     renews_at: Time,
+    /// Whether this process has written its record.
+    has_written: bool,
     marker: Option<Marker>,
     /// When the leases of its record and of its marker end in the store.
     lease_ends: [Time; 2],
@@ -189,7 +191,8 @@
         );
         let [record, own] = &mut node.lease_ends;
         if now >= node.renews_at {
-            if *record > now {
+            // The first call of a process writes the record under a new lease, which proves nothing.
+            if std::mem::replace(&mut node.has_written, true) && *record > now {
                 tracker.confirm_record(now + scale(LEASE_TTL, TRUSTED_SHARE));
             }
             *record = now + LEASE_TTL;
--- a/crates/endivespur_gateway/src/marker.rs
+++ b/crates/endivespur_gateway/src/marker.rs
@@ -12,11 +12,13 @@
 use endivespur_platform::store::{self, Lease, Outcome, Position, Write};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use smol::Timer;
 
 use crate::member::MARKER_KEY_PREFIX;
 use crate::state::State;
-use crate::{quota, telemetry};
+use crate::{quota, telemetry, timer};
+
+/// The position of a marker that is not there.
+const ABSENT: Position = 0;
 
 #[derive(Serialize, Deserialize)]
 struct Record {
@@ -42,6 +44,7 @@
     // A process that stops renews it until it accepts no more requests, so that its successor finds it after a usual stop.
     while !state.is_closing.get() {
         let changed = state.changed.listen();
+        let regained = state.store_regained.listen();
         quota::synchronize(&state);
         let step = marker.next(clock::now(), &state.quotas.tracker.borrow());
         let result = match step {
@@ -50,7 +53,9 @@
                 continue;
             }
             Step::Wait(wait) => {
-                Timer::after(wait).await;
+                if timer::within(wait, regained).await.is_some() {
+                    marker.store_regained();
+                }
                 continue;
             }
             Step::Find => find(&state, &mut marker, &mut written).await,
@@ -84,7 +89,7 @@
     let replaced = match former {
         // The number of members is kept until it is known that this one replaces it.
         Some((at, members)) => {
-            let written = write(state, Some(at), members).await?;
+            let written = write(state, at, members).await?;
             written.map(|written| (written, members))
         }
         None => None,
@@ -111,18 +116,23 @@
 async fn begin(state: &State, marker: &mut Marker, written: &mut Written) -> Result<(), String> {
     let sent = clock::now();
     let members = state.quotas.tracker.borrow().member_count();
-    if let Some(position) = write(state, None, members).await? {
-        info!(event = "marker", state = "written", members; "all shards are lent");
-        *written = position;
-        marker.written(sent, members);
+    // A call without a response may have written it, and must not write it again after a later one.
+    let outcome = write(state, ABSENT, members).await;
+    match &outcome {
+        Ok(Some(position)) => {
+            info!(event = "marker", state = "written", members; "all shards are lent");
+            *written = *position;
+            marker.written(sent, members);
+        }
+        Ok(None) | Err(_) => marker.seek(),
     }
-    Ok(())
+    outcome.map(|_| ())
 }
 
 /// Writes the marker with another number of members under its lease.
 async fn rewrite(state: &State, marker: &mut Marker, written: &mut Written) -> Result<(), String> {
     let members = state.quotas.tracker.borrow().member_count();
-    let outcome = put(state, written.0, Some(written.1), members).await;
+    let outcome = put(state, written.0, written.1, members).await;
     match outcome {
         Ok(Outcome::Written(position)) => {
             info!(event = "marker", state = "written", members; "other number of members");
@@ -136,12 +146,9 @@
     outcome.map(|_| ())
 }
 
-/// Writes the marker under a new lease, in place of that at a position if one is given; returns `None` if that has ended.
-async fn write(
-    state: &State,
-    former: Option<Position>,
-    members: usize,
-) -> Result<Option<Written>, String> {
+/// Writes the marker under a new lease, in place of that at a position, or [`ABSENT`]; returns `None` if another one, or
+/// none, is there.
+async fn write(state: &State, former: Position, members: usize) -> Result<Option<Written>, String> {
     let sent = clock::now();
     telemetry::store_called("grant", "marker");
     let granted = state
@@ -155,7 +162,7 @@
             tracker.confirm_marker(sent + scale(ttl, TRUSTED_SHARE));
             Ok(Some((lease, position)))
         }
-        Outcome::Conflict if former.is_some() => Ok(None),
+        Outcome::Conflict => Ok(None),
         outcome => Err(format!("not written: {outcome:?}")),
     }
 }
@@ -163,7 +170,7 @@
 async fn put(
     state: &State,
     lease: Lease,
-    former: Option<Position>,
+    former: Position,
     members: usize,
 ) -> Result<Outcome, String> {
     let record = Record {
@@ -174,7 +181,7 @@
     let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
     // If the former marker has ended meanwhile, others may have taken the shards over.
     let write = Write {
-        expected: former.map(|at| (key(state), at)).into_iter().collect(),
+        expected: vec![(key(state), former)],
         puts: vec![(key(state), value)],
         lease,
         ..Write::default()
