Borrow for each waiting request at several keepers at once, and use late loans

One large prompt empties several shards of a small team, and a request gave up after four keepers that had too little while the others had plenty. Requests of a gateway also borrowed one after the other, a loan whose reply came after 80 ms was lost, and a probe or a request for a loan that timed out kept requests for grants from that gateway for 0.4 s.

Change: the wallet divides a large amount among keepers, asks them at the same time (one request in flight for each keeper), holds what it gets for the request that waits, and asks further keepers from a budget of its own. The reply to a request for a loan is awaited for 1 s; a late loan goes to the wallet, or back to its lender if it has ended. Time-outs of these calls only keep further requests for loans from that gateway. The locks of teams are replaced by events, which are removed with their teams.

--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -281,6 +281,13 @@
         }
     }
 
+    /// Records the reply of a keeper that was taken for one that does not reply.
+    pub fn replied_late(&mut self, team: &str, lender: &str, sent: Time, loan: Loan) {
+        if let Some(entry) = self.teams.get_mut(team) {
+            entry.wallet.replied_late(lender, sent, loan);
+        }
+    }
+
     /// Takes back what a request was charged that did not run; returns what is to be given back to lenders.
     pub fn put_back(&mut self, now: Time, team: &str, parts: Vec<Part>) -> Vec<Part> {
         match self.teams.get_mut(team) {
--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -1,6 +1,6 @@
 //! What a gateway has borrowed of a team's quota, and its decisions about requests of the team.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::keeper::Loan;
@@ -16,9 +16,19 @@
 const UNKNOWN_DELAY: Duration = Duration::from_millis(20);
 /// The least delay before a keeper that had too little is asked again.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The number of keepers with too little that are asked for one request: the others have no more then.
+/// The number of keepers with too little after which a gateway asks further ones only as [`EXTRA_ASKS`] permits, so that
+/// a team over its quota does not cause a message to each keeper for each of its requests.
 const MAX_REFUSALS: usize = 4;
-/// How long keepers are asked for one request: three that do not reply within 80 ms each, and a fourth.
+/// How many further keepers are asked at once, and in a second on average. Below the limit, four keepers can have too little while
+/// the others have plenty: one large prompt empties two or three shards of a small team.
+const EXTRA_ASKS: (f64, f64) = (24.0, 4.0);
+/// The number of keepers among which a large amount is divided at least. A keeper has to hold only its part, and the
+/// parts are borrowed at the same time.
+const MAX_PARTS: u64 = 4;
+/// The share of a shard's capacity up to which an amount is not divided; a keeper lends no less if it has as much.
+const UNDIVIDED_SHARE: f64 = 0.5;
+/// How long keepers are asked for one request: three that do not reply within 80 ms each, and a fourth. A request to a
+/// keeper that was sent longer ago is no longer waited for.
 const MAX_ASK_TIME: Duration = Duration::from_millis(300);
 /// How long before their end loans are given back; more than the time between two checks.
 const GIVE_BACK_TIME: Duration = Duration::from_millis(60);
@@ -44,10 +54,6 @@
     wait_until: Time,
     /// Until when keepers are asked for it: those that do not reply cost time.
     ask_until: Time,
-    /// The keepers that had too little.
-    refusals: usize,
-    /// The longest time until one of them has as much as was needed.
-    least_wait: Option<Duration>,
 }
 
 impl Inquiry {
@@ -57,41 +63,53 @@
             amount,
             wait_until: now + wait,
             ask_until: now + MAX_ASK_TIME,
-            refusals: 0,
-            least_wait: None,
         }
     }
 
     /// Begins the decision again after a wait.
     pub fn again(&self) -> Self {
-        Self {
-            refusals: 0,
-            least_wait: None,
-            ..*self
-        }
+        *self
+    }
+
+    /// Returns the place among the requests that wait: earlier ones come first.
+    fn place(&self) -> Place {
+        (self.ask_until, self.amount, self.wait_until)
     }
 }
 
+/// The place of a request among those that wait, with its amount. Equal ones are exchangeable.
+type Place = (Time, u64, Time);
+
 /// The next step of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     /// It is admitted, and charged these parts.
     Admit(Vec<Part>),
-    /// An amount is to be borrowed.
+    /// An amount is to be borrowed, and the request to be decided again: other keepers may be asked at the same time.
     Borrow {
         /// The keeper to be asked.
         lender: Vm,
-        /// What is missing for the request.
+        /// What is missing for the requests that wait, or a part of it.
         needed: u64,
         /// What is expected to be used within a short time.
         wanted: u64,
     },
-    /// It is to be decided again after this time.
+    /// It is to be decided again after this time, or when a keeper has replied or another request been refused.
     Wait(Duration),
     /// It is refused; there may be enough after this time.
     Refuse(Duration),
 }
 
+/// A request for a loan without a reply yet.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    sent: Time,
+    /// The request for which it was sent.
+    place: Place,
+    needed: u64,
+    wanted: u64,
+}
+
 /// What a gateway has borrowed of one team's quota.
 #[derive(Clone, Debug)]
 pub struct Wallet {
@@ -103,6 +121,13 @@
     /// Until when each keeper is not asked, and from which amount on if it has too little; `None` if it did not reply, or
     /// lends nothing.
     blocked: BTreeMap<Vm, (Time, Option<u64>)>,
+    /// The keepers that have not replied yet.
+    asked: BTreeMap<Vm, Asked>,
+    /// The requests that wait, with what was borrowed for each. Others do not use that, or small requests would use up what
+    /// a large one collects from several keepers.
+    waiting: BTreeMap<Place, u64>,
+    /// How many keepers may be asked after [`MAX_REFUSALS`] had too little.
+    extra_asks: (f64, Time),
     /// The shard whose keeper is asked next.
     next: usize,
     /// Until when requests of at least an amount are refused.
@@ -120,6 +145,9 @@
             demand: (0.0, now),
             fallback: (0.0, now),
             blocked: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            extra_asks: (EXTRA_ASKS.0, now),
             next: seed as usize % super::MAX_SHARDS,
             refused: None,
             most_gateways: MIN_GATEWAYS,
@@ -136,35 +164,85 @@
         gateways: usize,
         inquiry: &Inquiry,
     ) -> Step {
-        let amount = inquiry.amount;
-        if let Some((until, refused)) = self.refused
-            && now < until
-            && refused <= amount
-        {
-            return Step::Refuse(until.saturating_sub(now));
-        }
-        if inquiry.refusals == 0 {
-            self.refused = None;
+        let step = self.decide(now, terms, keepers, gateways, inquiry);
+        match &step {
+            Step::Admit(_) | Step::Refuse(_) => {
+                self.waiting.remove(&inquiry.place());
+            }
+            Step::Borrow { .. } | Step::Wait(_) => {
+                self.waiting.entry(inquiry.place()).or_default();
+            }
         }
-        if let Some(parts) = self.take(now, amount) {
-            return Step::Admit(parts);
+        step
+    }
+
+    fn decide(
+        &mut self,
+        now: Time,
+        terms: &Terms,
+        keepers: &[Vm],
+        gateways: usize,
+        inquiry: &Inquiry,
+    ) -> Step {
+        let amount = inquiry.amount;
+        if let Some((until, refused)) = self.refused {
+            if now >= until {
+                self.refused = None;
+            } else if refused <= amount && !self.waiting.contains_key(&inquiry.place()) {
+                return Step::Refuse(until.saturating_sub(now));
+            }
         }
+        // The callers of some may have gone away.
+        self.waiting
+            .retain(|(asks, _, waits), _| now < *asks.max(waits));
+        self.asked
+            .retain(|_, asked| now < asked.sent + MAX_ASK_TIME);
+        let place = inquiry.place();
         let held: u64 = self.valid(now).map(|part| part.amount).sum();
-        let missing = amount - held;
+        let own = self.waiting.get(&place).copied().unwrap_or_default();
+        let free = held.saturating_sub(self.waiting.values().sum());
+        let missing = amount.saturating_sub(own + free);
+        if missing == 0 && held >= amount {
+            return Step::Admit(self.take(now, amount));
+        }
         if amount as f64 > terms.capacity {
             return self.refuse(now, amount, clock::from_secs(amount as f64 / terms.rate));
         }
-        if inquiry.refusals < MAX_REFUSALS
-            && now < inquiry.ask_until
-            && let Some(lender) = self.choose(now, keepers, amount)
-        {
-            return Step::Borrow {
-                lender,
-                needed: missing,
-                wanted: missing.max(self.wanted(now, terms)),
-            };
+        if now < inquiry.ask_until {
+            // What earlier requests leave of the amounts that may be lent to this gateway is waited for.
+            let asked: u64 = self.asked.values().map(|asked| asked.wanted).sum();
+            let earlier = self.waiting.range(..place);
+            let earlier = earlier.map(|((_, amount, _), own)| amount.saturating_sub(*own));
+            let left = (free + asked).saturating_sub(earlier.sum());
+            let missing = missing.min((amount - own.min(amount)).saturating_sub(left));
+            if let Some((lender, needed)) = self.choose(now, terms, keepers, missing) {
+                // Where keepers have too little, others need the rest.
+                let is_scarce = self.blocked.values().any(|(_, least)| least.is_some());
+                let ahead = match asked {
+                    0 if !is_scarce => self.wanted(now, terms),
+                    _ => 0,
+                };
+                let wanted = needed.max(ahead);
+                let asked = Asked {
+                    sent: now,
+                    place,
+                    needed,
+                    wanted,
+                };
+                self.asked.insert(lender.clone(), asked);
+                return Step::Borrow {
+                    lender,
+                    needed,
+                    wanted,
+                };
+            }
+            let first = self.asked.values().map(|asked| asked.sent).min();
+            if let Some(sent) = first {
+                let end = inquiry.ask_until.min(sent + MAX_ASK_TIME);
+                return Step::Wait(end.saturating_sub(now));
+            }
         }
-        let wait = self.wait(now, keepers, inquiry);
+        let wait = self.wait(now, keepers);
         if now + wait <= inquiry.wait_until {
             return Step::Wait(wait);
         }
@@ -185,30 +263,29 @@
     pub fn replied(
         &mut self,
         now: Time,
-        inquiry: &mut Inquiry,
+        inquiry: &Inquiry,
         lender: &str,
         sent: Time,
         loan: Option<Loan>,
     ) {
         self.next = self.next.wrapping_add(1);
+        let asked = self.asked.remove(lender);
+        let needed = asked.map_or(inquiry.amount, |asked| asked.needed);
         match loan {
             Some(Loan::Amount(amount, validity)) => {
                 self.blocked.remove(lender);
-                self.parts.push(Part {
-                    lender: Some(lender.to_string()),
-                    amount,
-                    valid_until: sent + validity.min(super::VALIDITY),
-                });
+                self.receive(lender, sent, amount, validity);
+                let place = asked.map_or(inquiry.place(), |asked| asked.place);
+                if let Some(own) = self.waiting.get_mut(&place) {
+                    *own = (*own + amount).min(place.1);
+                }
             }
             Some(Loan::Wait(wait)) => {
                 let until = now + wait.max(MIN_RETRY_DELAY);
                 let blocked = self.blocked.get(lender).and_then(|(_, least)| *least);
-                let least = blocked.map_or(inquiry.amount, |least| least.min(inquiry.amount));
+                let least = blocked.map_or(needed, |least| least.min(needed));
                 self.blocked
                     .insert(lender.to_string(), (until, Some(least)));
-                inquiry.refusals += 1;
-                let least = inquiry.least_wait.map_or(wait, |least| least.min(wait));
-                inquiry.least_wait = Some(least);
             }
             Some(Loan::Unknown) | None => {
                 let blocked = (now + RETRY_DELAY, None);
@@ -217,6 +294,22 @@
         }
     }
 
+    /// Records the reply of a keeper that was taken for one that does not reply. An amount whose loan has ended meanwhile
+    /// is given back with those that end soon.
+    pub fn replied_late(&mut self, lender: &str, sent: Time, loan: Loan) {
+        if let Loan::Amount(amount, validity) = loan {
+            self.receive(lender, sent, amount, validity);
+        }
+    }
+
+    fn receive(&mut self, lender: &str, sent: Time, amount: u64, validity: Duration) {
+        self.parts.push(Part {
+            lender: Some(lender.to_string()),
+            amount,
+            valid_until: sent + validity.min(super::VALIDITY),
+        });
+    }
+
     /// Takes back the parts of a request that did not run; returns those that are to be given back to their lenders.
     pub fn put_back(&mut self, now: Time, parts: Vec<Part>) -> Vec<Part> {
         let amount: u64 = parts.iter().map(|part| part.amount).sum();
@@ -261,12 +354,8 @@
         self.parts.iter().filter(move |part| now < part.valid_until)
     }
 
-    /// Takes an amount, first of the parts that end first, if there is enough.
-    fn take(&mut self, now: Time, amount: u64) -> Option<Vec<Part>> {
-        let held: u64 = self.valid(now).map(|part| part.amount).sum();
-        if held < amount {
-            return None;
-        }
+    /// Takes an amount, of which there must be enough, first of the parts that end first.
+    fn take(&mut self, now: Time, amount: u64) -> Vec<Part> {
         self.parts.sort_by_key(|part| part.valid_until);
         let mut left = amount;
         let mut taken = Vec::new();
@@ -287,7 +376,7 @@
         }
         self.parts.retain(|part| part.amount > 0);
         self.used.0 += amount;
-        Some(taken)
+        taken
     }
 
     fn take_fallback(
@@ -323,16 +412,51 @@
         })
     }
 
-    /// Returns the next keeper that may have something to lend for a request.
-    fn choose(&mut self, now: Time, keepers: &[Vm], amount: u64) -> Option<Vm> {
+    /// Returns the next keeper that may have something to lend of a missing amount, and how much it is to be asked for.
+    fn choose(
+        &mut self,
+        now: Time,
+        terms: &Terms,
+        keepers: &[Vm],
+        missing: u64,
+    ) -> Option<(Vm, u64)> {
+        if missing == 0 {
+            return None;
+        }
         self.blocked.retain(|_, (until, _)| now < *until);
+        let may_lend = |vm: &&Vm| {
+            let blocked = self.blocked.get(*vm);
+            !self.asked.contains_key(*vm) && !blocked.is_some_and(|(_, least)| least.is_none())
+        };
+        let others: BTreeSet<&Vm> = keepers.iter().filter(may_lend).collect();
+        let parts = (others.len() as u64).clamp(1, MAX_PARTS);
+        let undivided = (terms.capacity / terms.shards as f64 * UNDIVIDED_SHARE) as u64;
+        let needed = missing.min(undivided.max(missing.div_ceil(parts)).max(1));
+        // Keepers that have too little for that may have a part of it.
+        let sizes = [needed, needed.div_ceil(2), needed.div_ceil(4)];
         let count = keepers.len();
-        let offset = (0..count).find(|offset| {
-            let vm = &keepers[self.next.wrapping_add(*offset) % count];
+        let places = (0..count).map(|offset| &keepers[self.next.wrapping_add(offset) % count]);
+        let open: Vec<&Vm> = places.filter(may_lend).collect();
+        let has_too_little = |vm: &Vm, size: u64| {
             let blocked = self.blocked.get(vm);
-            !blocked.is_some_and(|(_, least)| least.is_none_or(|least| least <= amount))
-        })?;
-        Some(keepers[self.next.wrapping_add(offset) % count].clone())
+            blocked.is_some_and(|(_, least)| least.is_some_and(|least| least <= size))
+        };
+        let found = sizes.into_iter().find_map(|size| {
+            let lender = open.iter().find(|vm| !has_too_little(vm, size))?;
+            Some(((*lender).clone(), size))
+        });
+        let refusals = self.blocked.keys();
+        let refusals = refusals.filter(|vm| has_too_little(vm, needed)).count();
+        if found.is_some() && refusals >= MAX_REFUSALS {
+            let (level, at) = self.extra_asks;
+            let filled = now.saturating_sub(at).as_secs_f64() * EXTRA_ASKS.1;
+            let level = (level + filled).min(EXTRA_ASKS.0);
+            if level < 1.0 {
+                return None;
+            }
+            self.extra_asks = (level - 1.0, now);
+        }
+        found
     }
 
     /// Returns the amount that is expected to be used within a short time, at most that of the team's rate.
@@ -343,14 +467,13 @@
     }
 
     /// Returns the time until a keeper may have something to lend.
-    fn wait(&self, now: Time, keepers: &[Vm], inquiry: &Inquiry) -> Duration {
+    fn wait(&self, now: Time, keepers: &[Vm]) -> Duration {
         if keepers.is_empty() {
             return UNKNOWN_DELAY;
         }
         let times = keepers.iter().filter_map(|vm| self.blocked.get(vm));
         let times = times.map(|(until, _)| until.saturating_sub(now));
-        let wait = times.min().unwrap_or(RETRY_DELAY);
-        inquiry.least_wait.map_or(wait, |least| wait.max(least))
+        times.min().unwrap_or(RETRY_DELAY)
     }
 
     fn refuse(&mut self, now: Time, amount: u64, wait: Duration) -> Step {
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod prefix;
 mod quota;
+mod quota_mix;
 mod reach;
 mod room;
 mod source;
--- a/crates/endivespur_gateway/src/peer.rs
+++ b/crates/endivespur_gateway/src/peer.rs
@@ -44,6 +44,10 @@
 /// How long a gateway may take to reply to a request for the changes that it has, beyond the time to connect.
 pub const TRIAL_TIME: Duration = Duration::from_millis(400);
 
+/// How long a gateway may take to reply to a request for a loan. The borrower asks another keeper earlier, and a loan that
+/// comes later than it may be used is given back.
+const LOAN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The VM did not reply, or was not called because it did not reply recently.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unresponsive;
@@ -403,7 +407,8 @@
 }
 
 /// Borrows an amount of a team's quota from the gateway at an address; returns `None` without a reply, as from a gateway
-/// of an older release.
+/// of an older release. The gateway does not count as unresponsive then: borrowers and probes go on without it, and must
+/// not keep requests for grants from it.
 pub async fn borrow(
     state: &Rc<State>,
     address: SocketAddr,
@@ -425,7 +430,21 @@
             response.and_then(|response| message::read_loan(response.get()?.get_loan()?).map(Some));
         unless_unimplemented(loan, None)
     };
-    request(state, address, REPLY_SLACK, send).await.ok()?
+    match call(state, address, LOAN_TIMEOUT, send).await {
+        Some(Ok(loan)) => {
+            state.peers.replied(address);
+            loan
+        }
+        reply => {
+            let message = reply
+                .and_then(Result::err)
+                .unwrap_or_else(|| "timeout".to_string());
+            debug!(event = "borrow", address:% = address; "no loan: {message}");
+            // The connection may be broken without notice.
+            state.peers.clients.borrow_mut().remove(&address);
+            None
+        }
+    }
 }
 
 /// Gives an amount of a team's quota that was not used back to the gateway at an address.
--- a/crates/endivespur_gateway/src/peers.rs
+++ b/crates/endivespur_gateway/src/peers.rs
@@ -26,6 +26,9 @@
     /// The gateways that could not tell whether endpoints are up, with the time until which they are not
     /// asked again.
     without_links: RefCell<BTreeMap<SocketAddr, Time>>,
+    /// The gateways that did not reply in time to a request for a loan of a quota, with the time until which they are not
+    /// asked for another one. Other calls may take longer, and are not affected.
+    without_loans: RefCell<BTreeMap<SocketAddr, Time>>,
 }
 
 impl Peers {
@@ -80,8 +83,21 @@
         self.without_links.borrow_mut().insert(address, until);
     }
 
+    /// Returns whether a VM recently did not reply in time to a request for a loan.
+    pub fn is_without_loans(&self, address: SocketAddr) -> bool {
+        let until = self.without_loans.borrow().get(&address).copied();
+        until.is_some_and(|until| clock::now() < until)
+    }
+
+    /// Records that a VM did not reply in time to a request for a loan.
+    pub fn has_no_loans(&self, address: SocketAddr) {
+        let until = clock::now() + BACKOFF;
+        self.without_loans.borrow_mut().insert(address, until);
+    }
+
     /// Records that a VM replied.
     pub fn replied(&self, address: SocketAddr) {
+        self.without_loans.borrow_mut().remove(&address);
         if self.unresponsive.borrow_mut().remove(&address).is_some() {
             info!(event = "peer-regained", address:% = address; "replies again");
         }
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -4,6 +4,8 @@
 //! quotas that it keeps, and borrows from the keepers of the others.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +26,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(150);
 /// The same while no gateway is known: after its start, a gateway writes its own record within this time.
 const MAX_START_WAIT: Duration = Duration::from_millis(700);
+/// How long requests wait for a keeper's reply before they ask another one. Its loan may still arrive and be used.
+const LOAN_WAIT: Duration = Duration::from_millis(80);
 /// The time between two checks of the loans and of the view of the other gateways.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The unit in which responses state the time to retry, which is rounded up.
@@ -55,6 +59,7 @@
             tracker.put_back(clock::now(), &self.team, parts)
         };
         give_back(&self.state, &self.team, ended);
+        self.state.quotas.notify(&self.team);
     }
 }
 
@@ -85,15 +90,19 @@
     let Some(table) = catalog.table() else {
         return;
     };
-    let mut tracker = state.quotas.tracker.borrow_mut();
     let mut teams = table.teams.iter().flat_map(Teams::iter);
-    // The gateways first: buckets of a quota that is new are full at the gateways that keep them.
-    if !tracker.is_empty() || teams.any(|(_, team)| team.quota.is_some()) {
-        let peers = catalog.peers().filter(|(_, peer)| peer.keeps_quotas);
-        tracker.assign(now, peers.map(|(vm, _)| vm));
-    }
-    if tracker.version() != Some(table.version) {
-        tracker.configure(now, table.version, table.teams.as_ref());
+    let version = {
+        let mut tracker = state.quotas.tracker.borrow_mut();
+        // The gateways first: buckets of a quota that is new are full at the gateways that keep them.
+        if !tracker.is_empty() || teams.any(|(_, team)| team.quota.is_some()) {
+            let peers = catalog.peers().filter(|(_, peer)| peer.keeps_quotas);
+            tracker.assign(now, peers.map(|(vm, _)| vm));
+        }
+        tracker.version()
+    };
+    if version != Some(table.version) {
+        let teams = table.teams.as_ref();
+        state.quotas.configure(now, table.version, teams);
     }
 }
 
@@ -124,7 +133,10 @@
 /// Finds out whether another gateway replies.
 async fn probe(state: &Rc<State>, vm: &Vm) {
     let sent = clock::now();
-    if ask(state, vm, "", 0, 0).await.is_some() {
+    let Some(address) = address(state, vm) else {
+        return;
+    };
+    if ask(state, address, "", 0, 0).await.is_some() {
         let mut tracker = state.quotas.tracker.borrow_mut();
         tracker.probe_replied(vm, sent);
     }
@@ -144,12 +156,7 @@
             tracker.give_back(clock::now(), team, amount);
             continue;
         }
-        let address = state
-            .catalog
-            .borrow()
-            .peer(&lender)
-            .map(|peer| peer.address);
-        if let Some(address) = address {
+        if let Some(address) = address(state, &lender) {
             let (task_state, team) = (state.clone(), team.to_string());
             state.spawn(async move {
                 peer::give_back(&task_state, address, &team, amount).await;
@@ -165,12 +172,19 @@
     tracker.lend(now, view_age(state, now), team, needed, wanted)
 }
 
-/// Asks a keeper for an amount; returns `None` without a reply.
-async fn ask(state: &Rc<State>, lender: &Vm, team: &str, needed: u64, wanted: u64) -> Option<Loan> {
-    if *lender == state.settings.vm {
-        return Some(lend(state, team, needed, wanted));
-    }
-    let address = state.catalog.borrow().peer(lender)?.address;
+fn address(state: &State, vm: &Vm) -> Option<SocketAddr> {
+    let catalog = state.catalog.borrow();
+    catalog.peer(vm).map(|peer| peer.address)
+}
+
+/// Asks another gateway for an amount; returns `None` without a reply.
+async fn ask(
+    state: &Rc<State>,
+    address: SocketAddr,
+    team: &str,
+    needed: u64,
+    wanted: u64,
+) -> Option<Loan> {
     let (version, used) = {
         let mut tracker = state.quotas.tracker.borrow_mut();
         (
@@ -224,24 +238,21 @@
         match step(state, team, &inquiry) {
             None => return Ok(None),
             Some(Step::Admit(parts)) => return Ok(Some(charge(state, team, parts))),
-            Some(Step::Refuse(wait)) => return Err(refuse(state, team, amount, wait)),
+            Some(Step::Refuse(wait)) => {
+                // What was reserved for this request is free for others.
+                state.quotas.notify(team);
+                return Err(refuse(state, team, amount, wait));
+            }
             Some(Step::Wait(wait)) => {
-                Timer::after(wait).await;
+                let changed = state.quotas.listen(team);
+                timer::within(wait, changed).await;
                 inquiry = inquiry.again();
             }
-            Some(Step::Borrow { .. }) => {
-                let lock = state.quotas.lock(team);
-                let _guard = lock.lock().await;
-                // Another request may have borrowed enough meanwhile.
-                if let Some(Step::Borrow {
-                    lender,
-                    needed,
-                    wanted,
-                }) = step(state, team, &inquiry)
-                {
-                    borrow(state, team, &mut inquiry, &lender, needed, wanted).await;
-                }
-            }
+            Some(Step::Borrow {
+                lender,
+                needed,
+                wanted,
+            }) => borrow(state, team, inquiry, lender, needed, wanted),
         }
     }
 }
@@ -251,16 +262,50 @@
     tracker.step(clock::now(), team, inquiry)
 }
 
-async fn borrow(
-    state: &Rc<State>,
+/// Borrows an amount, from another gateway in a task of its own: the request need not wait for all that it asks, nor be
+/// there still when they reply.
+fn borrow(state: &Rc<State>, team: &str, inquiry: Inquiry, lender: Vm, needed: u64, wanted: u64) {
+    let sent = clock::now();
+    if lender == state.settings.vm {
+        let loan = lend(state, team, needed, wanted);
+        replied(state, team, inquiry, &lender, sent, Some(loan));
+        return;
+    }
+    let (task_state, team) = (state.clone(), team.to_string());
+    state.spawn(async move {
+        let state = &task_state;
+        let address = address(state, &lender);
+        let Some(address) = address.filter(|address| !state.peers.is_without_loans(*address))
+        else {
+            replied(state, &team, inquiry, &lender, sent, None);
+            return;
+        };
+        let mut reply = pin!(ask(state, address, &team, needed, wanted));
+        if let Some(loan) = timer::within(LOAN_WAIT, reply.as_mut()).await {
+            replied(state, &team, inquiry, &lender, sent, loan);
+            return;
+        }
+        state.peers.has_no_loans(address);
+        replied(state, &team, inquiry, &lender, sent, None);
+        if let Some(loan) = reply.await {
+            telemetry::quota_borrowed("late");
+            let mut tracker = state.quotas.tracker.borrow_mut();
+            tracker.replied_late(&team, &lender, sent, loan);
+            drop(tracker);
+            state.quotas.notify(&team);
+        }
+    });
+}
+
+/// Records the reply of a keeper, `None` if there is none, for all requests of the team that wait.
+fn replied(
+    state: &State,
     team: &str,
-    inquiry: &mut Inquiry,
-    lender: &Vm,
-    needed: u64,
-    wanted: u64,
+    mut inquiry: Inquiry,
+    lender: &str,
+    sent: Time,
+    loan: Option<Loan>,
 ) {
-    let sent = clock::now();
-    let loan = ask(state, lender, team, needed, wanted).await;
     telemetry::quota_borrowed(match loan {
         Some(Loan::Amount(..)) => "lent",
         Some(Loan::Wait(_)) => "exhausted",
@@ -268,7 +313,9 @@
         None => "no-reply",
     });
     let mut tracker = state.quotas.tracker.borrow_mut();
-    tracker.replied(clock::now(), team, inquiry, lender, sent, loan);
+    tracker.replied(clock::now(), team, &mut inquiry, lender, sent, loan);
+    drop(tracker);
+    state.quotas.notify(team);
 }
 
 fn charge(state: &Rc<State>, team: &str, parts: Vec<Part>) -> Charge {
--- a/crates/endivespur_gateway/src/quotas.rs
+++ b/crates/endivespur_gateway/src/quotas.rs
@@ -2,17 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::clock::Time;
 use endivespur_core::gateway::quota::Excess;
 use endivespur_core::gateway::quota::tracker::Tracker;
+use endivespur_core::gateway::team::Teams;
 use endivespur_core::id::Team;
 use endivespur_platform::settings::Settings;
+use event_listener::{Event, EventListener};
 use log::info;
-use smol::lock::Mutex;
 
 /// For how long a team must not be refused before that is logged as the end of its refusals.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
@@ -34,8 +34,8 @@
     pub is_continuous: Cell<bool>,
     /// Whether this process has written its record before.
     pub has_registered: Cell<bool>,
-    /// Held by the request of each team that borrows: the others use what it gets.
-    borrowing: RefCell<BTreeMap<Team, Rc<Mutex<()>>>>,
+    /// Notified when requests of a team that wait may find an amount.
+    changed: RefCell<BTreeMap<Team, Event>>,
     refusals: RefCell<BTreeMap<Team, Refusals>>,
 }
 
@@ -52,15 +52,34 @@
             tracker: RefCell::new(tracker),
             is_continuous: Cell::new(false),
             has_registered: Cell::new(false),
-            borrowing: RefCell::new(BTreeMap::new()),
+            changed: RefCell::new(BTreeMap::new()),
             refusals: RefCell::new(BTreeMap::new()),
         }
     }
 
-    /// Returns the lock of a team, held while its loans are borrowed.
-    pub fn lock(&self, team: &str) -> Rc<Mutex<()>> {
-        let mut borrowing = self.borrowing.borrow_mut();
-        borrowing.entry(team.to_string()).or_default().clone()
+    /// Returns a listener that is notified when a request of a team that waits may find an amount.
+    pub fn listen(&self, team: &str) -> EventListener {
+        let mut changed = self.changed.borrow_mut();
+        changed.entry(team.to_string()).or_default().listen()
+    }
+
+    /// Notifies the requests of a team that wait.
+    pub fn notify(&self, team: &str) {
+        if let Some(changed) = self.changed.borrow().get(team) {
+            changed.notify(usize::MAX);
+        }
+    }
+
+    /// Takes over the quotas of a configuration, and forgets teams that are no longer in it.
+    pub fn configure(&self, now: Time, version: u64, teams: Option<&Teams>) {
+        self.tracker.borrow_mut().configure(now, version, teams);
+        self.changed.borrow_mut().retain(|team, changed| {
+            let is_kept = teams.is_some_and(|teams| teams.get(team).is_some());
+            if !is_kept {
+                changed.notify(usize::MAX);
+            }
+            is_kept
+        });
     }
 
     /// Records a refusal, and logs the first one.
