Ask one keeper at a time where keepers have too little, and describe the borrowing

Keepers record loans that follow within 20 ms of each other as one that does not end before a pause, and their buckets do not fill meanwhile.

Change: once a keeper has too little, one is asked at a time, and nothing is borrowed ahead. After four had too little, the others are asked for a quarter.

--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -21,7 +21,7 @@
 const MAX_REFUSALS: usize = 4;
 /// How many further keepers are asked at once, and in a second on average. Below the limit, four keepers can have too little while
 /// the others have plenty: one large prompt empties two or three shards of a small team.
-const EXTRA_ASKS: (f64, f64) = (24.0, 4.0);
+const EXTRA_ASKS: (f64, f64) = (24.0, 1.0);
 /// The number of keepers among which a large amount is divided at least. A keeper has to hold only its part, and the
 /// parts are borrowed at the same time.
 const MAX_PARTS: u64 = 4;
@@ -216,10 +216,9 @@
             let left = (free + asked).saturating_sub(earlier.sum());
             let missing = missing.min((amount - own.min(amount)).saturating_sub(left));
             if let Some((lender, needed)) = self.choose(now, terms, keepers, missing) {
-                // Where keepers have too little, others need the rest.
-                let is_scarce = self.blocked.values().any(|(_, least)| least.is_some());
                 let ahead = match asked {
-                    0 if !is_scarce => self.wanted(now, terms),
+                    // Where keepers have too little, others need the rest.
+                    0 if !self.is_scarce() => self.wanted(now, terms),
                     _ => 0,
                 };
                 let wanted = needed.max(ahead);
@@ -420,10 +419,11 @@
         keepers: &[Vm],
         missing: u64,
     ) -> Option<(Vm, u64)> {
-        if missing == 0 {
+        self.blocked.retain(|_, (until, _)| now < *until);
+        // Where keepers have too little, asking several at once would add messages, and loans that come too late to be used.
+        if missing == 0 || self.is_scarce() && !self.asked.is_empty() {
             return None;
         }
-        self.blocked.retain(|_, (until, _)| now < *until);
         let may_lend = |vm: &&Vm| {
             let blocked = self.blocked.get(*vm);
             !self.asked.contains_key(*vm) && !blocked.is_some_and(|(_, least)| least.is_none())
@@ -432,8 +432,12 @@
         let parts = (others.len() as u64).clamp(1, MAX_PARTS);
         let undivided = (terms.capacity / terms.shards as f64 * UNDIVIDED_SHARE) as u64;
         let needed = missing.min(undivided.max(missing.div_ceil(parts)).max(1));
+        let blocked = self.blocked.values();
+        let refusals = blocked.filter(|(_, least)| least.is_some_and(|least| least <= needed));
+        let is_short = refusals.count() >= MAX_REFUSALS;
         // Keepers that have too little for that may have a part of it.
-        let sizes = [needed, needed.div_ceil(2), needed.div_ceil(4)];
+        let part = needed.div_ceil(MAX_PARTS);
+        let sizes = [if is_short { part } else { needed }, part];
         let count = keepers.len();
         let places = (0..count).map(|offset| &keepers[self.next.wrapping_add(offset) % count]);
         let open: Vec<&Vm> = places.filter(may_lend).collect();
@@ -445,9 +449,7 @@
             let lender = open.iter().find(|vm| !has_too_little(vm, size))?;
             Some(((*lender).clone(), size))
         });
-        let refusals = self.blocked.keys();
-        let refusals = refusals.filter(|vm| has_too_little(vm, needed)).count();
-        if found.is_some() && refusals >= MAX_REFUSALS {
+        if found.is_some() && is_short {
             let (level, at) = self.extra_asks;
             let filled = now.saturating_sub(at).as_secs_f64() * EXTRA_ASKS.1;
             let level = (level + filled).min(EXTRA_ASKS.0);
@@ -459,6 +461,12 @@
         found
     }
 
+    /// Returns whether a keeper that was asked recently had too little.
+    fn is_scarce(&self) -> bool {
+        let mut blocked = self.blocked.values();
+        blocked.any(|(_, least)| least.is_some())
+    }
+
     /// Returns the amount that is expected to be used within a short time, at most that of the team's rate.
     fn wanted(&self, now: Time, terms: &Terms) -> u64 {
         let (sum, at) = self.demand;
