Bound all request bodies together on the product's own path

Each body was bounded, but not their sum. limits.bodies (128 MiB unless the settings say otherwise) bounds what is received and kept until the requests have ended; beyond it the answer is 503 with Retry-After, and nothing has run. The default is 32 KB for each of the 4,000 connections.

A server error that was sent before the body had arrived kept the connection open, and the rest of the body was read as the next request. Such a connection is closed now.

--- a/crates/endivespur_dev/src/site.rs
+++ b/crates/endivespur_dev/src/site.rs
@@ -113,6 +113,8 @@
     specs: BTreeMap<String, EndpointSpec>,
     /// Whether daemons started from now on require tokens.
     pub requires_tokens: bool,
+    /// The limits in the settings of daemons started from now on.
+    pub limits: Value,
     /// The relays in front of the store by daemon: the address for data and the one for control.
     relays: BTreeMap<String, (String, String)>,
 }
@@ -141,6 +143,7 @@
             zones: zones.iter().map(ToString::to_string).collect(),
             specs: BTreeMap::new(),
             requires_tokens: false,
+            limits: json!({}),
             relays: BTreeMap::new(),
         };
         site.store = site.start_emulator("store", &["store"])?;
@@ -312,6 +315,7 @@
             "vms": { "address": self.vms, "interval": "500ms" },
             "lease": { "ttl": "3s", "renew": "1s", "margin": "2s" },
             "stop": { "grace": "500ms", "bound": "30s" },
+            "limits": self.limits,
         });
         let settings = self.add_tokens(settings)?;
         let path = self.folder.join(format!("{name}.json"));
--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -145,6 +145,50 @@
     assert!(text.starts_with("HTTP/1.1 408"), "{text:?}");
 }
 
+/// The bodies of many callers together used up the memory; callers with small bodies must be served beside them, and the
+/// rest of a refused body must not be read as another request.
+#[test]
+fn callers_bodies_together_bounded() {
+    let mut site = start_site("bodies");
+    site.limits = json!({ "body": "64KiB", "bodies": "256KiB" });
+    site.start_daemon("c", "za").expect("started");
+    site.wait_until_ready(OWNERSHIP_TIMEOUT).expect("ready");
+    let address = site.daemons["c"].callers.clone();
+    let stall = || {
+        let mut stream = TcpStream::connect(&address).expect("connected");
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nendivespur-organisation: o\r\n\
+                    content-length: 65000\r\n\r\n";
+        let message = format!("{head}{}", "\r\n".repeat(31_000));
+        stream.write_all(message.as_bytes()).expect("sent");
+        let timeout = Some(Duration::from_millis(200));
+        stream.set_read_timeout(timeout).expect("set");
+        let mut text = [0; 4096];
+        let count = stream.read(&mut text).unwrap_or_default();
+        let response = String::from_utf8_lossy(&text[..count]).to_string();
+        (stream, response)
+    };
+    let (streams, responses): (Vec<_>, Vec<_>) = (0..8).map(|_| stall()).unzip();
+    for (number, response) in responses.iter().enumerate() {
+        let is_refused = response.starts_with("HTTP/1.1 503") && response.contains("retry-after");
+        assert_eq!(is_refused, number >= 4, "{number}: {response:?}");
+    }
+    for mut stream in &streams[4..] {
+        let rest = "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n";
+        stream.write_all(rest.as_bytes()).ok();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok();
+        assert!(!text.contains("HTTP/1.1"), "{text:?}");
+    }
+    let is_served =
+        |fields: &Value| site.complete("c", "o", "hymnal/hymns@1", fields).status == 200;
+    assert!(is_served(&json!({})));
+    drop(streams);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !is_served(&json!({ "user": "x".repeat(60_000) })) {
+        assert!(Instant::now() < deadline, "not released");
+    }
+}
+
 /// A daemon that has not read its first configuration refused proper callers as unknown, for good.
 #[test]
 fn callers_before_first_configuration() {
--- a/crates/endivespur_net/src/body.rs
+++ b/crates/endivespur_net/src/body.rs
@@ -12,6 +12,9 @@
 /// it is long.
 const PROGRESS_BYTES: u64 = 16 << 10;
 
+/// The size of the parts in which a body is received; each connection that receives one has such a part.
+const PART_BYTES: usize = 8 << 10;
+
 /// Reads a whole body; a body shorter than its `Content-Length` is an error.
 ///
 /// # Errors
@@ -31,6 +34,36 @@
     Ok(bytes)
 }
 
+/// Reads a whole body as [`read`] does; calls `grow` with the size of each part before it is kept.
+///
+/// # Errors
+///
+/// Returns an error as [`read`] does, and those of `grow`.
+pub async fn read_held(
+    body: &mut Body,
+    limit: usize,
+    mut grow: impl FnMut(usize) -> io::Result<()>,
+) -> io::Result<Vec<u8>> {
+    let content_length = body.len();
+    let mut bytes = Vec::new();
+    let mut part = vec![0; PART_BYTES];
+    loop {
+        let count = body.read(&mut part).await?;
+        if count == 0 {
+            break;
+        }
+        if bytes.len() + count > limit {
+            return Err(io::Error::other("the body is too large"));
+        }
+        grow(count)?;
+        bytes.extend_from_slice(&part[..count]);
+    }
+    if content_length.is_some_and(|len| len != bytes.len()) {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(bytes)
+}
+
 /// Reads a whole body as [`read`] does, of which each [`PROGRESS_BYTES`] must arrive within `timeout`.
 ///
 /// # Errors
--- a/crates/endivespur_net/src/http.rs
+++ b/crates/endivespur_net/src/http.rs
@@ -94,13 +94,14 @@
 
 /// Serves one request; returns whether the connection may carry another.
 async fn serve_request(stream: &Stream, limits: &Limits, handler: &Handler) -> bool {
+    use futures_util::AsyncReadExt;
     stream.set_read_limit(MAX_HEAD_BYTES + limits.body_bytes);
     let head = async { Some(decode(stream.clone()).await) };
     let timed_out = async {
         smol::Timer::after(limits.head_timeout).await;
         None
     };
-    let (request, _rest) = match head.or(timed_out).await {
+    let (request, mut rest) = match head.or(timed_out).await {
         Some(Ok(Some(decoded))) => decoded,
         Some(Ok(None)) | None => return false,
         Some(Err(error)) => {
@@ -131,7 +132,13 @@
     if response.ext().get::<Disconnect>().is_some() {
         return false;
     }
-    let body_unread = had_body && response.status().is_client_error();
+    let body_unread = if response.status().is_server_error() {
+        // A refusal may come while the body arrives; what is left of it must not be read as the next request.
+        let end = smol::future::poll_once(rest.read(&mut [0])).await;
+        had_body && !matches!(end, Some(Ok(0)))
+    } else {
+        had_body && response.status().is_client_error()
+    };
     let written = write(stream, response, method, limits).await;
     if written && body_unread {
         linger(stream).await;
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::{Failure, Outcome};
 use crate::answered::{next_event, read_whole, replace_model};
+use crate::bodies::{self, Body, Held};
 use crate::clock;
 use crate::dispatch::{self, AttemptError, Job, Permit};
 use crate::engine;
@@ -47,6 +48,8 @@
     features: Rc<[Feature]>,
     /// The features that are blocked for other requests while this one runs alone.
     blocked: Vec<Fingerprint>,
+    /// The memory that the body takes.
+    held: Held,
     /// Counts the request as in flight until the response has ended.
     in_flight: Rc<InFlight>,
 }
@@ -62,8 +65,8 @@
     mut request: Request,
     path: &'static str,
 ) -> Result<Response, Failure> {
-    let bytes = entry::read_body(node, &mut request).await?;
-    let completion = parse(node, &caller, &bytes, path)?;
+    let bytes = bodies::read(node, &mut request).await?;
+    let completion = parse(node, &caller, bytes, path)?;
     let once = {
         let config = node.config.borrow();
         let service = route::check(&config, &completion.job.request)?;
@@ -89,10 +92,10 @@
 fn parse(
     node: &Node,
     caller: &Caller,
-    bytes: &[u8],
+    bytes: Body,
     path: &'static str,
 ) -> Result<Completion, Failure> {
-    let body: Value = serde_json::from_slice(bytes)
+    let body: Value = serde_json::from_slice(&bytes)
         .map_err(|error| bad_request(&format!("the body is no JSON: {error}")))?;
     let name = body["model"]
         .as_str()
@@ -127,13 +130,14 @@
         avoid: std::collections::BTreeSet::new(),
     };
     Ok(Completion {
-        features: suspicion::features(&caller.organisation, name, bytes, &body).into(),
+        features: suspicion::features(&caller.organisation, name, &bytes, &body).into(),
         blocked: Vec::new(),
         job,
         path,
         model: name.to_string(),
         stream: body["stream"].as_bool().unwrap_or(false),
         in_flight: caller.in_flight.clone(),
+        held: bytes.into_held(),
         body,
     })
 }
@@ -169,10 +173,12 @@
         model,
         body,
         features,
+        held,
         ..
     } = completion;
     let header = key.clone();
     let build_request: once::RequestBuilder = Rc::new(move |permit: &Permit| {
+        let _held = &held;
         let mut request = request(&body, path, permit)?;
         request.insert_header("idempotency-key", header.as_str());
         Ok(request)
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -5,11 +5,10 @@
 
 use endivespur_core::config::{Class, Stage};
 use endivespur_core::place::Rule;
-use endivespur_net::{body, http};
+use endivespur_net::http;
 use http_types::{Method, Request, Response, StatusCode};
 use log::info;
 use serde_json::json;
-use smol::future::FutureExt;
 
 use crate::answer::{Failure, Outcome};
 use crate::clock;
@@ -218,36 +217,6 @@
     http::json(StatusCode::Ok, &json!({ "object": "list", "data": data }))
 }
 
-/// Reads a request's body within the limits of the settings.
-///
-/// # Errors
-///
-/// Returns a refusal for a body that is too large, too slow or truncated.
-pub async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Failure> {
-    let limits = &node.settings.limits;
-    let too_large = || Failure::not_run(StatusCode::PayloadTooLarge, "the body is too large");
-    if request.len().is_some_and(|len| len > limits.body) {
-        return Err(too_large());
-    }
-    let mut content = request.take_body();
-    let timeout = async {
-        smol::Timer::after(limits.read).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    match body::read(&mut content, limits.body).or(timeout).await {
-        Ok(bytes) => Ok(bytes),
-        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Err(Failure::not_run(
-            StatusCode::RequestTimeout,
-            "the body came too slowly",
-        )),
-        Err(error) if error.kind() == std::io::ErrorKind::Other => Err(too_large()),
-        Err(_) => Err(Failure::not_run(
-            StatusCode::BadRequest,
-            "the body was cut off",
-        )),
-    }
-}
-
 /// Returns the maximum wait of a class's requests for a grant.
 pub fn max_wait(node: &Node, class: Class) -> Duration {
     let waiting = &node.settings.waiting;
--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -92,6 +92,8 @@
     pub retry_budgets: RefCell<BTreeMap<Organisation, Budget>>,
     /// The number of requests in flight by organisation.
     pub in_flight: RefCell<BTreeMap<Organisation, usize>>,
+    /// The bytes of the request bodies that are held.
+    pub body_bytes: Cell<usize>,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
     /// The number of the next ticket.
--- a/crates/endivespur_node/src/plain.rs
+++ b/crates/endivespur_node/src/plain.rs
@@ -10,6 +10,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::answer::{Failure, Outcome};
+use crate::bodies::{self, Body};
 use crate::clock;
 use crate::dispatch::{self, AttemptError, Job, Permit};
 use crate::entry::{self, Caller};
@@ -53,7 +54,7 @@
         let message = "a call that may not be repeated needs an Idempotency-Key";
         return Err(Failure::not_run(StatusCode::BadRequest, message));
     }
-    let bytes = entry::read_body(node, &mut request).await?;
+    let bytes = bodies::read(node, &mut request).await?;
     let media = request
         .header("content-type")
         .map(|value| value.as_str().to_string());
@@ -103,7 +104,7 @@
 fn request_builder(
     method: Method,
     path: String,
-    bytes: Vec<u8>,
+    bytes: Body,
     media: Option<String>,
     key: Option<String>,
     organisation: String,
@@ -112,7 +113,7 @@
         let mut request = client::request(method, &permit.address, &path)
             .map_err(|error| Failure::not_run(StatusCode::BadGateway, &error.to_string()))?;
         if !bytes.is_empty() {
-            request.set_body(bytes.clone());
+            request.set_body(bytes.to_vec());
         }
         if let Some(media) = &media {
             request.insert_header("content-type", media.as_str());
--- a/crates/endivespur_node/src/settings/mod.rs
+++ b/crates/endivespur_node/src/settings/mod.rs
@@ -212,6 +212,9 @@
     /// The maximum size of a request body.
     #[serde_as(as = "Size")]
     pub body: usize,
+    /// The maximum size of all request bodies together that are received or kept until their requests have ended.
+    #[serde_as(as = "Size")]
+    pub bodies: usize,
     /// The maximum wait for a request's head.
     #[serde_as(as = "Span")]
     pub head: Duration,
@@ -229,6 +232,8 @@
             connections: 4000,
             organisation: 500,
             body: 1 << 20,
+            // With all connections in use, 32 KB for each; ordinary bodies are smaller.
+            bodies: 128 << 20,
             head: Duration::from_secs(10),
             read: Duration::from_secs(10),
             write: Duration::from_secs(20),
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -177,6 +177,7 @@
         gone: RefCell::new(BTreeSet::new()),
         retry_budgets: RefCell::new(BTreeMap::new()),
         in_flight: RefCell::new(BTreeMap::new()),
+        body_bytes: Cell::new(0),
         stopping: Cell::new(false),
         next_ticket: Cell::new(1),
         metrics,
