--- a/crates/endivespur_node/src/node.rs
+++ b/crates/endivespur_node/src/node.rs
@@ -98,6 +98,8 @@
     pub unauthorized: RefCell<Throttle>,
     /// The quotas of organisations.
     pub quotas: Quotas,
+    /// The bytes of the request bodies that are held.
+    pub body_bytes: Cell<usize>,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
     /// The number of the next ticket.
--- a/crates/endivespur_node/src/start.rs
+++ b/crates/endivespur_node/src/start.rs
@@ -184,6 +184,7 @@
         in_flight: RefCell::new(BTreeMap::new()),
         unauthorized: RefCell::new(Throttle::new(MAX_UNAUTHORIZED_LINES)),
         quotas: Quotas::new(clock::now(), &settings.vm),
+        body_bytes: Cell::new(0),
         stopping: Cell::new(false),
         next_ticket: Cell::new(1),
         metrics,
