Share busy engines among teams

One team at seven times its usual traffic, or whose callers repeat refused requests at once, got what its share of the requests was, and the other teams waited as long. Ask.team was in the schema, but neither written nor read.

Gateways now name the team, and the owner of an engine keeps the recent prefill work of each team. The delay of a team that has used more than its share counts up to eight times while other prompts are pending. Adapters that only such teams wait for are loaded last. Engine::remove_waiter takes the request, since waiting requests are counted by team; its tests pass the same request as before.

--- a/crates/endivespur_core/benches/placement.rs
+++ b/crates/endivespur_core/benches/placement.rs
@@ -91,6 +91,7 @@
         output_tokens: 300,
         end_in: max_pause.map(|_| Duration::from_secs(15)),
         is_last: false,
+        team: String::new(),
     }
 }
 
--- a/crates/endivespur_core/src/gateway/placement/estimate.rs
+++ b/crates/endivespur_core/src/gateway/placement/estimate.rs
@@ -102,6 +102,12 @@
 
     /// Returns the estimated time until the engine starts the prefill of a prompt for `weights`.
     pub fn delay(&self, now: Time, weights: &Weights) -> Duration {
+        self.delay_for(now, weights, "")
+    }
+
+    /// Returns [`Engine::delay`] of a request of a team; empty if there is none. A team within its share does not wait
+    /// for adapters that only teams beyond theirs wait for.
+    pub(super) fn delay_for(&self, now: Time, weights: &Weights, team: &str) -> Duration {
         let backlog = self.backlog(now).max(self.base_delay(now, &weights.base));
         if self.is_ready(weights) || weights.adapter.is_empty() {
             return backlog;
@@ -123,10 +129,12 @@
             Some(_) => return backlog.max(self.slot_wait + fetch),
             None => {}
         }
+        let is_first = !team.is_empty() && !self.is_beyond_share(team);
         let ahead = self
             .demands
-            .keys()
-            .filter(|other| *other != weights && !self.adapters.contains_key(other))
+            .iter()
+            .filter(|(other, _)| *other != weights && !self.adapters.contains_key(other))
+            .filter(|(_, demand)| !is_first || self.waiting_within_share(demand) > 0)
             .count();
         let idle = self
             .adapters
@@ -159,8 +167,12 @@
             1 => ONE_FREE_SLOT_DELAY,
             _ => Duration::ZERO,
         };
+        slots + clock::scale(BUSY_PREFILL_DELAY, self.prefill_share(now).min(2.0))
+    }
+
+    /// Returns the recent prefill work as a share of the time, at the engine's usual speed.
+    pub(super) fn prefill_share(&self, now: Time) -> f64 {
         let window = PREFILL_WORK_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        let share = self.prefill_work.at(now, PREFILL_WORK_HALF_LIFE) / window;
-        slots + clock::scale(BUSY_PREFILL_DELAY, share.min(2.0))
+        self.prefill_work.at(now, PREFILL_WORK_HALF_LIFE) / window
     }
 }
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -11,6 +11,7 @@
 //! if it counts the order that loaded the adapter.
 
 mod estimate;
+mod fairness;
 mod order;
 mod pause;
 
@@ -23,8 +24,9 @@
 use crate::gateway::pace::{Figures, Pace, Slowness};
 use crate::gateway::prefix::{Cache, Part};
 use crate::gateway::table::EngineClass;
-use crate::id::{Grant, Version};
+use crate::id::{Grant, Team, Version};
 
+use fairness::Fairness;
 pub use pause::Forecast;
 use pause::{Output, Stream};
 
@@ -146,6 +148,8 @@
     pub end_in: Option<Duration>,
     /// Whether no other engine will be asked, so that the pauses that it causes no longer matter.
     pub is_last: bool,
+    /// The team of its caller; empty if there is none.
+    pub team: Team,
 }
 
 /// The answer to a request for a grant.
@@ -157,6 +161,8 @@
     Wait,
     /// Another engine should be tried first; carries the estimated delay at this one.
     Busy(Duration),
+    /// As [`Decision::Busy`], for a request that a team within its share would have been granted, or could wait with.
+    Deferred(Duration),
 }
 
 /// The state of an adapter on the engine.
@@ -218,10 +224,12 @@
 }
 
 /// The requests that wait for an adapter.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Demand {
     since: Time,
     waiting: usize,
+    /// The number of those that have a team, for each team.
+    teams: BTreeMap<Team, usize>,
     /// The latest time at which a waiting request can still meet its objective.
     due: Time,
 }
@@ -276,6 +284,8 @@
     busy_since: Option<Time>,
     /// The prefill work sent to the engine, in seconds.
     prefill_work: Counter,
+    /// The recent use of the engine by teams.
+    fairness: Fairness,
     /// The output that responses had, by their durations, for each power of two of the output that callers accept.
     outputs: BTreeMap<u32, Output>,
     /// The usual pace of the engine, as observed.
@@ -324,6 +334,7 @@
             pending_prefills: BTreeMap::new(),
             busy_since: None,
             prefill_work: Counter::default(),
+            fairness: Fairness::default(),
             outputs: BTreeMap::new(),
             pace: Pace::new(now, None),
             slowness: Slowness::default(),
@@ -409,7 +420,9 @@
         }
         let tokens = self.uncached_tokens(request);
         let prefill = self.pace(now).prefill_time(tokens);
-        let delay = self.delay(now, &request.weights) + self.prefill_excess(now, prefill);
+        let deferral = self.deferral(now, request);
+        let delay = self.delay_for(now, &request.weights, &request.team)
+            + self.prefill_excess(now, prefill);
         let max_delay = match request.max_delay {
             Some(max) if self.is_overloaded(now) && !request.due_in.is_zero() => {
                 Some(max.min(request.due_in))
@@ -436,13 +449,24 @@
                 && request.only_resident
                 && !self.can_end(now, request, delay + prefill, 1.0));
         let is_ready = self.is_ready(&request.weights);
-        if is_busy || (request.only_resident && !is_ready) {
+        let is_deferred = fairness::is_deferred(request, max_delay, delay + harm, deferral);
+        if is_busy || is_deferred || (request.only_resident && !is_ready) {
             let fetch = if is_uneven {
                 self.fetch_penalty(request)
             } else {
                 Duration::ZERO
             };
-            return Decision::Busy(delay + harm + fetch + self.load_penalty(now));
+            let total = delay + harm + fetch + self.load_penalty(now);
+            // Engines are compared by the delay with the deferral. After the last question, only the delay counts.
+            let total = if request.is_last {
+                total
+            } else {
+                total + deferral
+            };
+            if is_busy || !is_deferred {
+                return Decision::Busy(total);
+            }
+            return Decision::Deferred(total);
         }
         if is_ready {
             return Decision::Granted(self.grant(now, request, tokens, forecast));
@@ -468,18 +492,28 @@
             .or_insert(Demand {
                 since: now,
                 waiting: 0,
+                teams: BTreeMap::new(),
                 due: now,
             });
         demand.waiting += 1;
+        if !request.team.is_empty() {
+            *demand.teams.entry(request.team.clone()).or_default() += 1;
+        }
         demand.due = demand.due.max(now + request.due_in);
     }
 
     /// Removes a request that waited for an adapter.
-    pub fn remove_waiter(&mut self, weights: &Weights) {
-        if let Some(demand) = self.demands.get_mut(weights) {
-            demand.waiting -= 1;
-            if demand.waiting == 0 {
-                self.demands.remove(weights);
+    pub fn remove_waiter(&mut self, request: &Request) {
+        let Some(demand) = self.demands.get_mut(&request.weights) else {
+            return;
+        };
+        demand.waiting -= 1;
+        if demand.waiting == 0 {
+            self.demands.remove(&request.weights);
+        } else if let Some(waiting) = demand.teams.get_mut(&request.team) {
+            *waiting -= 1;
+            if *waiting == 0 {
+                demand.teams.remove(&request.team);
             }
         }
     }
@@ -498,9 +532,15 @@
         self.record_pauses(now, grant, request, forecast);
         let work = prefill.cost.as_secs_f64();
         self.prefill_work.add(now, PREFILL_WORK_HALF_LIFE, work);
+        if !request.team.is_empty() {
+            self.fairness.record_work(now, &request.team, prefill.cost);
+        }
+        let popularity = self.popularity_weight(request);
         if let Some(adapter) = self.adapters.get_mut(&request.weights) {
             adapter.users.insert(grant, now + GRANT_TIMEOUT);
-            adapter.popularity.add(now, POPULARITY_HALF_LIFE, 1.0);
+            adapter
+                .popularity
+                .add(now, POPULARITY_HALF_LIFE, popularity);
         }
         grant
     }
--- a/crates/endivespur_core/src/gateway/placement/order.rs
+++ b/crates/endivespur_core/src/gateway/placement/order.rs
@@ -134,7 +134,8 @@
     /// no slot is free.
     ///
     /// Adapters whose requests can still meet their objective come before late ones, then those
-    /// with the most waiting requests, then those that have been in demand for longest.
+    /// with the most waiting requests of teams within their share, then those with the most requests,
+    /// then those that have been in demand for longest.
     pub(super) fn load_demanded(&mut self, now: Time) -> Option<Order> {
         if self.loading_count() >= MAX_LOADING {
             return None;
@@ -149,7 +150,9 @@
             .filter(|(weights, _)| may_fetch || self.cached_adapters.contains_key(weights))
             .min_by_key(|(_, demand)| {
                 let is_late = demand.due < now;
-                (is_late, std::cmp::Reverse(demand.waiting), demand.since)
+                let within_share = std::cmp::Reverse(self.waiting_within_share(demand));
+                let waiting = std::cmp::Reverse(demand.waiting);
+                (is_late, within_share, waiting, demand.since)
             })
             .map(|(weights, _)| weights.clone())?;
         if self.adapters.len() < self.slots {
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -90,6 +90,7 @@
         output_tokens: 0,
         end_in: None,
         is_last: false,
+        team: String::new(),
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -123,7 +123,7 @@
     engine.add_waiter(ms(0), &request("a"));
     answer(&mut engine, ms(0), Answer::NoResponse);
     answer(&mut engine, ms(250), Answer::NoResponse);
-    engine.remove_waiter(&weights("a"));
+    engine.remove_waiter(&request("a"));
     engine.reconcile(ms(600), &report(&[("x", 1)], 0));
     engine.add_waiter(ms(600), &request("b"));
     answer(&mut engine, ms(600), Answer::NoResponse);
@@ -197,7 +197,7 @@
     answer(&mut engine, ms(5), Answer::AlreadyApplied);
     answer(&mut engine, ms(10), Answer::Accepted);
     answer(&mut engine, ms(270), Answer::AlreadyApplied);
-    engine.remove_waiter(&weights("c"));
+    engine.remove_waiter(&request("c"));
     assert_eq!(engine.step(ms(310)), Step::Report);
     engine.reconcile(ms(310), &report(&[("a", 1), ("b", 1)], 1));
     grant(&mut engine, ms(311), "c");
@@ -212,7 +212,7 @@
     answer(&mut engine, ms(5), Answer::AlreadyApplied);
     answer(&mut engine, ms(10), Answer::Accepted);
     answer(&mut engine, ms(40), Answer::AlreadyApplied);
-    engine.remove_waiter(&weights("c"));
+    engine.remove_waiter(&request("c"));
     engine.add_waiter(ms(50), &request("d"));
     let unload = answer(&mut engine, ms(50), Answer::Accepted);
     assert_eq!(
@@ -359,7 +359,7 @@
 fn remove_waiter_last() {
     let mut engine = engine(8, &[]);
     engine.add_waiter(ms(0), &request("a"));
-    engine.remove_waiter(&weights("a"));
+    engine.remove_waiter(&request("a"));
     assert_eq!(engine.step(ms(1)), Step::Sleep(None));
 }
 
--- a/crates/endivespur_core/tests/histories/placement.rs
+++ b/crates/endivespur_core/tests/histories/placement.rs
@@ -272,6 +272,7 @@
         output_tokens: 0,
         end_in: None,
         is_last: false,
+        team: String::new(),
     }
 }
 
@@ -312,7 +313,7 @@
                     self.owner.release(&weights(adapter), grant);
                 } else if index - self.granted.len() < self.waiting.len() {
                     let adapter = self.waiting.remove(index - self.granted.len());
-                    self.owner.remove_waiter(&weights(adapter));
+                    self.owner.remove_waiter(&request(adapter));
                 }
             }
             Event::End(index) => {
@@ -423,7 +424,7 @@
                 continue;
             };
             self.waiting.remove(index);
-            self.owner.remove_waiter(&weights(adapter));
+            self.owner.remove_waiter(&request(adapter));
             if !self.truth.resident.contains(&adapter) {
                 self.owner.mark_missing(self.now, &weights(adapter));
                 self.owner.release(&weights(adapter), grant);
--- a/crates/endivespur_core/tests/load/fleet.rs
+++ b/crates/endivespur_core/tests/load/fleet.rs
@@ -22,6 +22,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// The duration of a fetch from the weight store.
 const FETCH_TIME: Duration = Duration::from_millis(250);
+/// The pause before a caller repeats a refused request.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause between two events that meets the objective.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
@@ -36,6 +38,8 @@
     pub paces: (f64, f64),
     /// Whether engines are slow for moments.
     pub has_moments: bool,
+    /// Whether gateways pass on the teams of callers.
+    pub has_teams: bool,
 }
 
 /// What gateways tell owners.
@@ -68,10 +72,23 @@
     pub busiest: usize,
     /// The requests for grants.
     pub asks: usize,
+    /// The requests and the complete responses of each team, by the size of the prompt.
+    pub teams: BTreeMap<(&'static str, u64), Tally>,
     /// The engines whose pace the owner misjudges by more than 40 % in the end.
     pub misjudged: usize,
 }
 
+/// The requests of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Those that arrived, each counted once.
+    pub arrived: usize,
+    /// Those with a complete response.
+    pub served: usize,
+    /// Those with a complete response that met both objectives.
+    pub in_time: usize,
+}
+
 /// An engine, its owner's view of it, and its registration.
 struct Place {
     owner: Engine,
@@ -108,6 +125,9 @@
             outcome.late += usize::from(run.is_late);
             outcome.paused += usize::from(!run.is_late && is_paused);
             outcome.in_time += usize::from(!run.is_late && !is_paused);
+            let tally = outcome.teams.entry((run.team, run.tokens)).or_default();
+            tally.served += 1;
+            tally.in_time += usize::from(!run.is_late && !is_paused);
         }
     }
 
@@ -156,6 +176,8 @@
             deadline: at + class.deadline,
             prompt_left: u64::from(shared_tokens + class.own_tokens),
             output_left: class.output_tokens,
+            team: class.team,
+            tokens: u64::from(class.shared_tokens + class.own_tokens),
             is_late: false,
             pending_tokens: 0,
             last_event: None,
@@ -179,17 +201,20 @@
     let mut outcome = Outcome::default();
     let mut waiters: Vec<Waiter> = Vec::new();
     let mut tick = Duration::ZERO;
-    for (number, (at, class)) in arrivals(&mut random, classes).into_iter().enumerate() {
-        while tick < at {
-            tick += TICK;
-            for place in &mut places {
-                while place.now < tick.min(at) {
-                    place.step(policy, &mut outcome);
-                }
-                place.orders(tick, &mut outcome);
-            }
-            retry(&mut places, &mut waiters, tick, &mut outcome);
-        }
+    let arrivals = arrivals(&mut random, classes).into_iter();
+    let mut arrivals: BTreeMap<(Duration, usize), (&Class, u32)> = arrivals
+        .enumerate()
+        .map(|(number, (at, class))| ((at, number), (class, 0)))
+        .collect();
+    while let Some(((at, number), (class, attempt))) = arrivals.pop_first() {
+        advance(
+            &mut places,
+            &mut waiters,
+            &mut tick,
+            at,
+            policy,
+            &mut outcome,
+        );
         // An adapter is named in inverse proportion to its number.
         let adapter = (fleet.adapters as f64).powf(random.random::<f64>()) as usize;
         let request = Request {
@@ -203,7 +228,16 @@
             output_tokens: class.output_tokens as u32,
             end_in: policy.tells_end.then_some(class.deadline),
             is_last: false,
+            team: if fleet.has_teams {
+                class.team.to_string()
+            } else {
+                String::new()
+            },
         };
+        let size = u64::from(request.tokens);
+        if attempt == 0 {
+            outcome.teams.entry((class.team, size)).or_default().arrived += 1;
+        }
         let chosen = search(&mut places, at, &request, class, &mut outcome);
         match chosen {
             Some((place, Some(grant))) => places[place].add(at, grant, &request.weights, class),
@@ -218,15 +252,52 @@
                     class,
                 });
             }
+            None if attempt < class.retries => {
+                arrivals.insert((at + RETRY_PAUSE, number), (class, attempt + 1));
+            }
             None => outcome.refused += 1,
         }
     }
+    // The shares of teams count what is complete when the last callers have left.
+    if classes.iter().any(|class| !class.team.is_empty()) {
+        let longest = classes.iter().map(|class| class.deadline).max();
+        let end = LENGTH + longest.unwrap_or_default() + TICK;
+        advance(
+            &mut places,
+            &mut waiters,
+            &mut tick,
+            end,
+            policy,
+            &mut outcome,
+        );
+    }
     let misjudged = places.iter().filter(|place| place.is_misjudged(LENGTH));
     outcome.misjudged = misjudged.count();
     outcome.busiest = places.iter().map(|place| place.granted).max().unwrap();
     outcome
 }
 
+/// Lets time pass until `at`.
+fn advance(
+    places: &mut [Place],
+    waiters: &mut Vec<Waiter>,
+    tick: &mut Duration,
+    at: Duration,
+    policy: Policy,
+    outcome: &mut Outcome,
+) {
+    while *tick < at {
+        *tick += TICK;
+        for place in &mut *places {
+            while place.now < (*tick).min(at) {
+                place.step(policy, outcome);
+            }
+            place.orders(*tick, outcome);
+        }
+        retry(places, waiters, *tick, outcome);
+    }
+}
+
 /// Asks again for the requests that wait for adapters.
 fn retry(places: &mut [Place], waiters: &mut Vec<Waiter>, now: Duration, outcome: &mut Outcome) {
     waiters.retain(|waiter| {
@@ -239,7 +310,7 @@
         outcome.refused += usize::from(is_late && !matches!(decision, Decision::Granted(_)));
         let is_done = is_late || matches!(decision, Decision::Granted(_));
         if is_done {
-            place.owner.remove_waiter(weights);
+            place.owner.remove_waiter(&waiter.request);
         }
         !is_done
     });
@@ -270,10 +341,10 @@
             match places[ranked[position]].owner.request(now, &request) {
                 Decision::Granted(grant) => return Some((ranked[position], Some(grant))),
                 Decision::Wait => return Some((ranked[position], None)),
-                Decision::Busy(delay) if pass.group != Group::Busy => {
+                Decision::Busy(delay) | Decision::Deferred(delay) if pass.group != Group::Busy => {
                     busy.insert(position, delay);
                 }
-                Decision::Busy(_) => {}
+                Decision::Busy(_) | Decision::Deferred(_) => {}
             }
         }
     }
--- a/crates/endivespur_core/tests/load/main.rs
+++ b/crates/endivespur_core/tests/load/main.rs
@@ -6,3 +6,4 @@
 mod pace;
 mod plain;
 mod popular;
+mod teams;
--- a/crates/endivespur_core/tests/load/model.rs
+++ b/crates/endivespur_core/tests/load/model.rs
@@ -21,8 +21,10 @@
 pub struct Class {
     /// The requests that arrive in a second.
     pub rate: f64,
-    /// How long five times as many arrive, from the fifth second on.
+    /// How long more arrive, from the fifth second on.
     pub burst: Duration,
+    /// How many times as many arrive then.
+    pub burst_factor: f64,
     /// The prompt tokens that all its requests share.
     pub shared_tokens: u32,
     /// The other prompt tokens of a request.
@@ -33,6 +35,10 @@
     pub objective: Duration,
     /// The time after which the caller leaves.
     pub deadline: Duration,
+    /// The team of the callers; empty if they have none.
+    pub team: &'static str,
+    /// How often a caller repeats a request that is refused, at once.
+    pub retries: u32,
 }
 
 impl Class {
@@ -69,6 +75,10 @@
     pub prompt_left: u64,
     /// The tokens of the response that it has not written yet.
     pub output_left: u64,
+    /// The team of its caller.
+    pub team: &'static str,
+    /// The tokens of its prompt.
+    pub tokens: u64,
     /// Whether its first token was late.
     pub is_late: bool,
     /// The tokens that it has written since its last event.
--- a/crates/endivespur_core/tests/load/pace.rs
+++ b/crates/endivespur_core/tests/load/pace.rs
@@ -12,6 +12,7 @@
     adapters: 60,
     paces: (0.55, 1.2),
     has_moments: true,
+    has_teams: false,
 };
 
 /// Returns the sum of the outcomes of all seeds.
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -19,7 +19,7 @@
 pub const MAX_GIVEN_UP_SHARE: f64 = 0.015;
 /// The time of a burst, in seconds.
 const BURST_START: f64 = 5.0;
-/// How many times as many requests arrive in a burst.
+/// How many times as many requests usually arrive in a burst.
 const BURST_FACTOR: f64 = 5.0;
 /// The number of seeds.
 pub const SEEDS: u64 = 3;
@@ -75,6 +75,8 @@
             deadline: at + class.deadline,
             prompt_left: u64::from(shared_tokens + class.own_tokens),
             output_left: class.output_tokens,
+            team: class.team,
+            tokens: u64::from(class.shared_tokens + class.own_tokens),
             is_late: false,
             pending_tokens: 0,
             last_event: None,
@@ -132,6 +134,7 @@
             output_tokens: 0,
             end_in: None,
             is_last: false,
+            team: String::new(),
         };
         let passes = (policy.passes)(class.objective, class.deadline);
         match search(&mut places, at, &request, &passes) {
@@ -160,7 +163,7 @@
                 Decision::Busy(delay) if pass.group != Group::Busy => {
                     busy.insert(place, delay);
                 }
-                Decision::Busy(_) | Decision::Wait => {}
+                Decision::Busy(_) | Decision::Deferred(_) | Decision::Wait => {}
             }
         }
     }
@@ -174,7 +177,7 @@
         while at < LENGTH.as_secs_f64() {
             let burst = BURST_START..BURST_START + class.burst.as_secs_f64();
             let factor = if burst.contains(&at) {
-                BURST_FACTOR
+                class.burst_factor
             } else {
                 1.0
             };
@@ -213,20 +216,26 @@
     let drafts = Class {
         rate,
         burst: Duration::ZERO,
+        burst_factor: BURST_FACTOR,
         shared_tokens: 6_300,
         own_tokens: 2_890,
         output_tokens: 52,
         objective: Duration::from_millis(800),
         deadline: Duration::from_secs(5),
+        team: "",
+        retries: 0,
     };
     let suggestions = Class {
         rate,
         burst: Duration::ZERO,
+        burst_factor: BURST_FACTOR,
         shared_tokens: 198,
         own_tokens: 628,
         output_tokens: 292,
         objective: Duration::from_millis(600),
         deadline: Duration::from_secs(15),
+        team: "",
+        retries: 0,
     };
     [drafts, suggestions]
 }
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -283,6 +283,7 @@
         let refusals: Vec<String> = refusals.collect();
         info!(
             event = "not-acquired", request = self.call.fields.attempt_id.as_str(),
+            team = self.call.team.as_deref().unwrap_or_default(),
             adapter = self.weights.to_string(), reason, answers = refusals.join(", ");
             "no engine can run it in time"
         );
@@ -325,6 +326,7 @@
             output_tokens: fields.max_output_tokens,
             end_in: (!self.has_begun).then(|| self.call.time_left()),
             is_last: pass.max_delay >= wait,
+            team: self.call.team.clone().unwrap_or_default(),
         };
         let state = self.state;
         let record = |refusal: Refusal| {
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -45,6 +45,7 @@
     to.set_max_pause_ms(millis(request.max_pause.unwrap_or_default()));
     to.set_output_tokens(u64::from(request.output_tokens));
     to.set_end_ms(millis(request.end_in.unwrap_or_default()));
+    to.set_team(&request.team);
     let mut parts = to.init_parts(request.parts.len() as u32);
     for (index, part) in request.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(index as u32);
@@ -83,6 +84,7 @@
         output_tokens: read_tokens(from.get_output_tokens()),
         end_in: read_time(from.get_end_ms()),
         is_last: !from.get_bounded() || max_delay >= wait,
+        team: from.get_team()?.to_string()?,
     };
     Ok((from.get_endpoint()?.to_string()?, request, wait))
 }
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -175,6 +175,10 @@
                 Decision::Busy(delay) if waiter.is_none() || now + delay > deadline => {
                     return Reply::Busy(delay);
                 }
+                Decision::Deferred(delay) if waiter.is_none() || now + delay > deadline => {
+                    telemetry::fairness_decided("deferred");
+                    return Reply::Busy(delay);
+                }
                 // No adapter can be loaded there.
                 Decision::Wait if owned.is_unreachable.get() => {
                     return Reply::Busy(UNREACHABLE_DELAY);
@@ -182,7 +186,7 @@
                 Decision::Wait if now < owned.resting_until.get() => {
                     return Reply::Busy(owned.resting_until.get().saturating_sub(now));
                 }
-                Decision::Busy(_) | Decision::Wait => {}
+                Decision::Busy(_) | Decision::Deferred(_) | Decision::Wait => {}
             }
             if now >= deadline {
                 return Reply::Late;
@@ -209,7 +213,7 @@
 /// Registers a request as waiting for an adapter until dropped.
 struct Waiter {
     owned: Rc<OwnedEngine>,
-    weights: Weights,
+    request: Request,
 }
 
 impl Waiter {
@@ -218,13 +222,13 @@
         owned.target_changed.notify(usize::MAX);
         Self {
             owned: owned.clone(),
-            weights: request.weights.clone(),
+            request: request.clone(),
         }
     }
 }
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        self.owned.engine.borrow_mut().remove_waiter(&self.weights);
+        self.owned.engine.borrow_mut().remove_waiter(&self.request);
     }
 }
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -88,6 +88,12 @@
     counter!("endivespur_gateway_quota_loans_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts an answer to a request of a team beyond its share of an engine: `deferred`, if another team's request would not
+/// have been sent elsewhere.
+pub fn fairness_decided(outcome: &'static str) {
+    counter!("endivespur_gateway_fairness_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request for the store's changes to a source, the store or another gateway.
 pub fn source_asked(outcome: &'static str) {
     counter!("endivespur_gateway_sources_total", "outcome" => outcome).increment(1);
