--- a/crates/endivespur_core/benches/placement.rs
+++ b/crates/endivespur_core/benches/placement.rs
@@ -11,6 +11,8 @@
 
 const BASE: &str = "base";
 const ROUNDS: u32 = 2_000;
+/// The teams that share it.
+const TEAMS: u64 = 16;
 /// The streams that run on the engine that is asked.
 const STREAMS: u64 = 16;
 
@@ -25,10 +27,33 @@
         let mut owner = busy_owner();
         let plain = measure_request(&mut owner, None);
         let paused = measure_request(&mut owner, Some(Duration::from_millis(400)));
-        println!("{count} engines: rank {rank:?}, request {plain:?}, with pauses {paused:?}");
+        let team = measure_teams(&mut owner);
+        println!(
+            "{count} engines: rank {rank:?}, request {plain:?}, with pauses {paused:?}, of {TEAMS} teams {team:?}"
+        );
     }
 }
 
+/// Returns the mean duration of a request for a grant of one of many teams, which is released again.
+fn measure_teams(owner: &mut Engine) -> Duration {
+    let now = Duration::from_secs(1);
+    let of_team = |number| Request {
+        team: format!("team-{number}"),
+        ..request(STREAMS, Some(Duration::from_millis(400)))
+    };
+    let requests: Vec<Request> = (0..TEAMS).map(of_team).collect();
+    let mut requests = requests.iter().cycle();
+    measure(|| {
+        let Some(request) = requests.next() else {
+            return;
+        };
+        if let Decision::Granted(grant) = owner.request(now, request) {
+            owner.response_started(now, grant);
+            owner.release(&request.weights, grant);
+        }
+    })
+}
+
 /// Returns the mean duration of a request for a grant, which is released again.
 fn measure_request(owner: &mut Engine, max_pause: Option<Duration>) -> Duration {
     let now = Duration::from_secs(1);
