Compare a team's use with the mean of the others, and defer loads

Adapters that teams within their share wait for are now loaded first also if the other team asks for another adapter there.

--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -14,6 +14,8 @@
 pub const MAX_HOMES: usize = 4;
 /// The number of further engines that are tried before a request is refused.
 pub const MAX_SPARES: usize = 4;
+/// The number of engines that are asked for a request of a team when those above have refused it.
+pub const MAX_FURTHER: usize = 8;
 
 /// The share of the objective that a request may wait behind other prompts before another engine that also holds its
 /// adapter is preferred.
@@ -86,6 +88,28 @@
     ]
 }
 
+/// Returns the pass over the engines of [`further_engines`]: the adapter is fetched only where that takes little time.
+pub fn further_pass(objective: Duration, max_wait: Duration) -> Pass {
+    let [_, _, spares, _] = passes(objective, max_wait);
+    spares
+}
+
+/// Returns further engines to try for a request of a team that all engines of [`rank_engines`], which are `asked`, have
+/// refused: they may have deferred it, while others are idle.
+pub fn further_engines<'a>(
+    weights: &Weights,
+    asked: &[Endpoint],
+    mut engines: Vec<&'a Instance>,
+) -> Vec<&'a Instance> {
+    engines.retain(|engine| !asked.contains(&engine.id));
+    hash::rank(
+        &weights.to_string(),
+        engines,
+        |engine| &engine.id,
+        MAX_FURTHER,
+    )
+}
+
 /// Returns the time left to send a prompt, of a request with `objective_left` that may wait for `max_wait`.
 ///
 /// A stream that has begun has met its objective, and is lost if it is refused: only its deadline counts.
--- a/crates/endivespur_core/src/gateway/placement/fairness.rs
+++ b/crates/endivespur_core/src/gateway/placement/fairness.rs
@@ -18,9 +18,11 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum number of teams that are remembered for one engine.
 const MAX_TEAMS: usize = 64;
-/// How many times the mean use a team may have before its requests are deferred: the use of equal teams differs by
-/// chance.
-const TOLERANCE: f64 = 1.5;
+/// How many times the mean use of the others a team may have before its requests are deferred: usual teams differ in
+/// size, and the use of equal ones by chance.
+const TOLERANCE: f64 = 3.0;
+/// The power with which a larger use counts, so that a team at several times the tolerance is kept well below it.
+const STEEPNESS: f64 = 1.5;
 /// The largest factor by which the delay of a team beyond its share counts more.
 const MAX_PRESSURE: f64 = 8.0;
 /// The share of an engine's time that prompts may take before a team beyond its share gets only what is idle. An engine
@@ -82,9 +84,10 @@
     /// Returns the factor by which a team's delay counts more than that of a team within its share, which has 1.
     pub(super) fn pressure(&self, team: &str) -> f64 {
         match self.teams.get(team) {
-            Some(known) if self.teams.len() > 1 && self.total > 0.0 => {
-                let share = known.work / self.total * self.teams.len() as f64;
-                (share / TOLERANCE).clamp(1.0, MAX_PRESSURE)
+            Some(known) if self.teams.len() > 1 && known.work > 0.0 => {
+                let others = (self.total - known.work).max(0.0) / (self.teams.len() - 1) as f64;
+                let excess = known.work / others.max(f64::MIN_POSITIVE) / TOLERANCE;
+                excess.max(1.0).powf(STEEPNESS).min(MAX_PRESSURE)
             }
             _ => 1.0,
         }
@@ -131,14 +134,21 @@
 }
 
 impl Engine {
-    /// Returns the delay that is added to a request of a team beyond its share if it would wait for other prompts.
+    /// Returns the delay that is added to a request of a team beyond its share if it would wait for other prompts, or
+    /// others for the load of its adapter.
     pub(super) fn deferral(&mut self, now: Time, request: &Request) -> Duration {
         if request.team.is_empty() {
             return Duration::ZERO;
         }
         self.fairness.record_request(now, &request.team);
         let excess = self.fairness.pressure(&request.team) - 1.0;
-        if self.pending_prefills.is_empty() || excess <= 0.0 {
+        if excess <= 0.0 {
+            return Duration::ZERO;
+        }
+        if self.competes_for_load(request) {
+            return clock::scale(request.due_in, excess.min(1.0));
+        }
+        if self.pending_prefills.is_empty() {
             return Duration::ZERO;
         }
         let deferral = clock::scale(self.backlog(now), excess);
@@ -148,6 +158,15 @@
         deferral + clock::scale(request.due_in, excess.min(1.0))
     }
 
+    /// Returns whether an adapter must be loaded for a request while teams within their share wait for others.
+    fn competes_for_load(&self, request: &Request) -> bool {
+        let mut others = self.demands.iter();
+        !self.is_ready(&request.weights)
+            && others.any(|(weights, demand)| {
+                *weights != request.weights && self.waiting_within_share(demand) > 0
+            })
+    }
+
     /// Returns whether a team has used more of the engine than its share; never without a team.
     pub(super) fn is_beyond_share(&self, team: &str) -> bool {
         !team.is_empty() && self.fairness.pressure(team) > 1.0
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -762,3 +762,65 @@
         engine.response_started(now + ms(20), grant);
     }
 }
+
+/// Returns a request of a team.
+fn of_team(team: &str, adapter: &str, tokens: u32, max_delay: u64) -> Request {
+    let mut request = request(adapter);
+    (request.tokens, request.max_delay) = (tokens, Some(ms(max_delay)));
+    (request.due_in, request.team) = (ms(560), team.to_string());
+    request
+}
+
+/// A team that had used far more than others was granted as much delay as they; or it is deferred at an idle engine, or
+/// while it is alone, or a request without a team is.
+#[test]
+fn request_of_team_beyond_its_share() {
+    let mut engine = engine(2, &["a"]);
+    let long = |team| of_team(team, "a", 6_000, 500);
+    let Decision::Granted(large) = engine.request(ms(0), &long("large")) else {
+        panic!("an idle engine deferred a request");
+    };
+    assert_matches!(engine.request(ms(0), &long("large")), Decision::Granted(_));
+    assert_matches!(
+        engine.request(ms(0), &of_team("small", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("large", "a", 100, 500)),
+        Decision::Deferred(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("small", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    for started in large..large + 5 {
+        engine.response_started(ms(500), started);
+    }
+    assert_matches!(
+        engine.request(ms(500), &long("large")),
+        Decision::Granted(_)
+    );
+}
+
+/// An adapter that many requests of one team wait for was loaded before those of the other teams.
+#[test]
+fn load_for_team_beyond_its_share() {
+    let mut engine = engine(4, &["a"]);
+    for prompt in [
+        of_team("large", "a", 9_000, 500),
+        of_team("small", "a", 10, 500),
+    ] {
+        assert_matches!(engine.request(ms(0), &prompt), Decision::Granted(_));
+    }
+    for _ in 0..3 {
+        engine.add_waiter(ms(0), &of_team("large", "b", 10, 500));
+    }
+    engine.add_waiter(ms(1), &of_team("small", "c", 10, 500));
+    assert_eq!(order(&mut engine, ms(1)).weights, weights("c"));
+    engine.remove_waiter(&of_team("small", "c", 10, 500));
+    assert_eq!(order(&mut engine, ms(1)).weights, weights("b"));
+}
