--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -162,7 +162,11 @@
             has_begun: software.is_some() || call.fields.last_event_id.is_some(),
             refusals: RefCell::new(BTreeMap::new()),
         };
-        match search.run(&ranked).await {
+        let mut outcome = search.run(&ranked).await;
+        if matches!(outcome, Outcome::Busy) && search.may_be_deferred() {
+            outcome = search.run_further(&engines, &ranked).await;
+        }
+        match outcome {
             // The engine may have started to drain while the request waited.
             Outcome::Permit(permit) if is_serving(state, &permit.instance) => return Ok(*permit),
             Outcome::Permit(_) => continue,
@@ -257,6 +261,32 @@
         Outcome::Busy
     }
 
+    /// Returns whether an owner may have deferred the request in favour of other teams, while time is left to ask others.
+    fn may_be_deferred(&self) -> bool {
+        let refusals = self.refusals.borrow();
+        let mut refusals = refusals.values();
+        let is_busy = |refusal: &Refusal| matches!(refusal, Refusal::Refused(Reply::Busy(_)));
+        self.call.team.is_some() && !self.max_wait().is_zero() && refusals.any(is_busy)
+    }
+
+    /// Requests a grant from engines that are usually not asked, after those that were `asked` have refused.
+    async fn run_further(&self, engines: &[Rc<Instance>], asked: &[Rc<Instance>]) -> Outcome {
+        let asked: Vec<Endpoint> = asked.iter().map(|engine| engine.id.clone()).collect();
+        let pass = choice::further_pass(self.call.route.objective, self.max_wait());
+        let others = engines.iter().map(Rc::as_ref).collect();
+        for chosen in choice::further_engines(self.weights, &asked, others) {
+            let Some(engine) = engines.iter().find(|engine| engine.id == chosen.id) else {
+                continue;
+            };
+            match self.request_grant(engine, pass).await {
+                Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
+                Some(Err(Reply::Late)) => return Outcome::Busy,
+                Some(Err(_)) | None => {}
+            }
+        }
+        Outcome::Busy
+    }
+
     /// Returns what is added to the delay of an engine in another zone.
     fn zone_penalty(&self, engine: &Instance) -> Duration {
         if engine.zone == self.state.settings.zone {
