--- a/crates/endivespur_core/src/gateway/choice.rs
+++ b/crates/endivespur_core/src/gateway/choice.rs
@@ -88,28 +88,12 @@
     ]
 }
 
-/// Returns the pass over the engines of [`further_engines`]: the adapter is fetched only where that takes little time.
+/// Returns the pass over the further engines of [`rank_all`]: the adapter is fetched only where that takes little time.
 pub fn further_pass(objective: Duration, max_wait: Duration) -> Pass {
     let [_, _, spares, _] = passes(objective, max_wait);
     spares
 }
 
-/// Returns further engines to try for a request of a team that all engines of [`rank_engines`], which are `asked`, have
-/// refused: they may have deferred it, while others are idle.
-pub fn further_engines<'a>(
-    weights: &Weights,
-    asked: &[Endpoint],
-    mut engines: Vec<&'a Instance>,
-) -> Vec<&'a Instance> {
-    engines.retain(|engine| !asked.contains(&engine.id));
-    hash::rank(
-        &weights.to_string(),
-        engines,
-        |engine| &engine.id,
-        MAX_FURTHER,
-    )
-}
-
 /// Returns the time left to send a prompt, of a request with `objective_left` that may wait for `max_wait`.
 ///
 /// A stream that has begun has met its objective, and is lost if it is refused: only its deadline counts.
@@ -129,6 +113,17 @@
     zone: &str,
     engines: Vec<&'a Instance>,
 ) -> Vec<&'a Instance> {
+    rank_all(weights, version, zone, engines).0
+}
+
+/// Returns the engines of [`rank_engines`], and further ones to try for a request of a team that they have refused: they may
+/// have deferred it, while others are idle.
+pub fn rank_all<'a>(
+    weights: &Weights,
+    version: Version,
+    zone: &str,
+    engines: Vec<&'a Instance>,
+) -> (Vec<&'a Instance>, Vec<&'a Instance>) {
     let holds = |engine: &Instance| {
         let base = engine.bases.get(&weights.base);
         let held = base.and_then(|base| base.adapters.get(&weights.adapter));
@@ -140,8 +135,9 @@
         ranked.into_iter().partition(|engine| holds(engine));
     first.sort_by_key(|engine| engine.zone != zone);
     let missing = (MAX_HOMES + MAX_SPARES).saturating_sub(first.len());
-    first.extend(others.into_iter().take(missing));
-    first
+    let mut others = others.into_iter();
+    first.extend(others.by_ref().take(missing));
+    (first, others.take(MAX_FURTHER).collect())
 }
 
 /// An endpoint of a plain service, with the figures that rank it.
--- a/crates/endivespur_core/src/gateway/placement/fairness.rs
+++ b/crates/endivespur_core/src/gateway/placement/fairness.rs
@@ -136,11 +136,7 @@
 impl Engine {
     /// Returns the delay that is added to a request of a team beyond its share if it would wait for other prompts, or
     /// others for the load of its adapter.
-    pub(super) fn deferral(&mut self, now: Time, request: &Request) -> Duration {
-        if request.team.is_empty() {
-            return Duration::ZERO;
-        }
-        self.fairness.record_request(now, &request.team);
+    pub(super) fn deferral(&self, now: Time, request: &Request) -> Duration {
         let excess = self.fairness.pressure(&request.team) - 1.0;
         if excess <= 0.0 {
             return Duration::ZERO;
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -420,6 +420,9 @@
         }
         let tokens = self.uncached_tokens(request);
         let prefill = self.pace(now).prefill_time(tokens);
+        if !request.team.is_empty() {
+            self.fairness.record_request(now, &request.team);
+        }
         let deferral = self.deferral(now, request);
         let delay = self.delay_for(now, &request.weights, &request.team)
             + self.prefill_excess(now, prefill);
--- a/crates/endivespur_core/tests/load/fleet.rs
+++ b/crates/endivespur_core/tests/load/fleet.rs
@@ -312,11 +312,11 @@
     outcome: &mut Outcome,
 ) -> Option<(usize, Option<u64>)> {
     let instances: Vec<Instance> = places.iter().map(|place| place.instance.clone()).collect();
-    let ranked = choice::rank_engines(&request.weights, 1, "za", instances.iter().collect());
-    let ranked: Vec<usize> = ranked
-        .iter()
-        .map(|engine| engine.id.parse().unwrap())
-        .collect();
+    let ranked = choice::rank_all(&request.weights, 1, "za", instances.iter().collect());
+    let [ranked, further] = [ranked.0, ranked.1].map(|engines| -> Vec<usize> {
+        let ids = engines.iter().map(|engine| engine.id.parse().unwrap());
+        ids.collect()
+    });
     let mut busy: BTreeMap<usize, Duration> = BTreeMap::new();
     let mut ask = |place: usize, pass: Pass| {
         let mut request = request.clone();
@@ -344,11 +344,9 @@
     if request.team.is_empty() {
         return None;
     }
-    let asked: Vec<String> = ranked.iter().map(ToString::to_string).collect();
-    let others = choice::further_engines(&request.weights, &asked, instances.iter().collect());
     let pass = choice::further_pass(class.objective, class.deadline);
-    let mut others = others.iter().map(|engine| engine.id.parse().unwrap());
-    others.find_map(|place| ask(place, pass).ok())
+    let mut further = further.into_iter();
+    further.find_map(|place| ask(place, pass).ok())
 }
 
 fn places(random: &mut ChaCha8Rng, fleet: Fleet) -> Vec<Place> {
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -150,11 +150,9 @@
         let borrowed = engines.iter().map(Rc::as_ref).collect();
         let version = state.catalog.borrow().version(&weights).unwrap_or_default();
         let zone = &state.settings.zone;
-        let ranked: Vec<Rc<Instance>> = choice::rank_engines(&weights, version, zone, borrowed)
-            .into_iter()
-            .filter_map(|chosen| engines.iter().find(|engine| engine.id == chosen.id))
-            .cloned()
-            .collect();
+        let (ranked, further) = choice::rank_all(&weights, version, zone, borrowed);
+        let find = |chosen: &&Instance| engines.iter().find(|engine| engine.id == chosen.id);
+        let ranked: Vec<Rc<Instance>> = ranked.iter().filter_map(find).cloned().collect();
         let search = Search {
             state,
             call,
@@ -164,7 +162,8 @@
         };
         let mut outcome = search.run(&ranked).await;
         if matches!(outcome, Outcome::Busy) && search.may_be_deferred() {
-            outcome = search.run_further(&engines, &ranked).await;
+            let further: Vec<_> = further.iter().filter_map(find).cloned().collect();
+            outcome = search.run_further(&further).await;
         }
         match outcome {
             // The engine may have started to drain while the request waited.
@@ -269,15 +268,10 @@
         self.call.team.is_some() && !self.max_wait().is_zero() && refusals.any(is_busy)
     }
 
-    /// Requests a grant from engines that are usually not asked, after those that were `asked` have refused.
-    async fn run_further(&self, engines: &[Rc<Instance>], asked: &[Rc<Instance>]) -> Outcome {
-        let asked: Vec<Endpoint> = asked.iter().map(|engine| engine.id.clone()).collect();
+    /// Requests a grant from engines that are usually not asked.
+    async fn run_further(&self, engines: &[Rc<Instance>]) -> Outcome {
         let pass = choice::further_pass(self.call.route.objective, self.max_wait());
-        let others = engines.iter().map(Rc::as_ref).collect();
-        for chosen in choice::further_engines(self.weights, &asked, others) {
-            let Some(engine) = engines.iter().find(|engine| engine.id == chosen.id) else {
-                continue;
-            };
+        for engine in engines {
             match self.request_grant(engine, pass).await {
                 Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
                 Some(Err(Reply::Late)) => return Outcome::Busy,
--- a/crates/endivespur_gateway/src/owned.rs
+++ b/crates/endivespur_gateway/src/owned.rs
@@ -180,10 +180,10 @@
                     return Reply::Busy(delay);
                 }
                 // No adapter can be loaded there.
-                Decision::Wait if owned.is_unreachable.get() => {
+                Decision::Wait | Decision::Deferred(_) if owned.is_unreachable.get() => {
                     return Reply::Busy(UNREACHABLE_DELAY);
                 }
-                Decision::Wait if now < owned.resting_until.get() => {
+                Decision::Wait | Decision::Deferred(_) if now < owned.resting_until.get() => {
                     return Reply::Busy(owned.resting_until.get().saturating_sub(now));
                 }
                 Decision::Busy(_) | Decision::Deferred(_) | Decision::Wait => {}
