--- a/crates/endivespur_core/src/gateway/quota/mod.rs
+++ b/crates/endivespur_core/src/gateway/quota/mod.rs
@@ -3,10 +3,12 @@
 //! A team's quota is divided into equal shards. Rendezvous hashing selects for each shard the gateway that keeps it,
 //! its [`keeper`], which lends amounts for a short time. The other gateways hold what they have borrowed in a
 //! [`wallet`]; a [`tracker`] combines both for all teams. A keeper that may have been replaced without noticing does not lend ([`contact`]). Shards of a lost
-//! gateway are not lent until its successor can be sure that nobody else lends them; the other shards suffice.
+//! gateway are not lent until its successor can be sure that nobody else lends them; the other shards suffice. A gateway
+//! that restarts goes on with its shards if its [`marker`] still exists.
 
 pub mod contact;
 pub mod keeper;
+pub mod marker;
 pub mod members;
 pub mod tracker;
 pub mod wallet;
@@ -31,9 +33,15 @@
 /// The part of the permitted excess by which the buckets hold more than the burst, for loans that are not used yet, and for
 /// prompts that are larger than the burst of a small team.
 const LOAN_SHARE: f64 = 0.5;
+/// The part of the permitted excess by which the buckets fill faster in a window.
+const FILL_SHARE: f64 = 0.2;
+/// The part of the burst by which the buckets fill faster in a window, where the excess lets them still hold the burst. A
+/// quota permits its burst in each window, not only after a pause: a team that asked for 1.6 times its lowered rate, which
+/// its window permitted, got the rate only, and its largest prompts found too little in each shard.
+const BURST_FILL_SHARE: f64 = 0.5;
 /// The part of the permitted excess that gateways may use without keepers. The rest covers requests that are sent some
 /// time after they were admitted.
-const FALLBACK_SHARE: f64 = 0.25;
+const FALLBACK_SHARE: f64 = 0.15;
 /// The time of the rate that a bucket holds at least, or no request would find enough.
 const MIN_CAPACITY_TIME: Duration = Duration::from_millis(250);
 /// The least amount that a shard holds, in requests and in tokens, so that few shards suffice for a request.
@@ -79,16 +87,25 @@
         let spare = excess.ratio * (quota.rate * window + quota.burst) + tokens;
         let loan_spare = spare * LOAN_SHARE;
         let min_capacity = (quota.rate * MIN_CAPACITY_TIME.as_secs_f64()).max(1.0);
-        let capacity = (quota.burst + loan_spare).max(min_capacity);
+        let permitted = quota.burst + loan_spare;
+        let burst_fill = (quota.burst * BURST_FILL_SHARE).min(loan_spare);
+        let spare_fill = spare * FILL_SHARE;
+        let held = permitted - burst_fill;
+        let capacity = held.max(min_capacity);
         // A bucket that holds more than is permitted must fill more slowly.
-        let over = (capacity - quota.burst - loan_spare).max(0.0);
-        let rate = (quota.rate - over / window).max(quota.rate * MIN_RATE_SHARE);
+        let over = capacity - held;
+        let fill = if excess.window.is_zero() {
+            -over
+        } else {
+            burst_fill + spare_fill - over
+        };
+        let rate = (quota.rate + fill / window).max(quota.rate * MIN_RATE_SHARE);
         Self {
             rate,
             capacity,
             fallback: spare * FALLBACK_SHARE,
             window: excess.window,
-            shards: ((capacity / min_shard) as usize).clamp(1, MAX_SHARDS),
+            shards: ((permitted.max(min_capacity) / min_shard) as usize).clamp(1, MAX_SHARDS),
         }
     }
 }
--- a/crates/endivespur_gateway/src/body.rs
+++ b/crates/endivespur_gateway/src/body.rs
@@ -275,6 +275,7 @@
 ///
 /// Returns the cause if the connection fails, the reader does not read, or it gives way.
 pub async fn write_answer(
+    connected: &Connected,
     connection: &mut Connection,
     mut head: Vec<u8>,
     body: &Body,
@@ -282,9 +283,9 @@
     let (first, rest) = body.split_at(body.len().min(WRITE_BYTES));
     head.extend_from_slice(first);
     let write = async {
-        write(connection, &head).await?;
+        write(connected, connection, &head).await?;
         for piece in rest.chunks(WRITE_BYTES) {
-            write(connection, piece).await?;
+            write(connected, connection, piece).await?;
             body.advance(piece.len());
         }
         Ok(())
@@ -304,13 +305,47 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if the connection fails, or the caller reads nothing.
-pub async fn write(connection: &mut Connection, bytes: &[u8]) -> io::Result<()> {
-    let mut write = std::pin::pin!(connection.write(bytes));
+/// Returns the cause if the connection fails, the caller reads nothing, or the connection has to be closed.
+pub async fn write(
+    connected: &Connected,
+    connection: &mut Connection,
+    bytes: &[u8],
+) -> io::Result<()> {
+    let mut written = 0;
     // Most writes end at once, and need no timer.
-    if let Some(result) = future::poll_once(&mut write).await {
-        return result;
+    while let Some(count) = future::poll_once(connection.write_some(&bytes[written..])).await {
+        let count = count?;
+        written += count;
+        let is_end = written == bytes.len();
+        connected.advance_write(count, is_end);
+        if is_end {
+            return Ok(());
+        }
     }
-    let written = timer::within(WRITE_TIMEOUT, write).await;
+    // On the heap, as each of thousands of connections has a future of the size that this one adds.
+    Box::pin(write_blocked(connected, connection, &bytes[written..])).await
+}
+
+/// Writes what the socket does not take at once.
+async fn write_blocked(
+    connected: &Connected,
+    connection: &mut Connection,
+    bytes: &[u8],
+) -> io::Result<()> {
+    connected.begin_write();
+    let write = async {
+        let mut written = 0;
+        while written < bytes.len() {
+            let count = connection.write_some(&bytes[written..]).await?;
+            written += count;
+            connected.advance_write(count, written == bytes.len());
+        }
+        Ok(())
+    };
+    let refused = async {
+        connected.refused().await;
+        Err(io::Error::other("gave way"))
+    };
+    let written = timer::within(WRITE_TIMEOUT, write.or(refused)).await;
     written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/crates/endivespur_gateway/src/budget.rs
+++ b/crates/endivespur_gateway/src/budget.rs
@@ -70,7 +70,10 @@
 /// The connections of one kind of clients, and how they are told to end.
 struct Open {
     connections: RefCell<Connections>,
+    /// The signals of all open connections, those that were told to end included.
     signals: RefCell<BTreeMap<Id, Rc<Signal>>>,
+    /// Signals that a connection was closed.
+    closed: Event,
 }
 
 impl Open {
@@ -78,8 +81,14 @@
         Self {
             connections: RefCell::new(Connections::new(limit)),
             signals: RefCell::default(),
+            closed: Event::new(),
         }
     }
+
+    /// Returns the number of connections that were told to end and are still open.
+    fn ending(&self) -> usize {
+        self.signals.borrow().len() - self.connections.borrow().count()
+    }
 }
 
 /// What the process holds for others.
@@ -180,6 +189,18 @@
             client,
             id,
             signal,
+            is_busy: Cell::default(),
+            has_blocked: Cell::default(),
+        }
+    }
+
+    /// Waits until the connections that were told to end are closed. Without this, a backlog of the kernel would be
+    /// accepted before the tasks of these connections run, and use up the descriptors.
+    pub async fn ended(&self, client: Client) {
+        let open = self.open(client);
+        // Those that drain are limited by themselves.
+        while open.ending() > self.draining.get() {
+            open.closed.listen().await;
         }
     }
 
@@ -230,6 +251,10 @@
     client: Client,
     id: Id,
     signal: Rc<Signal>,
+    /// Whether it carries a complete request.
+    is_busy: Cell<bool>,
+    /// Whether the socket did not take all of the current answer at once.
+    has_blocked: Cell<bool>,
 }
 
 impl Connected {
@@ -243,7 +268,40 @@
     pub fn set_busy(&self, is_busy: bool) -> bool {
         let open = self.budget.open(self.client);
         let mut connections = open.connections.borrow_mut();
-        connections.set_busy(clock::now(), self.id, is_busy)
+        let is_open = connections.set_busy(clock::now(), self.id, is_busy);
+        self.has_blocked.set(false);
+        self.is_busy.set(is_busy && is_open);
+        is_open
+    }
+
+    /// Returns whether the connection has to be closed in the middle of an answer, since its reader is slow.
+    pub fn is_cut(&self) -> bool {
+        self.is_refused() && self.is_busy.get()
+    }
+
+    /// Records that the socket does not take all of an answer at once.
+    pub fn begin_write(&self) {
+        self.has_blocked.set(true);
+        let open = self.budget.open(self.client);
+        let mut connections = open.connections.borrow_mut();
+        connections.begin_write(clock::now(), self.id);
+    }
+
+    /// Records that the socket has taken bytes of an answer, and whether it has taken all that was written.
+    pub fn advance_write(&self, bytes: usize, is_end: bool) {
+        if self.has_blocked.get() {
+            let open = self.budget.open(self.client);
+            let mut connections = open.connections.borrow_mut();
+            connections.advance_write(clock::now(), self.id, bytes as u64, is_end);
+        }
+    }
+
+    /// Records that the socket has taken all that has arrived of an answer.
+    pub fn catch_up(&self) {
+        if self.has_blocked.replace(false) {
+            let open = self.budget.open(self.client);
+            open.connections.borrow_mut().catch_up(self.id);
+        }
     }
 
     /// Returns whether the connection has to be closed.
@@ -262,6 +320,7 @@
         let open = self.budget.open(self.client);
         open.connections.borrow_mut().close(self.id);
         open.signals.borrow_mut().remove(&self.id);
+        open.closed.notify(usize::MAX);
     }
 }
 
