Compare the work of teams by their quotas

Change: an owner divides a team's work by its share, the rate of its quota compared with the mean, if all teams have quotas in the same unit; else shares are equal, as before.

--- a/crates/endivespur_core/benches/placement.rs
+++ b/crates/endivespur_core/benches/placement.rs
@@ -117,6 +117,7 @@
         end_in: max_pause.map(|_| Duration::from_secs(15)),
         is_last: false,
         team: String::new(),
+        team_share: 1.0,
     }
 }
 
--- a/crates/endivespur_core/src/gateway/placement/fairness.rs
+++ b/crates/endivespur_core/src/gateway/placement/fairness.rs
@@ -18,8 +18,10 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum number of teams that are remembered for one engine.
 const MAX_TEAMS: usize = 64;
-/// How many times the mean use of the others a team may have before its requests are deferred: usual teams differ in
-/// size, and the use of equal ones by chance.
+/// The share that a team has at least: one without any would never be granted a request while others wait.
+const MIN_SHARE: f64 = 0.01;
+/// How many times the mean use of the others, by their shares, a team may have before its requests are deferred: usual
+/// teams differ in size, and the use of equal ones by chance.
 const TOLERANCE: f64 = 3.0;
 /// The power with which a larger use counts, so that a team at several times the tolerance is kept well below it.
 const STEEPNESS: f64 = 1.5;
@@ -32,8 +34,10 @@
 /// The recent use of one team.
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
-    /// The prefill work granted, in seconds, multiplied by the growth since the epoch.
+    /// The prefill work granted, in seconds, divided by the team's share and multiplied by the growth since the epoch.
     work: f64,
+    /// What the team may use compared with the mean of all teams.
+    share: f64,
     /// The time of its last request for a grant.
     asked: Time,
 }
@@ -53,11 +57,12 @@
 }
 
 impl Fairness {
-    /// Records that a team requests a grant.
-    pub(super) fn record_request(&mut self, now: Time, team: &str) {
+    /// Records that a team with a share requests a grant.
+    pub(super) fn record_request(&mut self, now: Time, team: &str, share: f64) {
         self.sweep(now);
         if let Some(known) = self.teams.get_mut(team) {
             known.asked = now;
+            known.share = share;
             return;
         }
         if self.teams.len() >= MAX_TEAMS {
@@ -68,16 +73,19 @@
                 self.total -= removed.work;
             }
         }
-        let (work, asked) = (0.0, now);
-        self.teams.insert(team.to_string(), Use { work, asked });
+        let work = 0.0;
+        let asked = now;
+        self.teams
+            .insert(team.to_string(), Use { work, share, asked });
     }
 
     /// Records prefill work that was granted to a team that has requested it.
     pub(super) fn record_work(&mut self, now: Time, team: &str, work: Duration) {
         let weight = growth(now.saturating_sub(self.epoch));
         if let Some(known) = self.teams.get_mut(team) {
-            known.work += work.as_secs_f64() * weight;
-            self.total += work.as_secs_f64() * weight;
+            let work = work.as_secs_f64() * weight / known.share.max(MIN_SHARE);
+            known.work += work;
+            self.total += work;
         }
     }
 
--- a/crates/endivespur_core/src/gateway/placement/mod.rs
+++ b/crates/endivespur_core/src/gateway/placement/mod.rs
@@ -150,6 +150,8 @@
     pub is_last: bool,
     /// The team of its caller; empty if there is none.
     pub team: Team,
+    /// What the team may use compared with the mean of all teams ([`Teams::share`](crate::gateway::team::Teams::share)).
+    pub team_share: f64,
 }
 
 /// The answer to a request for a grant.
@@ -421,7 +423,8 @@
         let tokens = self.uncached_tokens(request);
         let prefill = self.pace(now).prefill_time(tokens);
         if !request.team.is_empty() {
-            self.fairness.record_request(now, &request.team);
+            self.fairness
+                .record_request(now, &request.team, request.team_share);
         }
         let deferral = self.deferral(now, request);
         let delay = self.delay_for(now, &request.weights, &request.team)
--- a/crates/endivespur_core/src/gateway/team.rs
+++ b/crates/endivespur_core/src/gateway/team.rs
@@ -149,9 +149,13 @@
 /// The teams of one configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Teams {
-    teams: BTreeMap<id::Team, Team>,
+    by_name: BTreeMap<id::Team, Team>,
     /// The teams by API key.
     keys: BTreeMap<Key, id::Team>,
+    /// The sum of the rates of all quotas.
+    rates: f64,
+    /// Whether not all teams have quotas in the same unit.
+    is_mixed: bool,
 }
 
 impl Teams {
@@ -162,7 +166,11 @@
 
     /// Adds a team with its API keys. A team without keys has no callers.
     pub fn with_team(mut self, name: &str, team: Team, keys: Vec<String>) -> Self {
-        self.teams.insert(name.to_string(), team);
+        let is_in_tokens = |team: &Team| Some(matches!(team.quota?.unit, Unit::Tokens { .. }));
+        let first = self.by_name.values().next().unwrap_or(&team);
+        self.is_mixed |= team.quota.is_none() || is_in_tokens(first) != is_in_tokens(&team);
+        self.rates += team.quota.map_or(0.0, |quota| quota.rate);
+        self.by_name.insert(name.to_string(), team);
         let keys = keys
             .into_iter()
             .map(|key| (Key::new(&key), name.to_string()));
@@ -172,7 +180,19 @@
 
     /// Returns a team.
     pub fn get(&self, name: &str) -> Option<&Team> {
-        self.teams.get(name)
+        self.by_name.get(name)
+    }
+
+    /// Returns what a team may use compared with the mean of all teams: by its quota if all have one in the same unit, else
+    /// 1 for all.
+    pub fn share(&self, name: &str) -> f64 {
+        let quota = self.get(name).and_then(|team| team.quota);
+        match quota {
+            Some(quota) if !self.is_mixed && self.rates > 0.0 => {
+                quota.rate * self.by_name.len() as f64 / self.rates
+            }
+            _ => 1.0,
+        }
     }
 
     /// Returns the name of the team that holds an API key.
@@ -207,12 +227,12 @@
 
     /// Iterates over the teams by name.
     pub fn iter(&self) -> impl Iterator<Item = (&id::Team, &Team)> {
-        self.teams.iter()
+        self.by_name.iter()
     }
 
     /// Returns the digests of the API keys of each team.
     pub fn digests(&self) -> BTreeMap<id::Team, Vec<String>> {
-        let teams = self.teams.keys().map(|team| (team.clone(), Vec::new()));
+        let teams = self.by_name.keys().map(|team| (team.clone(), Vec::new()));
         let mut digests: BTreeMap<id::Team, Vec<String>> = teams.collect();
         for (key, team) in &self.keys {
             digests.entry(team.clone()).or_default().push(key.digest());
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -92,6 +92,7 @@
         end_in: None,
         is_last: false,
         team: String::new(),
+        team_share: 1.0,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -806,6 +806,18 @@
     );
 }
 
+/// A team was deferred for work that its quota permits.
+#[test]
+fn request_of_team_within_its_quota() {
+    let mut engine = engine(2, &["a"]);
+    let teams = [("large", 6_000, 1.8), ("small", 700, 0.2)];
+    for (team, tokens, share) in [teams[0], teams[0], teams[1], teams[0]] {
+        let mut request = of_team(team, "a", tokens, 500);
+        request.team_share = share;
+        assert_matches!(engine.request(ms(0), &request), Decision::Granted(_));
+    }
+}
+
 /// An adapter that many requests of one team wait for was loaded before those of the other teams.
 #[test]
 fn load_for_team_beyond_its_share() {
--- a/crates/endivespur_core/tests/gateway/team.rs
+++ b/crates/endivespur_core/tests/gateway/team.rs
@@ -1,6 +1,8 @@
 //! Whose request it is, by its credentials.
 
-use endivespur_core::gateway::team::{Credentials, Denial, Identity, Key, Team, Teams, digest};
+use endivespur_core::gateway::team::{
+    Credentials, Denial, Identity, Key, Quota, Team, Teams, Unit, digest,
+};
 
 /// Invalid credentials passed as none, or the routes of anonymous callers refused those of teams.
 #[test]
@@ -43,3 +45,28 @@
 fn team_digest() {
     assert_eq!(digest("abc"), "ba7816bf8f01");
 }
+
+/// Teams without quotas, or with quotas in different units, were compared by their rates.
+#[test]
+fn team_share() {
+    let quota = |rate, unit| Team {
+        quota: Some(Quota {
+            rate,
+            burst: 0.0,
+            unit,
+        }),
+        ..Team::default()
+    };
+    let tokens = Unit::Tokens { plain: 200 };
+    let teams = Teams::new()
+        .with_team("a", quota(300.0, tokens), Vec::new())
+        .with_team("b", quota(100.0, tokens), Vec::new());
+    assert_eq!(
+        ["a", "b", "c"].map(|name| teams.share(name)),
+        [1.5, 0.5, 1.0]
+    );
+    for other in [quota(100.0, Unit::Requests), Team::default()] {
+        let teams = teams.clone().with_team("c", other, Vec::new());
+        assert_eq!(teams.share("a"), 1.0);
+    }
+}
--- a/crates/endivespur_core/tests/histories/placement.rs
+++ b/crates/endivespur_core/tests/histories/placement.rs
@@ -273,6 +273,7 @@
         end_in: None,
         is_last: false,
         team: String::new(),
+        team_share: 1.0,
     }
 }
 
--- a/crates/endivespur_core/tests/load/fleet.rs
+++ b/crates/endivespur_core/tests/load/fleet.rs
@@ -215,6 +215,7 @@
             output_tokens: class.output_tokens as u32,
             end_in: policy.tells_end.then_some(class.deadline),
             is_last: false,
+            team_share: 1.0,
             team: if fleet.has_teams {
                 class.team.to_string()
             } else {
--- a/crates/endivespur_core/tests/load/popular.rs
+++ b/crates/endivespur_core/tests/load/popular.rs
@@ -135,6 +135,7 @@
             end_in: None,
             is_last: false,
             team: String::new(),
+            team_share: 1.0,
         };
         let passes = (policy.passes)(class.objective, class.deadline);
         match search(&mut places, at, &request, &passes) {
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -14,6 +14,7 @@
 use log::info;
 use smol::Timer;
 
+use crate::authorize;
 use crate::exchange::Call;
 use crate::limit::{self, Token};
 use crate::owned::{Ended, Reply};
@@ -351,6 +352,7 @@
             end_in: (!self.has_begun).then(|| self.call.time_left()),
             is_last: pass.max_delay >= wait,
             team: self.call.team.clone().unwrap_or_default(),
+            team_share: authorize::share(self.state, self.call.team.as_deref()),
         };
         let state = self.state;
         let record = |refusal: Refusal| {
--- a/crates/endivespur_gateway/src/authorize.rs
+++ b/crates/endivespur_gateway/src/authorize.rs
@@ -98,3 +98,13 @@
     }
     Outcome::unauthorized()
 }
+
+/// Returns what a team may use compared with the mean of all teams, by the configuration in force.
+pub fn share(state: &State, team: Option<&str>) -> f64 {
+    let Some(team) = team.filter(|team| !team.is_empty()) else {
+        return 1.0;
+    };
+    let table = state.catalog.borrow().table();
+    let teams = table.as_ref().and_then(|table| table.teams.as_ref());
+    teams.map_or(1.0, |teams| teams.share(team))
+}
--- a/crates/endivespur_gateway/src/message.rs
+++ b/crates/endivespur_gateway/src/message.rs
@@ -85,6 +85,8 @@
         end_in: read_time(from.get_end_ms()),
         is_last: !from.get_bounded() || max_delay >= wait,
         team: from.get_team()?.to_string()?,
+        // The owner knows it by its own configuration.
+        team_share: 1.0,
     };
     Ok((from.get_endpoint()?.to_string()?, request, wait))
 }
--- a/crates/endivespur_gateway/src/rpc.rs
+++ b/crates/endivespur_gateway/src/rpc.rs
@@ -18,6 +18,7 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::authorize;
 use crate::message;
 use crate::owned::{Ended, Reply};
 use crate::quota;
@@ -71,7 +72,8 @@
         params: gateway::AskParams,
         mut results: gateway::AskResults,
     ) -> Result<(), capnp::Error> {
-        let (endpoint, request, wait) = message::read_request(params.get()?.get_ask()?)?;
+        let (endpoint, mut request, wait) = message::read_request(params.get()?.get_ask()?)?;
+        request.team_share = authorize::share(&self.state, Some(&request.team));
         let reply = self
             .state
             .owned_engines
