--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -91,6 +91,8 @@
         output_tokens: 0,
         end_in: None,
         is_last: false,
+        team: String::new(),
+        team_share: 1.0,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/team.rs
+++ b/crates/endivespur_core/tests/gateway/team.rs
@@ -1,6 +1,8 @@
 //! Whose request it is, by its credentials.
 
-use endivespur_core::gateway::team::{Credentials, Denial, Identity, Key, Team, Teams, digest};
+use endivespur_core::gateway::team::{
+    Credentials, Denial, Identity, Key, Quota, Team, Teams, Unit, digest,
+};
 
 /// Invalid credentials passed as none, or the routes of anonymous callers refused those of teams.
 #[test]
@@ -43,3 +45,27 @@
 fn team_digest() {
     assert_eq!(digest("abc"), "ba7816bf8f01");
 }
+
+/// Teams without quotas, or with quotas in different units, were compared by their rates.
+#[test]
+fn team_share() {
+    let quota = |rate, unit| Team {
+        quota: Some(Quota {
+            rate,
+            burst: 0.0,
+            unit,
+        }),
+        ..Team::default()
+    };
+    let tokens = Unit::Tokens { plain: 200 };
+    let teams = Teams::new()
+        .with_team("a", quota(300.0, tokens), Vec::new())
+        .with_team("b", quota(100.0, tokens), Vec::new());
+    let share = |teams: &Teams, name| format!("{:.2}", teams.share(name));
+    let shares = ["a", "b", "c"].map(|name| share(&teams, name));
+    assert_eq!(shares, ["1.50", "0.50", "1.00"]);
+    for other in [quota(100.0, Unit::Requests), Team::default()] {
+        let teams = teams.clone().with_team("c", other, Vec::new());
+        assert_eq!(share(&teams, "a"), "1.00");
+    }
+}
--- a/crates/endivespur_gateway/src/acquire.rs
+++ b/crates/endivespur_gateway/src/acquire.rs
@@ -14,6 +14,7 @@
 use log::info;
 use smol::Timer;
 
+use crate::authorize;
 use crate::exchange::Call;
 use crate::limit::{self, Token};
 use crate::owned::{Ended, Reply};
@@ -150,11 +151,9 @@
         let borrowed = engines.iter().map(Rc::as_ref).collect();
         let version = state.catalog.borrow().version(&weights).unwrap_or_default();
         let zone = &state.settings.zone;
-        let ranked: Vec<Rc<Instance>> = choice::rank_engines(&weights, version, zone, borrowed)
-            .into_iter()
-            .filter_map(|chosen| engines.iter().find(|engine| engine.id == chosen.id))
-            .cloned()
-            .collect();
+        let (ranked, further) = choice::rank_all(&weights, version, zone, borrowed);
+        let find = |chosen: &&Instance| engines.iter().find(|engine| engine.id == chosen.id);
+        let ranked: Vec<Rc<Instance>> = ranked.iter().filter_map(find).cloned().collect();
         let search = Search {
             state,
             call,
@@ -162,7 +161,12 @@
             has_begun: software.is_some() || call.fields.last_event_id.is_some(),
             refusals: RefCell::new(BTreeMap::new()),
         };
-        match search.run(&ranked).await {
+        let mut outcome = search.run(&ranked).await;
+        if matches!(outcome, Outcome::Busy) && search.may_be_deferred() {
+            let further: Vec<_> = further.iter().filter_map(find).cloned().collect();
+            outcome = search.run_further(&further).await;
+        }
+        match outcome {
             // The engine may have started to drain while the request waited.
             Outcome::Permit(permit) if is_serving(state, &permit.instance) => return Ok(*permit),
             Outcome::Permit(_) => continue,
@@ -257,6 +261,27 @@
         Outcome::Busy
     }
 
+    /// Returns whether an owner may have deferred the request in favour of other teams, while time is left to ask others.
+    fn may_be_deferred(&self) -> bool {
+        let refusals = self.refusals.borrow();
+        let mut refusals = refusals.values();
+        let is_busy = |refusal: &Refusal| matches!(refusal, Refusal::Refused(Reply::Busy(_)));
+        self.call.team.is_some() && !self.max_wait().is_zero() && refusals.any(is_busy)
+    }
+
+    /// Requests a grant from engines that are usually not asked.
+    async fn run_further(&self, engines: &[Rc<Instance>]) -> Outcome {
+        let pass = choice::further_pass(self.call.route.objective, self.max_wait());
+        for engine in engines {
+            match self.request_grant(engine, pass).await {
+                Some(Ok(permit)) => return Outcome::Permit(Box::new(permit)),
+                Some(Err(Reply::Late)) => return Outcome::Busy,
+                Some(Err(_)) | None => {}
+            }
+        }
+        Outcome::Busy
+    }
+
     /// Returns what is added to the delay of an engine in another zone.
     fn zone_penalty(&self, engine: &Instance) -> Duration {
         if engine.zone == self.state.settings.zone {
@@ -283,6 +308,7 @@
         let refusals: Vec<String> = refusals.collect();
         info!(
             event = "not-acquired", request = self.call.fields.attempt_id.as_str(),
+            team = self.call.team.as_deref().unwrap_or_default(),
             adapter = self.weights.to_string(), reason, answers = refusals.join(", ");
             "no engine can run it in time"
         );
@@ -325,6 +351,8 @@
             output_tokens: fields.max_output_tokens,
             end_in: (!self.has_begun).then(|| self.call.time_left()),
             is_last: pass.max_delay >= wait,
+            team: self.call.team.clone().unwrap_or_default(),
+            team_share: authorize::share(self.state, self.call.team.as_deref()),
         };
         let state = self.state;
         let record = |refusal: Refusal| {
