Charge a request once that waited for the loan of another

Cause: the step under the lock of an organisation takes the amount from the wallet when it admits the request, and only its result Borrow was used. The amount of an admission was dropped, and the request was charged again; callers below the quota were refused.

Change: node::borrowing decides in one loop that returns each other result of the step, also under the lock.

--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod answer;
 mod answered;
+mod borrowing;
 mod claim;
 mod complete;
 mod counted;
--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -20,6 +20,7 @@
 use smol::future::FutureExt;
 
 use crate::answer::Failure;
+use crate::borrowing::settle;
 use crate::clock;
 use crate::dispatch::{self, Job};
 use crate::node::{Node, sleep};
@@ -351,9 +352,21 @@
     }
     let wait_until = job.deadline.min(patient_until(node, now));
     let mut inquiry = Inquiry::new(now, amount, wait_until.saturating_sub(now));
+    let lock = node.quotas.lock(organisation);
     loop {
-        match step(node, organisation, &inquiry) {
-            None => return Ok(Charge::new(node, organisation, Vec::new())),
+        let step = settle(
+            &lock,
+            &mut inquiry,
+            |inquiry| step(node, organisation, inquiry),
+            async |inquiry, lender, amounts| {
+                borrow(node, organisation, inquiry, lender, amounts).await;
+            },
+        );
+        match step.await {
+            // Without a quota meanwhile, nothing is charged.
+            None | Some(Step::Borrow { .. }) => {
+                return Ok(Charge::new(node, organisation, Vec::new()));
+            }
             Some(Step::Admit(parts)) => return Ok(charge(node, organisation, amount, parts)),
             Some(Step::Refuse(wait)) => return Err(refuse(node, organisation, amount, wait)),
             Some(Step::Wait(wait)) => {
@@ -366,19 +379,6 @@
                     inquiry.again()
                 };
             }
-            Some(Step::Borrow { .. }) => {
-                let lock = node.quotas.lock(organisation);
-                let _guard = lock.lock().await;
-                // Another request may have borrowed enough meanwhile.
-                if let Some(Step::Borrow {
-                    lender,
-                    needed,
-                    wanted,
-                }) = step(node, organisation, &inquiry)
-                {
-                    borrow(node, organisation, &mut inquiry, &lender, (needed, wanted)).await;
-                }
-            }
         }
     }
 }
