Refuse commands that set a quota in tokens no default completion fits in

Cause: a quota whose buckets hold less than 256 tokens, or less than a request without tokens, refused each such request for ever with a time to retry that was not true. Since half of the burst fills the buckets over the window, they hold half of it and a twentieth of 8 s of the quota.

Change: it is a finding of the commands that set a quota. The reading of the configuration has it not, so that a stored quota stays in force.

--- a/crates/endivespur_core/src/command.rs
+++ b/crates/endivespur_core/src/command.rs
@@ -365,7 +365,7 @@
             })
         }
         Verb::LimitOrganisation(name, quota) => {
-            findings.extend(quota.iter().flat_map(Quota::findings));
+            findings.extend(quota.iter().flat_map(Quota::command_findings));
             let edit = |after: &mut Tenant| after.quota.clone_from(quota);
             organisation(config, name, change, findings, edit)
         }
@@ -396,7 +396,7 @@
 ) -> (String, Value) {
     check_name(name, findings);
     check_place(config, &organisation.place, findings);
-    findings.extend(organisation.quota.iter().flat_map(Quota::findings));
+    findings.extend(organisation.quota.iter().flat_map(Quota::command_findings));
     (format!("organisation/{name}"), json!(organisation))
 }
 
--- a/crates/endivespur_core/src/quota.rs
+++ b/crates/endivespur_core/src/quota.rs
@@ -2,12 +2,23 @@
 
 use serde::{Deserialize, Serialize};
 
+use std::time::Duration;
+
 use crate::config::Tenant;
+use crate::gateway::quota::{Excess, Terms};
 use crate::gateway::team;
 use crate::id::Organisation;
 
 /// The tokens that a request of a plain service counts as by default: its cost in the queues of endpoints.
 pub const DEFAULT_PLAIN_TOKENS: u64 = 64;
+/// The expected output of a completion without `max_tokens`.
+pub const DEFAULT_MAX_TOKENS: u64 = 256;
+/// What is permitted beyond the quotas: a tenth in any 8 s. Loans that are not used yet and nodes without keepers need it.
+pub const EXCESS: Excess = Excess {
+    window: Duration::from_secs(8),
+    ratio: 0.1,
+    tokens: 0.0,
+};
 /// The greatest rate and burst; sums of amounts stay exact in floating-point numbers up to there.
 const MAX_AMOUNT: f64 = 1e12;
 
@@ -78,6 +89,23 @@
         findings
     }
 
+    /// Returns every reason why a command cannot set the quota: a request that counts as more than the buckets hold is
+    /// refused whenever it comes. A stored quota for which this holds stays in force.
+    pub fn command_findings(&self) -> Vec<String> {
+        let mut findings = self.findings();
+        let plain = self.plain_tokens.unwrap_or(DEFAULT_PLAIN_TOKENS);
+        let least = DEFAULT_MAX_TOKENS.max(plain);
+        let capacity = Terms::new(&self.terms(), &EXCESS).capacity;
+        if findings.is_empty() && self.unit == Unit::Tokens && capacity < least as f64 {
+            let held = capacity.floor();
+            findings.push(format!(
+                "the quota admits requests of up to {held} tokens, and would refuse those of {least} always: \
+                 the burst is at least about twice that"
+            ));
+        }
+        findings
+    }
+
     /// Returns the amount that a request counts as, given its expected tokens if it has any.
     pub fn amount(&self, tokens: Option<u32>) -> u64 {
         self.terms().unit.amount(tokens.map(|tokens| (tokens, 0)))
--- a/crates/endivespur_node/src/complete.rs
+++ b/crates/endivespur_node/src/complete.rs
@@ -8,6 +8,7 @@
 use endivespur_core::config::Class;
 use endivespur_core::feature::{Feature, Fingerprint};
 use endivespur_core::id::Model;
+use endivespur_core::quota::DEFAULT_MAX_TOKENS;
 use endivespur_core::route;
 use endivespur_core::suspect::{Admission, SHARED_RUN};
 use endivespur_net::body::Chunk;
@@ -28,8 +29,6 @@
 use crate::quota;
 use crate::suspicion;
 
-/// The expected number of generated tokens if the request has no `max_tokens`.
-const DEFAULT_MAX_TOKENS: u64 = 256;
 /// The bytes of the request body that count as one token.
 const BYTES_PER_TOKEN: usize = 4;
 /// The maximum number of engines that one request is sent to.
--- a/crates/endivespur_node/src/quotas.rs
+++ b/crates/endivespur_node/src/quotas.rs
@@ -6,22 +6,16 @@
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::quota::Excess;
 use endivespur_core::gateway::quota::tracker::Tracker;
 use endivespur_core::gateway::team::Teams;
 use endivespur_core::id::{Organisation, Revision};
+use endivespur_core::quota::EXCESS;
 use endivespur_core::usage::Usage;
 use log::info;
 use smol::lock::Mutex;
 
 /// For how long an organisation must not be refused before that is logged as the end of its refusals.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
-/// What is permitted beyond the quotas: a tenth in any 8 s. Loans that are not used yet and nodes without keepers need it.
-const EXCESS: Excess = Excess {
-    window: Duration::from_secs(8),
-    ratio: 0.1,
-    tokens: 0.0,
-};
 
 /// The refusals of one organisation at this node.
 #[derive(Clone, Copy, Debug)]
