Show organisations without asking other nodes while none has a quota

Cause: show organisations asked all nodes for use and digests also without any quota, and named the silent ones.

Change: without a quota the rows have the digests of the node that was asked, as operations now says.

--- a/crates/endivespur_node/src/operator.rs
+++ b/crates/endivespur_node/src/operator.rs
@@ -179,7 +179,13 @@
 async fn run_show(node: &Rc<Node>, show: &Show) -> Effect {
     let (rows, silent) = match rows::configured(node, &show.kind) {
         Some(mut rows) if show.kind == "organisations" => {
-            let (parts, silent) = gather(node, "quotas").await;
+            // Without quotas no other node is asked, and the digests are those of this node.
+            let has_quotas = rows.iter().any(|row| !row["limit"].is_null());
+            let (parts, silent) = if has_quotas {
+                gather(node, "quotas").await
+            } else {
+                (quota::rows(node), Vec::new())
+            };
             rows::add_usage(&mut rows, &parts);
             (rows, silent)
         }
