--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -28,8 +28,8 @@
 
 /// How long a request waits for an amount rather than being refused: a new keeper's bucket fills within that time.
 const MAX_WAIT: Duration = Duration::from_millis(150);
-/// The time after a start in which requests wait instead: the shards of all nodes that started together are lent 3.2 s after
-/// they have read the configuration and compared their views.
+/// The time in which requests wait instead, from the first confirmed view after the node's record was written: the shards of
+/// all nodes that started together, or lost their records together, are lent 3.2 s after they know each other.
 const START_TIME: Duration = Duration::from_secs(5);
 /// The maximum wait for a keeper's reply. An amount that arrives later is used for other requests.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
@@ -112,7 +112,7 @@
             continue;
         }
         if let Some(at) = sync::compare_nodes(&node).await {
-            node.quotas.confirmed_at.set(at);
+            confirm(&node, at);
             retry_delay = COMPARE_RETRY_DELAY;
             sleep(COMPARE_INTERVAL).await;
         } else {
@@ -122,6 +122,19 @@
     }
 }
 
+/// Records that the view was the same as the store's at `at`; the start ends some time after the first such view with the
+/// record of this node.
+fn confirm(node: &Node, at: Time) {
+    let quotas = &node.quotas;
+    quotas.confirmed_at.set(at);
+    let table = node.table.borrow();
+    let own = table.node(&node.settings.vm);
+    let is_written = own.is_some_and(|record| record.incarnation == node.incarnation.get());
+    if quotas.start_end.get().is_none() && is_written {
+        quotas.start_end.set(Some(clock::now() + START_TIME));
+    }
+}
+
 /// Takes over the quotas of the configuration in force, and the known nodes if there are quotas.
 fn synchronize(node: &Node) {
     let quotas = &node.quotas;
@@ -143,6 +156,7 @@
         if quotas.incarnation.replace(incarnation) != incarnation {
             // Other nodes may have lent the shards of the former incarnation.
             tracker.assign(now, [].iter());
+            quotas.start_end.set(None);
         }
         let vms = members(node);
         tracker.assign(now, vms.iter());
@@ -153,7 +167,9 @@
     {
         if !is_first && tracker.is_empty() {
             // Without quotas the view was not compared. The store has just sent the quota, and with it what is older.
+            // Its buckets are full, and nobody settles.
             quotas.confirmed_at.set(now);
+            quotas.start_end.set(Some(now));
         }
         quotas.forget_others(&new_teams);
         tracker.configure(now, config.revision, Some(&new_teams));
@@ -380,7 +396,7 @@
             Some(Step::Wait(wait)) => {
                 sleep(wait).await;
                 let now = clock::now();
-                inquiry = if now < node.quotas.started_at + START_TIME {
+                inquiry = if now < start_end(node, now) {
                     // Keepers that do not lend yet are asked again.
                     Inquiry::new(now, amount, wait_until.saturating_sub(now))
                 } else {
@@ -393,7 +409,12 @@
 
 /// Returns until when a request waits for an amount.
 fn patient_until(node: &Node, now: Time) -> Time {
-    (node.quotas.started_at + START_TIME).max(now + MAX_WAIT)
+    start_end(node, now).max(now + MAX_WAIT)
+}
+
+/// Returns until when shards may settle because of a start.
+fn start_end(node: &Node, now: Time) -> Time {
+    node.quotas.start_end.get().unwrap_or(now + START_TIME)
 }
 
 fn step(node: &Node, organisation: &str, inquiry: &Inquiry) -> Option<Step> {
--- a/crates/endivespur_node/src/quotas.rs
+++ b/crates/endivespur_node/src/quotas.rs
@@ -29,8 +29,9 @@
 pub struct Quotas {
     /// The decisions.
     pub tracker: RefCell<Tracker>,
-    /// When this process started.
-    pub started_at: Time,
+    /// Until when this node and others may settle; `None` until the view is confirmed first after this node's record was
+    /// written.
+    pub start_end: Cell<Option<Time>>,
     /// When the local view of the nodes was last the same as the store's.
     pub confirmed_at: Cell<Time>,
     /// The incarnation of the process under which its shards are kept.
@@ -50,7 +51,7 @@
     pub fn new(now: Time, vm: &str) -> Self {
         Self {
             tracker: RefCell::new(Tracker::new(now, vm, EXCESS, false)),
-            started_at: now,
+            start_end: Cell::new(None),
             confirmed_at: Cell::new(Time::ZERO),
             incarnation: Cell::new(0),
             revision: Cell::new(0),
