--- a/crates/endivespur_dev/tests/daemon.rs
+++ b/crates/endivespur_dev/tests/daemon.rs
@@ -508,12 +508,12 @@
         assert!(log.contains("over the quota"), "{log}");
         assert!(log.contains(r#""reason":"quota""#), "{log}");
     }
-    let (_, wait) = call_limited(&site, "b", "o");
+    let (status, wait) = call_limited(&site, "b", "o");
     std::thread::sleep(endivespur_core::clock::from_secs(wait));
     assert_eq!(
         call_limited(&site, "b", "o").0,
         200,
-        "the time to retry was too short"
+        "the time to retry was too short: {wait} s after status {status}"
     );
     // Tokens count, and a repeated call is answered from its record, since it does not run again.
     let small = "limit organisation o quota 10 per second burst 100 in tokens";
