Lend settling shards of organisations despite slow comparisons with the store

Cause: lending begins with a view that is at most 0.3 s old, and a view is at least as old as the round trip of its comparison. Above about 0.15 s, shards that settled were postponed for ever. Comparisons were 0.7 s apart from their replies, which made views older still.

Change: the age is a parameter of the tracker, 0.6 s on the product's own path and 0.3 s on the platform as before. The platform's source may be 1.3 s old; here it is the store, and a predecessor stops 1.7 s after its record has ended, where a successor relies on a view of 2.6 s after that or later. Comparisons are 0.7 s apart from when they are sent.

--- a/crates/endivespur_core/src/gateway/quota/keeper.rs
+++ b/crates/endivespur_core/src/gateway/quota/keeper.rs
@@ -13,9 +13,7 @@
 /// The part of the capacity that is lent instead of a larger need: the borrower gets the rest from other keepers.
 const MAX_NEED_SHARE: f64 = 0.5;
 
-/// The age that a view may have when lending begins, and by how much it is postponed otherwise: more than the time
-/// between two checks.
-const SETTLED_VIEW_AGE: Duration = Duration::from_millis(300);
+/// By how much lending is postponed while the view is too old: more than the time between two checks.
 const POSTPONEMENT: Duration = Duration::from_millis(200);
 
 /// The answer to a borrower.
@@ -107,8 +105,8 @@
 
     /// Postpones the lending of shards that is about to begin while there is no recent news: others may have had their
     /// last news before these shards moved, and go on lending while the store is away. Called several times a second.
-    pub fn postpone(&mut self, now: Time, view_age: Duration) {
-        if view_age <= SETTLED_VIEW_AGE {
+    pub fn postpone(&mut self, now: Time, view_age: Duration, max_view_age: Duration) {
+        if view_age <= max_view_age {
             return;
         }
         for from in self.lends_from.iter_mut().flatten() {
--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -20,6 +20,9 @@
 /// after the store was away. Shorter than [`MAX_VIEW_AGE`], or it could lend again without news.
 const CONFIRM_TIME: Duration = Duration::from_secs(1);
 
+/// The age that a view may have when lending begins, if its source may itself be 1.3 s old.
+const SETTLED_VIEW_AGE: Duration = Duration::from_millis(300);
+
 /// One team with a quota.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -35,6 +38,8 @@
 pub struct Tracker {
     vm: Vm,
     excess: Excess,
+    /// The age that a view may have when lending begins.
+    settled_view_age: Duration,
     /// Until when the whole system starts for the first time.
     first_start_end: Option<Time>,
     /// When the members became known first, and how many they were.
@@ -67,6 +72,7 @@
         Self {
             vm: vm.to_string(),
             excess,
+            settled_view_age: SETTLED_VIEW_AGE,
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
             first_view: None,
             settled_from: None,
@@ -85,6 +91,12 @@
         }
     }
 
+    /// Sets the age that a view may have when lending begins, for views whose source is the store itself.
+    pub fn with_settled_view_age(mut self, settled_view_age: Duration) -> Self {
+        self.settled_view_age = settled_view_age;
+        self
+    }
+
     /// Records that the marker of this gateway's former process has existed until now, when this process replaced it:
     /// lends at once what this gateway has kept since its first view. Returns whether it does.
     ///
@@ -259,7 +271,7 @@
     /// Stops lending if the known gateways may not be relied on: a successor may lend the same shards.
     fn validate(&mut self, now: Time, view_age: Duration) {
         for entry in self.teams.values_mut() {
-            entry.keeper.postpone(now, view_age);
+            entry.keeper.postpone(now, view_age, self.settled_view_age);
         }
         let is_valid =
             self.contact.check(now, view_age, &self.others) && self.may_be_member(now, view_age);
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -724,3 +724,23 @@
         assert!(second + 1.0 >= rate * 8.0 * 0.8, "{second} at {rate}");
     }
 }
+
+// Guards against shards that settle for ever while each comparison with the store takes 0.3 s.
+#[test]
+fn quota_settles_with_slow_comparisons() {
+    let lends = |age| {
+        let tracker = Tracker::new(Time::ZERO, "a", EXCESS, false);
+        let mut tracker = tracker.with_settled_view_age(Duration::from_millis(age));
+        tracker.configure(Time::ZERO, 1, Some(&teams(1_000.0)));
+        tracker.assign(Time::ZERO, ["a".to_string()].iter());
+        let mut weights = (0..84).map(|check| {
+            // Sent each 0.7 s, replied 0.3 s later.
+            let now = Time::from_millis(check * 50);
+            let sent = (now.as_millis() as u64).saturating_sub(300) / 700 * 700;
+            tracker.check(now, now.saturating_sub(Time::from_millis(sent)));
+            tracker.weight(now, TEAM)
+        });
+        weights.any(|weight| weight > 0.0)
+    };
+    assert_eq!((lends(300), lends(600)), (false, true));
+}
--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -114,7 +114,8 @@
         if let Some(at) = sync::compare_nodes(&node).await {
             confirm(&node, at);
             retry_delay = COMPARE_RETRY_DELAY;
-            sleep(COMPARE_INTERVAL).await;
+            // From when it was sent: a slow store would make the views older.
+            sleep((at + COMPARE_INTERVAL).saturating_sub(clock::now())).await;
         } else {
             sleep(retry_delay).await;
             retry_delay = (retry_delay * 2).min(COMPARE_INTERVAL);
--- a/crates/endivespur_node/src/quotas.rs
+++ b/crates/endivespur_node/src/quotas.rs
@@ -17,6 +17,11 @@
 /// For how long an organisation must not be refused before that is logged as the end of its refusals.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// The age that a view may have when lending begins: comparisons each 0.7 s with a round trip of 0.3 s keep it below for
+/// longer than the 0.2 s by which lending is postponed. The source of a view is the store, so a predecessor stops 1.7 s
+/// after its record has ended, before the last view from which a successor begins.
+const SETTLED_VIEW_AGE: Duration = Duration::from_millis(600);
+
 /// The refusals of one organisation at this node.
 #[derive(Clone, Copy, Debug)]
 struct Refusals {
@@ -49,8 +54,9 @@
 impl Quotas {
     /// Creates the quotas of a node that starts now, before there is a configuration.
     pub fn new(now: Time, vm: &str) -> Self {
+        let tracker = Tracker::new(now, vm, EXCESS, false);
         Self {
-            tracker: RefCell::new(Tracker::new(now, vm, EXCESS, false)),
+            tracker: RefCell::new(tracker.with_settled_view_age(SETTLED_VIEW_AGE)),
             start_end: Cell::new(None),
             confirmed_at: Cell::new(Time::ZERO),
             incarnation: Cell::new(0),
