--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -3,7 +3,7 @@
 //! A request of an organisation with a quota is admitted before a grant is asked for it. This node lends the shards of
 //! quotas that it keeps, and borrows from the keepers of the others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,8 +27,8 @@
 
 /// How long a request waits for an amount rather than being refused: a new keeper's bucket fills within that time.
 const MAX_WAIT: Duration = Duration::from_millis(150);
-/// The time after a start in which requests wait instead: the shards of all nodes that started together are lent 3.2 s after
-/// they have read the configuration and compared their views.
+/// The time in which requests wait instead, from the first confirmed view after the node's record was written: the shards of
+/// all nodes that started together, or lost their records together, are lent 3.2 s after they know each other.
 const START_TIME: Duration = Duration::from_secs(5);
 /// The maximum wait for a keeper's reply. An amount that arrives later is used for other requests.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
@@ -37,7 +37,8 @@
 /// The time between two comparisons of the known nodes with the store: 1,186 calls a second for 830 nodes, where the store
 /// takes 2,000 reads. A view whose age stays below 0.9 s needs no probes.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(700);
-/// The delay after a comparison that failed: a watch usually delivers a write within this time.
+/// The first delay after a comparison that failed: a watch usually delivers a write within this time. It doubles up to
+/// [`COMPARE_INTERVAL`]: at a constant 0.1 s, an overloaded store got seven times the planned calls.
 const COMPARE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The interval at which a node without quotas looks for them; requests look themselves.
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
@@ -103,21 +104,37 @@
 
 /// Compares the view of the nodes with the store's while there are quotas, until the future is dropped.
 pub async fn confirm_views(node: Rc<Node>) {
+    let mut retry_delay = COMPARE_RETRY_DELAY;
     loop {
         if node.quotas.tracker.borrow().is_empty() {
             sleep(IDLE_INTERVAL).await;
             continue;
         }
-        match sync::compare_nodes(&node).await {
-            Some(at) => {
-                node.quotas.confirmed_at.set(at);
-                sleep(COMPARE_INTERVAL).await;
-            }
-            None => sleep(COMPARE_RETRY_DELAY).await,
+        if let Some(at) = sync::compare_nodes(&node).await {
+            confirm(&node, at);
+            retry_delay = COMPARE_RETRY_DELAY;
+            // From when it was sent: a slow store would make the views older.
+            sleep((at + COMPARE_INTERVAL).saturating_sub(clock::now())).await;
+        } else {
+            sleep(retry_delay).await;
+            retry_delay = (retry_delay * 2).min(COMPARE_INTERVAL);
         }
     }
 }
 
+/// Records that the view was the same as the store's at `at`; the start ends some time after the first such view with the
+/// record of this node.
+fn confirm(node: &Node, at: Time) {
+    let quotas = &node.quotas;
+    quotas.confirmed_at.set(at);
+    let table = node.table.borrow();
+    let own = table.node(&node.settings.vm);
+    let is_written = own.is_some_and(|record| record.incarnation == node.incarnation.get());
+    if quotas.start_end.get().is_none() && is_written {
+        quotas.start_end.set(Some(clock::now() + START_TIME));
+    }
+}
+
 /// Takes over the quotas of the configuration in force, and the known nodes if there are quotas.
 fn synchronize(node: &Node) {
     let quotas = &node.quotas;
@@ -139,6 +156,7 @@
         if quotas.incarnation.replace(incarnation) != incarnation {
             // Other nodes may have lent the shards of the former incarnation.
             tracker.assign(now, [].iter());
+            quotas.start_end.set(None);
         }
         let vms = members(node);
         tracker.assign(now, vms.iter());
@@ -149,7 +167,9 @@
     {
         if !is_first && tracker.is_empty() {
             // Without quotas the view was not compared. The store has just sent the quota, and with it what is older.
+            // Its buckets are full, and nobody settles.
             quotas.confirmed_at.set(now);
+            quotas.start_end.set(Some(now));
         }
         quotas.forget_others(&new_teams);
         tracker.configure(now, config.revision, Some(&new_teams));
@@ -192,23 +212,28 @@
 
 /// Returns the nodes that keep quotas, this one included while the record under its name is its own.
 ///
-/// A daemon that another one under its name has replaced keeps no shards any longer.
+/// A daemon that another one under its name has replaced keeps no shards any longer. A node whose record cannot be read
+/// may lend its shards, so no other node lends them.
 fn members(node: &Node) -> Vec<Vm> {
     let table = node.table.borrow();
     let keeping = table.nodes().filter(|(vm, record)| {
         let is_own = node.is_self(vm, record.incarnation);
         record.keeps_quotas && (is_own || **vm != node.settings.vm)
     });
-    keeping.map(|(vm, _)| vm.clone()).collect()
+    let keeping = keeping.map(|(vm, _)| vm);
+    let unreadable = table.unreadable_nodes();
+    let others = unreadable.filter(|vm| **vm != node.settings.vm);
+    let vms: BTreeSet<&Vm> = keeping.chain(others).collect();
+    vms.into_iter().cloned().collect()
 }
 
 /// Returns a hash of the processes that keep quotas, by which two views are compared.
 fn view_digest(node: &Node) -> u64 {
     let table = node.table.borrow();
     let keeping = table.nodes().filter(|(_, record)| record.keeps_quotas);
-    keeping.fold(0, |seed, (vm, record)| {
-        hash::mix(&process(vm, record.incarnation), seed)
-    })
+    let processes = keeping.map(|(vm, record)| process(vm, record.incarnation));
+    let all = processes.chain(table.unreadable_nodes().cloned());
+    all.fold(0, |seed, process| hash::mix(&process, seed))
 }
 
 /// Gives loans back that end soon, and probes other nodes if the view has not been confirmed.
@@ -309,10 +334,10 @@
         let loan = peer::borrow(&node, &address, &organisation, needed, wanted).await;
         let late = sender.try_send(loan.ok()).err();
         if let Some(loan @ Loan::Amount(..)) = late.and_then(TrySendError::into_inner) {
-            let now = clock::now();
-            let mut inquiry = Inquiry::new(now, 0, Duration::ZERO);
             let mut tracker = node.quotas.tracker.borrow_mut();
-            tracker.replied(now, &organisation, &mut inquiry, &lender, sent, Some(loan));
+            tracker.replied_late(&organisation, &lender, sent, loan);
+            drop(tracker);
+            node.quotas.changed.notify(usize::MAX);
         }
     });
     let timeout = async {
@@ -351,33 +376,29 @@
     }
     let wait_until = job.deadline.min(patient_until(node, now));
     let mut inquiry = Inquiry::new(now, amount, wait_until.saturating_sub(now));
+    if now < start_end(node, now) {
+        inquiry = inquiry.with_patience();
+    }
     loop {
         match step(node, organisation, &inquiry) {
+            // Without a quota meanwhile, nothing is charged.
             None => return Ok(Charge::new(node, organisation, Vec::new())),
+            Some(Step::Borrow {
+                lender,
+                needed,
+                wanted,
+            }) => borrow(node, organisation, inquiry, lender, (needed, wanted)),
             Some(Step::Admit(parts)) => return Ok(charge(node, organisation, amount, parts)),
-            Some(Step::Refuse(wait)) => return Err(refuse(node, organisation, amount, wait)),
-            Some(Step::Wait(wait)) => {
-                sleep(wait).await;
-                let now = clock::now();
-                inquiry = if now < node.quotas.started_at + START_TIME {
-                    // Keepers that do not lend yet are asked again.
-                    Inquiry::new(now, amount, wait_until.saturating_sub(now))
-                } else {
-                    inquiry.again()
-                };
+            Some(Step::Refuse(wait)) => {
+                // What was reserved for this request is free for others.
+                node.quotas.changed.notify(usize::MAX);
+                return Err(refuse(node, organisation, amount, wait));
             }
-            Some(Step::Borrow { .. }) => {
-                let lock = node.quotas.lock(organisation);
-                let _guard = lock.lock().await;
-                // Another request may have borrowed enough meanwhile.
-                if let Some(Step::Borrow {
-                    lender,
-                    needed,
-                    wanted,
-                }) = step(node, organisation, &inquiry)
-                {
-                    borrow(node, organisation, &mut inquiry, &lender, (needed, wanted)).await;
-                }
+            Some(Step::Wait(wait)) => {
+                // The reply that it waits for may be one to another request.
+                let changed = node.quotas.changed.listen();
+                sleep(wait).or(changed).await;
+                inquiry = inquiry.again();
             }
         }
     }
@@ -385,7 +406,12 @@
 
 /// Returns until when a request waits for an amount.
 fn patient_until(node: &Node, now: Time) -> Time {
-    (node.quotas.started_at + START_TIME).max(now + MAX_WAIT)
+    start_end(node, now).max(now + MAX_WAIT)
+}
+
+/// Returns until when shards may settle because of a start.
+fn start_end(node: &Node, now: Time) -> Time {
+    node.quotas.start_end.get().unwrap_or(now + START_TIME)
 }
 
 fn step(node: &Node, organisation: &str, inquiry: &Inquiry) -> Option<Step> {
@@ -393,24 +419,32 @@
     tracker.step(clock::now(), organisation, inquiry)
 }
 
-async fn borrow(
+/// Borrows an amount in a task of its own: the request may ask other keepers meanwhile, or end.
+fn borrow(
     node: &Rc<Node>,
     organisation: &str,
-    inquiry: &mut Inquiry,
-    lender: &Vm,
+    mut inquiry: Inquiry,
+    lender: Vm,
     (needed, wanted): (u64, u64),
 ) {
     let sent = clock::now();
-    let loan = ask(node, lender, organisation, needed, wanted).await;
-    let outcome = match loan {
-        Some(Loan::Amount(..)) => "lent",
-        Some(Loan::Wait(_)) => "exhausted",
-        Some(Loan::Unknown) => "unknown",
-        None => "no-reply",
-    };
-    metrics::counter!("endivespur_quota_loans_total", "outcome" => outcome).increment(1);
-    let mut tracker = node.quotas.tracker.borrow_mut();
-    tracker.replied(clock::now(), organisation, inquiry, lender, sent, loan);
+    let (task_node, organisation) = (node.clone(), organisation.to_string());
+    node.spawn(async move {
+        let node = task_node;
+        let loan = ask(&node, &lender, &organisation, needed, wanted).await;
+        let outcome = match loan {
+            Some(Loan::Amount(..)) => "lent",
+            Some(Loan::Wait(_)) => "exhausted",
+            Some(Loan::Unknown) => "unknown",
+            None => "no-reply",
+        };
+        metrics::counter!("endivespur_quota_loans_total", "outcome" => outcome).increment(1);
+        let now = clock::now();
+        let mut tracker = node.quotas.tracker.borrow_mut();
+        tracker.replied(now, &organisation, &mut inquiry, &lender, sent, loan);
+        drop(tracker);
+        node.quotas.changed.notify(usize::MAX);
+    });
 }
 
 fn charge(node: &Rc<Node>, organisation: &str, amount: u64, parts: Vec<Part>) -> Charge {
--- a/crates/endivespur_node/src/quotas.rs
+++ b/crates/endivespur_node/src/quotas.rs
@@ -2,26 +2,24 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::quota::Excess;
 use endivespur_core::gateway::quota::tracker::Tracker;
 use endivespur_core::gateway::team::Teams;
 use endivespur_core::id::{Organisation, Revision};
+use endivespur_core::quota::EXCESS;
 use endivespur_core::usage::Usage;
+use event_listener::Event;
 use log::info;
-use smol::lock::Mutex;
 
 /// For how long an organisation must not be refused before that is logged as the end of its refusals.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
-/// What is permitted beyond the quotas: a tenth in any 8 s. Loans that are not used yet and nodes without keepers need it.
-const EXCESS: Excess = Excess {
-    window: Duration::from_secs(8),
-    ratio: 0.1,
-    tokens: 0.0,
-};
+
+/// The age that a view may have when lending begins: comparisons each 0.7 s with a round trip of 0.3 s keep it below for
+/// longer than the 0.2 s by which lending is postponed. The source of a view is the store, so a predecessor stops 1.7 s
+/// after its record has ended, before the last view from which a successor begins.
+const SETTLED_VIEW_AGE: Duration = Duration::from_millis(600);
 
 /// The refusals of one organisation at this node.
 #[derive(Clone, Copy, Debug)]
@@ -35,8 +33,9 @@
 pub struct Quotas {
     /// The decisions.
     pub tracker: RefCell<Tracker>,
-    /// When this process started.
-    pub started_at: Time,
+    /// Until when this node and others may settle; `None` until the view is confirmed first after this node's record was
+    /// written.
+    pub start_end: Cell<Option<Time>>,
     /// When the local view of the nodes was last the same as the store's.
     pub confirmed_at: Cell<Time>,
     /// The incarnation of the process under which its shards are kept.
@@ -45,8 +44,8 @@
     pub revision: Cell<Revision>,
     /// The quotas in force.
     pub teams: RefCell<Teams>,
-    /// Held by the request of each organisation that borrows: the others use what it gets.
-    borrowing: RefCell<BTreeMap<Organisation, Rc<Mutex<()>>>>,
+    /// Notified when requests that wait may find an amount.
+    pub changed: Event,
     usage: RefCell<BTreeMap<Organisation, Usage>>,
     refusals: RefCell<BTreeMap<Organisation, Refusals>>,
 }
@@ -54,14 +53,15 @@
 impl Quotas {
     /// Creates the quotas of a node that starts now, before there is a configuration.
     pub fn new(now: Time, vm: &str) -> Self {
+        let tracker = Tracker::new(now, vm, EXCESS, false);
         Self {
-            tracker: RefCell::new(Tracker::new(now, vm, EXCESS, false)),
-            started_at: now,
+            tracker: RefCell::new(tracker.with_settled_view_age(SETTLED_VIEW_AGE)),
+            start_end: Cell::new(None),
             confirmed_at: Cell::new(Time::ZERO),
             incarnation: Cell::new(0),
             revision: Cell::new(0),
             teams: RefCell::new(Teams::new()),
-            borrowing: RefCell::new(BTreeMap::new()),
+            changed: Event::new(),
             usage: RefCell::new(BTreeMap::new()),
             refusals: RefCell::new(BTreeMap::new()),
         }
@@ -72,21 +72,9 @@
         now.saturating_sub(self.confirmed_at.get())
     }
 
-    /// Returns the lock of an organisation, held while its loans are borrowed.
-    pub fn lock(&self, organisation: &str) -> Rc<Mutex<()>> {
-        let mut borrowing = self.borrowing.borrow_mut();
-        borrowing
-            .entry(organisation.to_string())
-            .or_default()
-            .clone()
-    }
-
-    /// Removes the locks and counts of organisations that have no quota any longer.
+    /// Removes the counts of organisations that have no quota any longer.
     pub fn forget_others(&self, teams: &Teams) {
         let is_limited = |name: &Organisation| teams.get(name).is_some();
-        self.borrowing
-            .borrow_mut()
-            .retain(|name, _| is_limited(name));
         self.usage.borrow_mut().retain(|name, _| is_limited(name));
     }
 
