--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::contact::Contact;
+use super::contact::{Contact, MAX_VIEW_AGE};
 use super::keeper::{Keeper, Loan, Start};
 use super::members::Members;
 use super::wallet::{Inquiry, Part, Step, Wallet};
-use super::{Excess, SETTLE_TIME, Terms, keepers};
+use super::{Excess, SETTLE_TIME, Terms, VALIDITY, keepers, marker};
 use crate::clock::Time;
 use crate::gateway::team::Teams;
 use crate::hash;
@@ -16,9 +16,12 @@
 /// The time between two revisions of the members if the known gateways do not change: it takes time in large fleets.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long after its start a gateway may resume lending by its first view of the others: long enough to read the store
-/// and the configuration, shorter than the time in which others could take its shards over.
-const RESUME_TIME: Duration = Duration::from_secs(1);
+/// How long a gateway keeps its shards without being sure that it is a member: its leases are confirmed within this time
+/// after the store was away. Shorter than [`MAX_VIEW_AGE`], or it could lend again without news.
+const CONFIRM_TIME: Duration = Duration::from_secs(1);
+
+/// The age that a view may have when lending begins, if its source may itself be 1.3 s old.
+const SETTLED_VIEW_AGE: Duration = Duration::from_millis(300);
 
 /// One team with a quota.
 #[derive(Clone, Debug)]
@@ -35,13 +38,19 @@
 pub struct Tracker {
     vm: Vm,
     excess: Excess,
+    /// The age that a view may have when lending begins.
+    settled_view_age: Duration,
     /// Until when the whole system starts for the first time.
     first_start_end: Option<Time>,
-    /// Until when the shards that this gateway keeps by its first view of the others are lent at once: nobody has taken
-    /// them over from its former process.
-    resume_end: Option<Time>,
-    /// Whether the view of the others has changed since the first one.
-    has_changed_view: bool,
+    /// When the members became known first, and how many they were.
+    first_view: Option<(Time, usize)>,
+    /// From when on this gateway lends what it keeps, without interruption; `None` while it is no member.
+    settled_from: Option<Time>,
+    /// Until when its record and its marker exist for certain; `None` if it has not written them.
+    record_until: Option<Time>,
+    marker_until: Option<Time>,
+    /// Since when it has had news, but may be no member any more.
+    uncertain_from: Option<Time>,
     /// The version of the configuration, once there is one.
     version: Option<u64>,
     teams: BTreeMap<Team, Entry>,
@@ -63,9 +72,13 @@
         Self {
             vm: vm.to_string(),
             excess,
+            settled_view_age: SETTLED_VIEW_AGE,
             first_start_end: is_first_start.then(|| now + SETTLE_TIME),
-            resume_end: None,
-            has_changed_view: false,
+            first_view: None,
+            settled_from: None,
+            record_until: None,
+            marker_until: None,
+            uncertain_from: None,
             version: None,
             teams: BTreeMap::new(),
             vms: Vec::new(),
@@ -78,16 +91,66 @@
         }
     }
 
-    /// Records that the record of this gateway's former process had not ended when this one started. Others take shards
-    /// over only some time after a record has ended, and the former process lends no more.
+    /// Sets the age that a view may have when lending begins, for views whose source is the store itself.
+    pub fn with_settled_view_age(mut self, settled_view_age: Duration) -> Self {
+        self.settled_view_age = settled_view_age;
+        self
+    }
+
+    /// Records that the marker of this gateway's former process has existed until now, when this process replaced it:
+    /// lends at once what this gateway has kept since its first view. Returns whether it does.
+    ///
+    /// It does not if the view has fewer members than the marker names: the others may only be cut off, and lend while
+    /// they reach each other.
     ///
     /// Without this, no gateway would lend for [`SETTLE_TIME`] after all had been restarted at once.
-    pub fn resume(&mut self, now: Time) {
-        if self.has_changed_view {
-            return;
+    pub fn resume(&mut self, now: Time, members: usize) -> bool {
+        let Some((first, count)) = self.first_view else {
+            return false;
+        };
+        if count < members && !marker::is_near(count, members) {
+            return false;
+        }
+        for entry in self.teams.values_mut() {
+            entry.keeper.resume(now, &entry.terms, first);
+        }
+        if let Some(from) = &mut self.settled_from
+            && *from <= first + SETTLE_TIME
+        {
+            *from = (*from).min(now);
         }
-        self.resume_end = Some(now + RESUME_TIME);
+        true
+    }
+
+    /// Returns the number of members, this gateway included.
+    pub fn member_count(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Records that this gateway's marker has ended: another gateway may have taken its shards over, which settle again.
+    pub fn lapsed(&mut self, now: Time) {
+        let is_valid = std::mem::replace(&mut self.is_valid, false);
         self.assign_teams(now);
+        self.is_valid = is_valid;
+        self.assign_teams(now);
+    }
+
+    /// Records until when this gateway's record exists for certain.
+    pub fn confirm_record(&mut self, until: Time) {
+        self.record_until = Some(until);
+    }
+
+    /// Records until when this gateway's marker exists for certain.
+    pub fn confirm_marker(&mut self, until: Time) {
+        self.marker_until = Some(until);
+    }
+
+    /// Returns whether this gateway is a member that lends all the shards that it keeps, so that it may write its marker.
+    pub fn lends_all(&self, now: Time) -> bool {
+        let mut keepers = self.teams.values().map(|entry| &entry.keeper);
+        self.has_majority
+            && self.settled_from.is_some_and(|from| from <= now)
+            && !keepers.any(|keeper| keeper.is_settling(now))
     }
 
     /// Returns whether no team has a quota.
@@ -144,11 +207,8 @@
         if vms.clone().eq(&self.vms) {
             return;
         }
-        if !self.vms.is_empty() {
-            self.has_changed_view = true;
-            self.resume_end = None;
-        }
         self.vms = vms.cloned().collect();
+        self.first_view.get_or_insert((now, self.vms.len()));
         let others = self.vms.iter().filter(|vm| **vm != self.vm);
         self.others = others.cloned().collect();
         self.revise_members(now);
@@ -162,6 +222,12 @@
 
     fn assign_teams(&mut self, now: Time) {
         let start = self.start(now);
+        let is_member = self.is_valid && self.vms.contains(&self.vm);
+        self.settled_from = match self.settled_from {
+            _ if !is_member => None,
+            None => Some(now + SETTLE_TIME),
+            from => from,
+        };
         let names: Vec<Team> = self.teams.keys().cloned().collect();
         for name in names {
             self.assign_team(now, &name, start);
@@ -171,7 +237,6 @@
     fn start(&self, now: Time) -> Start {
         match self.first_start_end {
             Some(end) if now < end => Start::Full,
-            _ if self.resume_end.is_some_and(|end| now < end) => Start::Resumed,
             _ if !self.has_majority => Start::Never,
             _ => Start::Settling,
         }
@@ -206,15 +271,46 @@
     /// Stops lending if the known gateways may not be relied on: a successor may lend the same shards.
     fn validate(&mut self, now: Time, view_age: Duration) {
         for entry in self.teams.values_mut() {
-            entry.keeper.postpone(now, view_age);
+            entry.keeper.postpone(now, view_age, self.settled_view_age);
         }
-        let is_valid = self.contact.check(now, view_age, &self.others);
+        let is_valid =
+            self.contact.check(now, view_age, &self.others) && self.may_be_member(now, view_age);
         if is_valid != self.is_valid {
             self.is_valid = is_valid;
             self.assign_teams(now);
         }
     }
 
+    /// Returns whether this gateway is a member, or may not know yet that its leases continue. It lends nothing meanwhile.
+    ///
+    /// A gateway that has news, but can no longer renew its leases, stops lending before it is removed from the members,
+    /// since one that resumes lends at once. If it was certain at its last news, [`Contact`] decides: the store may be away
+    /// for all.
+    fn may_be_member(&mut self, now: Time, view_age: Duration) -> bool {
+        if self.is_certain_member(now, view_age) {
+            self.uncertain_from = None;
+            return true;
+        }
+        if self.uncertain_from.is_none() && view_age >= MAX_VIEW_AGE {
+            return true;
+        }
+        now < *self.uncertain_from.get_or_insert(now) + CONFIRM_TIME
+    }
+
+    fn is_certain_member(&self, now: Time, view_age: Duration) -> bool {
+        let by_marker = self
+            .marker_until
+            .is_some_and(|until| now + VALIDITY < until);
+        // The lease of a record may end before a view is too old.
+        let received_at = now.saturating_sub(view_age);
+        by_marker
+            || self.record_until.map_or_else(
+                // Nothing is known of the leases of a process that has resumed by its marker and not renewed its record.
+                || self.marker_until.is_none(),
+                |until| received_at + VALIDITY < until,
+            )
+    }
+
     /// Records that a gateway replied to a probe that was sent at `sent`.
     pub fn probe_replied(&mut self, vm: &str, sent: Time) {
         self.contact.replied(vm, sent);
@@ -231,6 +327,7 @@
     ) -> Loan {
         self.validate(now, view_age);
         match self.teams.get_mut(team) {
+            Some(_) if self.uncertain_from.is_some() => Loan::Unknown,
             Some(entry) => entry.keeper.lend(now, &entry.terms, needed, wanted),
             None => Loan::Unknown,
         }
@@ -239,6 +336,7 @@
     /// Returns the share of a team's quota that this gateway lends.
     pub fn weight(&self, now: Time, team: &str) -> f64 {
         let entry = self.teams.get(team);
+        let entry = entry.filter(|_| self.uncertain_from.is_none());
         entry.map_or(0.0, |entry| entry.keeper.weight(now, &entry.terms))
     }
 
@@ -281,6 +379,13 @@
         }
     }
 
+    /// Records the reply of a keeper that was taken for one that does not reply.
+    pub fn replied_late(&mut self, team: &str, lender: &str, sent: Time, loan: Loan) {
+        if let Some(entry) = self.teams.get_mut(team) {
+            entry.wallet.replied_late(lender, sent, loan);
+        }
+    }
+
     /// Takes back what a request was charged that did not run; returns what is to be given back to lenders.
     pub fn put_back(&mut self, now: Time, team: &str, parts: Vec<Part>) -> Vec<Part> {
         match self.teams.get_mut(team) {
--- a/crates/endivespur_core/tests/gateway/main.rs
+++ b/crates/endivespur_core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod prefix;
 mod quota;
+mod quota_mix;
 mod reach;
 mod room;
 mod source;
@@ -90,6 +91,8 @@
         output_tokens: 0,
         end_in: None,
         is_last: false,
+        team: String::new(),
+        team_share: 1.0,
     }
 }
 
--- a/crates/endivespur_core/tests/gateway/placement.rs
+++ b/crates/endivespur_core/tests/gateway/placement.rs
@@ -123,7 +123,7 @@
     engine.add_waiter(ms(0), &request("a"));
     answer(&mut engine, ms(0), Answer::NoResponse);
     answer(&mut engine, ms(250), Answer::NoResponse);
-    engine.remove_waiter(&weights("a"));
+    engine.remove_waiter(&request("a"));
     engine.reconcile(ms(600), &report(&[("x", 1)], 0));
     engine.add_waiter(ms(600), &request("b"));
     answer(&mut engine, ms(600), Answer::NoResponse);
@@ -197,7 +197,7 @@
     answer(&mut engine, ms(5), Answer::AlreadyApplied);
     answer(&mut engine, ms(10), Answer::Accepted);
     answer(&mut engine, ms(270), Answer::AlreadyApplied);
-    engine.remove_waiter(&weights("c"));
+    engine.remove_waiter(&request("c"));
     assert_eq!(engine.step(ms(310)), Step::Report);
     engine.reconcile(ms(310), &report(&[("a", 1), ("b", 1)], 1));
     grant(&mut engine, ms(311), "c");
@@ -212,7 +212,7 @@
     answer(&mut engine, ms(5), Answer::AlreadyApplied);
     answer(&mut engine, ms(10), Answer::Accepted);
     answer(&mut engine, ms(40), Answer::AlreadyApplied);
-    engine.remove_waiter(&weights("c"));
+    engine.remove_waiter(&request("c"));
     engine.add_waiter(ms(50), &request("d"));
     let unload = answer(&mut engine, ms(50), Answer::Accepted);
     assert_eq!(
@@ -359,7 +359,7 @@
 fn remove_waiter_last() {
     let mut engine = engine(8, &[]);
     engine.add_waiter(ms(0), &request("a"));
-    engine.remove_waiter(&weights("a"));
+    engine.remove_waiter(&request("a"));
     assert_eq!(engine.step(ms(1)), Step::Sleep(None));
 }
 
@@ -762,3 +762,77 @@
         engine.response_started(now + ms(20), grant);
     }
 }
+
+/// Returns a request of a team.
+fn of_team(team: &str, adapter: &str, tokens: u32, max_delay: u64) -> Request {
+    let mut request = request(adapter);
+    (request.tokens, request.max_delay) = (tokens, Some(ms(max_delay)));
+    (request.due_in, request.team) = (ms(560), team.to_string());
+    request
+}
+
+/// A team that had used far more than others was granted as much delay as they; or it is deferred at an idle engine, or
+/// while it is alone, or a request without a team is.
+#[test]
+fn request_of_team_beyond_its_share() {
+    let mut engine = engine(2, &["a"]);
+    let long = |team| of_team(team, "a", 6_000, 500);
+    let Decision::Granted(large) = engine.request(ms(0), &long("large")) else {
+        panic!("an idle engine deferred a request");
+    };
+    assert_matches!(engine.request(ms(0), &long("large")), Decision::Granted(_));
+    assert_matches!(
+        engine.request(ms(0), &of_team("small", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("large", "a", 100, 500)),
+        Decision::Deferred(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    assert_matches!(
+        engine.request(ms(0), &of_team("small", "a", 100, 500)),
+        Decision::Granted(_)
+    );
+    for started in large..large + 5 {
+        engine.response_started(ms(500), started);
+    }
+    assert_matches!(
+        engine.request(ms(500), &long("large")),
+        Decision::Granted(_)
+    );
+}
+
+/// A team was deferred for work that its quota permits.
+#[test]
+fn request_of_team_within_its_quota() {
+    let mut engine = engine(2, &["a"]);
+    let teams = [("large", 6_000, 1.8), ("small", 700, 0.2)];
+    for (team, tokens, share) in [teams[0], teams[0], teams[1], teams[0]] {
+        let mut request = of_team(team, "a", tokens, 500);
+        request.team_share = share;
+        assert_matches!(engine.request(ms(0), &request), Decision::Granted(_));
+    }
+}
+
+/// An adapter that many requests of one team wait for was loaded before those of the other teams.
+#[test]
+fn load_for_team_beyond_its_share() {
+    let mut engine = engine(4, &["a"]);
+    for prompt in [
+        of_team("large", "a", 9_000, 500),
+        of_team("small", "a", 10, 500),
+    ] {
+        assert_matches!(engine.request(ms(0), &prompt), Decision::Granted(_));
+    }
+    for _ in 0..3 {
+        engine.add_waiter(ms(0), &of_team("large", "b", 10, 500));
+    }
+    engine.add_waiter(ms(1), &of_team("small", "c", 10, 500));
+    assert_eq!(order(&mut engine, ms(1)).weights, weights("c"));
+    engine.remove_waiter(&of_team("small", "c", 10, 500));
+    assert_eq!(order(&mut engine, ms(1)).weights, weights("b"));
+}
--- a/crates/endivespur_node/src/entry.rs
+++ b/crates/endivespur_node/src/entry.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use endivespur_core::config::{Class, Stage};
+use endivespur_core::gateway::team;
 use endivespur_core::place::Rule;
-use endivespur_net::{body, http};
+use endivespur_net::http;
 use http_types::{Method, Request, Response, StatusCode};
 use log::info;
 use serde_json::json;
-use smol::future::FutureExt;
 
-use crate::answer::{Failure, Outcome};
+use crate::answer::{Failure, Outcome, Reason};
 use crate::clock;
 use crate::complete;
 use crate::dispatch::{Job, Permit};
@@ -67,16 +67,19 @@
     if node.stopping.get() {
         response.insert_header("connection", "close");
     }
+    let organisation_name = organisation.clone().unwrap_or_default();
     if let (Some(service), Some(organisation)) = (service, organisation) {
         let succeeded = !response.status().is_server_error();
         let mut burn = node.burn.borrow_mut();
         burn.served(clock::now(), &service, &organisation, succeeded);
     }
     let outcome = response_header(&response, "endivespur-outcome");
+    let reason = response.ext().get::<Reason>().copied();
     let took = clock::now().saturating_sub(received_at);
     info!(
         event = "answered", request = id.as_str(), path = path.as_str(),
-        status = response.status() as u16, outcome = outcome.as_str(),
+        organisation = organisation_name.as_str(), status = response.status() as u16, outcome = outcome.as_str(),
+        reason = reason.map_or("", Reason::name),
         took_ms = took.as_millis() as u64; "answered"
     );
     metrics::counter!("endivespur_requests_total", "outcome" => outcome).increment(1);
@@ -143,11 +146,16 @@
 
 fn identify(node: &Rc<Node>, request: &Request, id: &str) -> Result<Caller, Failure> {
     let named = header(request, "endivespur-organisation");
+    let token = bearer_token(request);
     let organisation = node
         .authenticator
-        .organisation(bearer_token(request).as_deref(), named.as_deref())
-        .filter(|name| node.config.borrow().organisations.contains_key(name))
-        .ok_or_else(|| Failure::not_run(StatusCode::Unauthorized, "unknown organisation"))?;
+        .organisation(token.as_deref(), named.as_deref());
+    let is_known = |name: &String| node.config.borrow().organisations.contains_key(name);
+    let Some(organisation) = organisation.clone().filter(is_known) else {
+        log_unauthorized(node, id, token.as_deref(), organisation.as_deref());
+        let failure = Failure::not_run(StatusCode::Unauthorized, "unknown organisation");
+        return Err(failure.with_reason(Reason::Unauthorized));
+    };
     let key = header(request, "idempotency-key");
     let is_valid = |key: &String| !key.is_empty() && key.len() <= 255 && !key.contains('/');
     if key.as_ref().is_some_and(|key| !is_valid(key)) {
@@ -167,6 +175,23 @@
     })
 }
 
+/// Logs why a request is not authorised, with the digest of its token, at most some times a second.
+fn log_unauthorized(node: &Node, id: &str, token: Option<&str>, organisation: Option<&str>) {
+    let Some(skipped) = node.unauthorized.borrow_mut().admit(clock::now()) else {
+        return;
+    };
+    let reason = match (organisation, token) {
+        (Some(_), _) => "unconfigured",
+        (None, Some(_)) => "unknown",
+        (None, None) => "missing",
+    };
+    let digest = token.map(team::digest).unwrap_or_default();
+    info!(
+        event = "unauthorized", request = id, reason, digest = digest.as_str(),
+        organisation = organisation.unwrap_or_default(), skipped; "not authorised"
+    );
+}
+
 /// Counts one request as in flight for an organisation until it is dropped, streams included.
 pub struct InFlight {
     node: Rc<Node>,
@@ -180,6 +205,7 @@
         if *count >= node.settings.limits.organisation {
             let message = "the organisation has too many requests in flight";
             let failure = Failure::not_run(StatusCode::TooManyRequests, message);
+            let failure = failure.with_reason(Reason::InFlight);
             return Err(failure.with_retry_after(Duration::from_secs(1)));
         }
         *count += 1;
@@ -218,36 +244,6 @@
     http::json(StatusCode::Ok, &json!({ "object": "list", "data": data }))
 }
 
-/// Reads a request's body within the limits of the settings.
-///
-/// # Errors
-///
-/// Returns a refusal for a body that is too large, too slow or truncated.
-pub async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Failure> {
-    let limits = &node.settings.limits;
-    let too_large = || Failure::not_run(StatusCode::PayloadTooLarge, "the body is too large");
-    if request.len().is_some_and(|len| len > limits.body) {
-        return Err(too_large());
-    }
-    let mut content = request.take_body();
-    let timeout = async {
-        smol::Timer::after(limits.read).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    match body::read(&mut content, limits.body).or(timeout).await {
-        Ok(bytes) => Ok(bytes),
-        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Err(Failure::not_run(
-            StatusCode::RequestTimeout,
-            "the body came too slowly",
-        )),
-        Err(error) if error.kind() == std::io::ErrorKind::Other => Err(too_large()),
-        Err(_) => Err(Failure::not_run(
-            StatusCode::BadRequest,
-            "the body was cut off",
-        )),
-    }
-}
-
 /// Returns the maximum wait of a class's requests for a grant.
 pub fn max_wait(node: &Node, class: Class) -> Duration {
     let waiting = &node.settings.waiting;
--- a/crates/endivespur_node/src/lib.rs
+++ b/crates/endivespur_node/src/lib.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod answer;
 mod answered;
+mod bodies;
 mod claim;
 mod complete;
 mod counted;
@@ -17,6 +18,8 @@
 mod operator;
 mod peer;
 mod plain;
+mod quota;
+mod quotas;
 mod rows;
 mod rpc;
 pub mod settings;
--- a/crates/endivespur_node/src/plain.rs
+++ b/crates/endivespur_node/src/plain.rs
@@ -10,11 +10,13 @@
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::answer::{Failure, Outcome};
+use crate::bodies::{self, Body};
 use crate::clock;
 use crate::dispatch::{self, AttemptError, Job, Permit};
 use crate::entry::{self, Caller};
 use crate::node::Node;
 use crate::once;
+use crate::quota;
 use crate::suspicion::fingerprint;
 
 /// The maximum size of a plain service's response.
@@ -53,7 +55,7 @@
         let message = "a call that may not be repeated needs an Idempotency-Key";
         return Err(Failure::not_run(StatusCode::BadRequest, message));
     }
-    let bytes = entry::read_body(node, &mut request).await?;
+    let bytes = bodies::read(node, &mut request).await?;
     let media = request
         .header("content-type")
         .map(|value| value.as_str().to_string());
@@ -103,7 +105,7 @@
 fn request_builder(
     method: Method,
     path: String,
-    bytes: Vec<u8>,
+    bytes: Body,
     media: Option<String>,
     key: Option<String>,
     organisation: String,
@@ -112,7 +114,7 @@
         let mut request = client::request(method, &permit.address, &path)
             .map_err(|error| Failure::not_run(StatusCode::BadGateway, &error.to_string()))?;
         if !bytes.is_empty() {
-            request.set_body(bytes.clone());
+            request.set_body(bytes.to_vec());
         }
         if let Some(media) = &media {
             request.insert_header("content-type", media.as_str());
@@ -157,6 +159,7 @@
     let mut last = Failure::unknown("no attempt was made");
     let mut may_have_run = false;
     node.update_retry_budget(&job.request.organisation, Budget::deposit);
+    let mut charge = quota::admit(node, &job).await?;
     for attempt in 0..ATTEMPT_LIMIT {
         if attempt > 0 && !node.withdraw_retry(&job.request.organisation) {
             break;
@@ -165,6 +168,7 @@
             .await
             .map_err(|failure| failure.after_lost_attempt(may_have_run))?;
         let request = build_request(&permit)?;
+        charge.set_may_have_run(true);
         let id = format!("{}.{attempt}", job.id);
         let result = match dispatch::send(&mut permit, request, &id).await {
             Ok(response) => read_whole(response).await.map_err(AttemptError::Lost),
@@ -190,6 +194,7 @@
                     .after_lost_attempt(may_have_run);
             }
         }
+        charge.set_may_have_run(may_have_run);
         job.avoid.insert(permit.endpoint.clone());
     }
     Err(last)
