Let requests that wait for a quota after a start go on asking keepers

Cause: a request that comes before a gateway knows the others may wait for 0.7 s, but asked keepers for 0.3 s only. If a keeper that had lent nothing was due to be asked again after that, the request was decided again without a pause until its wait ended.

Change: such a request asks for as long as it waits, as on the product's own path, and no wait is shorter than 20 ms.

Measured: the 15 model tests of quotas pass.

--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -12,7 +12,7 @@
 const DEMAND_TIME: Duration = Duration::from_millis(500);
 /// The delay before a keeper that did not reply, or lends nothing, is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The delay until a gateway that knows no keepers yet may know one.
+/// The delay until a gateway that knows no keepers yet may know one, and the least delay of a request that waits.
 const UNKNOWN_DELAY: Duration = Duration::from_millis(20);
 /// The least delay before a keeper that had too little is asked again.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -487,7 +487,8 @@
         }
         let times = keepers.iter().filter_map(|vm| self.blocked.get(vm));
         let times = times.map(|(until, _)| until.saturating_sub(now));
-        times.min().unwrap_or(RETRY_DELAY)
+        // Some may have passed, and are not removed while no keeper is asked.
+        times.min().unwrap_or(RETRY_DELAY).max(UNKNOWN_DELAY)
     }
 
     fn refuse(&mut self, now: Time, amount: u64, wait: Duration) -> Step {
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -227,12 +227,12 @@
         .tracker
         .borrow_mut()
         .demanded(now, team, amount);
-    let max_wait = if state.quotas.tracker.borrow().knows_gateways() {
-        MAX_WAIT
-    } else {
-        MAX_START_WAIT
-    };
+    let is_known = state.quotas.tracker.borrow().knows_gateways();
+    let max_wait = if is_known { MAX_WAIT } else { MAX_START_WAIT };
     let mut inquiry = Inquiry::new(now, amount, max_wait.min(call.time_left()));
+    if !is_known {
+        inquiry = inquiry.with_patience();
+    }
     loop {
         match step(state, team, &inquiry) {
             None => return Ok(None),
