--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -106,7 +106,14 @@
             return Err(Failure::Denied);
         }
         let sent = clock::now();
-        let exchange = relay::exchange(&mut connection, &request, body, attempt_id, Answers::Any);
+        let exchange = relay::exchange(
+            &mut connection,
+            &request,
+            body,
+            attempt_id,
+            Answers::Any,
+            is_refusal,
+        );
         let (mut head, framing) = timer::within(left, exchange)
             .await
             .ok_or(Failure::Timeout)?
@@ -143,10 +150,12 @@
     Err(Failure::NotSent(reason))
 }
 
-/// Returns whether a response of another gateway says that it has not sent the request to an endpoint.
-pub fn is_refusal(head: &Response) -> bool {
+/// Returns whether a response of another gateway says that the request has not run.
+fn is_refusal(head: &Response) -> bool {
     let result = head.headers.get(RESULT);
-    result.is_some_and(|result| [UNREACHED, UNAVAILABLE, RESTING, DRAINING].contains(&result))
+    relay::is_not_executed(head)
+        || result
+            .is_some_and(|result| [UNREACHED, UNAVAILABLE, RESTING, DRAINING].contains(&result))
 }
 
 /// Serves the requests of other gateways until the future is dropped.
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{forward, notice, reach, telemetry, timer};
+use crate::{notice, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -192,6 +192,7 @@
             body,
             attempt_id,
             answers,
+            is_not_executed,
         ));
         let early = timer::within(limit.min(MAX_SILENCE), &mut exchange).await;
         if early.is_some() {
@@ -253,7 +254,7 @@
 /// Sends a message and reads the head of the response.
 ///
 /// The peer may refuse the request before it has received all of it, and close the connection. Its response is read also
-/// if the rest could not be sent, and taken if it says that nothing has run.
+/// if the rest could not be sent, and taken if it `is_refusal`, which says that nothing has run.
 ///
 /// # Errors
 ///
@@ -264,18 +265,22 @@
     body: &[u8],
     attempt_id: &str,
     answers: Answers,
+    is_refusal: fn(&Response) -> bool,
 ) -> Result<(Response, Framing), String> {
     let written = connection.write_message(request.encode(), body).await;
     let response = read_response(connection, &request.method, attempt_id, answers).await;
     let Err(error) = written else {
         return response;
     };
-    let refusal = response.ok().filter(|(head, _)| {
-        header::Response::decode(head).is_not_executed || forward::is_refusal(head)
-    });
+    let refusal = response.ok().filter(|(head, _)| is_refusal(head));
     refusal.ok_or_else(|| error.to_string())
 }
 
+/// Returns whether a response of an endpoint says that it has not run the request.
+pub fn is_not_executed(head: &Response) -> bool {
+    header::Response::decode(head).is_not_executed
+}
+
 /// Reads the head of the response to an attempt, and drops responses to other attempts.
 async fn read_response(
     connection: &mut Connection,
