Remove a leftover of the former wallet, and name deadlines as such

Cause: since the wallet asks several keepers at once, Inquiry::again returned its argument unchanged, and Tracker::replied took a mutable reference that it did not need; both mislead a reader. with_patience and patient_until were figurative.

Change: both leftovers are gone; the names are with_ask_until_deadline and wait_deadline. No behaviour changes.

--- a/crates/endivespur_core/src/gateway/quota/tracker.rs
+++ b/crates/endivespur_core/src/gateway/quota/tracker.rs
@@ -369,7 +369,7 @@
         &mut self,
         now: Time,
         team: &str,
-        inquiry: &mut Inquiry,
+        inquiry: &Inquiry,
         lender: &str,
         sent: Time,
         loan: Option<Loan>,
--- a/crates/endivespur_core/src/gateway/quota/wallet.rs
+++ b/crates/endivespur_core/src/gateway/quota/wallet.rs
@@ -66,17 +66,12 @@
         }
     }
 
-    /// Asks keepers for as long as the request may wait, as after a start: none of them may lend yet.
-    pub fn with_patience(mut self) -> Self {
+    /// Asks keepers until the request may wait no longer, as after a start: none of them may lend yet.
+    pub fn with_ask_until_deadline(mut self) -> Self {
         self.ask_until = self.ask_until.max(self.wait_until);
         self
     }
 
-    /// Begins the decision again after a wait.
-    pub fn again(&self) -> Self {
-        *self
-    }
-
     /// Returns the place among the requests that wait: earlier ones come first.
     fn place(&self) -> Place {
         (self.ask_until, self.amount, self.wait_until)
--- a/crates/endivespur_core/tests/gateway/quota.rs
+++ b/crates/endivespur_core/tests/gateway/quota.rs
@@ -320,7 +320,7 @@
         }
     }
 
-    fn decide(&mut self, index: usize, mut inquiry: Inquiry, amount: u64) {
+    fn decide(&mut self, index: usize, inquiry: Inquiry, amount: u64) {
         loop {
             let now = self.now;
             let tracker = self.nodes[index].tracker.as_mut().unwrap();
@@ -344,10 +344,10 @@
                 }) => {
                     let loan = self.borrow(index, &lender, needed, wanted);
                     let tracker = self.nodes[index].tracker.as_mut().unwrap();
-                    tracker.replied(now, TEAM, &mut inquiry, &lender, now, loan);
+                    tracker.replied(now, TEAM, &inquiry, &lender, now, loan);
                 }
                 Some(Step::Wait(_)) => {
-                    self.nodes[index].waiting.push(inquiry.again());
+                    self.nodes[index].waiting.push(inquiry);
                     self.nodes[index].amounts.push(amount);
                     return;
                 }
@@ -696,7 +696,7 @@
         tracker.configure(ms(0), 1, Some(&teams));
         let mut admitted: BTreeMap<u64, u64> = BTreeMap::new();
         for now in (0..16_000).step_by(10) {
-            let mut inquiry = Inquiry::new(ms(now), 1, ms(0));
+            let inquiry = Inquiry::new(ms(now), 1, ms(0));
             loop {
                 match tracker.step(ms(now), TEAM, &inquiry).unwrap() {
                     Step::Admit(_) => {
@@ -709,7 +709,7 @@
                         wanted,
                     } => {
                         let loan = tracker.lend(ms(now), ms(0), TEAM, needed, wanted);
-                        tracker.replied(ms(now), TEAM, &mut inquiry, &lender, ms(now), Some(loan));
+                        tracker.replied(ms(now), TEAM, &inquiry, &lender, ms(now), Some(loan));
                     }
                     Step::Wait(_) | Step::Refuse(_) => break,
                 }
--- a/crates/endivespur_core/tests/gateway/quota_mix.rs
+++ b/crates/endivespur_core/tests/gateway/quota_mix.rs
@@ -170,7 +170,7 @@
             let vm = vm.clone();
             self.after(LOAN_WAIT, move |world| {
                 let (now, tracker) = (world.now, &mut world.nodes[node]);
-                tracker.replied(now, TEAM, &mut inquiry.clone(), &vm, sent, None);
+                tracker.replied(now, TEAM, &inquiry, &vm, sent, None);
                 world.wake(node);
             });
         }
@@ -181,7 +181,7 @@
                 if is_late {
                     tracker.replied_late(TEAM, &vm, sent, loan);
                 } else {
-                    tracker.replied(now, TEAM, &mut inquiry.clone(), &vm, sent, Some(loan));
+                    tracker.replied(now, TEAM, &inquiry, &vm, sent, Some(loan));
                 }
                 world.wake(node);
             });
--- a/crates/endivespur_gateway/src/quota.rs
+++ b/crates/endivespur_gateway/src/quota.rs
@@ -229,10 +229,12 @@
         .demanded(now, team, amount);
     let is_known = state.quotas.tracker.borrow().knows_gateways();
     let max_wait = if is_known { MAX_WAIT } else { MAX_START_WAIT };
-    let mut inquiry = Inquiry::new(now, amount, max_wait.min(call.time_left()));
-    if !is_known {
-        inquiry = inquiry.with_patience();
-    }
+    let inquiry = Inquiry::new(now, amount, max_wait.min(call.time_left()));
+    let inquiry = if is_known {
+        inquiry
+    } else {
+        inquiry.with_ask_until_deadline()
+    };
     loop {
         match step(state, team, &inquiry) {
             None => return Ok(None),
@@ -245,7 +247,6 @@
             Some(Step::Wait(wait)) => {
                 let changed = state.quotas.listen(team);
                 timer::within(wait, changed).await;
-                inquiry = inquiry.again();
             }
             Some(Step::Borrow {
                 lender,
@@ -300,7 +301,7 @@
 fn replied(
     state: &State,
     team: &str,
-    mut inquiry: Inquiry,
+    inquiry: Inquiry,
     lender: &str,
     sent: Time,
     loan: Option<Loan>,
@@ -312,7 +313,7 @@
         None => "no-reply",
     });
     let mut tracker = state.quotas.tracker.borrow_mut();
-    tracker.replied(clock::now(), team, &mut inquiry, lender, sent, loan);
+    tracker.replied(clock::now(), team, &inquiry, lender, sent, loan);
     drop(tracker);
     state.quotas.notify(team);
 }
--- a/crates/endivespur_node/src/quota.rs
+++ b/crates/endivespur_node/src/quota.rs
@@ -374,10 +374,10 @@
         let mut tracker = node.quotas.tracker.borrow_mut();
         tracker.demanded(now, organisation, amount);
     }
-    let wait_until = job.deadline.min(patient_until(node, now));
+    let wait_until = job.deadline.min(wait_deadline(node, now));
     let mut inquiry = Inquiry::new(now, amount, wait_until.saturating_sub(now));
     if now < start_end(node, now) {
-        inquiry = inquiry.with_patience();
+        inquiry = inquiry.with_ask_until_deadline();
     }
     loop {
         match step(node, organisation, &inquiry) {
@@ -398,14 +398,13 @@
                 // The reply that it waits for may be one to another request.
                 let changed = node.quotas.changed.listen();
                 sleep(wait).or(changed).await;
-                inquiry = inquiry.again();
             }
         }
     }
 }
 
 /// Returns until when a request waits for an amount.
-fn patient_until(node: &Node, now: Time) -> Time {
+fn wait_deadline(node: &Node, now: Time) -> Time {
     start_end(node, now).max(now + MAX_WAIT)
 }
 
@@ -423,7 +422,7 @@
 fn borrow(
     node: &Rc<Node>,
     organisation: &str,
-    mut inquiry: Inquiry,
+    inquiry: Inquiry,
     lender: Vm,
     (needed, wanted): (u64, u64),
 ) {
@@ -441,7 +440,7 @@
         metrics::counter!("endivespur_quota_loans_total", "outcome" => outcome).increment(1);
         let now = clock::now();
         let mut tracker = node.quotas.tracker.borrow_mut();
-        tracker.replied(now, &organisation, &mut inquiry, &lender, sent, loan);
+        tracker.replied(now, &organisation, &inquiry, &lender, sent, loan);
         drop(tracker);
         node.quotas.changed.notify(usize::MAX);
     });
