--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -112,11 +112,12 @@
         self.listeners = []
 
     async def listen(self, links=None):
-        """Listens at one more address, whose answers name the engines by the addresses in `links`."""
+        """Listens at one more address, whose answers name the engines and the gateways by the addresses in `links`: those
+        of the links of one machine."""
         async def handle(reader, writer):
             while True:
                 method, target, _, body = await read_request(reader)
-                status, answer = await self.respond(method, target, body, links or {})
+                status, answer = await self.respond(method, target, body, links if links is not None else {})
                 data = json.dumps(answer).encode()
                 writer.write(encode_response(status, data, [('Content-Type', 'application/json')]))
                 await writer.drain()
@@ -165,10 +166,12 @@
         return json.loads(base64.b64decode(item['value'])) if item else None
 
     def relink(self, item, links):
-        if not links or not item['key'].startswith('servers/') or 'value' not in item:
+        if not links or not item['key'].startswith(('servers/', 'endivespur/vm/')) or 'value' not in item:
             return item
         value = json.loads(base64.b64decode(item['value']))
-        value['address'] = links.get(value['address'], value['address'])
+        for field in ('address', 'forward_address'):
+            if field in value:
+                value[field] = links.get(value[field], value[field])
         return {**item, 'value': base64.b64encode(json.dumps(value).encode()).decode()}
 
     async def respond(self, method, target, body, links):
@@ -249,7 +252,7 @@
     """A model engine, or an endpoint of a plain service."""
 
     def __init__(self, id, service, zone, slots=64, adapter_slots=8, load_s=0.25, event_s=0.03, events=10):
-        self.id, self.service, self.zone = id, service, zone
+        self.id, self.service, self.zone, self.software = id, service, zone, 'v1'
         self.slots, self.adapter_slots, self.load_s = slots, adapter_slots, load_s
         self.event_s, self.event_count = event_s, events
         self.born, self.sequence, self.fence = int(time.time() * 1000), 0, 0
@@ -270,7 +273,7 @@
         return [{'name': MODEL, 'version': 1, 'adapters': [f'{a}@{v}' for a, v in self.adapters.items()]}]
 
     def registration(self, state='ready'):
-        entry = {'backend': self.service, 'address': self.address, 'zone': self.zone, 'version': 'v1',
+        entry = {'backend': self.service, 'address': self.address, 'zone': self.zone, 'version': self.software,
                  'slots': self.slots, 'state': state, 'cold_left_ms': 0, 'sequence': self.sequence, 'born': self.born}
         if self.service == 'models':
             entry.update(stage='both', models=self.models())
@@ -282,6 +285,15 @@
             await store.put(f'servers/{self.id}', self.registration())
             await asyncio.sleep(interval)
 
+    async def restart(self, store, software, down_s=0.5):
+        """Starts again under the same id and at the same address; it then holds and knows nothing of before."""
+        await self.server.stop()
+        self.adapters, self.coming, self.sequence, self.fence = {}, {}, 0, 0
+        await asyncio.sleep(down_s)
+        self.born, self.software = int(time.time() * 1000), software
+        await self.server.start()
+        await store.put(f'servers/{self.id}', self.registration())
+
     async def serve(self, reader, writer):
         while True:
             method, target, fields, body = await read_request(reader)
@@ -338,7 +350,8 @@
         return 202
 
     def loaded(self, adapter):
-        self.adapters[adapter] = self.coming.pop(adapter)
+        if adapter in self.coming:
+            self.adapters[adapter] = self.coming.pop(adapter)
 
     async def run(self, writer, method, target, fields, body):
         model = fields.get('x-endivespur-model', '')
@@ -360,7 +373,7 @@
         more = (('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked'))
         writer.write(encode_response(200, b'', self.signed(fields, *more), length=False))
         for number in range(int(fields.get('last-event-id', 0)) + 1, self.event_count + 1):
-            event = f'id: {number}\ndata: {self.id}\n\n'.encode()
+            event = f'id: {number}\ndata: {self.id} {self.software}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.event_s)
