--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import resource
 import signal
 import socket
 import tempfile
@@ -259,7 +260,7 @@
         self.adapters, self.coming, self.users = {}, {}, {}
         self.orders, self.runs, self.running = [], [], 0
         self.server = Server(self.serve)
-        self.respond_run = self.run
+        self.respond_run, self.fields = self.run, ()
 
     async def start(self):
         await self.server.start()
@@ -363,7 +364,7 @@
         try:
             if self.service != 'models':
                 await asyncio.sleep(self.event_s)
-                writer.write(encode_response(200, b'x' * 800, self.signed(fields)))
+                writer.write(encode_response(200, b'x' * 800, self.signed(fields, *self.fields)))
                 return
             await self.stream(writer, fields)
         finally:
@@ -503,7 +504,7 @@
 class Gateway:
     """A gateway as a process, with the command of the deploy file."""
 
-    def __init__(self, name, zone, store_address, folder, memory_mb=260):
+    def __init__(self, name, zone, store_address, folder, memory_mb=260, max_fds=None):
         ports = free_ports(8)
         self.name, self.zone, self.front, self.ready = name, zone, ports[0], ports[1]
         self.peer, self.metrics = ports[2], ports[7]
@@ -511,7 +512,11 @@
         self.log = os.path.join(folder, f'{name}.log')
         self.values = dict(name=name, zone=zone, peer=ports[2], last=ports[6], front=self.front, ready=self.ready,
                            store=store_address, memory_mb=memory_mb)
-        self.process = None
+        self.process, self.max_fds = None, max_fds
+
+    def limit(self):
+        if self.max_fds is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
 
     async def start(self, bootstrap=True):
         with open(self.settings, 'w') as file:
@@ -521,7 +526,8 @@
         with open(self.log, 'ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 os.path.join(ROOT, 'target/release/endivespurd'), '--platform', '--metrics-port', str(self.metrics),
-                cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+                cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=self.limit)
 
     async def wait_ready(self, timeout=15):
         until = now() + timeout
@@ -643,5 +649,14 @@
         return moment - self.started
 
 
+def allow_descriptors(count):
+    """Lets this process open as many descriptors; returns whether it may."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < count:
+        return False
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+    return True
+
+
 def temporary_folder():
     return tempfile.TemporaryDirectory(prefix='endivespur-review-')
