--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -10,8 +10,10 @@
 import resource
 import signal
 import socket
+import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), '..', '..'))
@@ -658,5 +660,30 @@
     return True
 
 
+async def end_tasks(tasks):
+    """Cancels tasks until they have ended: `asyncio.wait_for` may swallow a cancellation."""
+    pending = {task for task in tasks if not task.done()}
+    for _ in range(10):
+        if not pending:
+            return
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=0.3)
+
+
+def run_case(main):
+    """Runs a case and ends this process with its result; 2 if it fails itself."""
+    async def run():
+        try:
+            code = await main()
+        except Exception:
+            traceback.print_exc()
+            code = 2
+        sys.stdout.flush()
+        # Without the end of the event loop, which waits for every task.
+        os._exit(code)
+    asyncio.run(run())
+
+
 def temporary_folder():
     return tempfile.TemporaryDirectory(prefix='endivespur-review-')
