Ask engines on each new connection which start it leads to, and log it

Three hypotheses could not be told apart by the logs, since they name only the registration by which an engine was chosen: the version is taken from an outdated registration; it is right but is not taken back in time; the target of the resumption has changed.

An engine's responses to requests do not say which start of its process wrote them. Its report does, and a connection ends with the process. So a gateway asks for the report on each new connection to a model engine before the first request, and remembers the start with the connection. `head` lines now have `born` of the process beside `registered`, `identify` lines tell where they differ, and a metric counts them. Nothing is decided by it yet. Until a silent engine has answered, a request waits as it did before.

--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -268,7 +268,8 @@
             telemetry::response_started(clock::now().saturating_sub(now));
             info!(
                 event = "head", request = call.fields.attempt_id.as_str(),
-                endpoint = instance.id.as_str(), status = response.head.status,
+                endpoint = instance.id.as_str(), born:? = response.started_ms, registered = instance.started_ms,
+                status = response.head.status,
                 framing:? = response.framing,
                 took_ms = clock::now().saturating_sub(now).as_millis() as u64; "response started"
             );
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod generate;
 mod grace;
 mod hedge;
+mod identify;
 mod lease;
 mod limit;
 mod link;
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{notice, reach, telemetry, timer};
+use crate::{identify, notice, reach, telemetry, timer};
 
 /// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -53,6 +53,8 @@
     keep_alive: Option<Duration>,
     endpoint: Endpoint,
     address: std::net::SocketAddr,
+    /// The start of the endpoint's process in milliseconds since the Unix epoch, if the endpoint has named it.
+    pub started_ms: Option<u64>,
     /// The status line and the header fields.
     pub head: Response,
     /// The body's framing.
@@ -81,6 +83,7 @@
             decoder: Decoder::new(framing),
             endpoint: instance.id.clone(),
             address: instance.address,
+            started_ms: connection.peer_started_ms(),
             connection,
             head,
             framing,
@@ -169,47 +172,68 @@
     limit: Duration,
     may_send: &dyn Fn() -> bool,
 ) -> Result<EndpointResponse, Failure> {
+    let deadline = clock::now() + limit;
     let pooled = state.pool.borrow_mut().take(instance.address);
     let answers = if pooled.is_some() {
         Answers::Named
     } else {
         Answers::Any
     };
-    let mut connection = if let Some(connection) = pooled {
-        connection
-    } else {
-        let connection = connect(state, instance, limit).await?;
-        if !may_send() {
-            return Err(Failure::Denied);
-        }
-        connection
+    let is_new = pooled.is_none();
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => connect(state, instance, limit).await?,
     };
+    let is_identified = connection.peer_started_ms().is_some();
+    if !is_identified && state.is_engine(&instance.service) {
+        let left = deadline.saturating_sub(clock::now());
+        let identified = identify::identify(state, instance, connection, deadline);
+        connection = within(state, instance, left, identified)
+            .await
+            .unwrap_or_else(|| Err(Failure::NotSent("no report in time".to_string())))?;
+    }
+    if (is_new || !is_identified) && !may_send() {
+        return Err(Failure::Denied);
+    }
     let sent = clock::now();
-    let answered = {
-        let mut exchange = Box::pin(exchange(
-            &mut connection,
-            request,
-            body,
-            attempt_id,
-            answers,
-            is_not_executed,
-        ));
-        let early = timer::within(limit.min(MAX_SILENCE), &mut exchange).await;
-        if early.is_some() {
-            early
-        } else {
-            suspect_silence(state, instance);
-            timer::within(limit.saturating_sub(MAX_SILENCE), exchange).await
-        }
-    };
+    let left = deadline.saturating_sub(sent);
+    let exchange = exchange(
+        &mut connection,
+        request,
+        body,
+        attempt_id,
+        answers,
+        is_not_executed,
+    );
+    let answered = within(state, instance, left, exchange).await;
     let (head, framing) = answered.ok_or(Failure::Timeout)?.map_err(Failure::Lost)?;
     Ok(EndpointResponse::new(
         state, instance, connection, head, framing, sent,
     ))
 }
 
+/// Returns what an endpoint answers within `limit`; suspects its link if it is silent for long.
+async fn within<T>(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    limit: Duration,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let mut answer = Box::pin(answer);
+    let early = timer::within(limit.min(MAX_SILENCE), &mut answer).await;
+    if early.is_some() {
+        return early;
+    }
+    suspect_silence(state, instance);
+    timer::within(limit.saturating_sub(MAX_SILENCE), answer).await
+}
+
 /// Connects to an endpoint; records a failure, and that the link is suspected.
-async fn connect(
+///
+/// # Errors
+///
+/// Returns [`Failure::NotSent`] if the endpoint cannot be reached within `limit`.
+pub async fn connect(
     state: &Rc<State>,
     instance: &Rc<Instance>,
     limit: Duration,
--- a/crates/endivespur_gateway/src/state.rs
+++ b/crates/endivespur_gateway/src/state.rs
@@ -233,6 +233,13 @@
         self.tasks.spawn(task);
     }
 
+    /// Returns whether the endpoints of a service are model engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        let table = self.catalog.borrow().table();
+        let group = table.as_ref().and_then(|table| table.services.get(service));
+        group.is_some_and(|group| group.engine.is_some())
+    }
+
     /// Keeps an idle connection to an endpoint for another request.
     pub fn keep(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
         let mut pool = self.pool.borrow_mut();
--- a/crates/endivespur_gateway/src/telemetry.rs
+++ b/crates/endivespur_gateway/src/telemetry.rs
@@ -73,6 +73,12 @@
     counter!("endivespur_gateway_crash_checks_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a connection to an engine by the start that the engine says it has: `registered`, `other-start` or `unknown`;
+/// or by why it did not say: `failed` or `misdirected`.
+pub fn connection_identified(outcome: &'static str) {
+    counter!("endivespur_gateway_identified_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a request for a token of an endpoint with a limit.
 pub fn token_requested(outcome: &'static str) {
     counter!("endivespur_gateway_tokens_total", "outcome" => outcome).increment(1);
--- a/crates/endivespur_http/src/connection.rs
+++ b/crates/endivespur_http/src/connection.rs
@@ -64,6 +64,8 @@
     buffer: Vec<u8>,
     /// The number of reads, which wraps around.
     reads: u8,
+    /// The start of the peer's process in milliseconds since the Unix epoch, if the peer has said so here.
+    peer_started_ms: Option<u64>,
 }
 
 impl Connection {
@@ -74,9 +76,22 @@
             stream,
             buffer: Vec::new(),
             reads: 0,
+            peer_started_ms: None,
         }
     }
 
+    /// Records the start of the peer's process, in milliseconds since the Unix epoch, which the peer has said on this
+    /// connection.
+    pub fn set_peer_started_ms(&mut self, started_ms: u64) {
+        self.peer_started_ms = Some(started_ms);
+    }
+
+    /// Returns the start of the peer's process, in milliseconds since the Unix epoch, if it is known. It is the same for
+    /// all that the connection carries: a connection ends with the process.
+    pub fn peer_started_ms(&self) -> Option<u64> {
+        self.peer_started_ms
+    }
+
     /// Connects to an address.
     ///
     /// # Errors
