Let a stream go on only at the start of an engine whose version is known to have begun it

Cause: a version was taken from the registration by which the engine was chosen, as if that named the process which writes. It names a start that may have ended, for as long as the view of this gateway is out of date. The versions of the last 3 s were taken back when a registration with another version came; nothing bounds that lag, and an upgrade that is undone shows no other version at all. The engine at which a stream goes on was believed in the same way.

Change: the start that the engine has named on the connection decides, not the registration. A stream has the version in the registration of that start; while there is none it is pending, nobody who asks takes the stream for one of the only version known, and it is refused (`stream-unresolved`) or broken off. When the registration comes, the version is shared as usual. A request that resumes a stream is sent only over a connection to the start by whose registration the engine was chosen. Through another gateway both are checked by a field between gateways; the response of an older gateway has none, and is not joined. REGISTRATION_LAG and the taking back are gone.

The latter now demands that an unregistered start says nothing, without a time.

relay and identify formed a cycle of modules since, which modules_without_cycles finds: connecting is a module of its own.

--- a/crates/endivespur_core/src/gateway/stream.rs
+++ b/crates/endivespur_core/src/gateway/stream.rs
@@ -1,7 +1,8 @@
 //! The services and software versions that began streams.
 //!
 //! Engines of different software versions write events that do not fit together. A stream may be resumed
-//! only where this gateway knows which version began it.
+//! only where this gateway knows which version began it: the version in the registration of that start of an engine
+//! which wrote its first event. The registration of another start tells nothing, however recent it is.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -15,8 +16,6 @@
 /// The maximum number of streams that are remembered; the oldest are dropped first. They take about
 /// 16 MB.
 const MAX_STREAMS: usize = 1 << 16;
-/// How long the registration of an engine may take to show that it has started again.
-const REGISTRATION_LAG: Duration = Duration::from_secs(3);
 
 /// The hash of the id of the attempt that brought a stream's first event.
 pub type Key = u64;
@@ -45,20 +44,22 @@
     }
 
     /// Returns whether the software version is known.
-    fn is_known(&self) -> bool {
+    pub fn is_known(&self) -> bool {
         !self.software.is_empty()
     }
 }
 
+/// One start of an engine: the engine, and the start time in milliseconds since the Unix epoch.
+pub type Start = (Endpoint, u64);
+
 /// Streams by the version that began them.
 pub type Batch = BTreeMap<Origin, Vec<Key>>;
 
 #[derive(Clone, Debug)]
 struct Record {
     origin: Origin,
-    /// The engine, if this gateway began the stream.
-    endpoint: Option<Endpoint>,
-    began_at: Time,
+    /// The start of an engine that wrote the first event, while the registration of that start is not known.
+    writer: Option<Start>,
 }
 
 /// The streams that began recently, at this gateway or at one that has told it.
@@ -67,6 +68,10 @@
     streams: BTreeMap<Key, Record>,
     /// The streams by age, oldest first.
     ages: VecDeque<(Time, Key)>,
+    /// The streams whose version will be known with the registration of the start that began them.
+    pending: BTreeSet<(Start, Key)>,
+    /// When other gateways said that they know a stream, but not its version.
+    unresolved: BTreeMap<Key, Time>,
     /// The streams whose origins other gateways do not hold yet.
     unshared: BTreeSet<Key>,
     /// The streams of this gateway that were not handed to a keeper.
@@ -88,22 +93,74 @@
         Self::default()
     }
 
-    /// Records that an engine writes the first event of a stream.
-    pub fn began(&mut self, now: Time, key: Key, origin: Origin, endpoint: &str) {
-        self.add(now, key, origin, Some(endpoint.to_string()));
+    /// Records that an engine of a known version writes the first event of a stream.
+    pub fn began(&mut self, now: Time, key: Key, origin: Origin) {
+        self.add(now, key, origin);
         self.spread(key);
     }
 
+    /// Records that an engine whose version is not known writes the first event of a stream. The version becomes known
+    /// with the registration of its start, if it has named that.
+    pub fn began_unregistered(
+        &mut self,
+        now: Time,
+        key: Key,
+        service: &str,
+        writer: Option<Start>,
+    ) {
+        let is_new = !self.streams.contains_key(&key);
+        if self.add(now, key, Origin::new(service, "")) && !is_new {
+            self.spread(key);
+        }
+        if let Some(record) = self.streams.get_mut(&key).filter(|_| is_new) {
+            record.writer.clone_from(&writer);
+            self.pending.extend(writer.map(|writer| (writer, key)));
+        }
+    }
+
+    /// Records the registration of one start of an engine; returns whether it tells the version that began some streams.
+    pub fn start_registered(&mut self, start: &Start, software: &str) -> bool {
+        let from = (start.clone(), Key::MIN);
+        let to = (start.clone(), Key::MAX);
+        let keys: Vec<Key> = self.pending.range(from..=to).map(|(_, key)| *key).collect();
+        for key in &keys {
+            self.pending.remove(&(start.clone(), *key));
+            if let Some(record) = self.streams.get_mut(key) {
+                record.writer = None;
+                record.origin.software = software.to_string();
+                self.spread(*key);
+            }
+        }
+        !keys.is_empty()
+    }
+
+    /// Records that another gateway knows a stream, but not its version.
+    pub fn known_unresolved(&mut self, now: Time, key: Key) {
+        let unresolved = &mut self.unresolved;
+        unresolved.retain(|_, heard_at| now.saturating_sub(*heard_at) < RETENTION);
+        unresolved.insert(key, now);
+    }
+
+    /// Returns whether this gateway or another one knows a stream, but not its version.
+    pub fn is_unresolved(&mut self, now: Time, key: Key) -> bool {
+        let heard_at = self.unresolved.get(&key);
+        let is_heard = heard_at.is_some_and(|heard_at| now.saturating_sub(*heard_at) < RETENTION);
+        match self.find(now, key) {
+            Some(origin) => !origin.is_known(),
+            None => is_heard,
+        }
+    }
+
     /// Records the origin of a stream that another gateway knows.
     pub fn learned(&mut self, now: Time, key: Key, origin: Origin) {
-        if self.add(now, key, origin, None) {
+        if self.add(now, key, origin) {
             self.unstored.insert(key);
         }
     }
 
     /// Records the origin of a stream that is in the store.
     pub fn stored(&mut self, now: Time, key: Key, origin: &Origin) {
-        self.add(now, key, origin.clone(), None);
+        self.add(now, key, origin.clone());
         let record = self.streams.get(&key);
         if record.is_some_and(|record| record.origin == *origin) {
             self.unstored.remove(&key);
@@ -121,39 +178,48 @@
     /// that began it may have ended.
     pub fn resumed(&mut self, now: Time, key: Key, origin: Origin) {
         if !self.streams.contains_key(&key) {
-            self.add(now, key, origin, None);
+            self.add(now, key, origin);
             self.spread(key);
         }
     }
 
     /// Adds a record; returns whether it changes what is known. If two attempts with the same id began streams at
     /// different versions, neither is known.
-    fn add(&mut self, now: Time, key: Key, origin: Origin, endpoint: Option<Endpoint>) -> bool {
+    fn add(&mut self, now: Time, key: Key, origin: Origin) -> bool {
         self.expire(now);
         if let Some(record) = self.streams.get_mut(&key) {
-            let is_retracted = record.origin != origin && record.origin.is_known();
+            let is_final = !record.origin.is_known() && record.writer.is_none();
+            let is_retracted = record.origin != origin && !is_final;
             if is_retracted {
                 record.origin.software.clear();
+                let writer = record.writer.take();
+                self.forget_writer(writer, key);
             }
             return is_retracted;
         }
         let record = Record {
             origin,
-            endpoint,
-            began_at: now,
+            writer: None,
         };
         self.streams.insert(key, record);
         self.ages.push_back((now, key));
         true
     }
 
+    fn forget_writer(&mut self, writer: Option<Start>, key: Key) {
+        if let Some(writer) = writer {
+            self.pending.remove(&(writer, key));
+        }
+    }
+
     fn expire(&mut self, now: Time) {
         while let Some((began_at, key)) = self.ages.front().copied() {
             if self.ages.len() <= MAX_STREAMS && now.saturating_sub(began_at) < RETENTION {
                 return;
             }
             self.ages.pop_front();
-            self.streams.remove(&key);
+            let record = self.streams.remove(&key);
+            self.forget_writer(record.and_then(|record| record.writer), key);
             self.unshared.remove(&key);
             self.unkept.remove(&key);
             self.unstored.remove(&key);
@@ -162,9 +228,13 @@
 
     /// Returns where a stream began, if it is known.
     pub fn origin(&mut self, now: Time, key: Key) -> Option<&Origin> {
+        self.find(now, key).filter(|origin| origin.is_known())
+    }
+
+    /// Returns what this gateway knows of where a stream began, possibly without the version.
+    pub fn find(&mut self, now: Time, key: Key) -> Option<&Origin> {
         self.expire(now);
-        let record = self.streams.get(&key)?;
-        record.origin.is_known().then_some(&record.origin)
+        self.streams.get(&key).map(|record| &record.origin)
     }
 
     /// Returns the streams whose origins are to be shared with other gateways, once.
@@ -223,20 +293,6 @@
         !self.unshared.is_empty()
     }
 
-    /// Records that an engine has started again with another software version: which version began its
-    /// most recent streams is not known.
-    pub fn restarted(&mut self, now: Time, endpoint: &str) {
-        for (key, record) in &mut self.streams {
-            let is_recent = now.saturating_sub(record.began_at) < REGISTRATION_LAG;
-            if is_recent && record.endpoint.as_deref() == Some(endpoint) {
-                record.origin.software.clear();
-                self.unshared.insert(*key);
-                self.unkept.insert(*key);
-                self.unstored.insert(*key);
-            }
-        }
-    }
-
     /// Records that an engine of a software version was registered or unregistered.
     pub fn registered(&mut self, now: Time, service: &str, software: &str) {
         let versions = self.registered.entry(service.to_string()).or_default();
--- a/crates/endivespur_core/tests/gateway/stream.rs
+++ b/crates/endivespur_core/tests/gateway/stream.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use endivespur_core::gateway::stream::{self, Origin, RETENTION, Tracker};
+use endivespur_core::gateway::stream::{self, Origin, RETENTION, Start, Tracker};
 
 use crate::ms;
 
@@ -20,7 +20,7 @@
 #[test]
 fn origin_of_shared_stream() {
     let (mut first, mut second) = (Tracker::new(), Tracker::new());
-    first.began(ms(0), KEY, origin("v1"), "e");
+    first.began(ms(0), KEY, origin("v1"));
     for (origin, keys) in first.take_unshared() {
         for key in keys {
             second.learned(ms(1), key, origin.clone());
@@ -34,21 +34,26 @@
 #[test]
 fn origin_of_two_streams_with_one_key() {
     let mut tracker = Tracker::new();
-    tracker.began(ms(0), KEY, origin("v1"), "e");
+    tracker.began(ms(0), KEY, origin("v1"));
     tracker.learned(ms(1), KEY, origin("v2"));
     assert_eq!(tracker.origin(ms(2), KEY), None);
     tracker.learned(ms(3), KEY, origin("v1"));
     assert_eq!(tracker.origin(ms(4), KEY), None);
 }
 
-/// An engine writes under the registration of its former start until the new one arrives.
+fn start(started_ms: u64) -> Start {
+    ("e".to_string(), started_ms)
+}
+
+/// An engine wrote under the registration of a former start, however long that was out of date, and all streams but the
+/// most recent ones kept the former version.
 #[test]
 fn origin_of_restarted_engine() {
     let (mut tracker, mut replica) = (Tracker::new(), Tracker::new());
-    let (old, recent, other) = (1, 2, 3);
-    tracker.began(ms(0), old, origin("v1"), "e");
-    tracker.began(ms(9_000), recent, origin("v1"), "e");
-    tracker.began(ms(9_000), other, origin("v1"), "f");
+    let (registered, unregistered, unnamed) = (1, 2, 3);
+    tracker.began(ms(0), registered, origin("v1"));
+    tracker.began_unregistered(ms(0), unregistered, "s", Some(start(8)));
+    tracker.began_unregistered(ms(0), unnamed, "s", None);
     let share = |tracker: &mut Tracker, replica: &mut Tracker| {
         for (origin, keys) in tracker.take_unshared() {
             for key in keys {
@@ -57,15 +62,55 @@
         }
     };
     share(&mut tracker, &mut replica);
-    tracker.restarted(ms(10_000), "e");
+    assert!(tracker.is_unresolved(ms(9_500), unregistered));
+    assert_eq!(replica.find(ms(9_500), unregistered), None);
+    // The registrations of a former start, and of a later one with the former version, say nothing.
+    assert!(!tracker.start_registered(&start(7), "v1"));
+    assert!(!tracker.start_registered(&start(9), "v1"));
+    assert_eq!(tracker.origin(ms(9_500), unregistered), None);
+    assert!(tracker.start_registered(&start(8), "v2"));
     share(&mut tracker, &mut replica);
     for tracker in [&mut tracker, &mut replica] {
-        assert_eq!(tracker.origin(ms(10_000), old), Some(&origin("v1")));
-        assert_eq!(tracker.origin(ms(10_000), recent), None);
-        assert_eq!(tracker.origin(ms(10_000), other), Some(&origin("v1")));
+        assert_eq!(tracker.origin(ms(9_500), registered), Some(&origin("v1")));
+        assert_eq!(tracker.origin(ms(9_500), unregistered), Some(&origin("v2")));
+        assert_eq!(tracker.origin(ms(9_500), unnamed), None);
+    }
+    assert!(tracker.is_unresolved(ms(9_500), unnamed));
+    assert!(!tracker.is_unresolved(ms(9_500), unregistered));
+}
+
+/// Two callers use the same id for an attempt, and the version that began one of the streams is not known yet.
+#[test]
+fn origin_of_two_streams_at_an_unregistered_start() {
+    for is_first in [true, false] {
+        let mut tracker = Tracker::new();
+        if is_first {
+            tracker.began(ms(0), KEY, origin("v1"));
+        }
+        tracker.began_unregistered(ms(0), KEY, "s", Some(start(8)));
+        if !is_first {
+            tracker.learned(ms(1), KEY, origin("v1"));
+        }
+        tracker.start_registered(&start(8), "v2");
+        assert_eq!(tracker.origin(ms(2), KEY), None);
+        assert!(tracker.is_unresolved(ms(2), KEY));
     }
 }
 
+/// Another gateway knows a stream, and will learn its version only later.
+#[test]
+fn origin_that_another_gateway_does_not_know_yet() {
+    let mut tracker = Tracker::new();
+    tracker.known_unresolved(ms(0), KEY);
+    assert!(tracker.is_unresolved(ms(1), KEY));
+    assert_eq!(tracker.find(ms(1), KEY), None);
+    tracker.resumed(ms(2), KEY, origin("v2"));
+    assert!(!tracker.is_unresolved(ms(3), KEY));
+    assert_eq!(tracker.origin(ms(3), KEY), Some(&origin("v2")));
+    tracker.known_unresolved(ms(0), KEY + 1);
+    assert!(!tracker.is_unresolved(RETENTION, KEY + 1));
+}
+
 /// The gateway that began a stream may have ended: the one that resumes it shares it again.
 #[test]
 fn origin_of_resumed_stream_is_shared() {
@@ -79,7 +124,7 @@
 #[test]
 fn origin_after_retention() {
     let mut tracker = Tracker::new();
-    tracker.began(ms(0), KEY, origin("v1"), "e");
+    tracker.began(ms(0), KEY, origin("v1"));
     let last = RETENTION.saturating_sub(ms(1));
     assert_eq!(tracker.origin(last, KEY), Some(&origin("v1")));
     assert_eq!(tracker.origin(RETENTION, KEY), None);
@@ -140,8 +185,8 @@
     let mut tracker = Tracker::new();
     tracker.registered(ms(0), "s", "v1");
     tracker.registered(ms(0), "t", "v1");
-    tracker.began(ms(0), KEY, origin("v1"), "e");
-    tracker.began(ms(0), KEY + 1, Origin::new("t", "v1"), "f");
+    tracker.began(ms(0), KEY, origin("v1"));
+    tracker.began(ms(0), KEY + 1, Origin::new("t", "v1"));
     let current = [origin("v1"), Origin::new("t", "v1")].into();
     assert_eq!(tracker.mixed_services(ms(1), &current), versions(&[]));
     tracker.registered(ms(2), "s", "v2");
@@ -176,7 +221,7 @@
     assert_eq!(tracker.take_unstored(&mixed, 9), expected);
     // No more than fit: the newest.
     for key in 10..14 {
-        tracker.began(ms(key), key, origin("v1"), "e");
+        tracker.began(ms(key), key, origin("v1"));
     }
     let newest = tracker.take_unstored(&mixed, 2);
     assert_eq!(newest, [(origin("v1"), vec![13, 12])].into());
--- a/crates/endivespur_gateway/src/attempt.rs
+++ b/crates/endivespur_gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::body::{Body, Unread};
 use crate::crash::Run;
 use crate::exchange::Call;
-use crate::relay::Failure;
+use crate::relay::{Failure, Outgoing};
 use crate::room::Held;
 use crate::state::{InFlight, State};
 use crate::{authorize, limit, link, timer};
@@ -149,19 +149,19 @@
         ..Dispatch::default()
     });
     let may_send = || authorize::is_authorized(state, call);
-    let sent = link::send(
-        state,
-        instance,
-        &request,
-        &call.body,
-        &call.fields.attempt_id,
-        left,
-        &may_send,
-    );
-    let mut response = match sent.await {
+    let outgoing = Outgoing {
+        request: &request,
+        body: &call.body,
+        attempt_id: &call.fields.attempt_id,
+        limit: left,
+        expected_start: None,
+        may_send: &may_send,
+    };
+    let mut response = match link::send(state, instance, outgoing).await {
         Ok(response) => response,
-        Err(Failure::NotSent(reason)) => return Attempt::NotSent(reason),
-        Err(Failure::Denied) => return Attempt::NotSent("unauthorized".to_string()),
+        Err(failure @ (Failure::NotSent(_) | Failure::OtherStart | Failure::Denied)) => {
+            return Attempt::NotSent(failure.reason());
+        }
         Err(Failure::Lost(reason)) => return Attempt::Unknown(reason),
         Err(Failure::Timeout) => return Attempt::Timeout,
     };
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -51,8 +51,14 @@
     /// Whether it can keep quotas of teams; not of an older release.
     #[serde(default)]
     pub keeps_quotas: bool,
+    /// The version of the protocol by which it forwards requests; 0 for an older release.
+    #[serde(default)]
+    pub forward_version: u32,
 }
 
+/// The version of the protocol for forwarded requests from which gateways check and name the starts of endpoints.
+pub const FORWARD_VERSION_WITH_STARTS: u32 = 1;
+
 fn default_link_rate() -> u64 {
     DEFAULT_LINK_RATE
 }
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -21,7 +21,8 @@
 
 use crate::body::{self, Body, Unread};
 use crate::budget::{Client, Connected};
-use crate::relay::{self, Answers, EndpointResponse, Failure};
+use crate::catalog::FORWARD_VERSION_WITH_STARTS;
+use crate::relay::{self, Answers, EndpointResponse, Failure, Outgoing};
 use crate::state::{InFlight, State};
 use crate::{limit, reach, telemetry, timer};
 
@@ -30,6 +31,12 @@
 /// In a response, how the forwarding gateway failed, or the framing of the endpoint's response.
 const RESULT: &str = "Endivespur-Forward-Result";
 
+/// The start of the endpoint in milliseconds since the Unix epoch. In a request to a gateway that checks it: the one
+/// that alone may receive it, or [`ANY_START`]. In the response: the one that wrote it, if it is known.
+const START: &str = "Endivespur-Endpoint-Start";
+/// Asks for the start of the endpoint, whichever it is.
+const ANY_START: &str = "any";
+
 /// The endpoint was not reached, and others are.
 const UNREACHED: &str = "unreached";
 /// The forwarding gateway may be cut off itself, or forwards too many requests.
@@ -38,6 +45,8 @@
 const RESTING: &str = "resting";
 /// The endpoint is draining.
 const DRAINING: &str = "draining";
+/// The endpoint has started again, or its start is not known.
+const OTHER_START: &str = "other-start";
 /// The request was sent to the endpoint, and its response was lost.
 const LOST: &str = "lost";
 /// The request was sent to the endpoint, and had no response in time.
@@ -45,6 +54,9 @@
 /// The endpoint's response ends with its connection.
 const CLOSE_DELIMITED: &str = "close-delimited";
 
+/// The results that say that the request has not run.
+const REFUSALS: [&str; 5] = [UNREACHED, UNAVAILABLE, RESTING, DRAINING, OTHER_START];
+
 /// The maximum time to connect to another gateway: a few round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 /// The maximum number of gateways that are tried for one request.
@@ -64,8 +76,10 @@
 /// The pause after a failed accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Sends a request to an endpoint through another gateway, and reads the head of the response within
-/// `limit`. Asks `may_send` right before the first byte to each gateway.
+/// Sends a request to an endpoint through another gateway, and reads the head of the response. Asks whether it may be sent
+/// before each gateway.
+///
+/// A gateway of an older release does not check which start of the endpoint receives the request, and does not name it.
 ///
 /// # Errors
 ///
@@ -73,18 +87,17 @@
 pub async fn send(
     state: &Rc<State>,
     instance: &Instance,
-    request: &Request,
-    body: &[u8],
-    attempt_id: &str,
-    limit: Duration,
-    may_send: &dyn Fn() -> bool,
+    outgoing: Outgoing<'_>,
 ) -> Result<EndpointResponse, Failure> {
-    let deadline = clock::now() + limit;
-    let mut request = request.clone();
-    request
-        .headers
-        .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
+    let Outgoing {
+        body, attempt_id, ..
+    } = outgoing;
+    let deadline = clock::now() + outgoing.limit;
+    let mut request = outgoing.request.clone();
+    request.headers.remove(is_own_field);
     request.headers.push(ENDPOINT, instance.id.as_bytes());
+    let start = outgoing.expected_start.map(|start| start.to_string());
+    let start = start.unwrap_or_else(|| ANY_START.to_string());
     let mut reason = "no gateway reaches an endpoint".to_string();
     for gateway in reach::others(state, attempt_id)
         .into_iter()
@@ -102,9 +115,13 @@
                 continue;
             }
         };
-        if !may_send() {
+        if !(outgoing.may_send)() {
             return Err(Failure::Denied);
         }
+        let mut request = request.clone();
+        if gateway.forward_version >= FORWARD_VERSION_WITH_STARTS {
+            request.headers.push(START, start.as_bytes());
+        }
         let sent = clock::now();
         let exchange = relay::exchange(
             &mut connection,
@@ -119,8 +136,8 @@
             .ok_or(Failure::Timeout)?
             .map_err(Failure::Lost)?;
         let result = head.headers.get(RESULT).unwrap_or_default().to_string();
-        head.headers
-            .remove(|name| name.eq_ignore_ascii_case(RESULT));
+        let started_ms = head.headers.get(START).and_then(|start| start.parse().ok());
+        head.headers.remove(is_own_field);
         telemetry::request_forwarded(&result);
         match result.as_str() {
             UNREACHED => {
@@ -136,6 +153,7 @@
             RESTING | DRAINING => {
                 reason = format!("the endpoint is {result} for the gateway at {address}");
             }
+            OTHER_START => return Err(Failure::OtherStart),
             LOST => return Err(Failure::Lost("lost by another gateway".to_string())),
             TIMEOUT => return Err(Failure::Timeout),
             _ => {
@@ -143,7 +161,7 @@
                 let response =
                     EndpointResponse::new(state, instance, connection, head, framing, sent);
                 let is_close_delimited = result == CLOSE_DELIMITED;
-                return Ok(response.forwarded(is_close_delimited));
+                return Ok(response.forwarded(is_close_delimited, started_ms));
             }
         }
     }
@@ -153,9 +171,13 @@
 /// Returns whether a response of another gateway says that the request has not run.
 fn is_refusal(head: &Response) -> bool {
     let result = head.headers.get(RESULT);
-    relay::is_not_executed(head)
-        || result
-            .is_some_and(|result| [UNREACHED, UNAVAILABLE, RESTING, DRAINING].contains(&result))
+    relay::is_not_executed(head) || result.is_some_and(|result| REFUSALS.contains(&result))
+}
+
+/// Returns whether a header field is one that gateways send each other with forwarded requests and their responses.
+fn is_own_field(name: &str) -> bool {
+    let own = [ENDPOINT, RESULT, START];
+    own.into_iter().any(|own| name.eq_ignore_ascii_case(own))
 }
 
 /// Serves the requests of other gateways until the future is dropped.
@@ -265,9 +287,8 @@
         .get(ENDPOINT)
         .unwrap_or_default()
         .to_string();
-    request
-        .headers
-        .remove(|name| name.eq_ignore_ascii_case(ENDPOINT));
+    let start = request.headers.get(START).map(ToString::to_string);
+    request.headers.remove(is_own_field);
     let table = state.catalog.borrow().table();
     if table.is_some_and(|table| table.teams.is_some()) {
         // A gateway of an older release, or with an older configuration, passes on the key of its caller.
@@ -290,28 +311,29 @@
     let _forwarded = Forwarded::new(state);
     let limit = fields.timeout.unwrap_or(DEFAULT_LIMIT);
     // The gateway that received the request has checked its key, which is not passed on.
-    let sent = relay::send(
-        state,
-        &instance,
-        &request,
-        &body,
-        &fields.attempt_id,
+    let outgoing = Outgoing {
+        request: &request,
+        body: &body,
+        attempt_id: &fields.attempt_id,
         limit,
-        &|| true,
-    );
-    let response = match sent.await {
+        expected_start: start.as_ref().and_then(|start| start.parse().ok()),
+        may_send: &|| true,
+    };
+    let response = match relay::send(state, &instance, outgoing).await {
         Ok(response) => response,
         Err(failure) => {
             let result = match failure {
                 Failure::NotSent(_) if reach::have_links(state, &instance).await => UNREACHED,
                 Failure::NotSent(_) | Failure::Denied => UNAVAILABLE,
+                Failure::OtherStart => OTHER_START,
                 Failure::Lost(_) => LOST,
                 Failure::Timeout => TIMEOUT,
             };
             return respond(connection, result, &fields.attempt_id).await;
         }
     };
-    let body = relay_response(state, connection, response);
+    let names_start = start.is_some();
+    let body = relay_response(state, connection, response, names_start);
     timer::within(limit + relay::STREAM_SLACK, body)
         .await
         .unwrap_or(Ok(()))
@@ -330,11 +352,12 @@
     Ok(connection.write(&head.encode()).await?)
 }
 
-/// Passes a response on, with a length or in chunks.
+/// Passes a response on, with a length or in chunks. Names the start of the endpoint if the other gateway asks for it.
 async fn relay_response(
     state: &Rc<State>,
     connection: &mut Connection,
     mut response: EndpointResponse,
+    names_start: bool,
 ) -> Result<(), connection::Error> {
     let mut head: Response = response.head.clone();
     head.headers.remove_hop_by_hop();
@@ -351,6 +374,9 @@
     if response.framing == Framing::Close {
         head.headers.push(RESULT, CLOSE_DELIMITED.as_bytes());
     }
+    if let Some(started_ms) = response.started_ms.filter(|_| names_start) {
+        head.headers.push(START, started_ms.to_string().as_bytes());
+    }
     head.headers.push("Connection", b"close");
     connection.write(&head.encode()).await?;
     while let Some(bytes) = response.next_chunk(state).await? {
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -17,7 +17,7 @@
 use crate::acquire::{Permit, Unavailable, acquire};
 use crate::crash::{self, Run};
 use crate::exchange::{Call, Caller, Outcome};
-use crate::relay::{self, Failure, log_failed_attempt};
+use crate::relay::{self, EndpointResponse, Failure, Outgoing, log_failed_attempt};
 use crate::room::Held;
 use crate::state::State;
 use crate::{authorize, limit, link, stream, telemetry, timer};
@@ -65,7 +65,9 @@
     has_event: bool,
     /// The longest time that the current engine took between two events.
     longest_pause: Duration,
-    /// The software version that wrote its first event; only that version may resume it.
+    /// Whether an engine has written its first event.
+    has_begun: bool,
+    /// The software version that wrote its first event, if it is known; only that version may resume it.
     software: Option<Software>,
 }
 
@@ -79,6 +81,26 @@
         self.longest_pause = Duration::ZERO;
     }
 
+    /// Looks up the software version that wrote the first event; returns `false` if it is not known, so that no engine may
+    /// go on with the stream.
+    fn find_software(&mut self, state: &State, call: &Call) -> bool {
+        if self.has_begun && self.software.is_none() {
+            self.software = stream::resolved(state, call);
+        }
+        self.software.is_some() || !self.has_begun
+    }
+
+    /// Returns whether a start of an engine, if it is known which, may write the next event.
+    fn may_be_written_by(
+        &self,
+        state: &State,
+        instance: &Instance,
+        started_ms: Option<u64>,
+    ) -> bool {
+        let required = self.software.as_ref();
+        required.is_none() || stream::software(state, instance, started_ms).as_ref() == required
+    }
+
     /// Records the time that the engine took, if events are complete.
     fn record_pause(&mut self, is_complete: bool) {
         if !is_complete {
@@ -151,6 +173,7 @@
             waited: Duration::ZERO,
             has_event: false,
             longest_pause: Duration::ZERO,
+            has_begun: call.software.is_some(),
             software: call.software.clone(),
         },
     };
@@ -159,6 +182,9 @@
         if call.time_left().is_zero() {
             break;
         }
+        if !progress.stream.find_software(state, call) {
+            break;
+        }
         let software = progress.stream.software.as_ref();
         let mut permit = match acquire(state, call, &progress.tried, software).await {
             Ok(permit) => permit,
@@ -247,7 +273,7 @@
     let instance = permit.instance.clone();
     let mut run = Run::new(state, call, &instance);
     let now = clock::now();
-    let sent = send(state, call, &permit, progress.stream.last_event_id, caller).await;
+    let sent = send(state, call, &permit, &progress.stream, caller).await;
     if let Ok(response) = &sent
         && response.fields.is_signed
     {
@@ -265,14 +291,7 @@
             return record_not_run(call, &mut permit, progress, status);
         }
         Ok(mut response) if response.fields.is_signed => {
-            telemetry::response_started(clock::now().saturating_sub(now));
-            info!(
-                event = "head", request = call.fields.attempt_id.as_str(),
-                endpoint = instance.id.as_str(), born:? = response.started_ms, registered = instance.started_ms,
-                status = response.head.status,
-                framing:? = response.framing,
-                took_ms = clock::now().saturating_sub(now).as_millis() as u64; "response started"
-            );
+            log_head(call, &instance, &response, clock::now().saturating_sub(now));
             // An error may come before the prompt is read, and would count as a fast prefill.
             if response.head.status < 300 {
                 permit.response_started();
@@ -281,6 +300,13 @@
             let is_failure = response.head.status >= 500;
             let may_resume = call.route.retry_policy == RetryPolicy::ResumableStream
                 && progress.runs + 1 < call.route.max_endpoints;
+            let started_ms = response.started_ms;
+            let stream = &progress.stream;
+            if !is_failure && !stream.may_be_written_by(state, &instance, started_ms) {
+                // It was sent through a gateway that cannot tell before.
+                run.ended();
+                return record_other_start(call, &instance, progress);
+            }
             if caller.has_started && !header::is_event_stream(&response.head) {
                 format!("engine-status-{}-is-no-stream", response.head.status)
             } else if is_failure && may_resume {
@@ -310,8 +336,9 @@
             }
         }
         Ok(response) => format!("unsigned-status-{}", response.head.status),
-        Err(Failure::NotSent(reason)) => {
+        Err(failure @ (Failure::NotSent(_) | Failure::OtherStart)) => {
             run.ended();
+            let reason = failure.reason();
             log_failed_attempt(call, &instance, "not-sent", &reason);
             progress.tried.insert(instance.id.clone());
             return Attempt::NotSent(reason);
@@ -341,6 +368,24 @@
     Attempt::Failed(Outcome::unknown(502, &failure))
 }
 
+fn log_head(call: &Call, instance: &Instance, response: &EndpointResponse, took: Duration) {
+    telemetry::response_started(took);
+    info!(
+        event = "head", request = call.fields.attempt_id.as_str(),
+        endpoint = instance.id.as_str(), born:? = response.started_ms, registered = instance.started_ms,
+        status = response.head.status, framing:? = response.framing,
+        took_ms = took.as_millis() as u64; "response started"
+    );
+}
+
+/// Records that another start of an engine than the one that was chosen has run the request.
+fn record_other_start(call: &Call, instance: &Instance, progress: &mut Progress) -> Attempt {
+    progress.runs += 1;
+    progress.tried.insert(instance.id.clone());
+    log_failed_attempt(call, instance, "unknown", "started again");
+    Attempt::Failed(Outcome::unknown(502, "started again"))
+}
+
 /// Records that an engine did not run the request.
 ///
 /// An engine that lacks the adapter may be tried again if its owner granted the request.
@@ -376,27 +421,28 @@
     state: &Rc<State>,
     call: &Call,
     permit: &Permit,
-    last_event_id: Option<u64>,
+    stream: &Stream,
     caller: &Caller<'_>,
-) -> Result<relay::EndpointResponse, Failure> {
+) -> Result<EndpointResponse, Failure> {
     let left = call.time_left();
     let request = call.endpoint_request(&Dispatch {
         endpoint: permit.instance.id.clone(),
         timeout: left,
         version: permit.version,
         priority: Some(call.route.priority.min(9)),
-        resume_after: last_event_id.filter(|_| caller.has_started),
+        resume_after: stream.last_event_id.filter(|_| caller.has_started),
     });
-    link::send(
-        state,
-        &permit.instance,
-        &request,
-        &call.body,
-        &call.fields.attempt_id,
-        left,
-        &|| authorize::is_authorized(state, call),
-    )
-    .await
+    // The engine was chosen for the software version in its registration.
+    let expected_start = stream.software.as_ref().map(|_| permit.instance.started_ms);
+    let outgoing = Outgoing {
+        request: &request,
+        body: &call.body,
+        attempt_id: &call.fields.attempt_id,
+        limit: left,
+        expected_start,
+        may_send: &|| authorize::is_authorized(state, call),
+    };
+    link::send(state, &permit.instance, outgoing).await
 }
 
 /// Relays an engine's response; a stream is relayed in complete events.
@@ -405,12 +451,13 @@
     call: &Call,
     caller: &mut Caller<'_>,
     instance: &Instance,
-    response: &mut relay::EndpointResponse,
+    response: &mut EndpointResponse,
     stream: &mut Stream,
 ) -> Transfer {
     let is_stream = call.route.retry_policy.is_stream() && response.head.status == 200;
     let limit = call.time_left() + relay::STREAM_SLACK;
     let is_resumed = caller.has_started;
+    let started_ms = response.started_ms;
     let work = async {
         if !caller.has_started {
             let framing = if is_stream {
@@ -450,9 +497,9 @@
                     return Transfer::Interrupted("event too long".to_string());
                 }
                 stream.record_pause(!events.is_empty());
-                if !events.is_empty() && stream.software.is_none() {
-                    stream.software = Some(instance.software.clone());
-                    stream::began(state, call, instance);
+                if !events.is_empty() && !stream.has_begun {
+                    stream.has_begun = true;
+                    stream.software = stream::began(state, call, instance, started_ms);
                 }
                 caller.send_chunk(&events).await
             } else {
--- a/crates/endivespur_gateway/src/identify.rs
+++ b/crates/endivespur_gateway/src/identify.rs
@@ -13,9 +13,8 @@
 use endivespur_platform::engine::{self, Identity, Target};
 use log::info;
 
-use crate::relay::{self, Failure};
 use crate::state::State;
-use crate::{notice, telemetry};
+use crate::{connect, notice, telemetry};
 
 /// The status of an endpoint that is not the one that was asked for.
 const MISDIRECTED: u16 = 421;
@@ -28,13 +27,13 @@
 ///
 /// # Errors
 ///
-/// Returns [`Failure::NotSent`] if the engine does not respond, or another endpoint listens on its address.
+/// Returns the cause if the engine does not respond, or another endpoint listens on its address.
 pub async fn identify(
     state: &Rc<State>,
     instance: &Rc<Instance>,
     mut connection: Connection,
     deadline: Time,
-) -> Result<Connection, Failure> {
+) -> Result<Connection, String> {
     let target = Target {
         endpoint: instance.id.clone(),
         address: instance.address,
@@ -43,7 +42,7 @@
     let mut failure = None;
     for asked in 0..MAX_ASKED {
         if asked > 0 {
-            connection = relay::connect(state, instance, left()).await?;
+            connection = connect::connect(state, instance, left()).await?;
         }
         let identity = match engine::identify(&mut connection, &target).await {
             Ok(identity) => identity,
@@ -55,7 +54,7 @@
         };
         if identity.status == MISDIRECTED {
             record(instance, "misdirected", None);
-            return Err(Failure::NotSent("another endpoint".to_string()));
+            return Err("another endpoint".to_string());
         }
         failure = None;
         state
@@ -77,9 +76,9 @@
     if let Some(error) = failure {
         let mut health = state.health.borrow_mut();
         health.record_failure(clock::now(), &instance.id);
-        return Err(Failure::NotSent(error));
+        return Err(error);
     }
-    relay::connect(state, instance, left()).await
+    connect::connect(state, instance, left()).await
 }
 
 fn outcome(instance: &Instance, identity: &Identity) -> &'static str {
--- a/crates/endivespur_gateway/src/lib.rs
+++ b/crates/endivespur_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod checks;
 mod confirm;
 mod confirmations;
+mod connect;
 mod crash;
 mod exchange;
 mod exposition;
--- a/crates/endivespur_gateway/src/link.rs
+++ b/crates/endivespur_gateway/src/link.rs
@@ -1,18 +1,16 @@
 //! Sends a request to an endpoint: over this gateway's own link, or through another gateway.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use endivespur_clock as clock;
 use endivespur_core::gateway::endpoint::Instance;
-use endivespur_http::head::Request;
 
-use crate::relay::{EndpointResponse, Failure};
+use crate::relay::{EndpointResponse, Failure, Outgoing};
 use crate::state::State;
 use crate::{forward, relay};
 
-/// Sends a request with its body and reads the head of the response within `limit`: directly, or through
-/// another gateway if this one's links do not work. Asks `may_send` right before the first byte.
+/// Sends a request and reads the head of the response: directly, or through another gateway if this one's links do not
+/// work.
 ///
 /// An endpoint that cannot be reached is recorded as failing.
 ///
@@ -22,26 +20,25 @@
 pub async fn send(
     state: &Rc<State>,
     instance: &Rc<Instance>,
-    request: &Request,
-    body: &[u8],
-    attempt_id: &str,
-    limit: Duration,
-    may_send: &dyn Fn() -> bool,
+    outgoing: Outgoing<'_>,
 ) -> Result<EndpointResponse, Failure> {
     let started = clock::now();
     if state.reach.borrow().needs_forwarding(started, &instance.id) {
-        return forward::send(state, instance, request, body, attempt_id, limit, may_send).await;
+        return forward::send(state, instance, outgoing).await;
     }
     let was_bypassed = state.reach.borrow().was_bypassed(&instance.id);
-    let sent = relay::send(state, instance, request, body, attempt_id, limit, may_send).await;
+    let sent = relay::send(state, instance, outgoing).await;
     let has_evidence = state.reach.borrow().has_evidence(started);
     // While other links work, an endpoint that was not bypassed before is rather down than cut off.
     if !matches!(sent, Err(Failure::NotSent(_))) || (has_evidence && !was_bypassed) {
         return sent;
     }
-    let left = limit.saturating_sub(clock::now().saturating_sub(started));
-    let forwarded = forward::send(state, instance, request, body, attempt_id, left, may_send).await;
-    match forwarded {
+    let took = clock::now().saturating_sub(started);
+    let outgoing = Outgoing {
+        limit: outgoing.limit.saturating_sub(took),
+        ..outgoing
+    };
+    match forward::send(state, instance, outgoing).await {
         Err(Failure::NotSent(_)) => sent,
         forwarded => {
             let mut reach = state.reach.borrow_mut();
--- a/crates/endivespur_gateway/src/member.rs
+++ b/crates/endivespur_gateway/src/member.rs
@@ -14,7 +14,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 
-use crate::catalog::Peer;
+use crate::catalog::{FORWARD_VERSION_WITH_STARTS, Peer};
 use crate::state::State;
 use crate::{telemetry, timer};
 
@@ -228,6 +228,7 @@
         link_rate: state.settings.link_rate,
         keeps_streams: true,
         keeps_quotas: true,
+        forward_version: FORWARD_VERSION_WITH_STARTS,
     };
     let value = serde_json::to_vec(&record).map_err(|error| error.to_string())?;
     let key = format!("{VM_KEY_PREFIX}{}", state.settings.vm);
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -10,17 +10,14 @@
 use endivespur_http::body::Decoder;
 use endivespur_http::connection::{self, Connection};
 use endivespur_http::head::{Framing, Request, Response};
-use endivespur_http::pool;
 use endivespur_platform::header;
 use log::info;
 
 use crate::body::{Body, Collector, Unread};
 use crate::exchange::Call;
 use crate::state::{DEFAULT_KEEP_ALIVE, State};
-use crate::{identify, notice, reach, telemetry, timer};
+use crate::{connect, identify, notice, reach, telemetry, timer};
 
-/// The maximum time to connect to an endpoint; a full accept queue drops the first packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The maximum time that an idle connection is kept.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the endpoint's keep-alive timeout an idle connection is dropped: if the endpoint
@@ -40,12 +37,43 @@
     NotSent(String),
     /// Nothing was sent, as it may no longer be.
     Denied,
+    /// Nothing was sent, as another start of the endpoint than the expected one, or an unknown one, would have received it.
+    OtherStart,
     /// It was sent, and may have run.
     Lost(String),
     /// It was sent, and got no response in time.
     Timeout,
 }
 
+impl Failure {
+    /// Returns the reason, for the log and the refusal.
+    pub fn reason(self) -> String {
+        match self {
+            Self::NotSent(reason) | Self::Lost(reason) => reason,
+            Self::Denied => "unauthorized".to_string(),
+            Self::OtherStart => "started again".to_string(),
+            Self::Timeout => "no answer in time".to_string(),
+        }
+    }
+}
+
+/// A request on its way to an endpoint.
+#[derive(Clone, Copy)]
+pub struct Outgoing<'a> {
+    /// The head.
+    pub request: &'a Request,
+    /// The body.
+    pub body: &'a [u8],
+    /// The id of the attempt.
+    pub attempt_id: &'a str,
+    /// How long the head of the response may take.
+    pub limit: Duration,
+    /// The start of the endpoint, in milliseconds since the Unix epoch, that alone may receive it; `None` if any may.
+    pub expected_start: Option<u64>,
+    /// Asked right before the first byte, if the request had to wait for a connection.
+    pub may_send: &'a dyn Fn() -> bool,
+}
+
 /// A response whose body is still to be read.
 pub struct EndpointResponse {
     connection: Connection,
@@ -91,9 +119,11 @@
         }
     }
 
-    /// Marks the response as forwarded by another gateway, whose connection carries one request.
-    pub fn forwarded(mut self, is_close_delimited: bool) -> Self {
+    /// Marks the response as forwarded by another gateway, whose connection carries one request and which names the start
+    /// of the endpoint, if it knows it.
+    pub fn forwarded(mut self, is_close_delimited: bool, started_ms: Option<u64>) -> Self {
         self.keep_alive = None;
+        self.started_ms = started_ms;
         if is_close_delimited {
             self.framing = Framing::Close;
         }
@@ -155,8 +185,7 @@
     );
 }
 
-/// Sends a request over this gateway's own link, and reads the head of the response within `limit`. Asks `may_send` right
-/// before the first byte, if it had to wait for a connection.
+/// Sends a request over this gateway's own link, and reads the head of the response.
 ///
 /// An endpoint that cannot be reached is recorded as failing.
 ///
@@ -166,12 +195,9 @@
 pub async fn send(
     state: &Rc<State>,
     instance: &Rc<Instance>,
-    request: &Request,
-    body: &[u8],
-    attempt_id: &str,
-    limit: Duration,
-    may_send: &dyn Fn() -> bool,
+    outgoing: Outgoing<'_>,
 ) -> Result<EndpointResponse, Failure> {
+    let limit = outgoing.limit;
     let deadline = clock::now() + limit;
     let pooled = state.pool.borrow_mut().take(instance.address);
     let answers = if pooled.is_some() {
@@ -179,29 +205,27 @@
     } else {
         Answers::Any
     };
-    let is_new = pooled.is_none();
+    let is_ready = pooled.as_ref().is_some_and(|connection| {
+        connection.peer_started_ms().is_some() || !state.is_engine(&instance.service)
+    });
     let mut connection = match pooled {
-        Some(connection) => connection,
-        None => connect(state, instance, limit).await?,
+        Some(connection) if is_ready => connection,
+        pooled => open(state, instance, pooled, deadline).await?,
     };
-    let is_identified = connection.peer_started_ms().is_some();
-    if !is_identified && state.is_engine(&instance.service) {
-        let left = deadline.saturating_sub(clock::now());
-        let identified = identify::identify(state, instance, connection, deadline);
-        connection = within(state, instance, left, identified)
-            .await
-            .unwrap_or_else(|| Err(Failure::NotSent("no report in time".to_string())))?;
+    let started_ms = connection.peer_started_ms();
+    if outgoing.expected_start.is_some() && outgoing.expected_start != started_ms {
+        return Err(Failure::OtherStart);
     }
-    if (is_new || !is_identified) && !may_send() {
+    if !is_ready && !(outgoing.may_send)() {
         return Err(Failure::Denied);
     }
     let sent = clock::now();
     let left = deadline.saturating_sub(sent);
     let exchange = exchange(
         &mut connection,
-        request,
-        body,
-        attempt_id,
+        outgoing.request,
+        outgoing.body,
+        outgoing.attempt_id,
         answers,
         is_not_executed,
     );
@@ -212,6 +236,31 @@
     ))
 }
 
+/// Returns a connection to an endpoint over which a request may be sent, if there is one until `deadline`. A model engine
+/// has been asked on it which start this is.
+async fn open(
+    state: &Rc<State>,
+    instance: &Rc<Instance>,
+    idle: Option<Connection>,
+    deadline: Time,
+) -> Result<Connection, Failure> {
+    let left = || deadline.saturating_sub(clock::now());
+    let connection = match idle {
+        Some(connection) => connection,
+        None => connect::connect(state, instance, left())
+            .await
+            .map_err(Failure::NotSent)?,
+    };
+    if !state.is_engine(&instance.service) {
+        return Ok(connection);
+    }
+    let identified = identify::identify(state, instance, connection, deadline);
+    let identified = within(state, instance, left(), identified).await;
+    identified
+        .unwrap_or_else(|| Err("no report in time".to_string()))
+        .map_err(Failure::NotSent)
+}
+
 /// Returns what an endpoint answers within `limit`; suspects its link if it is silent for long.
 async fn within<T>(
     state: &Rc<State>,
@@ -228,35 +277,6 @@
     timer::within(limit.saturating_sub(MAX_SILENCE), answer).await
 }
 
-/// Connects to an endpoint; records a failure, and that the link is suspected.
-///
-/// # Errors
-///
-/// Returns [`Failure::NotSent`] if the endpoint cannot be reached within `limit`.
-pub async fn connect(
-    state: &Rc<State>,
-    instance: &Rc<Instance>,
-    limit: Duration,
-) -> Result<Connection, Failure> {
-    let now = clock::now;
-    match pool::connect(instance.address, CONNECT_TIMEOUT.min(limit)).await {
-        Ok(connection) => {
-            state.reach.borrow_mut().connected(now(), &instance.id);
-            Ok(connection)
-        }
-        Err(error) => {
-            reach::suspect(state, instance);
-            let mut health = state.health.borrow_mut();
-            if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                health.record_unreachable(now(), &instance.id);
-            } else {
-                health.record_failure(now(), &instance.id);
-            }
-            Err(Failure::NotSent(error.to_string()))
-        }
-    }
-}
-
 /// Suspects the link to an endpoint that has sent nothing for some time.
 fn suspect_silence(state: &Rc<State>, instance: &Rc<Instance>) {
     let last_activity = state.health.borrow().last_activity(&instance.id);
--- a/crates/endivespur_gateway/src/resume.rs
+++ b/crates/endivespur_gateway/src/resume.rs
@@ -33,13 +33,14 @@
     if !call.fields.is_resumption || !call.route.retry_policy.is_stream() {
         return Ok(());
     }
-    let named = match &call.fields.resumes {
+    let located = match &call.fields.resumes {
         Some(attempt) => locate(state, stream::key(attempt)).await,
-        None => None,
+        None => Located::Nowhere,
     };
-    let origin = match named {
-        Some(origin) => Some(origin),
-        None => sole_origin(state, call).await?,
+    let origin = match located {
+        Located::Known(origin) => Some(origin),
+        Located::Unresolved => return Err(refuse_unresolved(call)),
+        Located::Nowhere => sole_origin(state, call).await?,
     };
     let origin = origin.filter(|origin| {
         let mut targets = call.route.targets.iter();
@@ -66,6 +67,26 @@
     Ok(())
 }
 
+/// What the gateways know of a stream.
+enum Located {
+    /// Where it began.
+    Known(Origin),
+    /// One of them knows it, but not the version that began it.
+    Unresolved,
+    /// None of them knows it.
+    Nowhere,
+}
+
+/// Refuses a stream that an engine began whose registration is not known, or not any more. It may come in a moment.
+fn refuse_unresolved(call: &Call) -> Outcome {
+    let fields = &call.fields;
+    info!(
+        event = "resumption", request = fields.attempt_id.as_str(), resumes:? = fields.resumes,
+        last_event:? = fields.last_event_id, software = "unresolved"; "stream of an unknown version"
+    );
+    Outcome::refused("stream-unresolved", RECONNECT_DELAY)
+}
+
 /// Returns the origin of a stream that no gateway knows, or whose caller does not name the attempt that began it: it
 /// is known if the route has only one service, and that only one software version.
 ///
@@ -95,14 +116,14 @@
 }
 
 /// Returns the origin of a stream; asks the other gateways if this one does not know it.
-async fn locate(state: &Rc<State>, key: Key) -> Option<Origin> {
+async fn locate(state: &Rc<State>, key: Key) -> Located {
     let streams = &state.streams;
     let origin = || {
         let mut tracker = streams.tracker.borrow_mut();
         tracker.origin(clock::now(), key).cloned()
     };
     if let Some(origin) = origin() {
-        return Some(origin);
+        return Located::Known(origin);
     }
     if streams.lookups.borrow_mut().insert(key) {
         streams.queued.borrow_mut().push(key);
@@ -112,9 +133,16 @@
     }
     loop {
         let listener = streams.located.listen();
-        let origin = origin();
-        if origin.is_some() || !streams.lookups.borrow().contains(&key) {
-            return origin;
+        if let Some(origin) = origin() {
+            return Located::Known(origin);
+        }
+        if !streams.lookups.borrow().contains(&key) {
+            let mut tracker = streams.tracker.borrow_mut();
+            return if tracker.is_unresolved(clock::now(), key) {
+                Located::Unresolved
+            } else {
+                Located::Nowhere
+            };
         }
         listener.await;
     }
@@ -134,7 +162,11 @@
             let mut tracker = streams.tracker.borrow_mut();
             for (origin, keys) in batch {
                 for key in keys {
-                    tracker.resumed(clock::now(), key, origin.clone());
+                    if origin.is_known() {
+                        tracker.resumed(clock::now(), key, origin.clone());
+                    } else {
+                        tracker.known_unresolved(clock::now(), key);
+                    }
                 }
             }
             drop(tracker);
--- a/crates/endivespur_gateway/src/stream.rs
+++ b/crates/endivespur_gateway/src/stream.rs
@@ -12,6 +12,8 @@
 use endivespur_core::gateway::stream::{self, Batch, Key, Origin};
 use endivespur_core::gateway::table::RetryPolicy;
 use endivespur_core::hash;
+use endivespur_core::id::Software;
+use log::info;
 use smol::Timer;
 
 use crate::exchange::Call;
@@ -29,17 +31,53 @@
     state.spawn(share(state.clone()));
 }
 
-/// Records that an engine writes the first event of a stream.
-pub fn began(state: &State, call: &Call, instance: &Instance) {
+/// Records that the start of an engine that began at `started_ms`, if that is known, writes the first event of a stream.
+/// Returns its software version, if that is known.
+pub fn began(
+    state: &State,
+    call: &Call,
+    instance: &Instance,
+    started_ms: Option<u64>,
+) -> Option<Software> {
+    let software = software(state, instance, started_ms);
     let attempt = &call.fields.attempt_id;
     if attempt.is_empty() || call.route.retry_policy != RetryPolicy::ResumableStream {
-        return;
+        return software;
     }
-    let origin = Origin::new(&instance.service, &instance.software);
-    let key = stream::key(attempt);
+    let (now, key) = (clock::now(), stream::key(attempt));
     let mut tracker = state.streams.tracker.borrow_mut();
-    tracker.began(clock::now(), key, origin, &instance.id);
+    if let Some(software) = &software {
+        tracker.began(now, key, Origin::new(&instance.service, software));
+    } else {
+        info!(
+            event = "version-unknown", request = attempt.as_str(), endpoint = instance.id.as_str(),
+            born:? = started_ms, registered = instance.started_ms; "stream began at a start without a registration"
+        );
+        let writer = started_ms.map(|started_ms| (instance.id.clone(), started_ms));
+        tracker.began_unregistered(now, key, &instance.service, writer);
+    }
     state.streams.began.notify(usize::MAX);
+    software
+}
+
+/// Returns the software version of that start of an engine which began at `started_ms`, if its registration is known:
+/// `instance` or a newer one.
+pub fn software(state: &State, instance: &Instance, started_ms: Option<u64>) -> Option<Software> {
+    let started_ms = started_ms?;
+    if instance.started_ms == started_ms {
+        return Some(instance.software.clone());
+    }
+    let current = state.catalog.borrow().endpoint(&instance.id);
+    let current = current.filter(|current| current.started_ms == started_ms);
+    current.map(|current| current.software.clone())
+}
+
+/// Returns the software version that began the stream of a request, if it has become known since.
+pub fn resolved(state: &State, call: &Call) -> Option<Software> {
+    let key = stream::key(&call.fields.attempt_id);
+    let mut tracker = state.streams.tracker.borrow_mut();
+    let origin = tracker.origin(clock::now(), key)?;
+    Some(origin.software.clone())
 }
 
 /// Records the streams that another gateway knows.
@@ -52,12 +90,12 @@
     }
 }
 
-/// Returns the origins of those streams that this gateway knows.
+/// Returns the origins of those streams that this gateway knows. The version is empty if it does not know that.
 pub fn known(state: &State, keys: &[Key]) -> Batch {
     let mut tracker = state.streams.tracker.borrow_mut();
     let mut batch = Batch::new();
     for key in keys {
-        if let Some(origin) = tracker.origin(clock::now(), *key) {
+        if let Some(origin) = tracker.find(clock::now(), *key) {
             batch.entry(origin.clone()).or_default().push(*key);
         }
     }
@@ -69,10 +107,8 @@
     let now = clock::now();
     let mut tracker = state.streams.tracker.borrow_mut();
     tracker.registered(now, &instance.service, &instance.software);
-    let current = state.catalog.borrow().endpoint(&instance.id);
-    let has_new_software = current.is_some_and(|current| current.software != instance.software);
-    if has_new_software {
-        tracker.restarted(now, &instance.id);
+    let start = (instance.id.clone(), instance.started_ms);
+    if tracker.start_registered(&start, &instance.software) {
         state.streams.began.notify(usize::MAX);
     }
 }
