File what an engine says of itself under the start that said it

What could be seen: an engine starts again under its id, says `Server-Leaving` or asks for rest, and its registration comes later. With the registration the gateways dropped both, since they had filed them under the start that was registered before: a gateway that is not the engine's owner sent it further requests (DRAIN), and each gateway one request for each answer in the rest that it had been asked for (BUDGET).

Change: such notices name their responder, the start that the connection leads to. They hold for that start and for the former registrations by which requests still reach it, and end with a later start. The report that an owner reads names its start as well. Where the start is not known (endpoints of plain services, responses to orders) the registered one is assumed, as before.

--- a/crates/endivespur_core/src/gateway/endpoint.rs
+++ b/crates/endivespur_core/src/gateway/endpoint.rs
@@ -46,6 +46,32 @@
     pub orders: u64,
 }
 
+/// The start of an endpoint's process that has said something in a response, and the start that was registered then, by
+/// which requests are addressed until the newer registration arrives. Times are in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Responder {
+    /// The start that has said it.
+    pub started_ms: u64,
+    registered_ms: u64,
+}
+
+impl Responder {
+    /// Creates the responder to a request that was addressed by the registration of the start at `registered_ms`. If it is
+    /// not known which start has responded, the registered one is assumed.
+    pub fn new(registered_ms: u64, started_ms: Option<u64>) -> Self {
+        Self {
+            started_ms: started_ms.unwrap_or(registered_ms),
+            registered_ms,
+        }
+    }
+
+    /// Returns whether a request that is addressed by a registration reaches the responder, as far as is known.
+    pub fn is_reached_by(&self, started_ms: u64) -> bool {
+        let first = self.registered_ms.min(self.started_ms);
+        (first..=self.started_ms).contains(&started_ms)
+    }
+}
+
 /// Identifies a set of weights: a base model, or an adapter of a base model.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Weights {
--- a/crates/endivespur_core/src/gateway/limit.rs
+++ b/crates/endivespur_core/src/gateway/limit.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::{self, Time};
+use crate::gateway::endpoint::Responder;
 use crate::id::Endpoint;
 
 /// The lowest rate at which requests are sent: the endpoint says in its responses when it takes more.
@@ -29,7 +30,7 @@
 /// The time in which one incarnation of an endpoint wants no requests from this gateway.
 #[derive(Clone, Copy, Debug)]
 struct Rest {
-    started_ms: u64,
+    responder: Responder,
     until: Time,
 }
 
@@ -169,22 +170,26 @@
         (now < until).then(|| until.saturating_sub(now))
     }
 
-    /// Records that an incarnation of an endpoint, which started at `started_ms`, wants no requests for the
-    /// time `rest`. An earlier rest that lasts longer remains, since responses may overtake each other.
-    pub fn record_rest(&mut self, now: Time, endpoint: &str, started_ms: u64, rest: Duration) {
+    /// Records that an endpoint wants no requests for the time `rest`. An earlier rest that lasts longer remains, since
+    /// responses may overtake each other.
+    pub fn record_rest(&mut self, now: Time, endpoint: &str, responder: Responder, rest: Duration) {
         let until = now + rest;
         let current = self.rests.get(endpoint).copied();
-        let current = current.filter(|current| current.started_ms >= started_ms);
-        if current.is_none_or(|current| current.started_ms == started_ms && current.until < until) {
-            let rest = Rest { started_ms, until };
+        let current =
+            current.filter(|current| current.responder.started_ms >= responder.started_ms);
+        let is_later = |current: Rest| {
+            current.responder.started_ms == responder.started_ms && current.until < until
+        };
+        if current.is_none_or(is_later) {
+            let rest = Rest { responder, until };
             self.rests.insert(endpoint.to_string(), rest);
         }
     }
 
-    /// Returns for how long an incarnation of an endpoint still wants no requests.
+    /// Returns for how long an endpoint, as registered by its start at `started_ms`, still wants no requests.
     pub fn rest_left(&self, now: Time, endpoint: &str, started_ms: u64) -> Option<Duration> {
         let rest = self.rests.get(endpoint)?;
-        let is_resting = rest.started_ms == started_ms && now < rest.until;
+        let is_resting = rest.responder.is_reached_by(started_ms) && now < rest.until;
         is_resting.then(|| rest.until.saturating_sub(now))
     }
 
--- a/crates/endivespur_core/tests/gateway/limit.rs
+++ b/crates/endivespur_core/tests/gateway/limit.rs
@@ -1,6 +1,7 @@
 //! One gateway gives out the tokens of an endpoint that names a limit, to gateways that come and go.
 
 use assert_matches::assert_matches;
+use endivespur_core::gateway::endpoint::Responder;
 use endivespur_core::gateway::limit::{Decision, Limit, Tracker};
 
 use crate::ms;
@@ -12,6 +13,11 @@
     }
 }
 
+/// Returns the responder of one start to a request that was addressed by the registration of another.
+fn responder(started_ms: u64, registered_ms: u64) -> Responder {
+    Responder::new(registered_ms, Some(started_ms))
+}
+
 /// Asks for a token each 10 ms, and returns the number of tokens given out.
 fn count_tokens(tracker: &mut Tracker, from: u64, to: u64, limit: Limit) -> usize {
     let times = (from..to).step_by(10);
@@ -108,10 +114,10 @@
 #[test]
 fn record_rest_overlapping() {
     let mut tracker = Tracker::new();
-    tracker.record_rest(ms(100), "e", 7, ms(3_000));
-    tracker.record_rest(ms(200), "e", 7, ms(500));
+    tracker.record_rest(ms(100), "e", responder(7, 7), ms(3_000));
+    tracker.record_rest(ms(200), "e", responder(7, 7), ms(500));
     assert_eq!(tracker.rest_left(ms(1_100), "e", 7), Some(ms(2_000)));
-    tracker.record_rest(ms(1_100), "e", 7, ms(4_000));
+    tracker.record_rest(ms(1_100), "e", responder(7, 7), ms(4_000));
     assert_eq!(tracker.rest_left(ms(1_100), "e", 7), Some(ms(4_000)));
     assert_eq!(tracker.rest_left(ms(5_100), "e", 7), None);
 }
@@ -120,9 +126,23 @@
 #[test]
 fn record_rest_of_a_former_process() {
     let mut tracker = Tracker::new();
-    tracker.record_rest(ms(100), "e", 7, ms(3_000));
+    tracker.record_rest(ms(100), "e", responder(7, 7), ms(3_000));
     assert_eq!(tracker.rest_left(ms(200), "e", 9), None);
-    tracker.record_rest(ms(300), "e", 9, ms(400));
-    tracker.record_rest(ms(310), "e", 7, ms(3_000));
+    tracker.record_rest(ms(300), "e", responder(9, 9), ms(400));
+    tracker.record_rest(ms(310), "e", responder(7, 9), ms(3_000));
     assert_eq!(tracker.rest_left(ms(400), "e", 9), Some(ms(300)));
 }
+
+/// A new process asked for rest before its registration arrived: the rest was filed under the former process, and ended
+/// with the registration.
+#[test]
+fn record_rest_before_its_registration() {
+    let mut tracker = Tracker::new();
+    tracker.record_rest(ms(100), "e", responder(9, 7), ms(3_000));
+    assert_eq!(tracker.rest_left(ms(200), "e", 7), Some(ms(2_900)));
+    assert_eq!(tracker.rest_left(ms(200), "e", 9), Some(ms(2_900)));
+    assert_eq!(tracker.rest_left(ms(200), "e", 11), None);
+    // The registration of the process after it was known when a former one's response arrived.
+    tracker.record_rest(ms(300), "f", responder(7, 9), ms(3_000));
+    assert_eq!(tracker.rest_left(ms(400), "f", 9), None);
+}
--- a/crates/endivespur_gateway/src/catalog.rs
+++ b/crates/endivespur_gateway/src/catalog.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use endivespur_core::clock::Time;
-use endivespur_core::gateway::endpoint::{Instance, Weights};
+use endivespur_core::gateway::endpoint::{Instance, Responder, Weights};
 use endivespur_core::gateway::source::Gateway;
 use endivespur_core::gateway::table::Table;
 use endivespur_core::id::{Endpoint, Process, Version, Vm, Zone};
@@ -23,7 +23,7 @@
 /// An incarnation of an endpoint that has said in a response that it leaves.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
-    started_ms: u64,
+    responder: Responder,
     recorded_at: Time,
 }
 
@@ -145,33 +145,33 @@
 
     /// Records that an incarnation of an endpoint has said that it leaves, which counts as draining until it
     /// starts again; returns whether this is new.
-    pub fn mark_leaving(&mut self, now: Time, id: &str, started_ms: u64) -> bool {
+    pub fn mark_leaving(&mut self, now: Time, id: &str, responder: Responder) -> bool {
         let endpoints = &self.endpoints;
         self.leaving.retain(|endpoint, leaving| {
             endpoints.contains_key(endpoint) || now < leaving.recorded_at + LEAVING_RETENTION
         });
         let known = self.leaving.get(id);
-        if known.is_some_and(|known| known.started_ms >= started_ms) {
+        if known.is_some_and(|known| known.responder.started_ms >= responder.started_ms) {
             return false;
         }
         let leaving = Leaving {
-            started_ms,
+            responder,
             recorded_at: now,
         };
         self.leaving.insert(id.to_string(), leaving);
         if let Some(instance) = self.endpoints.get_mut(id) {
             let mut changed = Instance::clone(instance);
-            changed.is_draining |= changed.started_ms == started_ms;
+            changed.is_draining |= responder.is_reached_by(changed.started_ms);
             *instance = Rc::new(changed);
         }
         true
     }
 
-    /// Returns a registration, as draining if its incarnation has said that it leaves.
+    /// Returns a registration, as draining if requests that it addresses reach an incarnation that has said that it leaves.
     pub fn apply_leaving(&self, mut instance: Instance) -> Instance {
         let leaving = self.leaving.get(&instance.id);
         instance.is_draining |=
-            leaving.is_some_and(|leaving| leaving.started_ms == instance.started_ms);
+            leaving.is_some_and(|leaving| leaving.responder.is_reached_by(instance.started_ms));
         instance
     }
 
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -158,10 +158,11 @@
             TIMEOUT => return Err(Failure::Timeout),
             _ => {
                 debug!(event = "forwarded", request = attempt_id, address:% = address; "sent by another gateway");
-                let response =
-                    EndpointResponse::new(state, instance, connection, head, framing, sent);
+                let response = EndpointResponse::new(
+                    state, instance, connection, head, framing, sent, started_ms,
+                );
                 let is_close_delimited = result == CLOSE_DELIMITED;
-                return Ok(response.forwarded(is_close_delimited, started_ms));
+                return Ok(response.forwarded(is_close_delimited));
             }
         }
     }
--- a/crates/endivespur_gateway/src/identify.rs
+++ b/crates/endivespur_gateway/src/identify.rs
@@ -61,7 +61,7 @@
             .health
             .borrow_mut()
             .record_activity(clock::now(), &instance.id);
-        notice::record_of_call(state, instance, &identity.fields);
+        notice::record_of_call(state, instance, identity.started_ms, &identity.fields);
         record(instance, outcome(instance, &identity), identity.started_ms);
         if let Some(started_ms) = identity.started_ms {
             connection.set_peer_started_ms(started_ms);
--- a/crates/endivespur_gateway/src/limit.rs
+++ b/crates/endivespur_gateway/src/limit.rs
@@ -10,7 +10,7 @@
 
 use endivespur_clock as clock;
 use endivespur_core::clock::{Time, scale};
-use endivespur_core::gateway::endpoint::Instance;
+use endivespur_core::gateway::endpoint::{Instance, Responder};
 use endivespur_core::gateway::limit::{Decision, Limit, Rate, Tracker};
 use endivespur_core::hash;
 use endivespur_core::id::Endpoint;
@@ -88,16 +88,19 @@
 }
 
 /// Records that an endpoint wants no requests from this gateway for some time.
-pub fn record_rest(state: &State, instance: &Instance, rest: Duration) {
-    let (now, endpoint) = (clock::now(), instance.id.as_str());
+pub fn record_rest(state: &State, endpoint: &str, responder: Responder, rest: Duration) {
+    let now = clock::now();
     let mut limits = state.limits.borrow_mut();
     if limits
-        .rest_left(now, endpoint, instance.started_ms)
+        .rest_left(now, endpoint, responder.started_ms)
         .is_none()
     {
-        info!(event = "rest", endpoint, rest_ms = rest.as_millis() as u64; "no requests for some time");
+        info!(
+            event = "rest", endpoint, born = responder.started_ms,
+            rest_ms = rest.as_millis() as u64; "no requests for some time"
+        );
     }
-    limits.record_rest(now, endpoint, instance.started_ms, rest);
+    limits.record_rest(now, endpoint, responder, rest);
 }
 
 /// Returns for how long an endpoint wants no requests from this gateway.
--- a/crates/endivespur_gateway/src/owner.rs
+++ b/crates/endivespur_gateway/src/owner.rs
@@ -186,7 +186,9 @@
 
 async fn fetch_report(state: &Rc<State>, instance: &Rc<Instance>, owned: &OwnedEngine) {
     let (result, fields) = engine::report(&state.engines, &target(instance), ORDER_TIMEOUT).await;
-    notice::record_of_call(state, instance, &fields);
+    let started_ms = result.as_ref().ok().map(|(_, started_ms)| *started_ms);
+    let started_ms = started_ms.filter(|started_ms| *started_ms > 0);
+    notice::record_of_call(state, instance, started_ms, &fields);
     match result {
         Ok((report, started_ms)) if started_ms == 0 || started_ms == owned.started_ms => {
             owned.is_unreachable.set(false);
@@ -234,7 +236,8 @@
         ORDER_TIMEOUT,
     )
     .await;
-    notice::record_of_call(state, instance, &fields);
+    // An engine's responses to orders do not name its start.
+    notice::record_of_call(state, instance, None, &fields);
     let now = clock::now();
     log_order(instance, &order, &outcome, now.saturating_sub(sent));
     let answer = match outcome {
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -92,7 +92,8 @@
 }
 
 impl EndpointResponse {
-    /// Creates the response to a request that was sent at `sent`.
+    /// Creates the response to a request that was sent at `sent`, of the start of the endpoint at `started_ms`, if that is
+    /// known.
     pub fn new(
         state: &Rc<State>,
         instance: &Instance,
@@ -100,18 +101,19 @@
         head: Response,
         framing: Framing,
         sent: Time,
+        started_ms: Option<u64>,
     ) -> Self {
         let mut health = state.health.borrow_mut();
         health.record_activity(clock::now(), &instance.id);
         drop(health);
         let fields = header::Response::decode(&head);
-        notice::record(state, instance, sent, &fields);
+        notice::record(state, instance, started_ms, sent, &fields);
         Self {
             keep_alive: keep_alive(&head, framing),
             decoder: Decoder::new(framing),
             endpoint: instance.id.clone(),
             address: instance.address,
-            started_ms: connection.peer_started_ms(),
+            started_ms,
             connection,
             head,
             framing,
@@ -119,11 +121,9 @@
         }
     }
 
-    /// Marks the response as forwarded by another gateway, whose connection carries one request and which names the start
-    /// of the endpoint, if it knows it.
-    pub fn forwarded(mut self, is_close_delimited: bool, started_ms: Option<u64>) -> Self {
+    /// Marks the response as forwarded by another gateway, whose connection carries one request.
+    pub fn forwarded(mut self, is_close_delimited: bool) -> Self {
         self.keep_alive = None;
-        self.started_ms = started_ms;
         if is_close_delimited {
             self.framing = Framing::Close;
         }
@@ -232,7 +232,7 @@
     let answered = within(state, instance, left, exchange).await;
     let (head, framing) = answered.ok_or(Failure::Timeout)?.map_err(Failure::Lost)?;
     Ok(EndpointResponse::new(
-        state, instance, connection, head, framing, sent,
+        state, instance, connection, head, framing, sent, started_ms,
     ))
 }
 
