File a lost response under the start of the engine that lost it

What could be seen: an engine started again, lost three responses without a crash, and its registrations came after them. Sound requests like those were refused for 7.5 s until one got its trial. The lost response was filed under the registered start; the registration of the start that had lost it then looked like a restart in answer to the request, and counted as a crash. The other way round, two gateways that know different registrations filed one crash under two starts, and counted it twice (not shown by a test).

Change: a run knows the start that receives its request, from the connection, right before the first byte, also if its caller leaves later. Only the registration of a later start shows a restart. A response that ends with its connection counts as complete if no later start is registered in time, also while its own registration is late.

Test: restart_before_a_response_is_lost, which failed on (served after 7.5 s) and passes. The crash tests of the gateway pass (29 tests with those of restarts).

--- a/crates/endivespur_core/src/gateway/crash.rs
+++ b/crates/endivespur_core/src/gateway/crash.rs
@@ -41,7 +41,8 @@
 pub struct Crash {
     /// The endpoint.
     pub endpoint: Endpoint,
-    /// The start time of the incarnation, in Unix milliseconds, as known when the request was sent.
+    /// The start time of the incarnation, in Unix milliseconds, as the endpoint has named it on the connection; of endpoints
+    /// that do not, the one in the registration that was known when the request was sent.
     pub started_ms: u64,
     /// Distinguishes crashes of later incarnations whose registration was not known yet.
     pub ordinal: u32,
--- a/crates/endivespur_gateway/src/attempt.rs
+++ b/crates/endivespur_gateway/src/attempt.rs
@@ -148,7 +148,7 @@
         timeout: left,
         ..Dispatch::default()
     });
-    let may_send = || authorize::is_authorized(state, call);
+    let may_send = |_| authorize::is_authorized(state, call);
     let outgoing = Outgoing {
         request: &request,
         body: &call.body,
--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -1,5 +1,6 @@
 //! Detects requests that crash endpoints, and refuses them.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -94,6 +95,8 @@
 pub struct Run {
     state: Rc<State>,
     instance: Rc<Instance>,
+    /// The start of the endpoint that has received the request, if it is known.
+    started_ms: Cell<Option<u64>>,
     features: Rc<[Feature]>,
     request: String,
     /// What identifies the request, for the log.
@@ -110,6 +113,7 @@
         Self {
             state: state.clone(),
             instance: instance.clone(),
+            started_ms: Cell::new(None),
             features: call.features.clone(),
             request: call.fields.attempt_id.clone(),
             identity: call.identity(),
@@ -119,6 +123,14 @@
         }
     }
 
+    /// Records the start of the endpoint that receives the request, if it is known. Until then the registered one is
+    /// assumed.
+    pub fn identified(&self, started_ms: Option<u64>) {
+        if started_ms.is_some() {
+            self.started_ms.set(started_ms);
+        }
+    }
+
     /// Records that the head of the response has arrived.
     pub fn response_started(&mut self) {
         self.started = Some(clock::now());
@@ -161,7 +173,11 @@
             silent_since,
             is_complete,
         };
-        let crash = crash_of(&self.instance);
+        let crash = Crash {
+            endpoint: self.instance.id.clone(),
+            started_ms: self.started_ms.get().unwrap_or(self.instance.started_ms),
+            ordinal: 0,
+        };
         let is_first = self.state.checks.add(crash.clone(), suspect);
         if is_first {
             let (state, instance) = (self.state.clone(), self.instance.clone());
@@ -178,14 +194,6 @@
     }
 }
 
-fn crash_of(instance: &Instance) -> Crash {
-    Crash {
-        endpoint: instance.id.clone(),
-        started_ms: instance.started_ms,
-        ordinal: 0,
-    }
-}
-
 /// Checks whether an endpoint crashed, for all requests that wait for the check.
 async fn check(state: Rc<State>, crash: Crash, instance: Rc<Instance>) {
     Timer::after(CHECK_DELAY).await;
@@ -250,7 +258,8 @@
         return;
     }
     Timer::after(checks::RESTART_TIME).await;
-    if registered_start(state, &crash.endpoint) == Some(crash.started_ms) {
+    let registered = registered_start(state, &crash.endpoint);
+    if registered.is_some_and(|started_ms| started_ms <= crash.started_ms) {
         for suspect in suspects {
             record::complete(state, &suspect.features);
         }
--- a/crates/endivespur_gateway/src/forward.rs
+++ b/crates/endivespur_gateway/src/forward.rs
@@ -115,7 +115,7 @@
                 continue;
             }
         };
-        if !(outgoing.may_send)() {
+        if !(outgoing.may_send)(None) {
             return Err(Failure::Denied);
         }
         let mut request = request.clone();
@@ -318,7 +318,7 @@
         attempt_id: &fields.attempt_id,
         limit,
         expected_start: start.as_ref().and_then(|start| start.parse().ok()),
-        may_send: &|| true,
+        may_send: &|_| true,
     };
     let response = match relay::send(state, &instance, outgoing).await {
         Ok(response) => response,
--- a/crates/endivespur_gateway/src/generate.rs
+++ b/crates/endivespur_gateway/src/generate.rs
@@ -273,11 +273,12 @@
     let instance = permit.instance.clone();
     let mut run = Run::new(state, call, &instance);
     let now = clock::now();
-    let sent = send(state, call, &permit, &progress.stream, caller).await;
-    if let Ok(response) = &sent
-        && response.fields.is_signed
-    {
-        permit.slowdown = response.fields.slowdown.unwrap_or_default();
+    let sent = send(state, call, &permit, &progress.stream, &run, caller).await;
+    if let Ok(response) = &sent {
+        run.identified(response.started_ms);
+        if response.fields.is_signed {
+            permit.slowdown = response.fields.slowdown.unwrap_or_default();
+        }
     }
     let failure = match sent {
         Ok(response) if response.fields.is_not_executed => {
@@ -422,6 +423,7 @@
     call: &Call,
     permit: &Permit,
     stream: &Stream,
+    run: &Run,
     caller: &Caller<'_>,
 ) -> Result<EndpointResponse, Failure> {
     let left = call.time_left();
@@ -440,7 +442,10 @@
         attempt_id: &call.fields.attempt_id,
         limit: left,
         expected_start,
-        may_send: &|| authorize::is_authorized(state, call),
+        may_send: &|started_ms| {
+            run.identified(started_ms);
+            authorize::is_authorized(state, call)
+        },
     };
     link::send(state, &permit.instance, outgoing).await
 }
--- a/crates/endivespur_gateway/src/relay.rs
+++ b/crates/endivespur_gateway/src/relay.rs
@@ -70,8 +70,8 @@
     pub limit: Duration,
     /// The start of the endpoint, in milliseconds since the Unix epoch, that alone may receive it; `None` if any may.
     pub expected_start: Option<u64>,
-    /// Asked right before the first byte, if the request had to wait for a connection.
-    pub may_send: &'a dyn Fn() -> bool,
+    /// Asked right before the first byte, with the start of the endpoint that receives it, if that is known.
+    pub may_send: &'a dyn Fn(Option<u64>) -> bool,
 }
 
 /// A response whose body is still to be read.
@@ -216,7 +216,7 @@
     if outgoing.expected_start.is_some() && outgoing.expected_start != started_ms {
         return Err(Failure::OtherStart);
     }
-    if !is_ready && !(outgoing.may_send)() {
+    if !(outgoing.may_send)(started_ms) {
         return Err(Failure::Denied);
     }
     let sent = clock::now();
