Take no stream for one of the only version beside an unregistered start

What could be seen: an engine started again as v2 and had not registered. The gateway that began a stream there ended, and the caller came back at another one: nobody knew the stream, the store confirmed one version, and the stream went on at v1. "The only version" was concluded from registrations, although this gateway had itself been told of a start that has none.

Change: a gateway remembers the starts that engines have named to it and whose registration it does not know, for as long as streams can be resumed; until the registration comes, their service counts as one of several versions.

--- a/crates/endivespur_core/src/gateway/stream.rs
+++ b/crates/endivespur_core/src/gateway/stream.rs
@@ -70,6 +70,8 @@
     ages: VecDeque<(Time, Key)>,
     /// The streams whose version will be known with the registration of the start that began them.
     pending: BTreeSet<(Start, Key)>,
+    /// When starts of engines were last met without a registration, by service: their version may be any.
+    unregistered: BTreeMap<(Service, Start), Time>,
     /// When other gateways said that they know a stream, but not its version.
     unresolved: BTreeMap<Key, Time>,
     /// The streams whose origins other gateways do not hold yet.
@@ -118,8 +120,23 @@
         }
     }
 
+    /// Records that an engine of a service has named a start whose registration is not known.
+    pub fn start_met(&mut self, now: Time, service: &str, start: Start) {
+        let unregistered = &mut self.unregistered;
+        unregistered.retain(|_, met_at| now.saturating_sub(*met_at) < RETENTION);
+        unregistered.insert((service.to_string(), start), now);
+    }
+
+    /// Returns whether a service has had an engine recently whose version is not known.
+    fn has_unregistered(&self, now: Time, service: &str) -> bool {
+        let mut unregistered = self.unregistered.iter();
+        unregistered
+            .any(|((of, _), met_at)| of == service && now.saturating_sub(*met_at) < RETENTION)
+    }
+
     /// Records the registration of one start of an engine; returns whether it tells the version that began some streams.
     pub fn start_registered(&mut self, start: &Start, software: &str) -> bool {
+        self.unregistered.retain(|(_, met), _| met != start);
         let from = (start.clone(), Key::MIN);
         let to = (start.clone(), Key::MAX);
         let keys: Vec<Key> = self.pending.range(from..=to).map(|(_, key)| *key).collect();
@@ -331,14 +348,15 @@
     }
 
     /// Returns the software version of a service that has had only one recently, by the versions of its
-    /// engines that are `current`; `None` if others may have been there before this gateway started.
+    /// engines that are `current`; `None` if others may have been there, before this gateway started or without a
+    /// registration.
     pub fn sole_software(
         &mut self,
         now: Time,
         service: &str,
         mut current: BTreeSet<Software>,
     ) -> Option<Software> {
-        if !self.is_complete(now, service) {
+        if !self.is_complete(now, service) || self.has_unregistered(now, service) {
             return None;
         }
         current.extend(self.recent_software(now, service));
--- a/crates/endivespur_core/tests/gateway/stream.rs
+++ b/crates/endivespur_core/tests/gateway/stream.rs
@@ -163,6 +163,25 @@
     assert_eq!(sole(&mut tracker, later, &["v2"]), Some("v2".to_string()));
 }
 
+/// An engine whose registration is not known may have any version.
+#[test]
+fn sole_software_beside_an_unregistered_start() {
+    let mut tracker = Tracker::new();
+    tracker.started(ms(0), true);
+    let sole =
+        |tracker: &mut Tracker, now: Duration| tracker.sole_software(now, "s", versions(&["v1"]));
+    tracker.start_met(ms(0), "t", start(8));
+    assert_eq!(sole(&mut tracker, ms(1)), Some("v1".to_string()));
+    tracker.start_met(ms(2), "s", start(8));
+    assert_eq!(sole(&mut tracker, ms(3)), None);
+    assert_eq!(sole(&mut tracker, RETENTION), None);
+    let later = RETENTION + ms(2);
+    assert_eq!(sole(&mut tracker, later), Some("v1".to_string()));
+    tracker.start_met(later, "s", start(9));
+    tracker.start_registered(&start(9), "v1");
+    assert_eq!(sole(&mut tracker, later), Some("v1".to_string()));
+}
+
 /// A process that had just started saw one version only, and took it for the one that had begun a stream at a process
 /// which had ended.
 #[test]
--- a/crates/endivespur_gateway/src/identify.rs
+++ b/crates/endivespur_gateway/src/identify.rs
@@ -14,7 +14,7 @@
 use log::info;
 
 use crate::state::State;
-use crate::{connect, notice, telemetry};
+use crate::{connect, notice, stream, telemetry};
 
 /// The status of an endpoint that is not the one that was asked for.
 const MISDIRECTED: u16 = 421;
@@ -65,6 +65,7 @@
         record(instance, outcome(instance, &identity), identity.started_ms);
         if let Some(started_ms) = identity.started_ms {
             connection.set_peer_started_ms(started_ms);
+            stream::met(state, instance, started_ms);
         }
         if identity.keeps_connection && identity.status == 200 {
             return Ok(connection);
--- a/crates/endivespur_gateway/src/stream.rs
+++ b/crates/endivespur_gateway/src/stream.rs
@@ -60,6 +60,15 @@
     software
 }
 
+/// Records that an engine has named its start on a connection.
+pub fn met(state: &State, instance: &Instance, started_ms: u64) {
+    if software(state, instance, Some(started_ms)).is_none() {
+        let mut tracker = state.streams.tracker.borrow_mut();
+        let start = (instance.id.clone(), started_ms);
+        tracker.start_met(clock::now(), &instance.service, start);
+    }
+}
+
 /// Returns the software version of that start of an engine which began at `started_ms`, if its registration is known:
 /// `instance` or a newer one.
 pub fn software(state: &State, instance: &Instance, started_ms: Option<u64>) -> Option<Software> {
