Ask an engine for its start before it counts as up after a lost response

In the soak a proxy accepts connections for a crashed engine, so that the check after a lost response found it up, and dropped the runs whose callers had left. It had passed because requests that were sent to such a proxy while its engine was down were lost, and blamed for the crash. Since connections are identified first, none is sent there, and nothing was left to show the crash.

Change: the check asks the engine for its start. One that answers with the same start is up; one with a later start has restarted; one that accepts and does not answer is asked again, up to four times in 3.75 s, before it counts as up as before.

--- a/crates/endivespur_gateway/src/crash.rs
+++ b/crates/endivespur_gateway/src/crash.rs
@@ -13,19 +13,24 @@
 use endivespur_core::gateway::reach::Reach;
 use endivespur_http::head::Framing;
 use endivespur_http::pool;
+use endivespur_platform::engine::{self, Target};
 use log::info;
 use smol::Timer;
 
 use crate::checks::{self, Suspect};
 use crate::exchange::{Call, Outcome};
 use crate::state::State;
-use crate::{reach, record, telemetry};
+use crate::{reach, record, telemetry, timer};
 
 /// The delay between the end of a run and the check of the endpoint, which may only have reset the
 /// connection.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 /// The maximum time to connect to a live endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The pauses after which an engine that accepts connections is asked again for its start, if it has not answered: each is
+/// twice as long as the one before. A crashed engine is back after some seconds.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// The delay after which a caller may retry a request that crashes endpoints.
 const RETRY_AFTER: Duration = Duration::from_mins(2);
 
@@ -206,12 +211,7 @@
     if suspects.is_empty() {
         return;
     }
-    let started_ms = registered_start(&state, &crash.endpoint);
-    let outcome = if started_ms.is_some_and(|started_ms| started_ms > crash.started_ms) {
-        "restarted"
-    } else {
-        find_condition(&state, &instance).await
-    };
+    let outcome = find_outcome(&state, &crash, &instance).await;
     telemetry::crash_checked(outcome);
     for suspect in &suspects {
         info!(
@@ -234,20 +234,59 @@
     share_crash(&state, &crash, &runs.collect::<Vec<_>>());
 }
 
-/// Returns whether an endpoint accepts connections, as far as this gateway or another one can tell: its own
-/// link may be cut.
-async fn find_condition(state: &Rc<State>, instance: &Rc<Instance>) -> &'static str {
-    if pool::connect(instance.address, CONNECT_TIMEOUT)
-        .await
-        .is_ok()
-    {
-        return "up";
+/// Returns what has become of a start of an endpoint, as far as this gateway or another one can tell: `restarted`, `down`, `up`
+/// or `unknown`. What accepts connections for an engine that has crashed, such as a proxy, does not answer for it: the engine
+/// is asked for its start, a few times if need be.
+async fn find_outcome(state: &Rc<State>, crash: &Crash, instance: &Rc<Instance>) -> &'static str {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let registered = registered_start(state, &crash.endpoint);
+        if registered.is_some_and(|started_ms| started_ms > crash.started_ms) {
+            return "restarted";
+        }
+        match find_condition(state, instance).await {
+            Condition::Started(started_ms) if started_ms > crash.started_ms => return "restarted",
+            Condition::Accepts if pause <= MAX_PAUSE && state.is_engine(&instance.service) => {
+                Timer::after(pause).await;
+                pause *= 2;
+            }
+            Condition::Started(_) | Condition::Accepts => return "up",
+            Condition::Down => return "down",
+            Condition::Unknown => return "unknown",
+        }
+    }
+}
+
+/// What can be told of an endpoint by a connection.
+enum Condition {
+    /// It has named its start.
+    Started(u64),
+    /// It accepts connections.
+    Accepts,
+    Down,
+    Unknown,
+}
+
+/// Returns the condition of an endpoint, as far as this gateway or another one can tell: its own link may be cut.
+async fn find_condition(state: &Rc<State>, instance: &Rc<Instance>) -> Condition {
+    if let Ok(mut connection) = pool::connect(instance.address, CONNECT_TIMEOUT).await {
+        if !state.is_engine(&instance.service) {
+            return Condition::Accepts;
+        }
+        let target = Target {
+            endpoint: instance.id.clone(),
+            address: instance.address,
+        };
+        let identity = engine::identify(&mut connection, &target);
+        let identity = timer::within(CONNECT_TIMEOUT, identity).await;
+        let started_ms = identity.and_then(|identity| identity.ok()?.started_ms);
+        return started_ms.map_or(Condition::Accepts, Condition::Started);
     }
     match reach::ask_others(state, &instance.id).await {
-        Reach::Reached => "up",
-        Reach::Unreached => "down",
-        Reach::Unknown if reach::have_links(state, instance).await => "down",
-        Reach::Unknown => "unknown",
+        Reach::Reached => Condition::Accepts,
+        Reach::Unreached => Condition::Down,
+        Reach::Unknown if reach::have_links(state, instance).await => Condition::Down,
+        Reach::Unknown => Condition::Unknown,
     }
 }
 
