--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -95,15 +96,23 @@
         self.is_up = True
         self.changed = asyncio.Condition()
         self.writers = set()
-        self.server = None
+        self.listeners = []
         self.address = None
         self.tasks = []
 
     async def start(self, ip):
-        self.server = await asyncio.start_server(self.serve, ip, 0, limit=1 << 22)
-        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.address = await self.listen(ip, {})
         self.tasks.append(asyncio.create_task(self.expire()))
 
+    async def listen(self, ip, links):
+        """Opens another address of the store, whose answers name servers by the addresses of proxies; returns it."""
+        async def serve(reader, writer):
+            await self.serve(reader, writer, links)
+
+        server = await asyncio.start_server(serve, ip, 0, limit=1 << 22)
+        self.listeners.append(server)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
+
     async def notify(self):
         async with self.changed:
             self.changed.notify_all()
@@ -201,7 +210,7 @@
         self.is_up = True
         await self.notify()
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, links):
         self.writers.add(writer)
         try:
             while True:
@@ -214,6 +223,9 @@
                 status, answer = await self.call(method, target, body)
                 if not self.is_up or era != self.era:
                     return
+                for name in ("items", "events") if links else ():
+                    if name in answer:
+                        answer = {**answer, name: [relink(item, links) for item in answer[name]]}
                 text = json.dumps(answer).encode()
                 fields = [("Content-Type", "application/json"), ("Store-Era", self.era)]
                 writer.write(encode(f"HTTP/1.1 {status} Status", fields, text))
@@ -291,6 +303,64 @@
         return 200, {"revision": self.revision}
 
 
+def relink(item, links):
+    """Returns the entry of a server with the address of a proxy."""
+    if not item["key"].startswith("servers/") or "value" not in item:
+        return item
+    entry = json.loads(base64.b64decode(item["value"]))
+    entry["address"] = links.get(entry["address"], entry["address"])
+    return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
+class Proxy:
+    """The path from one machine to one server. While it is cut, its connections are reset and new ones refused."""
+
+    def __init__(self, target):
+        ip, port = target.rsplit(":", 1)
+        self.target = (ip, int(port))
+        self.sockets = set()
+        self.server = None
+        self.address = None
+
+    async def start(self, ip, port=0):
+        self.server = await asyncio.start_server(self.serve, ip, port, reuse_address=True)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+
+    async def cut(self):
+        self.server.close()
+        for writer in list(self.sockets):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    async def heal(self):
+        ip, port = self.address.rsplit(":", 1)
+        await self.start(ip, int(port))
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+        pair = {writer, far_writer}
+        self.sockets |= pair
+
+        async def pump(source, sink):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except (OSError, asyncio.CancelledError):
+                pass
+            finally:
+                for one in pair:
+                    one.close()
+
+        await asyncio.gather(pump(reader, far_writer), pump(far_reader, writer))
+        self.sockets -= pair
+
+
 class Server:
     """A server of a plain service. `answer` may decide the answer to a request: it returns a status and further fields,
     or `None` to run the request."""
@@ -394,6 +464,119 @@
         await writer.drain()
 
 
+class Engine(Server):
+    """A model engine that keeps some adapters of one model, and streams its answers."""
+
+    def __init__(self, record, store, name, service, zone, model, adapter_slots):
+        super().__init__(record, store, name, service, zone)
+        self.model = model
+        self.adapter_slots = adapter_slots
+        self.adapters = {}
+        self.coming = {}
+        self.used = {}
+        self.sequence = 0
+        self.fence = 0
+        self.orders = []
+
+    def models(self):
+        names = [f"{name}@{version}" for name, version in sorted(self.adapters.items())]
+        return [{"name": self.model, "version": 1, "adapters": names}]
+
+    def entry(self):
+        entry = json.loads(super().entry())
+        entry.update(slots=64, stage="both", models=self.models(), sequence=self.sequence)
+        return json.dumps(entry).encode()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                body = await read_body(reader, head)
+                method, target, _ = head.first.split(" ")
+                if head.get("x-endivespur-expect-instance") not in (None, self.id):
+                    writer.write(encode("HTTP/1.1 421 Other", [("X-Endivespur-Not-Executed", "1")]))
+                elif target == "/report":
+                    self.reply(writer, 200, self.report_body())
+                elif target == "/order":
+                    self.reply(writer, await self.take_order(json.loads(body)), {})
+                else:
+                    await self.generate(head, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def reply(self, writer, status, document):
+        text = json.dumps(document).encode()
+        writer.write(encode(f"HTTP/1.1 {status} Status", [("Content-Type", "application/json")], text))
+
+    def report_body(self):
+        return {"stage": "both", "models": self.models(), "busy": False, "sequence": self.sequence, "waiting": 0,
+                "running": sum(self.used.values()), "kv_used": 0, "kv_total": 265376, "handles": 0, "born": self.born,
+                "coming": [f"{self.model}/{name}@1" for name in self.coming]}
+
+    async def take_order(self, order):
+        status = self.judge(order)
+        self.orders.append((now(), order["holder"], order["fence"], status))
+        self.record(f"{self.id}: order {order['op']} {order.get('adapter')} of {order['holder']} with fence "
+                    f"{order['fence']}, expected {order.get('expected')}: {status}")
+        return status
+
+    def judge(self, order):
+        if order["fence"] < self.fence:
+            return 412
+        self.fence = order["fence"]
+        if order.get("expected") not in (None, self.sequence):
+            return 409
+        name = order.get("adapter")
+        if order["op"] == "load":
+            if name is None or name in self.adapters:
+                return 200
+            if name in self.coming:
+                return 202
+            if len(self.adapters) + len(self.coming) >= self.adapter_slots:
+                raise CannotRun(f"{self.id} was ordered to load more adapters than it has places")
+            self.sequence += 1
+            self.coming[name] = asyncio.get_running_loop().call_later(0.25, self.loaded, name)
+            return 202
+        if name not in self.adapters:
+            return 200
+        self.sequence += 1
+        if self.used.get(name):
+            return 202
+        del self.adapters[name]
+        return 200
+
+    def loaded(self, name):
+        if self.coming.pop(name, None):
+            self.adapters[name] = 1
+
+    async def generate(self, head, writer):
+        attempt = head.get("x-endivespur-attempt-id", "")
+        name = head.get("x-endivespur-model", "/").split("/")[1]
+        fields = [("X-Endivespur-Attempt-Id", attempt), ("X-Endivespur-Server-Signature", f"{self.id}.{attempt}")]
+        if name not in self.adapters:
+            writer.write(encode("HTTP/1.1 421 Missing", fields + [("X-Endivespur-Not-Executed", "1")]))
+            return
+        self.arrivals.append((now(), attempt, None))
+        self.used[name] = self.used.get(name, 0) + 1
+        try:
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            lines += [f"{field}: {value}" for field, value in fields]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            for number in range(1, 4):
+                await asyncio.sleep(0.02)
+                event = f"id: {number}\ndata: {attempt}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.used[name] -= 1
+
+
 BOUNDS = """[bounds]
 seed_lag_s = 3
 reuse_after_s = 2
@@ -424,7 +607,7 @@
 class Gateway:
     """One machine that runs the project's program, at an address of its own."""
 
-    def __init__(self, record, folder, store, name, zone, ip, port):
+    def __init__(self, record, folder, store, name, zone, ip, port, store_address=None):
         self.record = record
         self.name = name
         self.ip = ip
@@ -467,7 +650,7 @@
 zones = 0
 regions = 0
 {BOUNDS}[provider]
-address = "{store.address}"
+address = "{store_address or store.address}"
 form = "kv"
 writes_per_s = 400
 reads_per_s = 2000
@@ -591,9 +774,22 @@
         self.servers.append(server)
         return server
 
-    def add_gateway(self, name, zone="nairobi-a"):
+    async def add_gateway_behind_proxies(self, name, zone):
+        """Starts a machine that reaches each server through a proxy of its own."""
+        number = 1 + len(self.gateways)
+        proxies = {}
+        for server in self.servers:
+            proxies[server.id] = Proxy(server.address)
+            await proxies[server.id].start(f"{self.net}.{150 + number}")
+        links = {server.address: proxies[server.id].address for server in self.servers}
+        store_address = await self.store.listen(f"{self.net}.250", links)
+        gateway = self.add_gateway(name, zone, store_address)
+        gateway.proxies = proxies
+        return gateway
+
+    def add_gateway(self, name, zone="nairobi-a", store_address=None):
         ip = f"{self.net}.{1 + len(self.gateways)}"
-        gateway = Gateway(self.record, self.folder, self.store, name, zone, ip, self.port)
+        gateway = Gateway(self.record, self.folder, self.store, name, zone, ip, self.port, store_address)
         self.gateways.append(gateway)
         gateway.start()
         return gateway
